--- /dev/null
+++ b/Libraries/LibClient/ask_command.h
@@ -0,0 +1,11 @@
+#pragma once
+
+#include <string>
+#include <vector>
+
+namespace azurehaven {
+
+/// Runs `azurehaven ask`; returns the exit status.
+int runAskCommand(const std::vector<std::string> &Arguments);
+
+} // namespace azurehaven
--- /dev/null
+++ b/Libraries/LibClient/command_line.h
@@ -0,0 +1,38 @@
+#pragma once
+
+#include "LibTypes/result.h"
+
+#include <docopt/docopt.h>
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace azurehaven {
+
+constexpr int ExitSuccess = 0;
+constexpr int ExitFailure = 1;
+constexpr int ExitUsage = 2;
+
+/// The arguments of one command, by its usage text.
+class command_line {
+public:
+  /// Returns the exit status when the command is over already: after help or
+  /// on arguments that do not match the usage.
+  std::optional<int> parse(const char *Usage, const std::string &Command,
+                           const std::vector<std::string> &Arguments);
+
+  /// The flag's or argument's text, else the environment variable's.
+  std::optional<std::string> text(const std::string &Name,
+                                  const char *Variable = nullptr) const;
+  bool flag(const std::string &Name) const;
+  result<std::int64_t> integer(const std::string &Name, std::int64_t Low,
+                               std::int64_t High) const;
+
+private:
+  std::map<std::string, docopt::value> Values;
+};
+
+} // namespace azurehaven
--- /dev/null
+++ b/Libraries/LibClient/ctl_command.cpp
@@ -0,0 +1,364 @@
+#include "LibClient/ctl_command.h"
+
+#include "LibClient/command_line.h"
+#include "LibClient/operator_client.h"
+#include "LibClient/operator_report.h"
+#include "LibHttp/percent_encoding.h"
+#include "LibHttp/pooled_http_transport.h"
+
+#include <fstream>
+#include <iostream>
+#include <random>
+#include <sstream>
+
+namespace azurehaven {
+
+using nlohmann::json;
+
+namespace {
+
+constexpr const char *CtlUsage = R"(Operates the system through targets.
+
+Usage:
+  azurehaven ctl [options] class set NAME [--quality=Q] [--first-token-ms=MS]
+                 [--deadline-ms=MS] [--cost=MICROEUROS] [--latency-weight=W]
+                 [--exposure-weight=W] [--priority=P]
+  azurehaven ctl [options] account set NAME [--key=KEY] [--models=LIST]
+                 [--versions=LIST] [--share=S]
+  azurehaven ctl [options] version set NAME [--prompt-price=MICROEUROS]
+                 [--completion-price=MICROEUROS]
+  azurehaven ctl [options] version (withdraw | restore) NAME [--reason=TEXT]
+  azurehaven ctl [options] rollout (start | pause | resume | finish | roll-back)
+                 NAME [--reason=TEXT]
+  azurehaven ctl [options] service set NAME [--idempotent=YN]
+                 [--call-price=MICROEUROS]
+  azurehaven ctl [options] session-key rotate
+  azurehaven ctl [options] apply FILE
+  azurehaven ctl [options] (status | config | audit)
+  azurehaven ctl [options] bills [--account=NAME]
+  azurehaven ctl [options] explain REQUEST
+  azurehaven ctl (-h | --help)
+
+A version is written model@version. Prices are for 1,000 tokens or one call.
+FILE holds a JSON array of {"kind", "body"}, applied as a whole or not at all.
+
+Options:
+  --operator=IP:PORT     Operator address of any entry VM; several, separated by
+                         commas, are tried in turn, and explain asks them all
+                         [env: AZUREHAVEN_OPERATOR]
+  --actor=NAME           Who makes the change [env: AZUREHAVEN_ACTOR]
+  --base-version=N       The configuration version that the change builds on; a
+                         later change of the same thing by somebody else is
+                         then a conflict. By default the newest.
+  --change-id=ID         Repeat an earlier change whose outcome is unknown
+  --quality=Q            Wanted mean rating, 0 to 1
+  --first-token-ms=MS    Wanted time to the first token for 95 in 100
+  --deadline-ms=MS       Bound on the whole answer
+  --cost=MICROEUROS      Wanted mean cost of a request
+  --latency-weight=W     How heavily latency counts, 0 to 100
+  --exposure-weight=W    How heavily exposure to unproven versions counts
+  --priority=P           0 to 9; lower ones are shed first
+  --key=KEY              The secret that the account's callers send
+  --models=LIST          Models that the account may use, separated by commas
+  --versions=LIST        Single versions that the account may use
+  --share=S              Weight in the fair division of capacity
+  --prompt-price=MICROEUROS      For 1,000 prompt tokens
+  --completion-price=MICROEUROS  For 1,000 completion tokens
+  --call-price=MICROEUROS        For one call of a plain service
+  --idempotent=YN        Whether calls may be sent again, yes or no
+  --reason=TEXT          For the audit trail
+  --account=NAME         Only this account's bills
+  --json                 Print for programs
+  -h --help              Show this text
+)";
+
+/// A flag and the field of the change that it sets.
+struct field_flag {
+  const char *Flag;
+  const char *Field;
+  enum class kind { Text, Number, Integer, List, YesNo } Kind;
+};
+
+using kind = field_flag::kind;
+
+const std::vector<field_flag> ClassFlags = {
+    {"--quality", "quality_target", kind::Number},
+    {"--first-token-ms", "first_token_ms", kind::Integer},
+    {"--deadline-ms", "deadline_ms", kind::Integer},
+    {"--cost", "cost_target_micro_euros", kind::Integer},
+    {"--latency-weight", "latency_weight", kind::Number},
+    {"--exposure-weight", "exposure_weight", kind::Number},
+    {"--priority", "priority", kind::Integer}};
+const std::vector<field_flag> AccountFlags = {
+    {"--key", "key", kind::Text},
+    {"--models", "models", kind::List},
+    {"--versions", "versions", kind::List},
+    {"--share", "share", kind::Number}};
+const std::vector<field_flag> VersionFlags = {
+    {"--prompt-price", "prompt_price", kind::Integer},
+    {"--completion-price", "completion_price", kind::Integer}};
+const std::vector<field_flag> ServiceFlags = {
+    {"--idempotent", "idempotent", kind::YesNo},
+    {"--call-price", "call_price", kind::Integer}};
+
+json splitList(const std::string &Text) {
+  json Items = json::array();
+  std::stringstream Stream(Text);
+  std::string Item;
+  while (std::getline(Stream, Item, ','))
+    if (!Item.empty())
+      Items.push_back(Item);
+  return Items;
+}
+
+/// Values that do not parse are passed on as text, for the server to name.
+json valueFor(const field_flag &Flag, const std::string &Text) {
+  switch (Flag.Kind) {
+  case kind::Text:
+    return Text;
+  case kind::List:
+    return splitList(Text);
+  case kind::YesNo:
+    if (Text == "yes" || Text == "no")
+      return Text == "yes";
+    return Text;
+  case kind::Number:
+  case kind::Integer: {
+    json Number = json::parse(Text, nullptr, false);
+    return Number.is_number() ? Number : json(Text);
+  }
+  }
+  return Text;
+}
+
+std::string randomHex(int Words) {
+  std::random_device Device;
+  std::string Text;
+  for (int Word = 0; Word < Words; ++Word) {
+    char Digits[16];
+    std::snprintf(Digits, sizeof Digits, "%08x", Device());
+    Text += Digits;
+  }
+  return Text;
+}
+
+/// One run of the command.
+class ctl_run {
+public:
+  ctl_run(const command_line &Line, std::vector<network_address> Addresses)
+      : Line(Line), Addresses(std::move(Addresses)) {}
+
+  int run() {
+    if (Line.flag("explain"))
+      return explain();
+    if (Line.flag("status"))
+      return show("/v1/status", printStatus);
+    if (Line.flag("config"))
+      return show("/v1/config", printConfiguration);
+    if (Line.flag("audit"))
+      return show("/v1/audit", printAudit);
+    if (Line.flag("bills")) {
+      const auto Account = Line.text("--account");
+      return show("/v1/bills" + (Account ? "?account=" + percentEncode(*Account)
+                                         : std::string()),
+                  printBills);
+    }
+    return change();
+  }
+
+private:
+  /// The first address that answers.
+  result<operator_answer> get(const std::string &Path) {
+    result<operator_answer> Answer =
+        error{error_code::Unavailable, "no address"};
+    for (const auto &Address : Addresses) {
+      Answer = operator_client(Transport, Address).get(Path);
+      if (!isError(Answer))
+        return Answer;
+    }
+    return Answer;
+  }
+
+  int fail(const std::string &Message) const {
+    std::cerr << "azurehaven ctl: " << Message << "\n";
+    return ExitFailure;
+  }
+
+  int failWith(const operator_answer &Answer) const {
+    if (Line.flag("--json"))
+      std::cout << Answer.Body.dump(2) << "\n";
+    std::string Message = "status " + std::to_string(Answer.Status);
+    if (Answer.Body.is_object() && Answer.Body.contains("error")) {
+      const json &Error = Answer.Body["error"];
+      Message = Error.value("code", std::string()) + ": " +
+                Error.value("message", std::string());
+      if (Error.contains("changed"))
+        Message += " (changed: " + Error.value("changed", std::string()) + ")";
+      if (Error.contains("retry_after_ms"))
+        Message += "; retry after " +
+                   std::to_string(Error["retry_after_ms"].get<long>()) + " ms";
+    }
+    return fail(Message);
+  }
+
+  int show(const std::string &Path, void (*Print)(const json &)) {
+    auto Answer = get(Path);
+    if (isError(Answer))
+      return fail(errorOf(Answer).Message);
+    if (valueOf(Answer).Status != 200)
+      return failWith(valueOf(Answer));
+    if (Line.flag("--json"))
+      std::cout << valueOf(Answer).Body.dump(2) << "\n";
+    else
+      Print(valueOf(Answer).Body);
+    return ExitSuccess;
+  }
+
+  int explain() {
+    const std::string Path =
+        "/v1/explain?request=" + percentEncode(*Line.text("REQUEST"));
+    json Found = json::array();
+    for (const auto &Address : Addresses) {
+      auto Answer = operator_client(Transport, Address).get(Path);
+      if (isError(Answer) || valueOf(Answer).Status != 200) {
+        std::cerr << "azurehaven ctl: " << Address.text()
+                  << " does not answer; its records are missing\n";
+        continue;
+      }
+      for (auto &Record : valueOf(Answer).Body["records"]) {
+        Record["vm"] = valueOf(Answer).Body["vm"];
+        Found.push_back(Record);
+      }
+    }
+    if (Found.empty())
+      return fail("no VM asked remembers this request");
+    if (Line.flag("--json"))
+      std::cout << Found.dump(2) << "\n";
+    else
+      printExplanation(Found);
+    return ExitSuccess;
+  }
+
+  json bodyFrom(const std::vector<field_flag> &Flags) const {
+    json Body = {{"id", *Line.text("NAME")}};
+    for (const auto &Flag : Flags)
+      if (auto Text = Line.text(Flag.Flag))
+        Body[Flag.Field] = valueFor(Flag, *Text);
+    return Body;
+  }
+
+  json stateBody(const char *State) const {
+    json Body = {{"id", *Line.text("NAME")}, {"state", State}};
+    if (auto Reason = Line.text("--reason"))
+      Body["reason"] = *Reason;
+    return Body;
+  }
+
+  /// The kind and body of the change asked for.
+  result<std::pair<std::string, json>> wantedChange() const {
+    using wanted = std::pair<std::string, json>;
+    if (Line.flag("class"))
+      return wanted("put_class", bodyFrom(ClassFlags));
+    if (Line.flag("account"))
+      return wanted("put_account", bodyFrom(AccountFlags));
+    if (Line.flag("service"))
+      return wanted("put_service", bodyFrom(ServiceFlags));
+    if (Line.flag("withdraw") || Line.flag("roll-back"))
+      return wanted("set_version_state", stateBody("withdrawn"));
+    if (Line.flag("restore") || Line.flag("finish"))
+      return wanted("set_version_state", stateBody("active"));
+    if (Line.flag("start") || Line.flag("resume"))
+      return wanted("set_version_state", stateBody("rolling-out"));
+    if (Line.flag("pause"))
+      return wanted("set_version_state", stateBody("paused"));
+    if (Line.flag("version"))
+      return wanted("put_version", bodyFrom(VersionFlags));
+    if (Line.flag("session-key"))
+      return wanted("rotate_session_key",
+                    {{"id", randomHex(2)}, {"secret", randomHex(8)}});
+    const std::string File = Line.text("FILE").value_or("");
+    std::ifstream Stream(File);
+    json Body = json::parse(Stream, nullptr, false);
+    if (!Stream.is_open() || Body.is_discarded())
+      return error{error_code::InvalidInput,
+                   "FILE: \"" + File + "\"; accepted: a readable JSON file"};
+    return wanted("batch", std::move(Body));
+  }
+
+  result<std::uint64_t> baseVersion() {
+    if (Line.text("--base-version")) {
+      TRY(std::int64_t Given, Line.integer("--base-version", 0, INT64_MAX));
+      return static_cast<std::uint64_t>(Given);
+    }
+    TRY(operator_answer Answer, get("/v1/config"));
+    return Answer.Body.value("version", std::uint64_t(0));
+  }
+
+  int change() {
+    auto Wanted = wantedChange();
+    if (isError(Wanted))
+      return fail(errorOf(Wanted).Message);
+    auto Base = baseVersion();
+    if (isError(Base))
+      return fail(errorOf(Base).Message);
+    const std::string Id =
+        Line.text("--change-id").value_or("ctl-" + randomHex(4));
+    const json Change = {
+        {"change", Id},
+        {"actor",
+         Line.text("--actor", "AZUREHAVEN_ACTOR").value_or("operator")},
+        {"kind", valueOf(Wanted).first},
+        {"body", valueOf(Wanted).second},
+        {"base_version", valueOf(Base)}};
+    result<operator_answer> Answer =
+        error{error_code::Unavailable, "no address"};
+    for (const auto &Address : Addresses) {
+      Answer = operator_client(Transport, Address).submit(Change);
+      if (!isError(Answer))
+        break;
+    }
+    if (isError(Answer))
+      return fail(errorOf(Answer).Message + " (change id " + Id + ")");
+    const operator_answer &Received = valueOf(Answer);
+    if (Received.Status != 200 && Received.Status != 202)
+      return failWith(Received);
+    if (Line.flag("--json"))
+      std::cout << Received.Body.dump(2) << "\n";
+    else
+      std::cout << "version " << Received.Body.value("version", 0) << " "
+                << Received.Body.value("standing", std::string()) << "\n";
+    return ExitSuccess;
+  }
+
+  const command_line &Line;
+  const std::vector<network_address> Addresses;
+  pooled_http_transport Transport;
+};
+
+} // namespace
+
+int runCtlCommand(const std::vector<std::string> &Arguments) {
+  command_line Line;
+  if (auto Status = Line.parse(CtlUsage, "ctl", Arguments))
+    return *Status;
+  std::vector<network_address> Addresses;
+  const std::string Text =
+      Line.text("--operator", "AZUREHAVEN_OPERATOR").value_or("");
+  for (const auto &Item : splitList(Text)) {
+    auto Address = parseNetworkAddress(Item.get<std::string>());
+    if (isError(Address)) {
+      std::cerr << "azurehaven ctl: --operator (AZUREHAVEN_OPERATOR): "
+                << errorOf(Address).Message << "\n";
+      return ExitUsage;
+    }
+    Addresses.push_back(valueOf(Address));
+  }
+  if (Addresses.empty()) {
+    std::cerr << "azurehaven ctl: --operator (AZUREHAVEN_OPERATOR): missing; "
+                 "accepted: IP:PORT, several separated by commas\n";
+    return ExitUsage;
+  }
+  return ctl_run(Line, std::move(Addresses)).run();
+}
+
+} // namespace azurehaven
--- /dev/null
+++ b/Libraries/LibClient/operator_client.h
@@ -0,0 +1,32 @@
+#pragma once
+
+#include "LibHttp/http_transport.h"
+
+#include <nlohmann/json.hpp>
+
+namespace azurehaven {
+
+struct operator_answer {
+  int Status = 0;
+  nlohmann::json Body;
+};
+
+/// Talks to the operator API of one entry VM.
+class operator_client {
+public:
+  operator_client(http_transport &Transport, network_address Address)
+      : Transport(Transport), Address(std::move(Address)) {}
+
+  result<operator_answer> get(const std::string &Path);
+  /// Submits a change; one whose outcome is unknown is sent again under the
+  /// same change id.
+  result<operator_answer> submit(const nlohmann::json &Change);
+
+private:
+  result<operator_answer> send(const http_request &Request);
+
+  http_transport &Transport;
+  const network_address Address;
+};
+
+} // namespace azurehaven
--- /dev/null
+++ b/Libraries/LibClient/operator_report.h
@@ -0,0 +1,14 @@
+#pragma once
+
+#include <nlohmann/json.hpp>
+
+namespace azurehaven {
+
+/// Tables for people, on standard output.
+void printStatus(const nlohmann::json &Status);
+void printConfiguration(const nlohmann::json &Configuration);
+void printAudit(const nlohmann::json &Records);
+void printBills(const nlohmann::json &Bills);
+void printExplanation(const nlohmann::json &Records);
+
+} // namespace azurehaven
--- /dev/null
+++ b/Libraries/LibControl/configuration_writer.cpp
@@ -0,0 +1,89 @@
+#include "LibControl/configuration_writer.h"
+
+#include "LibConfig/configuration_codec.h"
+
+#include <cstdio>
+
+namespace azurehaven {
+
+namespace {
+
+constexpr int AttemptLimit = 8;
+/// Records rewritten with each change, so that a writer which died between the
+/// change and its audit record leaves no gap once somebody changes again.
+constexpr std::size_t AuditOverlap = 2;
+
+std::string auditKey(std::uint64_t Version) {
+  char Text[32];
+  std::snprintf(Text, sizeof Text, "%012llu",
+                static_cast<unsigned long long>(Version));
+  return AuditPrefix + Text;
+}
+
+} // namespace
+
+result<configuration_writer::stored_configuration>
+configuration_writer::readWithRevision() {
+  auto Entry = Store.read(store_purpose::Configuration, ConfigurationKey);
+  if (isError(Entry)) {
+    if (errorOf(Entry).Code == error_code::NotFound)
+      return stored_configuration{};
+    return error{error_code::Unavailable, errorOf(Entry).Message};
+  }
+  TRY(configuration Decoded, decodeConfiguration(valueOf(Entry).Value));
+  return stored_configuration{std::move(Decoded), valueOf(Entry).Revision};
+}
+
+result<configuration> configuration_writer::read() {
+  TRY(stored_configuration Stored, readWithRevision());
+  return std::move(Stored.Configuration);
+}
+
+result<configuration>
+configuration_writer::submit(const configuration_change &Change,
+                             unix_millis At) {
+  bool MayHaveWritten = false;
+  for (int Attempt = 0; Attempt < AttemptLimit; ++Attempt) {
+    auto Stored = readWithRevision();
+    if (isError(Stored)) {
+      if (MayHaveWritten)
+        return error{error_code::OutcomeUnknown, errorOf(Stored).Message};
+      return errorOf(Stored);
+    }
+    auto &[Current, Revision] = valueOf(Stored);
+    if (findChange(Current, Change.Id))
+      return std::move(Current);
+    TRY(configuration Next, applyChange(Current, Change, At));
+    auto Written =
+        Store.compareAndSwap(store_purpose::Configuration, ConfigurationKey,
+                             encodeConfiguration(Next).dump(), Revision);
+    if (!isError(Written)) {
+      writeAudit(Next);
+      return Next;
+    }
+    const error_code Code = errorOf(Written).Code;
+    if (Code == error_code::Unavailable && !MayHaveWritten)
+      return errorOf(Written);
+    // A repeated swap expects the same revision, so that the lost write and
+    // its repetition can't both take effect; reading back tells which did.
+    if (Code == error_code::OutcomeUnknown)
+      MayHaveWritten = true;
+  }
+  return error{MayHaveWritten ? error_code::OutcomeUnknown
+                              : error_code::Unavailable,
+               "too many concurrent changes"};
+}
+
+void configuration_writer::writeAudit(const configuration &Configuration) {
+  const auto &Recent = Configuration.RecentChanges;
+  const std::size_t First =
+      Recent.size() > AuditOverlap ? Recent.size() - AuditOverlap : 0;
+  for (std::size_t Index = First; Index < Recent.size(); ++Index) {
+    // A failure is mended by the next change; the head holds the record too.
+    (void)Store.compareAndSwap(
+        store_purpose::Audit, auditKey(Recent[Index].Version),
+        encodeAuditRecord(Recent[Index]).dump(), AbsentRevision);
+  }
+}
+
+} // namespace azurehaven
--- /dev/null
+++ b/Libraries/LibEntry/bill_commit.cpp
@@ -0,0 +1,25 @@
+#include "LibEntry/bill_commit.h"
+
+namespace azurehaven {
+
+namespace {
+
+constexpr milliseconds BillTimeout{3000};
+
+} // namespace
+
+bool commitBill(const entry_services &Services, const bill &Bill) {
+  auto Ticket = Services.Bills.add(Bill);
+  if (isError(Ticket))
+    return false;
+  const bill_state State = Services.Bills.wait(valueOf(Ticket), BillTimeout);
+  if (State != bill_state::Waiting)
+    return true;
+  Services.Metrics.count("azurehaven_late_bills_total");
+  Services.Log.write(
+      log_level::Error, "bill_not_durable",
+      {{"request", Bill.Request.text()}, {"account", Bill.Account.text()}});
+  return false;
+}
+
+} // namespace azurehaven
--- /dev/null
+++ b/Libraries/LibEntry/caller_api.h
@@ -0,0 +1,34 @@
+#pragma once
+
+#include "LibEntry/entry_services.h"
+#include "LibEntry/service_relay.h"
+
+#include <atomic>
+
+namespace azurehaven {
+
+/// The HTTP API for callers.
+class caller_api {
+public:
+  explicit caller_api(const entry_services &Services);
+
+  served_response serve(const served_request &Request);
+  std::size_t requestsInFlight() const { return *InFlight; }
+
+private:
+  served_response serveCounted(const served_request &Request);
+  served_response discover();
+  served_response serveChat(const served_request &Request,
+                            caller_identity Identity,
+                            std::shared_ptr<const configuration> Current);
+  std::string issueRequestId();
+
+  const entry_services &Services;
+  service_relay Relay;
+  std::atomic<std::uint64_t> NextRequest = 1;
+  std::atomic<std::uint64_t> NextDiscovery = 0;
+  /// Shared with the answers that are still being streamed.
+  std::shared_ptr<std::atomic<std::size_t>> InFlight;
+};
+
+} // namespace azurehaven
--- /dev/null
+++ b/Libraries/LibEntry/chat_request.cpp
@@ -0,0 +1,120 @@
+#include "LibEntry/chat_request.h"
+
+#include "LibRouting/crash_registry.h"
+#include "LibTypes/fingerprint.h"
+
+#include <algorithm>
+
+namespace azurehaven {
+
+using nlohmann::json;
+
+namespace {
+
+constexpr std::size_t RequestIdLimit = 128;
+constexpr std::size_t PrefixBytes = 512;
+
+refusal badRequest(const std::string &Code, const std::string &Message) {
+  return {400, Code, run_state::NotRun, Message, std::nullopt};
+}
+
+bool isAcceptableRequestId(const std::string &Text) {
+  return !Text.empty() && Text.size() <= RequestIdLimit &&
+         std::all_of(Text.begin(), Text.end(), [](char Character) {
+           return Character > 0x20 && Character < 0x7f;
+         });
+}
+
+std::string bearerKey(const served_request &Request) {
+  const std::string Header = headerValue(Request.Headers, "Authorization");
+  const std::string Scheme = "Bearer ";
+  return Header.starts_with(Scheme) ? Header.substr(Scheme.size())
+                                    : std::string();
+}
+
+/// The first message, usually the system prompt, is what caches share.
+std::uint64_t affinityOf(const json &Messages) {
+  const std::string Prefix =
+      Messages.front().dump(-1, ' ', false, json::error_handler_t::replace);
+  return fingerprintOf(std::string_view(Prefix).substr(0, PrefixBytes), 1) | 1;
+}
+
+std::optional<refusal> checkBody(const json &Body) {
+  if (!Body.is_object())
+    return badRequest("bad_json", "the body is not a JSON object");
+  auto Messages = Body.find("messages");
+  if (Messages == Body.end() || !Messages->is_array() || Messages->empty())
+    return badRequest("bad_messages", "messages: accepted: a non-empty array "
+                                      "of {role, content}");
+  for (const auto &Message : *Messages)
+    if (!Message.is_object() || !Message.contains("role") ||
+        !Message["role"].is_string() || !Message.contains("content") ||
+        !Message["content"].is_string())
+      return badRequest("bad_messages", "messages: accepted: objects with the "
+                                        "texts role and content");
+  auto Stream = Body.find("stream");
+  if (Stream != Body.end() && !Stream->is_boolean())
+    return badRequest("bad_stream", "stream: accepted: true or false");
+  return std::nullopt;
+}
+
+} // namespace
+
+std::variant<caller_identity, refusal>
+identifyCaller(const served_request &Request,
+               const configuration &Configuration,
+               const std::string &IssuedRequestId) {
+  std::string Id = headerValue(Request.Headers, "X-Request-Id");
+  if (Id.empty())
+    Id = IssuedRequestId;
+  else if (!isAcceptableRequestId(Id))
+    return badRequest("bad_request_id",
+                      "X-Request-Id: accepted: 1 to 128 visible characters");
+  const std::string Key = bearerKey(Request);
+  const client_account *Account =
+      Key.empty() ? nullptr : Configuration.findAccountByKey(Key);
+  if (!Account)
+    return refusal{401, "unknown_account", run_state::NotRun,
+                   "Authorization: accepted: Bearer and an account's key",
+                   std::nullopt};
+  return caller_identity{request_id(Id), *Account};
+}
+
+std::variant<chat_request, refusal>
+parseChatRequest(const served_request &Request, caller_identity Identity,
+                 std::shared_ptr<const configuration> Configuration,
+                 steady_time Now, unix_millis WallNow) {
+  chat_request Parsed;
+  Parsed.Body = json::parse(Request.Body, nullptr, false);
+  if (auto Fault = checkBody(Parsed.Body))
+    return *Fault;
+  const std::string ClassName = headerValue(Request.Headers, "X-Work-Class");
+  auto Class = Configuration->Classes.find(class_id(ClassName));
+  if (Class == Configuration->Classes.end())
+    return badRequest("unknown_class", "X-Work-Class: \"" + ClassName +
+                                           "\"; accepted: a declared class");
+  const std::string Token = headerValue(Request.Headers, "X-Session-Token");
+  if (!Token.empty()) {
+    auto Session = openSession(Token, Identity.Account.Id,
+                               Configuration->SessionKeys, WallNow);
+    if (isError(Session))
+      return badRequest("bad_session", errorOf(Session).Message);
+    Parsed.Session = valueOf(Session);
+  }
+  if (headerValue(Request.Headers, "X-Session") == "new")
+    Parsed.SessionWish = session_wish::Wanted;
+  Parsed.Id = std::move(Identity.Id);
+  Parsed.Account = std::move(Identity.Account);
+  Parsed.Class = Class->second;
+  Parsed.Configuration = std::move(Configuration);
+  Parsed.Form = Parsed.Body.value("stream", false) ? answer_form::Streamed
+                                                   : answer_form::Whole;
+  Parsed.BodyFingerprint = fingerprintOf(Request.Body);
+  Parsed.CrashFingerprint = crashFingerprint(Parsed.Account.Id, Request.Body);
+  Parsed.AffinityKey = affinityOf(Parsed.Body["messages"]);
+  Parsed.ArrivedAt = Now;
+  Parsed.Deadline = Now + Parsed.Class.Deadline;
+  return Parsed;
+}
+
+} // namespace azurehaven
--- /dev/null
+++ b/Libraries/LibEntry/chat_request.h
@@ -0,0 +1,51 @@
+#pragma once
+
+#include "LibConfig/configuration.h"
+#include "LibEntry/refusal.h"
+#include "LibSession/session_token.h"
+
+#include <memory>
+#include <nlohmann/json.hpp>
+#include <variant>
+
+namespace azurehaven {
+
+enum class answer_form { Whole, Streamed };
+enum class session_wish { None, Wanted };
+
+/// A checked request for a model's answer.
+struct chat_request {
+  request_id Id;
+  std::shared_ptr<const configuration> Configuration;
+  client_account Account;
+  work_class Class;
+  std::optional<session> Session;
+  session_wish SessionWish = session_wish::None;
+  answer_form Form = answer_form::Whole;
+  nlohmann::json Body;
+  std::uint64_t BodyFingerprint = 0;
+  std::uint64_t CrashFingerprint = 0;
+  /// Equal for requests that share a prompt prefix.
+  std::uint64_t AffinityKey = 0;
+  steady_time ArrivedAt;
+  steady_time Deadline;
+};
+
+/// Whose request it is and under which id, common to all kinds of work.
+struct caller_identity {
+  request_id Id;
+  client_account Account;
+};
+
+/// Checks the key and the request id; issues an id if the caller sent none.
+std::variant<caller_identity, refusal>
+identifyCaller(const served_request &Request,
+               const configuration &Configuration,
+               const std::string &IssuedRequestId);
+
+std::variant<chat_request, refusal>
+parseChatRequest(const served_request &Request, caller_identity Identity,
+                 std::shared_ptr<const configuration> Configuration,
+                 steady_time Now, unix_millis WallNow);
+
+} // namespace azurehaven
--- /dev/null
+++ b/Libraries/LibEntry/chat_run.h
@@ -0,0 +1,97 @@
+#pragma once
+
+#include "LibEntry/chat_request.h"
+#include "LibEntry/engine_attempt.h"
+#include "LibEntry/entry_services.h"
+
+#include <deque>
+
+namespace azurehaven {
+
+/// The end of an answer whose bill is durable.
+struct chat_end {
+  version_id Version;
+  token_count PromptTokens;
+  token_count CompletionTokens;
+  micro_euros Price;
+};
+
+struct chat_text {
+  std::string Text;
+};
+
+using chat_event = std::variant<chat_text, chat_end, refusal>;
+
+/// Serves one request: plans, tries endpoints, escalates a cascade, resumes a
+/// cut answer and bills. Blocks on the caller's thread; not thread-safe.
+class chat_run {
+public:
+  chat_run(const entry_services &Services, chat_request Request);
+  ~chat_run();
+  chat_run(const chat_run &) = delete;
+  chat_run &operator=(const chat_run &) = delete;
+
+  /// Runs until there is a part of the answer to show; or refuses.
+  std::optional<refusal> start();
+  /// The next part, or the end once the bill is durable.
+  chat_event next();
+
+  const chat_request &request() const { return Request; }
+  const version_id &version() const { return Version; }
+
+private:
+  /// What became of one attempt of a stage.
+  struct stage_answer {
+    std::string Text;
+    engine_finish Finish;
+  };
+  using first_event = std::variant<engine_event, refusal>;
+
+  std::optional<refusal> runPlan(const route_plan &Plan);
+  std::optional<refusal> enterStage(const version_id &Stage);
+  void leaveStage();
+  /// Runs a cascade's cheap stage; nullopt when the next stage has to answer.
+  std::optional<stage_answer> runHeldStage(const plan_stage &Stage);
+  std::optional<refusal> runShownStage();
+  first_event openWithRetries();
+  std::variant<engine_event, engine_failure> openOnce();
+  std::optional<refusal> checkStillPermitted() const;
+  bool mayRetry(const engine_failure &Failure);
+  void endAttempt(attempt_outcome Outcome, const engine_finish *Finish,
+                  double Confidence);
+  void attemptFailed(const engine_failure &Failure);
+  void detectCrash(const engine_failure &Failure);
+  engine_event resume(const engine_failure &Failure);
+  chat_event finish(const engine_finish &Finish);
+  void addCost(const engine_finish &Finish);
+  void offerRating(const engine_finish &Finish, const std::string &Text);
+  refusal refusalAfter(const engine_failure &Failure) const;
+  refusal makeRefusal(int Status, const char *Code, std::string Message,
+                      std::optional<milliseconds> RetryAfter) const;
+  refusal refusalOf(const routing_refusal &Refusal) const;
+  milliseconds remaining() const;
+  http_timeouts timeouts() const;
+  void note(std::string Step) { Record.Steps.push_back(std::move(Step)); }
+
+  const entry_services &Services;
+  chat_request Request;
+  decision_record Record;
+  version_id Version;
+  std::optional<admission_ticket> Ticket;
+  version_id TicketVersion;
+  steady_time StageStartedAt;
+  std::optional<attempt> Attempt;
+  std::unique_ptr<engine_attempt> Engine;
+  steady_time AttemptStartedAt;
+  std::optional<milliseconds> AttemptFirstToken;
+  std::set<endpoint_id> Excluded;
+  unsigned AttemptCount = 0;
+  bool MayHaveRun = false;
+  /// Parts of the answer that are here but not yet handed out.
+  std::deque<engine_event> Held;
+  std::string Shown;
+  micro_euros Cost;
+  bool HasAnswered = false;
+};
+
+} // namespace azurehaven
--- /dev/null
+++ b/Libraries/LibEntry/engine_attempt.cpp
@@ -0,0 +1,154 @@
+#include "LibEntry/engine_attempt.h"
+
+namespace azurehaven {
+
+using nlohmann::json;
+
+namespace {
+
+constexpr int StatusOk = 200;
+constexpr int StatusTooManyRequests = 429;
+constexpr int StatusUnavailable = 503;
+
+engine_failure failureOfStatus(const http_stream &Stream) {
+  const int Status = Stream.status();
+  const std::string Message = "the engine answered " + std::to_string(Status);
+  if (Status == StatusUnavailable &&
+      headerValue(Stream.headers(), "X-Leaving") == "yes")
+    return {engine_fault::Leaving, Message};
+  if (Status == StatusTooManyRequests || Status == StatusUnavailable)
+    return {engine_fault::Busy, Message};
+  return {engine_fault::Foreign, Message};
+}
+
+std::string bodyFor(const engine_attempt::order &Order) {
+  json Body = *Order.CallerBody;
+  Body["model"] = Order.Version.text();
+  Body["stream"] = true;
+  Body["priority"] = Order.Priority;
+  if (!Order.ResumeText.empty())
+    Body["resume_text"] = Order.ResumeText;
+  return Body.dump(-1, ' ', false, json::error_handler_t::replace);
+}
+
+engine_finish finishOf(const json &Event) {
+  engine_finish Finish;
+  const json Usage = Event.value("usage", json::object());
+  Finish.PromptTokens = token_count(Usage.value("prompt_tokens", 0));
+  Finish.CompletionTokens = token_count(Usage.value("completion_tokens", 0));
+  Finish.Confidence = Event.value("confidence", 1.0);
+  return Finish;
+}
+
+} // namespace
+
+engine_attempt::engine_attempt(std::unique_ptr<http_stream> Stream,
+                               std::string AttemptId, version_id Version)
+    : Stream(std::move(Stream)), AttemptId(std::move(AttemptId)),
+      Version(std::move(Version)) {}
+
+engine_attempt::~engine_attempt() {
+  // Reading up to the end of the body lets the connection be used again. The
+  // caller has its whole answer by now.
+  if (HasEnded)
+    (void)Stream->next();
+}
+
+std::variant<std::unique_ptr<engine_attempt>, engine_failure>
+engine_attempt::open(http_transport &Transport, const network_address &Address,
+                     const order &Order, const http_timeouts &Timeouts) {
+  http_request Request{
+      "POST",
+      "/v1/chat/completions",
+      {{"Content-Type", "application/json"}, {"X-Request-Id", Order.AttemptId}},
+      bodyFor(Order)};
+  auto Opened = Transport.open(Address, Request, Timeouts);
+  if (auto *Failure = std::get_if<http_failure>(&Opened))
+    return engine_failure{Failure->Delivery == delivery::NotSent
+                              ? engine_fault::Unreachable
+                              : engine_fault::Broken,
+                          Failure->Message};
+  auto Stream = std::move(std::get<std::unique_ptr<http_stream>>(Opened));
+  if (Stream->status() != StatusOk)
+    return failureOfStatus(*Stream);
+  return std::unique_ptr<engine_attempt>(
+      new engine_attempt(std::move(Stream), Order.AttemptId, Order.Version));
+}
+
+std::optional<std::uint32_t> engine_attempt::reportedLoad() const {
+  const std::string Text = headerValue(Stream->headers(), "X-Engine-Load");
+  if (Text.empty())
+    return std::nullopt;
+  return static_cast<std::uint32_t>(std::strtoul(Text.c_str(), nullptr, 10));
+}
+
+engine_event engine_attempt::next() {
+  while (true) {
+    while (auto Data = Parser.next())
+      if (auto Event = interpret(*Data))
+        return std::move(*Event);
+    auto Part = Stream->next();
+    if (auto *Failure = std::get_if<http_failure>(&Part))
+      return engine_failure{engine_fault::Broken, Failure->Message};
+    auto &Bytes = std::get<std::optional<std::string>>(Part);
+    if (!Bytes)
+      return engine_failure{engine_fault::Broken,
+                            "the answer ended without its end marker"};
+    if (!Parser.add(*Bytes))
+      return engine_failure{engine_fault::Foreign, "oversized event"};
+  }
+}
+
+std::optional<engine_event> engine_attempt::interpret(const std::string &Data) {
+  if (Data == "[DONE]") {
+    if (!Finish)
+      return engine_failure{engine_fault::Foreign,
+                            "end marker without a finished answer"};
+    HasEnded = true;
+    return *Finish;
+  }
+  const json Event = json::parse(Data, nullptr, false);
+  // A field of the wrong type raises an exception in the library.
+  try {
+    if (!Event.is_object() || Event.value("id", "") != AttemptId)
+      return engine_failure{engine_fault::Foreign, "answer of another request"};
+    if (Event.value("model", "") != Version.text())
+      return engine_failure{engine_fault::Foreign, "answer of another version"};
+    if (Finish)
+      return engine_failure{engine_fault::Foreign, "text after the end"};
+    const json &Choice = Event.at("choices").at(0);
+    if (Choice.contains("finish_reason") && !Choice["finish_reason"].is_null())
+      Finish = finishOf(Event);
+    std::string Text =
+        Choice.value("delta", json::object()).value("content", std::string());
+    if (Text.empty())
+      return std::nullopt;
+    return engine_text{std::move(Text)};
+  } catch (const json::exception &Exception) {
+    return engine_failure{engine_fault::Foreign, Exception.what()};
+  }
+}
+
+result<endpoint_report> fetchEndpointReport(http_transport &Transport,
+                                            const network_address &Address,
+                                            milliseconds Timeout) {
+  auto Answer = Transport.send(Address, {"GET", "/status", {}, {}},
+                               {Timeout, Timeout}, connection_use::Pooled);
+  if (auto *Failure = std::get_if<http_failure>(&Answer))
+    return error{error_code::Unavailable, Failure->Message};
+  try {
+    const json Document = json::parse(std::get<http_response>(Answer).Body);
+    endpoint_report Report;
+    for (const auto &Version : Document.value("versions", json::array()))
+      Report.Versions.insert(version_id(Version.get<std::string>()));
+    Report.Slots = std::max(1u, Document.value("slots", 1u));
+    Report.Load = Document.value("load", 0u);
+    Report.IsLeaving = Document.value("leaving", false);
+    Report.BootId = Document.value("boot_id", std::string());
+    return Report;
+  } catch (const json::exception &Exception) {
+    return error{error_code::Unavailable, Exception.what()};
+  }
+}
+
+} // namespace azurehaven
--- /dev/null
+++ b/Libraries/LibEntry/engine_attempt.h
@@ -0,0 +1,88 @@
+#pragma once
+
+#include "LibHttp/http_transport.h"
+#include "LibHttp/server_sent_events.h"
+#include "LibRouting/endpoint_table.h"
+
+#include <nlohmann/json.hpp>
+
+namespace azurehaven {
+
+struct engine_text {
+  std::string Text;
+};
+
+struct engine_finish {
+  token_count PromptTokens;
+  token_count CompletionTokens;
+  /// The engine's confidence in its answer, 0 to 1.
+  double Confidence = 1;
+};
+
+enum class engine_fault {
+  /// Refused by the engine, which runs nothing of it.
+  Busy,
+  Leaving,
+  /// No connection could be made.
+  Unreachable,
+  /// The connection broke or fell silent.
+  Broken,
+  /// The answer was of another request or version, or malformed.
+  Foreign,
+};
+
+struct engine_failure {
+  engine_fault Fault = engine_fault::Broken;
+  std::string Message;
+
+  /// Whether the engine may have run some of the request.
+  bool mayHaveRun() const {
+    return Fault == engine_fault::Broken || Fault == engine_fault::Foreign;
+  }
+};
+
+using engine_event = std::variant<engine_text, engine_finish, engine_failure>;
+
+/// One streamed answer of one engine. Each part has to carry the attempt's id
+/// and the version asked for, and the end its marker; anything else fails the
+/// attempt, so that a late, crossed or cut answer is never passed on.
+class engine_attempt {
+public:
+  struct order {
+    std::string AttemptId;
+    version_id Version;
+    int Priority = 5;
+    const nlohmann::json *CallerBody = nullptr;
+    /// The part of the answer that the caller has seen already.
+    std::string ResumeText;
+  };
+
+  static std::variant<std::unique_ptr<engine_attempt>, engine_failure>
+  open(http_transport &Transport, const network_address &Address,
+       const order &Order, const http_timeouts &Timeouts);
+
+  ~engine_attempt();
+
+  engine_event next();
+  /// The engine's load as it said in the answer's head, if it did.
+  std::optional<std::uint32_t> reportedLoad() const;
+
+private:
+  engine_attempt(std::unique_ptr<http_stream> Stream, std::string AttemptId,
+                 version_id Version);
+  std::optional<engine_event> interpret(const std::string &Data);
+
+  std::unique_ptr<http_stream> Stream;
+  const std::string AttemptId;
+  const version_id Version;
+  event_stream_parser Parser;
+  std::optional<engine_finish> Finish;
+  bool HasEnded = false;
+};
+
+/// Asks an endpoint for its report: GET /status.
+result<endpoint_report> fetchEndpointReport(http_transport &Transport,
+                                            const network_address &Address,
+                                            milliseconds Timeout);
+
+} // namespace azurehaven
--- /dev/null
+++ b/Libraries/LibEntry/entry_services.h
@@ -0,0 +1,46 @@
+#pragma once
+
+#include "LibControl/configuration_currency.h"
+#include "LibControl/configuration_holder.h"
+#include "LibEntry/admission_gate.h"
+#include "LibEntry/clock_source.h"
+#include "LibEntry/entry_settings.h"
+#include "LibEntry/metrics.h"
+#include "LibEntry/rating_sender.h"
+#include "LibLedger/bill_committer.h"
+#include "LibLedger/claim_registry.h"
+#include "LibLog/event_log.h"
+#include "LibMembership/member_table.h"
+
+namespace azurehaven {
+
+/// What the parts of one entry process share. All are thread-safe.
+struct entry_services {
+  const entry_settings &Settings;
+  const clock_source &Clock;
+  event_log &Log;
+  metrics &Metrics;
+  http_transport &Transport;
+  configuration_holder &Configuration;
+  configuration_currency &Currency;
+  member_table &Members;
+  router &Router;
+  admission_gate &Gate;
+  decision_log &Decisions;
+  bill_committer &Bills;
+  claim_registry &Claims;
+  store &Store;
+  rating_sender &Ratings;
+  /// Sends a heartbeat to every peer at once, for news that can't wait.
+  std::function<void()> SpreadNews;
+
+  /// The configuration in force if this VM knows that it is the newest.
+  std::shared_ptr<const configuration> currentConfiguration() const {
+    auto Current = Configuration.current();
+    if (!Currency.isCurrent(Current->Version, Current->Roster, Clock.now()))
+      return nullptr;
+    return Current;
+  }
+};
+
+} // namespace azurehaven
--- /dev/null
+++ b/Libraries/LibEntry/heartbeat_service.cpp
@@ -0,0 +1,157 @@
+#include "LibEntry/heartbeat_service.h"
+
+#include "LibConfig/configuration_codec.h"
+#include "LibTypes/fingerprint.h"
+
+namespace azurehaven {
+
+namespace {
+
+/// Peers asked in one round. In a larger fleet the rounds take turns.
+constexpr std::size_t PeersPerRound = 8;
+constexpr std::size_t UsagePerFrame = 32;
+constexpr std::size_t QuestionLimit = 1000;
+
+} // namespace
+
+heartbeat_service::heartbeat_service(const entry_services &Services,
+                                     peer_network &Network,
+                                     custody_holder &Custody,
+                                     std::uint64_t Incarnation)
+    : Services(Services), Network(Network), Custody(Custody),
+      Incarnation(Incarnation) {}
+
+heartbeat heartbeat_service::makeHeartbeat(heartbeat_kind Kind,
+                                           std::uint64_t Nonce) {
+  const steady_time Now = Services.Clock.now();
+  const auto Current = Services.Configuration.current();
+  heartbeat Message;
+  Message.Kind = Kind;
+  Message.Nonce = Nonce;
+  Message.ConfigVersion = Current->Version;
+  // Asking first lets a restarted VM notice that it has recovered.
+  (void)Services.Currency.isCurrent(Current->Version, Current->Roster, Now);
+  Message.MayVouch = Services.Currency.mayVouch();
+  if (auto Confirmation = Services.Currency.confirmation(Now)) {
+    Message.ConfirmationAge = Confirmation->first;
+    Message.ConfirmedVersion = Confirmation->second;
+  }
+  return Message;
+}
+
+void heartbeat_service::beat() {
+  auto Peers = Services.Members.peerAddresses();
+  std::uint64_t Nonce = 0;
+  {
+    std::lock_guard Lock(Mutex);
+    Nonce = NextNonce++;
+    Questions[Nonce] = Services.Clock.now();
+    if (Questions.size() > QuestionLimit)
+      Questions.erase(Questions.begin());
+  }
+  heartbeat Message = makeHeartbeat(heartbeat_kind::Question, Nonce);
+  Message.Members = Services.Members.takeNotices();
+  Message.Ratings = Services.Router.takeRatingNotices();
+  Message.Crashes = Services.Router.takeCrashNotices();
+  Message.Usage = Services.Router.usage();
+  if (Message.Usage.size() > UsagePerFrame)
+    Message.Usage.resize(UsagePerFrame);
+  std::vector<vm_id> Asked;
+  for (const auto &[Vm, Address] : Peers)
+    Asked.push_back(Vm);
+  if (Asked.size() > PeersPerRound) {
+    const std::string Round = std::to_string(Nonce);
+    std::partial_sort(Asked.begin(), Asked.begin() + PeersPerRound, Asked.end(),
+                      [&](const vm_id &Left, const vm_id &Right) {
+                        return rendezvousScore(Round, Left.text()) >
+                               rendezvousScore(Round, Right.text());
+                      });
+    Asked.resize(PeersPerRound);
+  }
+  for (const auto &Vm : Asked)
+    Network.send(Vm, Message);
+}
+
+void heartbeat_service::receive(const peer_frame &Frame) {
+  Services.Members.heard(Frame.Sender, Frame.Incarnation, Services.Clock.now());
+  std::visit([&](const auto &Message) { handle(Frame, Message); },
+             Frame.Message);
+}
+
+void heartbeat_service::takeNews(const heartbeat &Message) {
+  for (const auto &Notice : Message.Members)
+    Services.Members.merge(Notice);
+  for (const auto &Notice : Message.Ratings)
+    Services.Router.mergeRating(Notice);
+  for (const auto &Notice : Message.Crashes)
+    Services.Router.addCrash(Notice);
+}
+
+void heartbeat_service::handle(const peer_frame &Frame,
+                               const heartbeat &Message) {
+  takeNews(Message);
+  const steady_time Now = Services.Clock.now();
+  if (Message.Kind == heartbeat_kind::Question) {
+    Services.Router.setPeerUsage(Frame.Sender, Message.Usage, Now);
+    Network.send(Frame.Sender,
+                 makeHeartbeat(heartbeat_kind::Answer, Message.Nonce));
+  } else {
+    std::optional<steady_time> AskedAt;
+    {
+      std::lock_guard Lock(Mutex);
+      auto Found = Questions.find(Message.Nonce);
+      if (Found != Questions.end())
+        AskedAt = Found->second;
+    }
+    if (AskedAt)
+      Services.Currency.peerAnswered(Frame.Sender, Message, *AskedAt);
+  }
+  const std::uint64_t Known = Services.Configuration.current()->Version;
+  if (Message.ConfigVersion > Known)
+    Network.send(Frame.Sender, configuration_request{Known});
+}
+
+void heartbeat_service::handle(const peer_frame &Frame,
+                               const configuration_request &Message) {
+  const auto Current = Services.Configuration.current();
+  if (Current->Version > Message.KnownVersion)
+    Network.send(Frame.Sender,
+                 configuration_snapshot{encodeConfiguration(*Current).dump()});
+}
+
+void heartbeat_service::handle(const peer_frame &Frame,
+                               const configuration_snapshot &Message) {
+  auto Decoded = decodeConfiguration(Message.Document);
+  if (isError(Decoded)) {
+    Services.Log.write(
+        log_level::Warning, "bad_configuration_snapshot",
+        {{"peer", Frame.Sender.text()}, {"error", errorOf(Decoded).Message}});
+    return;
+  }
+  const auto Before = Services.Configuration.current();
+  if (Services.Configuration.offer(std::move(valueOf(Decoded)))) {
+    const auto After = Services.Configuration.current();
+    Services.Router.configurationChanged(*Before, *After);
+    Services.Log.write(log_level::Info, "configuration_in_force",
+                       {{"version", std::to_string(After->Version)},
+                        {"from", Frame.Sender.text()}});
+  }
+}
+
+void heartbeat_service::handle(const peer_frame &Frame,
+                               const custody_request &Message) {
+  if (Custody.hold(Frame.Sender, Message.Bills))
+    Network.send(Frame.Sender, custody_answer{Message.Nonce});
+}
+
+void heartbeat_service::handle(const peer_frame &Frame,
+                               const custody_answer &Message) {
+  Services.Bills.custodyAnswered(Frame.Sender, Message.Nonce);
+}
+
+void heartbeat_service::handle(const peer_frame &Frame,
+                               const custody_release &Message) {
+  Custody.release(Frame.Sender, Message.Keys);
+}
+
+} // namespace azurehaven
--- /dev/null
+++ b/Libraries/LibEntry/heartbeat_service.h
@@ -0,0 +1,42 @@
+#pragma once
+
+#include "LibEntry/entry_services.h"
+#include "LibLedger/custody_holder.h"
+#include "LibPeer/peer_network.h"
+
+namespace azurehaven {
+
+/// Talks with the other entry VMs: heartbeats with the news they carry, the
+/// relay of configurations and the custody of bills. Thread-safe.
+class heartbeat_service {
+public:
+  heartbeat_service(const entry_services &Services, peer_network &Network,
+                    custody_holder &Custody, std::uint64_t Incarnation);
+
+  /// Asks every peer that is due and tells it the news.
+  void beat();
+  /// Handles one frame; called on the network's thread.
+  void receive(const peer_frame &Frame);
+
+private:
+  heartbeat makeHeartbeat(heartbeat_kind Kind, std::uint64_t Nonce);
+  void handle(const peer_frame &Frame, const heartbeat &Message);
+  void handle(const peer_frame &Frame, const configuration_request &Message);
+  void handle(const peer_frame &Frame, const configuration_snapshot &Message);
+  void handle(const peer_frame &Frame, const custody_request &Message);
+  void handle(const peer_frame &Frame, const custody_answer &Message);
+  void handle(const peer_frame &Frame, const custody_release &Message);
+  void takeNews(const heartbeat &Message);
+
+  const entry_services &Services;
+  peer_network &Network;
+  custody_holder &Custody;
+  const std::uint64_t Incarnation;
+
+  ranked_mutex Mutex{lock_rank::Records};
+  std::uint64_t NextNonce = 1;
+  /// When each unanswered question was sent.
+  std::map<std::uint64_t, steady_time> Questions;
+};
+
+} // namespace azurehaven
--- /dev/null
+++ b/Libraries/LibEntry/peer_custody.h
@@ -0,0 +1,36 @@
+#pragma once
+
+#include "LibEntry/clock_source.h"
+#include "LibLedger/custody_port.h"
+#include "LibMembership/member_table.h"
+#include "LibPeer/peer_network.h"
+
+namespace azurehaven {
+
+/// Custody of bills by the other entry VMs, over the peer protocol.
+class peer_custody : public custody_port {
+public:
+  peer_custody(const member_table &Members, const clock_source &Clock)
+      : Members(Members), Clock(Clock) {}
+
+  void attach(peer_network &Opened) { Network = &Opened; }
+
+  std::vector<vm_id> candidates() override {
+    return Members.responsivePeers(Clock.now());
+  }
+  void request(const vm_id &Peer, std::uint64_t Nonce,
+               const std::vector<std::string> &Bills) override {
+    Network->send(Peer, custody_request{Nonce, Bills});
+  }
+  void release(const vm_id &Peer,
+               const std::vector<std::string> &Keys) override {
+    Network->send(Peer, custody_release{Keys});
+  }
+
+private:
+  const member_table &Members;
+  const clock_source &Clock;
+  peer_network *Network = nullptr;
+};
+
+} // namespace azurehaven
--- /dev/null
+++ b/Libraries/LibEntry/rating_sender.h
@@ -0,0 +1,53 @@
+#pragma once
+
+#include "LibEntry/clock_source.h"
+#include "LibEntry/metrics.h"
+#include "LibHttp/http_transport.h"
+#include "LibRouting/router.h"
+
+#include <condition_variable>
+#include <deque>
+#include <thread>
+
+namespace azurehaven {
+
+/// An answer to be rated.
+struct rating_job {
+  version_class Subject;
+  double Confidence = 1;
+  std::string RequestId;
+  std::string Prompt;
+  std::string Answer;
+};
+
+/// Sends answers to the rating service in the background and feeds the scores
+/// to the router. Answers beyond the rate or the queue's bound go unrated.
+class rating_sender {
+public:
+  rating_sender(http_transport &Transport,
+                std::optional<network_address> Service, double PerSecond,
+                router &Router, metrics &Metrics);
+  ~rating_sender();
+
+  void offer(rating_job Job, steady_time Now);
+
+private:
+  void work();
+  void rate(const rating_job &Job);
+  bool takeToken(steady_time Now);
+
+  http_transport &Transport;
+  const std::optional<network_address> Service;
+  const double PerSecond;
+  router &Router;
+  metrics &Metrics;
+  std::mutex Mutex;
+  std::condition_variable HasWork;
+  std::deque<rating_job> Jobs;
+  double Tokens;
+  steady_time TokensAt{};
+  bool IsStopping = false;
+  std::vector<std::thread> Workers;
+};
+
+} // namespace azurehaven
--- /dev/null
+++ b/Libraries/LibEntry/service_relay.cpp
@@ -0,0 +1,258 @@
+#include "LibEntry/service_relay.h"
+
+#include "LibEntry/bill_commit.h"
+#include "LibLedger/ledger_reader.h"
+#include "LibTypes/fingerprint.h"
+
+#include <algorithm>
+#include <nlohmann/json.hpp>
+
+namespace azurehaven {
+
+namespace {
+
+const std::string ServicePrefix = "/v1/services/";
+constexpr unsigned AttemptLimit = 3;
+constexpr http_timeouts ServiceTimeouts{milliseconds(500), milliseconds(10000)};
+constexpr milliseconds RetryAfterFailure{1000};
+constexpr milliseconds RetryAfterStoreFailure{2000};
+
+refusal refuse(int Status, const char *Code, run_state Run, std::string Message,
+               std::optional<milliseconds> RetryAfter = std::nullopt) {
+  return {Status, Code, Run, std::move(Message), RetryAfter};
+}
+
+refusal mayHaveRun() {
+  return refuse(409, "may_have_run", run_state::MayHaveRun,
+                "an earlier attempt under this id may have run; ask for its "
+                "outcome, or check with the service",
+                RetryAfterFailure);
+}
+
+bool isSafeMethod(const std::string &Method) {
+  // RFC 9110, section 9.2.1.
+  return Method == "GET" || Method == "HEAD" || Method == "OPTIONS";
+}
+
+recorded_outcome outcomeOf(const http_response &Response) {
+  return {Response.Status, headerValue(Response.Headers, "Content-Type"),
+          Response.Body, true};
+}
+
+} // namespace
+
+served_response service_relay::serve(const served_request &Request,
+                                     const caller_identity &Identity,
+                                     const configuration &Configuration) {
+  const std::string Rest = Request.Path.substr(ServicePrefix.size());
+  const std::size_t Slash = Rest.find('/');
+  const service_id Id(Rest.substr(0, Slash));
+  auto Found = Configuration.Services.find(Id);
+  if (Found == Configuration.Services.end())
+    return respondWith(refuse(404, "unknown_service", run_state::NotRun,
+                              "no service \"" + Id.text() + "\" is declared"),
+                       Identity.Id.text());
+  call Call{&Request, Identity, Found->second,
+            Slash == std::string::npos ? "/" : Rest.substr(Slash),
+            fingerprintOf(Request.Body,
+                          fingerprintOf(Request.Method + Request.Path))};
+  const bool IsDeclaredOnce =
+      headerValue(Request.Headers, "X-May-Repeat") == "no";
+  const bool IsRepeatable =
+      isSafeMethod(Request.Method) || Call.Service.IsIdempotent;
+  if (IsRepeatable && !IsDeclaredOnce)
+    return serveRepeatable(Call);
+  if (headerValue(Request.Headers, "X-Request-Id").empty())
+    return respondWith(
+        refuse(400, "request_id_needed", run_state::NotRun,
+               "X-Request-Id: needed for a call that may not be repeated"),
+        Identity.Id.text());
+  return serveOnce(Call);
+}
+
+served_response service_relay::serveOnce(const call &Call) {
+  const claim_key Key{Call.Identity.Account.Id, Call.Identity.Id,
+                      Call.BodyFingerprint};
+  auto Claim = Services.Claims.claim(Key);
+  if (auto *Granted = std::get_if<claim_granted>(&Claim))
+    return runClaimed(Call, Key, *Granted);
+  if (auto *Finished = std::get_if<claim_finished>(&Claim))
+    return replay(Call, Finished->Outcome);
+  refusal Refusal = mayHaveRun();
+  if (std::holds_alternative<claim_mismatch>(Claim))
+    Refusal = refuse(409, "request_id_reused", run_state::NotRun,
+                     "this id stands for a request with another body");
+  if (auto *Unavailable = std::get_if<claim_unavailable>(&Claim))
+    Refusal = refuse(503, "store_unavailable", run_state::NotRun,
+                     "a call that may not be repeated needs the store: " +
+                         Unavailable->Message,
+                     RetryAfterStoreFailure);
+  Services.Metrics.count("azurehaven_refusals_total",
+                         "code=\"" + Refusal.Code + "\"");
+  return respondWith(Refusal, Call.Identity.Id.text());
+}
+
+served_response service_relay::runClaimed(const call &Call,
+                                          const claim_key &Key,
+                                          const claim_granted &Claim) {
+  auto Sent = sendUntilDelivered(Call, connection_use::Fresh);
+  if (auto *Refusal = std::get_if<refusal>(&Sent)) {
+    // No byte can have reached an endpoint, so that a resend may run.
+    Services.Claims.abandon(Key, Claim);
+    return respondWith(*Refusal, Call.Identity.Id.text());
+  }
+  if (std::holds_alternative<http_failure>(Sent))
+    return respondWith(mayHaveRun(), Call.Identity.Id.text());
+  const recorded_outcome Outcome = outcomeOf(std::get<http_response>(Sent));
+  Services.Claims.finish(Key, Claim, Outcome);
+  return deliver(Call, Outcome);
+}
+
+served_response service_relay::replay(const call &Call,
+                                      const recorded_outcome &Outcome) {
+  // The VM that ran it may have died before its bill was kept; the ledger is
+  // a set, so that billing it again does no harm.
+  Services.Metrics.count("azurehaven_replayed_outcomes_total");
+  served_response Response = deliver(Call, Outcome);
+  Response.Headers.emplace_back("X-Replayed", "yes");
+  return Response;
+}
+
+served_response service_relay::deliver(const call &Call,
+                                       const recorded_outcome &Outcome) {
+  if (!bill(Call))
+    return respondWith(
+        refuse(503, "bill_not_durable", run_state::MayHaveRun,
+               "the bill could not be kept; ask again under the same id",
+               RetryAfterFailure),
+        Call.Identity.Id.text());
+  served_response Response;
+  Response.Status = Outcome.Status;
+  Response.ContentType = Outcome.ContentType.empty()
+                             ? "application/octet-stream"
+                             : Outcome.ContentType;
+  Response.Body = Outcome.Body;
+  Response.Headers.emplace_back("X-Request-Id", Call.Identity.Id.text());
+  if (!Outcome.HasBody)
+    Response.Headers.emplace_back("X-Body-Not-Kept", "yes");
+  return Response;
+}
+
+served_response service_relay::serveRepeatable(const call &Call) {
+  Services.Router.countRequest(Call.Identity.Account.Id);
+  for (unsigned Attempt = 1;; ++Attempt) {
+    auto Sent = sendUntilDelivered(Call, connection_use::Pooled);
+    if (auto *Refusal = std::get_if<refusal>(&Sent))
+      return respondWith(*Refusal, Call.Identity.Id.text());
+    if (auto *Response = std::get_if<http_response>(&Sent))
+      return deliver(Call, outcomeOf(*Response));
+    if (Attempt >= AttemptLimit ||
+        !Services.Router.tryTakeRetry(Call.Identity.Account.Id))
+      return respondWith(refuse(502, "endpoint_failed", run_state::MayHaveRun,
+                                std::get<http_failure>(Sent).Message,
+                                RetryAfterFailure),
+                         Call.Identity.Id.text());
+  }
+}
+
+std::variant<http_response, http_failure, refusal>
+service_relay::sendUntilDelivered(const call &Call, connection_use Use) {
+  std::set<endpoint_id> Excluded;
+  for (unsigned Count = 0; Count < AttemptLimit; ++Count) {
+    auto Attempt = Services.Router.startServiceAttempt(
+        Call.Service.Id, Excluded, Services.Clock.now());
+    if (!Attempt)
+      break;
+    auto Sent = sendTo(Call, *Attempt, Use);
+    if (auto *Response = std::get_if<http_response>(&Sent))
+      return std::move(*Response);
+    const auto &Failure = std::get<http_failure>(Sent);
+    if (Failure.Delivery == delivery::MayHaveRun)
+      return Failure;
+    Excluded.insert(Attempt->Endpoint.Id);
+  }
+  return refuse(503, "no_endpoint", run_state::NotRun,
+                "no endpoint of the service can take it now",
+                RetryAfterFailure);
+}
+
+std::variant<http_response, http_failure>
+service_relay::sendTo(const call &Call, const attempt &Attempt,
+                      connection_use Use) {
+  http_request Request;
+  Request.Method = Call.Request->Method;
+  Request.Path = Call.Path;
+  Request.Body = Call.Request->Body;
+  const std::string Id =
+      Call.Identity.Account.Id.text() + "/" + Call.Identity.Id.text();
+  Request.Headers.emplace_back("X-Request-Id", Id);
+  const std::string Type = headerValue(Call.Request->Headers, "Content-Type");
+  if (!Type.empty())
+    Request.Headers.emplace_back("Content-Type", Type);
+  const steady_time StartedAt = Services.Clock.now();
+  auto Sent = Services.Transport.send(Attempt.Endpoint.Address, Request,
+                                      ServiceTimeouts, Use);
+  if (auto *Response = std::get_if<http_response>(&Sent)) {
+    const std::string Echo = headerValue(Response->Headers, "X-Request-Id");
+    if (!Echo.empty() && Echo != Id) {
+      Services.Metrics.count("azurehaven_foreign_answers_total");
+      Sent = http_failure{delivery::MayHaveRun, "answer of another request"};
+    }
+  }
+  attempt_report Report;
+  const steady_time Now = Services.Clock.now();
+  Report.Whole = std::chrono::duration_cast<milliseconds>(Now - StartedAt);
+  Report.Outcome = std::holds_alternative<http_response>(Sent)
+                       ? attempt_outcome::Answered
+                       : attempt_outcome::Failed;
+  Services.Router.finishAttempt(Attempt, class_id(), Report, Now);
+  return Sent;
+}
+
+bool service_relay::bill(const call &Call) {
+  struct bill Bill;
+  Bill.Account = Call.Identity.Account.Id;
+  Bill.Request = Call.Identity.Id;
+  Bill.BodyFingerprint = Call.BodyFingerprint;
+  Bill.Service = Call.Service.Id;
+  Bill.Price = Call.Service.CallPrice;
+  Bill.Cost = Call.Service.CallPrice;
+  Bill.At = Services.Clock.wallNow();
+  Bill.Vm = Services.Settings.Vm;
+  return commitBill(Services, Bill);
+}
+
+served_response service_relay::outcome(const caller_identity &Identity) {
+  const auto StoreRefusal = [&](const error &Error) {
+    return respondWith(refuse(503, "store_unavailable", run_state::NotRun,
+                              Error.Message, RetryAfterStoreFailure),
+                       Identity.Id.text());
+  };
+  auto Outcome =
+      Services.Claims.outcomeOf({Identity.Account.Id, Identity.Id, 0});
+  if (isError(Outcome) && errorOf(Outcome).Code != error_code::NotFound)
+    return StoreRefusal(errorOf(Outcome));
+  auto Bills = readLedger(Services.Store, Identity.Account.Id);
+  if (isError(Bills))
+    return StoreRefusal(errorOf(Bills));
+  const bool IsBilled = std::any_of(
+      valueOf(Bills).begin(), valueOf(Bills).end(),
+      [&](const struct bill &Bill) { return Bill.Request == Identity.Id; });
+  nlohmann::json Body = {{"request_id", Identity.Id.text()},
+                         {"billed", IsBilled}};
+  if (isError(Outcome)) {
+    Body["run"] = IsBilled ? "run" : "unknown";
+  } else if (!valueOf(Outcome)) {
+    Body["run"] = "may_have_run";
+  } else {
+    Body["run"] = "run";
+    Body["status"] = valueOf(Outcome)->Status;
+    Body["answer"] = valueOf(Outcome)->Body;
+  }
+  served_response Response;
+  Response.Body =
+      Body.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+  return Response;
+}
+
+} // namespace azurehaven
--- /dev/null
+++ b/Libraries/LibEntry/service_relay.h
@@ -0,0 +1,47 @@
+#pragma once
+
+#include "LibEntry/chat_request.h"
+#include "LibEntry/entry_services.h"
+
+namespace azurehaven {
+
+/// Passes calls of plain services on: /v1/services/SERVICE/PATH. A call that
+/// may not be repeated is claimed in the store before it is sent and is sent
+/// once at most.
+class service_relay {
+public:
+  explicit service_relay(const entry_services &Services) : Services(Services) {}
+
+  served_response serve(const served_request &Request,
+                        const caller_identity &Identity,
+                        const configuration &Configuration);
+  /// What became of a claimed request.
+  served_response outcome(const caller_identity &Identity);
+
+private:
+  struct call {
+    const served_request *Request;
+    caller_identity Identity;
+    plain_service Service;
+    std::string Path;
+    std::uint64_t BodyFingerprint;
+  };
+  using send_result = std::variant<http_response, refusal>;
+
+  served_response serveOnce(const call &Call);
+  served_response serveRepeatable(const call &Call);
+  served_response runClaimed(const call &Call, const claim_key &Key,
+                             const claim_granted &Claim);
+  served_response replay(const call &Call, const recorded_outcome &Outcome);
+  /// Sends to endpoints in turn until one has received the request.
+  std::variant<http_response, http_failure, refusal>
+  sendUntilDelivered(const call &Call, connection_use Use);
+  std::variant<http_response, http_failure>
+  sendTo(const call &Call, const attempt &Attempt, connection_use Use);
+  served_response deliver(const call &Call, const recorded_outcome &Outcome);
+  bool bill(const call &Call);
+
+  const entry_services &Services;
+};
+
+} // namespace azurehaven
--- /dev/null
+++ b/Libraries/LibHttp/growing_task_queue.cpp
@@ -0,0 +1,39 @@
+#include "LibHttp/growing_task_queue.h"
+
+namespace azurehaven {
+
+void growing_task_queue::enqueue(std::function<void()> Task) {
+  std::lock_guard Lock(Mutex);
+  Tasks.push_back(std::move(Task));
+  if (IdleThreads < Tasks.size() && Threads.size() < ThreadLimit)
+    Threads.emplace_back([this] { work(); });
+  HasWork.notify_one();
+}
+
+void growing_task_queue::shutdown() {
+  {
+    std::lock_guard Lock(Mutex);
+    IsStopping = true;
+    HasWork.notify_all();
+  }
+  for (auto &Thread : Threads)
+    Thread.join();
+}
+
+void growing_task_queue::work() {
+  std::unique_lock Lock(Mutex);
+  while (true) {
+    ++IdleThreads;
+    HasWork.wait(Lock, [this] { return IsStopping || !Tasks.empty(); });
+    --IdleThreads;
+    if (Tasks.empty())
+      return;
+    auto Task = std::move(Tasks.front());
+    Tasks.pop_front();
+    Lock.unlock();
+    Task();
+    Lock.lock();
+  }
+}
+
+} // namespace azurehaven
--- /dev/null
+++ b/Libraries/LibHttp/pooled_http_transport.cpp
@@ -0,0 +1,231 @@
+#include "LibHttp/pooled_http_transport.h"
+
+#include <boost/coroutine2/coroutine.hpp>
+#include <boost/coroutine2/protected_fixedsize_stack.hpp>
+#include <httplib.h>
+
+#include <algorithm>
+#include <map>
+#include <mutex>
+
+namespace azurehaven {
+
+namespace {
+
+constexpr std::size_t IdleClientsPerAddress = 256;
+/// Below the keep-alive time of the servers met so far, so that a pooled
+/// connection is rarely closed as it is used.
+constexpr std::chrono::seconds IdleClientLifetime{4};
+constexpr std::size_t StreamStackBytes = 256 * 1024;
+
+delivery deliveryOf(httplib::Error Error) {
+  switch (Error) {
+  case httplib::Error::Connection:
+  case httplib::Error::ConnectionTimeout:
+  case httplib::Error::BindIPAddress:
+  case httplib::Error::SSLConnection:
+    return delivery::NotSent;
+  default:
+    return delivery::MayHaveRun;
+  }
+}
+
+http_failure failureOf(httplib::Error Error) {
+  return {deliveryOf(Error), httplib::to_string(Error)};
+}
+
+http_headers headersOf(const httplib::Headers &Headers) {
+  return {Headers.begin(), Headers.end()};
+}
+
+httplib::Request libraryRequest(const http_request &Request) {
+  httplib::Request Converted;
+  Converted.method = Request.Method;
+  Converted.path = Request.Path;
+  Converted.body = Request.Body;
+  for (const auto &[Name, Value] : Request.Headers)
+    Converted.headers.emplace(Name, Value);
+  return Converted;
+}
+
+} // namespace
+
+class pooled_http_transport::client_pool {
+public:
+  std::unique_ptr<httplib::Client> take(const network_address &To,
+                                        const http_timeouts &Timeouts,
+                                        connection_use Use) {
+    std::unique_ptr<httplib::Client> Client;
+    if (Use == connection_use::Pooled)
+      Client = takeIdle(To);
+    if (!Client) {
+      Client = std::make_unique<httplib::Client>(To.Host, To.Port);
+      Client->set_tcp_nodelay(true);
+      Client->set_keep_alive(true);
+    }
+    Client->set_connection_timeout(Timeouts.Connect);
+    Client->set_read_timeout(Timeouts.Read);
+    Client->set_write_timeout(Timeouts.Read);
+    return Client;
+  }
+
+  void giveBack(const network_address &To,
+                std::unique_ptr<httplib::Client> Client) {
+    std::lock_guard Lock(Mutex);
+    auto &Idle = IdleClients[To];
+    if (Idle.size() < IdleClientsPerAddress)
+      Idle.push_back({std::move(Client), std::chrono::steady_clock::now()});
+  }
+
+private:
+  struct idle_client {
+    std::unique_ptr<httplib::Client> Client;
+    steady_time Since;
+  };
+
+  std::unique_ptr<httplib::Client> takeIdle(const network_address &To) {
+    std::vector<idle_client> Expired;
+    std::lock_guard Lock(Mutex);
+    auto Found = IdleClients.find(To);
+    if (Found == IdleClients.end())
+      return nullptr;
+    auto &Idle = Found->second;
+    const auto Oldest = std::chrono::steady_clock::now() - IdleClientLifetime;
+    auto FirstFresh =
+        std::find_if(Idle.begin(), Idle.end(),
+                     [&](const auto &Entry) { return Entry.Since >= Oldest; });
+    std::move(Idle.begin(), FirstFresh, std::back_inserter(Expired));
+    Idle.erase(Idle.begin(), FirstFresh);
+    if (Idle.empty())
+      return nullptr;
+    auto Client = std::move(Idle.back().Client);
+    Idle.pop_back();
+    return Client;
+  }
+
+  std::mutex Mutex;
+  std::map<network_address, std::vector<idle_client>> IdleClients;
+};
+
+/// Runs the library's blocking call in a coroutine of the calling thread, so
+/// that its receiver callbacks become parts that the caller pulls.
+class pooled_http_transport::pulled_stream : public http_stream {
+  struct head {
+    int Status;
+    http_headers Headers;
+  };
+  struct finished {};
+  using event = std::variant<head, std::string, http_failure, finished>;
+  using channel = boost::coroutines2::coroutine<event>;
+
+public:
+  pulled_stream(std::shared_ptr<client_pool> Pool, const network_address &To,
+                const http_request &Request, const http_timeouts &Timeouts)
+      : Pool(std::move(Pool)), To(To),
+        Client(this->Pool->take(To, Timeouts, connection_use::Pooled)),
+        Request(libraryRequest(Request)),
+        Source(boost::coroutines2::protected_fixedsize_stack(StreamStackBytes),
+               [this](channel::push_type &Sink) { run(Sink); }) {}
+
+  ~pulled_stream() override {
+    IsCancelled = true;
+    while (Source)
+      Source();
+    if (IsWhole)
+      Pool->giveBack(To, std::move(Client));
+  }
+
+  /// The failure that came in place of a head, if any.
+  std::optional<http_failure> takeHead() {
+    event First = Source.get();
+    if (auto *Failure = std::get_if<http_failure>(&First))
+      return *Failure;
+    if (auto *Head = std::get_if<head>(&First)) {
+      Status = Head->Status;
+      Headers = std::move(Head->Headers);
+      return std::nullopt;
+    }
+    return http_failure{delivery::MayHaveRun, "answer without a head"};
+  }
+
+  int status() const override { return Status; }
+  const http_headers &headers() const override { return Headers; }
+
+  std::variant<std::optional<std::string>, http_failure> next() override {
+    if (Source)
+      Source();
+    if (!Source)
+      return std::optional<std::string>();
+    event Event = Source.get();
+    if (auto *Failure = std::get_if<http_failure>(&Event))
+      return *Failure;
+    if (auto *Part = std::get_if<std::string>(&Event))
+      return std::optional<std::string>(std::move(*Part));
+    IsWhole = true;
+    return std::optional<std::string>();
+  }
+
+private:
+  void run(channel::push_type &Sink) {
+    Request.response_handler = [&](const httplib::Response &Response) {
+      Sink(head{Response.status, headersOf(Response.headers)});
+      return !IsCancelled;
+    };
+    Request.content_receiver = [&](const char *Data, std::size_t Length,
+                                   std::uint64_t, std::uint64_t) {
+      if (IsCancelled)
+        return false;
+      Sink(std::string(Data, Length));
+      return !IsCancelled;
+    };
+    httplib::Response Response;
+    httplib::Error Error = httplib::Error::Success;
+    const bool IsOk = Client->send(Request, Response, Error);
+    if (IsCancelled)
+      return;
+    if (IsOk)
+      Sink(finished{});
+    else
+      Sink(failureOf(Error));
+  }
+
+  std::shared_ptr<client_pool> Pool;
+  network_address To;
+  std::unique_ptr<httplib::Client> Client;
+  httplib::Request Request;
+  bool IsCancelled = false;
+  bool IsWhole = false;
+  int Status = 0;
+  http_headers Headers;
+  channel::pull_type Source;
+};
+
+pooled_http_transport::pooled_http_transport()
+    : Pool(std::make_shared<client_pool>()) {}
+pooled_http_transport::~pooled_http_transport() = default;
+
+send_outcome pooled_http_transport::send(const network_address &To,
+                                         const http_request &Request,
+                                         const http_timeouts &Timeouts,
+                                         connection_use Use) {
+  auto Client = Pool->take(To, Timeouts, Use);
+  httplib::Request Converted = libraryRequest(Request);
+  httplib::Response Response;
+  httplib::Error Error = httplib::Error::Success;
+  if (!Client->send(Converted, Response, Error))
+    return failureOf(Error);
+  Pool->giveBack(To, std::move(Client));
+  return http_response{Response.status, headersOf(Response.headers),
+                       std::move(Response.body)};
+}
+
+open_outcome pooled_http_transport::open(const network_address &To,
+                                         const http_request &Request,
+                                         const http_timeouts &Timeouts) {
+  auto Stream = std::make_unique<pulled_stream>(Pool, To, Request, Timeouts);
+  if (auto Failure = Stream->takeHead())
+    return *Failure;
+  return std::unique_ptr<http_stream>(std::move(Stream));
+}
+
+} // namespace azurehaven
--- /dev/null
+++ b/Libraries/LibHttp/pooled_http_transport.h
@@ -0,0 +1,24 @@
+#pragma once
+
+#include "LibHttp/http_transport.h"
+
+namespace azurehaven {
+
+/// The transport on cpp-httplib with idle connections kept for reuse.
+class pooled_http_transport : public http_transport {
+public:
+  pooled_http_transport();
+  ~pooled_http_transport() override;
+
+  send_outcome send(const network_address &To, const http_request &Request,
+                    const http_timeouts &Timeouts, connection_use Use) override;
+  open_outcome open(const network_address &To, const http_request &Request,
+                    const http_timeouts &Timeouts) override;
+
+private:
+  class client_pool;
+  class pulled_stream;
+  std::shared_ptr<client_pool> Pool;
+};
+
+} // namespace azurehaven
--- /dev/null
+++ b/Libraries/LibHttp/server_sent_events.h
@@ -0,0 +1,30 @@
+#pragma once
+
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace azurehaven {
+
+/// Splits a byte stream into the data of server-sent events.
+/// Source: WHATWG HTML, section 9.2 (only the data field is used).
+class event_stream_parser {
+public:
+  explicit event_stream_parser(std::size_t EventLimit = 1 << 20)
+      : EventLimit(EventLimit) {}
+
+  /// Adds received bytes; returns false once an event exceeds the limit.
+  bool add(std::string_view Bytes);
+  /// The data of the next whole event, if one has arrived.
+  std::optional<std::string> next();
+
+private:
+  const std::size_t EventLimit;
+  std::string Buffer;
+  std::size_t Offset = 0;
+};
+
+/// One event with the given data, ready to send.
+std::string formatEvent(std::string_view Data);
+
+} // namespace azurehaven
--- /dev/null
+++ b/Libraries/LibLedger/bill_committer.cpp
@@ -0,0 +1,212 @@
+#include "LibLedger/bill_committer.h"
+
+#include <algorithm>
+#include <nlohmann/json.hpp>
+
+namespace azurehaven {
+
+namespace {
+
+/// Finished tickets are kept this long for callers that have yet to look.
+constexpr std::size_t FinishedTicketLimit = 20000;
+
+} // namespace
+
+bill_committer::bill_committer(store &Store, custody_port &Custody, vm_id Self,
+                               std::uint64_t Incarnation,
+                               bill_committer_settings Settings)
+    : Store(Store), Custody(Custody), Self(std::move(Self)),
+      Incarnation(Incarnation), Settings(Settings) {}
+
+result<std::uint64_t> bill_committer::add(const bill &Bill) {
+  std::lock_guard Lock(Mutex);
+  if (Waiting.size() + Counts.Unwritten >= Settings.BillLimit)
+    return error{error_code::Unavailable, "too many bills wait for the store"};
+  const std::uint64_t Ticket = NextTicket++;
+  Waiting.push_back({Ticket, encodeBill(Bill), Bill.key()});
+  States[Ticket] = bill_state::Waiting;
+  Changed.notify_all();
+  return Ticket;
+}
+
+bill_state bill_committer::wait(std::uint64_t Ticket, milliseconds Timeout) {
+  std::unique_lock Lock(Mutex);
+  Changed.wait_for(Lock, Timeout, [&] {
+    auto Found = States.find(Ticket);
+    return Found == States.end() || Found->second != bill_state::Waiting;
+  });
+  auto Found = States.find(Ticket);
+  return Found == States.end() ? bill_state::Written : Found->second;
+}
+
+bill_state bill_committer::stateOf(std::uint64_t Ticket) {
+  return wait(Ticket, milliseconds(0));
+}
+
+void bill_committer::awaitWork(milliseconds Timeout) {
+  std::unique_lock Lock(Mutex);
+  Changed.wait_for(Lock, Timeout, [&] { return !Waiting.empty(); });
+}
+
+void bill_committer::flush(steady_time Now) {
+  retryUnwritten(Now);
+  if (Now < NextWrite)
+    return;
+  auto Segment = takeNewSegment();
+  if (!Segment)
+    return;
+  NextWrite = Now + Settings.WriteInterval;
+  if (!IsStoreAway && write(*Segment) == write_outcome::Written) {
+    finish(Segment);
+    return;
+  }
+  if (!IsStoreAway) {
+    IsStoreAway = true;
+    NextProbe = Now + Settings.ProbeInterval;
+  }
+  requestCustody(Segment);
+}
+
+std::shared_ptr<bill_committer::segment> bill_committer::takeNewSegment() {
+  std::lock_guard Lock(Mutex);
+  if (Waiting.empty())
+    return nullptr;
+  auto Segment = std::make_shared<segment>();
+  Segment->Number = NextSegment++;
+  while (!Waiting.empty() && Segment->Bills.size() < Settings.BillsPerSegment) {
+    Segment->Tickets.push_back(Waiting.front().Ticket);
+    Segment->Bills.push_back(std::move(Waiting.front().Bill));
+    Segment->Keys.push_back(std::move(Waiting.front().Key));
+    Waiting.pop_front();
+  }
+  Unwritten[Segment->Number] = Segment;
+  Counts.Unwritten += Segment->Bills.size();
+  return Segment;
+}
+
+std::string bill_committer::keyOf(const segment &Segment) const {
+  char Number[24];
+  std::snprintf(Number, sizeof Number, "%010llu",
+                static_cast<unsigned long long>(Segment.Number));
+  return BillPrefix + Self.text() + "/" + std::to_string(Incarnation) + "/" +
+         Number;
+}
+
+bill_committer::write_outcome bill_committer::write(const segment &Segment) {
+  const std::string Key = keyOf(Segment);
+  const std::string Value = nlohmann::json(Segment.Bills).dump();
+  auto Written =
+      Store.compareAndSwap(store_purpose::Bill, Key, Value, AbsentRevision);
+  if (!isError(Written))
+    return write_outcome::Written;
+  // Only this process writes this key, so that a conflict means that an
+  // earlier write whose answer was lost has taken effect.
+  if (errorOf(Written).Code == error_code::Conflict)
+    return write_outcome::Written;
+  return write_outcome::Failed;
+}
+
+void bill_committer::finish(const std::shared_ptr<segment> &Segment) {
+  std::set<vm_id> Asked;
+  {
+    std::lock_guard Lock(Mutex);
+    setState(*Segment, bill_state::Written);
+    Unwritten.erase(Segment->Number);
+    Counts.Unwritten -= Segment->Bills.size();
+    Counts.Written += Segment->Bills.size();
+    ++Counts.Segments;
+    Asked = Segment->Asked;
+    Changed.notify_all();
+  }
+  for (const auto &Peer : Asked)
+    Custody.release(Peer, Segment->Keys);
+}
+
+void bill_committer::requestCustody(const std::shared_ptr<segment> &Segment) {
+  std::vector<vm_id> Chosen;
+  const auto Candidates = Custody.candidates();
+  {
+    std::lock_guard Lock(Mutex);
+    // A holder that stopped answering no longer counts as a copy.
+    std::set<vm_id> Responsive(Candidates.begin(), Candidates.end());
+    std::erase_if(Segment->Holders,
+                  [&](const vm_id &Vm) { return !Responsive.contains(Vm); });
+    std::size_t Needed =
+        Settings.CustodyCopies -
+        std::min(Settings.CustodyCopies, Segment->Holders.size());
+    for (const auto &Peer : Candidates) {
+      if (Needed == 0)
+        break;
+      if (Segment->Holders.contains(Peer))
+        continue;
+      Chosen.push_back(Peer);
+      Segment->Asked.insert(Peer);
+      --Needed;
+    }
+  }
+  for (const auto &Peer : Chosen)
+    Custody.request(Peer, Segment->Number, Segment->Bills);
+}
+
+void bill_committer::custodyAnswered(const vm_id &Peer, std::uint64_t Nonce) {
+  std::lock_guard Lock(Mutex);
+  auto Found = Unwritten.find(Nonce);
+  if (Found == Unwritten.end())
+    return;
+  Found->second->Holders.insert(Peer);
+  if (Found->second->Holders.size() < Settings.CustodyCopies)
+    return;
+  setState(*Found->second, bill_state::InCustody);
+  Changed.notify_all();
+}
+
+void bill_committer::retryUnwritten(steady_time Now) {
+  if (!IsStoreAway || Now < NextProbe)
+    return;
+  NextProbe = Now + Settings.ProbeInterval;
+  std::vector<std::shared_ptr<segment>> Pending;
+  {
+    std::lock_guard Lock(Mutex);
+    for (const auto &[Number, Segment] : Unwritten)
+      Pending.push_back(Segment);
+  }
+  for (const auto &Segment : Pending) {
+    if (write(*Segment) == write_outcome::Written) {
+      finish(Segment);
+      continue;
+    }
+    for (const auto &Unsafe : Pending)
+      requestCustody(Unsafe);
+    return;
+  }
+  IsStoreAway = false;
+}
+
+void bill_committer::setState(const segment &Segment, bill_state State) {
+  for (std::uint64_t Ticket : Segment.Tickets) {
+    auto Found = States.find(Ticket);
+    if (Found == States.end())
+      continue;
+    if (State == bill_state::InCustody && Found->second == bill_state::Waiting)
+      ++Counts.InCustody;
+    Found->second = State;
+  }
+  while (States.size() > FinishedTicketLimit &&
+         States.begin()->second == bill_state::Written)
+    States.erase(States.begin());
+}
+
+bool bill_committer::isSafeToStop() {
+  std::lock_guard Lock(Mutex);
+  return Waiting.empty() &&
+         std::all_of(Unwritten.begin(), Unwritten.end(), [&](const auto &Item) {
+           return Item.second->Holders.size() >= Settings.CustodyCopies;
+         });
+}
+
+bill_committer_counts bill_committer::counts() {
+  std::lock_guard Lock(Mutex);
+  return Counts;
+}
+
+} // namespace azurehaven
--- /dev/null
+++ b/Libraries/LibLedger/bill_committer.h
@@ -0,0 +1,116 @@
+#pragma once
+
+#include "LibLedger/bill.h"
+#include "LibLedger/custody_port.h"
+#include "LibStore/store.h"
+#include "LibTypes/ranked_mutex.h"
+
+#include <condition_variable>
+#include <deque>
+#include <map>
+#include <memory>
+#include <set>
+
+namespace azurehaven {
+
+/// The store's keys of bills: bill/VM/INCARNATION/SEGMENT.
+inline const std::string BillPrefix = "bill/";
+
+enum class bill_state {
+  Waiting,
+  /// Written to the store.
+  Written,
+  /// Held by enough peers in memory; written once the store is back.
+  InCustody,
+};
+
+struct bill_committer_settings {
+  /// Least time between two writes; bounds this VM's share of the store.
+  milliseconds WriteInterval{10};
+  /// Wait before a store that failed is tried again.
+  milliseconds ProbeInterval{500};
+  /// Copies on other VMs that release an answer while the store is away.
+  std::size_t CustodyCopies = 2;
+  std::size_t BillsPerSegment = 500;
+  /// Bound of the bills held in memory.
+  std::size_t BillLimit = 100000;
+};
+
+struct bill_committer_counts {
+  std::uint64_t Written = 0;
+  std::uint64_t InCustody = 0;
+  std::uint64_t Unwritten = 0;
+  std::uint64_t Segments = 0;
+};
+
+/// Makes bills durable: group commit to the store, or copies on peers while
+/// the store is away. Thread-safe (lock_rank::Ledger).
+class bill_committer {
+public:
+  bill_committer(store &Store, custody_port &Custody, vm_id Self,
+                 std::uint64_t Incarnation, bill_committer_settings Settings);
+
+  /// Queues a bill. Returns Unavailable when too many wait already.
+  result<std::uint64_t> add(const bill &Bill);
+  /// Waits until the bill is durable or the timeout passes.
+  bill_state wait(std::uint64_t Ticket, milliseconds Timeout);
+  bill_state stateOf(std::uint64_t Ticket);
+
+  /// One round of writing, to be called from one thread; blocks on the store.
+  void flush(steady_time Now);
+  void custodyAnswered(const vm_id &Peer, std::uint64_t Nonce);
+  /// Blocks until there is something to flush or the timeout passes.
+  void awaitWork(milliseconds Timeout);
+
+  /// Whether a planned stop may end: no bill is held by this VM alone.
+  bool isSafeToStop();
+  bill_committer_counts counts();
+
+private:
+  /// Bills that are written together under one key.
+  struct segment {
+    std::uint64_t Number = 0;
+    std::vector<std::uint64_t> Tickets;
+    std::vector<std::string> Bills;
+    std::vector<std::string> Keys;
+    /// Peers that confirmed holding the bills.
+    std::set<vm_id> Holders;
+    std::set<vm_id> Asked;
+  };
+
+  enum class write_outcome { Written, Failed };
+
+  std::shared_ptr<segment> takeNewSegment();
+  write_outcome write(const segment &Segment);
+  void finish(const std::shared_ptr<segment> &Segment);
+  void requestCustody(const std::shared_ptr<segment> &Segment);
+  void retryUnwritten(steady_time Now);
+  void setState(const segment &Segment, bill_state State);
+  std::string keyOf(const segment &Segment) const;
+
+  store &Store;
+  custody_port &Custody;
+  const vm_id Self;
+  const std::uint64_t Incarnation;
+  const bill_committer_settings Settings;
+
+  ranked_mutex Mutex{lock_rank::Ledger};
+  std::condition_variable_any Changed;
+  struct waiting_bill {
+    std::uint64_t Ticket;
+    std::string Bill;
+    std::string Key;
+  };
+  std::deque<waiting_bill> Waiting;
+  std::map<std::uint64_t, bill_state> States;
+  /// Segments not yet written, by number, which is the custody nonce too.
+  std::map<std::uint64_t, std::shared_ptr<segment>> Unwritten;
+  std::uint64_t NextTicket = 1;
+  std::uint64_t NextSegment = 1;
+  steady_time NextWrite{};
+  steady_time NextProbe{};
+  bool IsStoreAway = false;
+  bill_committer_counts Counts;
+};
+
+} // namespace azurehaven
--- /dev/null
+++ b/Libraries/LibLedger/claim_registry.cpp
@@ -0,0 +1,209 @@
+#include "LibLedger/claim_registry.h"
+
+#include <nlohmann/json.hpp>
+
+namespace azurehaven {
+
+using nlohmann::json;
+
+namespace {
+
+constexpr std::size_t RecordedBodyLimit = 256 * 1024;
+
+constexpr const char *StateClaimed = "claimed";
+constexpr const char *StateAbandoned = "abandoned";
+constexpr const char *StateFinished = "finished";
+
+std::string storeKeyOf(const claim_key &Key) {
+  // Length prefixes keep ("a/b", "c") and ("a", "b/c") apart.
+  return ClaimPrefix + std::to_string(Key.Account.text().size()) + "/" +
+         Key.Account.text() + "/" + Key.Request.text();
+}
+
+std::string encodeClaim(const std::string &Nonce, std::uint64_t Fingerprint,
+                        const char *State) {
+  return json{{"nonce", Nonce}, {"body", Fingerprint}, {"state", State}}.dump();
+}
+
+std::string encodeFinished(const std::string &Nonce, std::uint64_t Fingerprint,
+                           const recorded_outcome &Outcome) {
+  const bool HasBody = Outcome.Body.size() <= RecordedBodyLimit;
+  return json{{"nonce", Nonce},
+              {"body", Fingerprint},
+              {"state", StateFinished},
+              {"status", Outcome.Status},
+              {"content_type", Outcome.ContentType},
+              {"has_answer", HasBody},
+              {"answer", HasBody ? Outcome.Body : std::string()}}
+      .dump(-1, ' ', false, json::error_handler_t::replace);
+}
+
+struct stored_claim {
+  std::string Nonce;
+  std::uint64_t BodyFingerprint = 0;
+  std::string State;
+  recorded_outcome Outcome;
+};
+
+std::optional<stored_claim> decodeClaim(const std::string &Text) {
+  try {
+    const json Item = json::parse(Text);
+    stored_claim Claim;
+    Claim.Nonce = Item.at("nonce").get<std::string>();
+    Claim.BodyFingerprint = Item.at("body").get<std::uint64_t>();
+    Claim.State = Item.at("state").get<std::string>();
+    if (Claim.State == StateFinished)
+      Claim.Outcome = {Item.at("status").get<int>(),
+                       Item.at("content_type").get<std::string>(),
+                       Item.at("answer").get<std::string>(),
+                       Item.at("has_answer").get<bool>()};
+    return Claim;
+  } catch (const json::exception &) {
+    return std::nullopt;
+  }
+}
+
+} // namespace
+
+claim_registry::claim_registry(store &Store, vm_id Self,
+                               std::uint64_t Incarnation)
+    : Store(Store), Self(std::move(Self)), Incarnation(Incarnation) {}
+
+std::string claim_registry::newNonce() {
+  std::lock_guard Lock(Mutex);
+  return Self.text() + "/" + std::to_string(Incarnation) + "/" +
+         std::to_string(NextNonce++);
+}
+
+claim_result claim_registry::claim(const claim_key &Key) {
+  const std::string StoreKey = storeKeyOf(Key);
+  const std::string Nonce = newNonce();
+  auto Created = Store.compareAndSwap(
+      store_purpose::Claim, StoreKey,
+      encodeClaim(Nonce, Key.BodyFingerprint, StateClaimed), AbsentRevision);
+  if (!isError(Created))
+    return claim_granted{valueOf(Created)};
+  const error &Error = errorOf(Created);
+  if (Error.Code == error_code::Unavailable)
+    return claim_unavailable{Error.Message};
+  claim_result Result = claimExisting(StoreKey, Key, Nonce);
+  if (Error.Code == error_code::OutcomeUnknown &&
+      std::holds_alternative<claim_unavailable>(Result)) {
+    // The claim may stand although nothing will be sent under it. Unless it is
+    // given up, a resend would be told that it may have run.
+    std::lock_guard Lock(Mutex);
+    Pending[StoreKey] = {
+        StoreKey, encodeClaim(Nonce, Key.BodyFingerprint, StateAbandoned),
+        Nonce, AbsentRevision};
+  }
+  return Result;
+}
+
+claim_result claim_registry::claimExisting(const std::string &StoreKey,
+                                           const claim_key &Key,
+                                           const std::string &Nonce) {
+  auto Entry = Store.read(store_purpose::Claim, StoreKey);
+  if (isError(Entry))
+    return claim_unavailable{errorOf(Entry).Message};
+  auto Claim = decodeClaim(valueOf(Entry).Value);
+  if (!Claim)
+    return claim_taken{};
+  if (Claim->Nonce == Nonce)
+    return claim_granted{valueOf(Entry).Revision};
+  if (Claim->BodyFingerprint != Key.BodyFingerprint)
+    return claim_mismatch{};
+  if (Claim->State == StateFinished)
+    return claim_finished{Claim->Outcome};
+  if (Claim->State != StateAbandoned)
+    return claim_taken{};
+  auto Swapped = Store.compareAndSwap(
+      store_purpose::Claim, StoreKey,
+      encodeClaim(Nonce, Key.BodyFingerprint, StateClaimed),
+      valueOf(Entry).Revision);
+  if (!isError(Swapped))
+    return claim_granted{valueOf(Swapped)};
+  if (errorOf(Swapped).Code == error_code::Conflict)
+    return claim_taken{};
+  // If the swap took effect after all, abandoning it again is not needed for
+  // safety; the resend is told that it may have run.
+  return claim_unavailable{errorOf(Swapped).Message};
+}
+
+void claim_registry::finish(const claim_key &Key, const claim_granted &Claim,
+                            const recorded_outcome &Outcome) {
+  settle({storeKeyOf(Key),
+          encodeFinished({}, Key.BodyFingerprint, Outcome),
+          {},
+          Claim.Revision});
+}
+
+void claim_registry::abandon(const claim_key &Key, const claim_granted &Claim) {
+  settle({storeKeyOf(Key),
+          encodeClaim({}, Key.BodyFingerprint, StateAbandoned),
+          {},
+          Claim.Revision});
+}
+
+void claim_registry::settle(const pending_write &Write) {
+  // Only the holder of the claim writes a claimed entry, so that a conflict
+  // means that an earlier write of this very value has taken effect.
+  auto Swapped = Store.compareAndSwap(store_purpose::Claim, Write.StoreKey,
+                                      Write.Value, Write.Revision);
+  if (!isError(Swapped) || errorOf(Swapped).Code == error_code::Conflict)
+    return;
+  std::lock_guard Lock(Mutex);
+  Pending[Write.StoreKey] = Write;
+}
+
+void claim_registry::retryPending() {
+  std::map<std::string, pending_write> Writes;
+  {
+    std::lock_guard Lock(Mutex);
+    Writes = Pending;
+  }
+  for (const auto &[StoreKey, Write] : Writes) {
+    if (!trySettle(Write))
+      return;
+    forget(Write);
+  }
+}
+
+bool claim_registry::trySettle(const pending_write &Write) {
+  auto Entry = Store.read(store_purpose::Claim, Write.StoreKey);
+  if (isError(Entry))
+    return errorOf(Entry).Code == error_code::NotFound;
+  auto Claim = decodeClaim(valueOf(Entry).Value);
+  const bool IsOurs = Claim && Claim->State == StateClaimed &&
+                      (Claim->Nonce == Write.Nonce ||
+                       valueOf(Entry).Revision == Write.Revision);
+  if (!IsOurs)
+    return true;
+  auto Swapped = Store.compareAndSwap(store_purpose::Claim, Write.StoreKey,
+                                      Write.Value, valueOf(Entry).Revision);
+  return !isError(Swapped) || errorOf(Swapped).Code == error_code::Conflict;
+}
+
+void claim_registry::forget(const pending_write &Write) {
+  std::lock_guard Lock(Mutex);
+  auto Found = Pending.find(Write.StoreKey);
+  if (Found != Pending.end() && Found->second == Write)
+    Pending.erase(Found);
+}
+
+result<std::optional<recorded_outcome>>
+claim_registry::outcomeOf(const claim_key &Key) {
+  TRY(store_entry Entry, Store.read(store_purpose::Claim, storeKeyOf(Key)));
+  auto Claim = decodeClaim(Entry.Value);
+  if (Claim && Claim->State == StateAbandoned)
+    return error{error_code::NotFound, "the request was not run"};
+  if (!Claim || Claim->State != StateFinished)
+    return std::optional<recorded_outcome>();
+  return std::optional<recorded_outcome>(Claim->Outcome);
+}
+
+std::size_t claim_registry::pendingCount() {
+  std::lock_guard Lock(Mutex);
+  return Pending.size();
+}
+
+} // namespace azurehaven
--- /dev/null
+++ b/Libraries/LibPeer/frame_codec.cpp
@@ -0,0 +1,204 @@
+#include "LibPeer/frame_codec.h"
+
+#include "LibPeer/generated/peer_generated.h"
+
+namespace azurehaven {
+
+namespace {
+
+using flatbuffers::FlatBufferBuilder;
+using flatbuffers::Offset;
+
+flatbuffers::Offset<wire::Member> encodeMember(FlatBufferBuilder &Builder,
+                                               const member_notice &Notice) {
+  return wire::CreateMemberDirect(
+      Builder, Notice.Vm.text().c_str(), Notice.Incarnation,
+      static_cast<std::uint8_t>(Notice.State), Notice.Domain.text().c_str());
+}
+
+Offset<wire::Rating> encodeRating(FlatBufferBuilder &Builder,
+                                  const rating_notice &Notice) {
+  return wire::CreateRatingDirect(
+      Builder, Notice.Origin.text().c_str(), Notice.Incarnation,
+      Notice.Version.text().c_str(), Notice.Class.text().c_str(), Notice.Bucket,
+      Notice.Count, Notice.ScoreMilli, Notice.Successes, Notice.Failures);
+}
+
+/// Writes the body of one message and tells its type.
+class body_encoder {
+public:
+  explicit body_encoder(FlatBufferBuilder &Builder) : Builder(Builder) {}
+
+  wire::Body Type = wire::Body_NONE;
+
+  Offset<void> operator()(const heartbeat &Message) {
+    Type = wire::Body_Heartbeat;
+    std::vector<Offset<wire::Member>> Members;
+    for (const auto &Notice : Message.Members)
+      Members.push_back(encodeMember(Builder, Notice));
+    std::vector<Offset<wire::Rating>> Ratings;
+    for (const auto &Notice : Message.Ratings)
+      Ratings.push_back(encodeRating(Builder, Notice));
+    std::vector<Offset<wire::Crash>> Crashes;
+    for (const auto &Notice : Message.Crashes)
+      Crashes.push_back(wire::CreateCrashDirect(
+          Builder, Notice.Fingerprint, Notice.Endpoint.text().c_str()));
+    std::vector<Offset<wire::Usage>> Usage;
+    for (const auto &Notice : Message.Usage)
+      Usage.push_back(wire::CreateUsageDirect(
+          Builder, Notice.Account.text().c_str(), Notice.InFlight));
+    const auto Age = Message.ConfirmationAge.value_or(milliseconds(0)).count();
+    return wire::CreateHeartbeatDirect(
+               Builder, Message.Kind == heartbeat_kind::Answer, Message.Nonce,
+               Message.ConfigVersion, Message.MayVouch,
+               Message.ConfirmationAge.has_value(),
+               static_cast<std::uint64_t>(Age), Message.ConfirmedVersion,
+               &Members, &Ratings, &Crashes, &Usage)
+        .Union();
+  }
+
+  Offset<void> operator()(const configuration_request &Message) {
+    Type = wire::Body_ConfigurationRequest;
+    return wire::CreateConfigurationRequest(Builder, Message.KnownVersion)
+        .Union();
+  }
+
+  Offset<void> operator()(const configuration_snapshot &Message) {
+    Type = wire::Body_ConfigurationSnapshot;
+    auto Document = Builder.CreateString(Message.Document);
+    return wire::CreateConfigurationSnapshot(Builder, Document).Union();
+  }
+
+  Offset<void> operator()(const custody_request &Message) {
+    Type = wire::Body_CustodyRequest;
+    auto Bills = Builder.CreateVectorOfStrings(Message.Bills);
+    return wire::CreateCustodyRequest(Builder, Message.Nonce, Bills).Union();
+  }
+
+  Offset<void> operator()(const custody_answer &Message) {
+    Type = wire::Body_CustodyAnswer;
+    return wire::CreateCustodyAnswer(Builder, Message.Nonce).Union();
+  }
+
+  Offset<void> operator()(const custody_release &Message) {
+    Type = wire::Body_CustodyRelease;
+    auto Keys = Builder.CreateVectorOfStrings(Message.Keys);
+    return wire::CreateCustodyRelease(Builder, Keys).Union();
+  }
+
+private:
+  FlatBufferBuilder &Builder;
+};
+
+template <typename Table, typename Decoder>
+auto decodeAll(const flatbuffers::Vector<Offset<Table>> *Items,
+               Decoder Decode) {
+  std::vector<decltype(Decode(*Items->Get(0)))> Decoded;
+  if (!Items)
+    return Decoded;
+  Decoded.reserve(Items->size());
+  for (const auto *Item : *Items)
+    Decoded.push_back(Decode(*Item));
+  return Decoded;
+}
+
+heartbeat decodeHeartbeat(const wire::Heartbeat &Source) {
+  heartbeat Message;
+  Message.Kind =
+      Source.is_answer() ? heartbeat_kind::Answer : heartbeat_kind::Question;
+  Message.Nonce = Source.nonce();
+  Message.ConfigVersion = Source.config_version();
+  Message.MayVouch = Source.may_vouch();
+  if (Source.has_confirmation())
+    Message.ConfirmationAge = milliseconds(Source.confirmation_age_ms());
+  Message.ConfirmedVersion = Source.confirmed_version();
+  Message.Members = decodeAll(Source.members(), [](const wire::Member &Item) {
+    return member_notice{vm_id(Item.vm()->str()), Item.incarnation(),
+                         Item.state() == 0 ? member_state::Serving
+                                           : member_state::Leaving,
+                         failure_domain_id(Item.domain()->str())};
+  });
+  Message.Ratings = decodeAll(Source.ratings(), [](const wire::Rating &Item) {
+    return rating_notice{vm_id(Item.origin()->str()),
+                         Item.incarnation(),
+                         version_id(Item.version()->str()),
+                         class_id(Item.work_class()->str()),
+                         Item.bucket(),
+                         Item.count(),
+                         Item.score_milli(),
+                         Item.successes(),
+                         Item.failures()};
+  });
+  Message.Crashes = decodeAll(Source.crashes(), [](const wire::Crash &Item) {
+    return crash_notice{Item.fingerprint(),
+                        endpoint_id(Item.endpoint()->str())};
+  });
+  Message.Usage = decodeAll(Source.usage(), [](const wire::Usage &Item) {
+    return usage_notice{client_account_id(Item.account()->str()),
+                        Item.in_flight()};
+  });
+  return Message;
+}
+
+std::vector<std::string>
+decodeTexts(const flatbuffers::Vector<Offset<flatbuffers::String>> *Items) {
+  return decodeAll(Items,
+                   [](const flatbuffers::String &Item) { return Item.str(); });
+}
+
+std::optional<peer_message> decodeBody(const wire::Frame &Frame) {
+  switch (Frame.body_type()) {
+  case wire::Body_Heartbeat:
+    return decodeHeartbeat(*Frame.body_as_Heartbeat());
+  case wire::Body_ConfigurationRequest:
+    return configuration_request{
+        Frame.body_as_ConfigurationRequest()->known_version()};
+  case wire::Body_ConfigurationSnapshot:
+    return configuration_snapshot{
+        Frame.body_as_ConfigurationSnapshot()->document()->str()};
+  case wire::Body_CustodyRequest:
+    return custody_request{
+        Frame.body_as_CustodyRequest()->nonce(),
+        decodeTexts(Frame.body_as_CustodyRequest()->bills())};
+  case wire::Body_CustodyAnswer:
+    return custody_answer{Frame.body_as_CustodyAnswer()->nonce()};
+  case wire::Body_CustodyRelease:
+    return custody_release{decodeTexts(Frame.body_as_CustodyRelease()->keys())};
+  default:
+    return std::nullopt;
+  }
+}
+
+} // namespace
+
+std::string encodeFrame(const peer_frame &Frame) {
+  FlatBufferBuilder Builder(1024);
+  body_encoder Encoder(Builder);
+  auto Body = std::visit(Encoder, Frame.Message);
+  auto Sender = Builder.CreateString(Frame.Sender.text());
+  Builder.Finish(wire::CreateFrame(Builder, Sender, Frame.Incarnation,
+                                   Encoder.Type, Body));
+  return {reinterpret_cast<const char *>(Builder.GetBufferPointer()),
+          Builder.GetSize()};
+}
+
+result<peer_frame> decodeFrame(std::string_view Bytes) {
+  // The verifier requires an aligned buffer, which a copy provides.
+  std::vector<std::uint64_t> Aligned((Bytes.size() + 7) / 8 + 1);
+  auto *Data = reinterpret_cast<std::uint8_t *>(Aligned.data());
+  std::copy(Bytes.begin(), Bytes.end(), Data);
+  flatbuffers::Verifier Verifier(Data, Bytes.size());
+  if (Bytes.size() > FrameLimitBytes || !wire::VerifyFrameBuffer(Verifier))
+    return error{error_code::InvalidInput, "peer frame: malformed"};
+  const wire::Frame *Frame = wire::GetFrame(Data);
+  // The verifier accepts an absent body beside a set type.
+  if (!Frame->body())
+    return error{error_code::InvalidInput, "peer frame: no body"};
+  auto Message = decodeBody(*Frame);
+  if (!Message)
+    return error{error_code::InvalidInput, "peer frame: unknown body"};
+  return peer_frame{vm_id(Frame->sender()->str()), Frame->incarnation(),
+                    std::move(*Message)};
+}
+
+} // namespace azurehaven
--- /dev/null
+++ b/Libraries/LibPeer/peer_message.h
@@ -0,0 +1,104 @@
+#pragma once
+
+#include "LibTypes/ids.h"
+#include "LibTypes/units.h"
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace azurehaven {
+
+enum class member_state : std::uint8_t {
+  Serving = 0,
+  /// Announced a planned stop; gets no new callers.
+  Leaving = 1,
+};
+
+struct member_notice {
+  vm_id Vm;
+  /// Chosen anew at each start; larger is later.
+  std::uint64_t Incarnation = 0;
+  member_state State = member_state::Serving;
+  failure_domain_id Domain;
+};
+
+/// Cumulative rating and outcome counts of one origin for one version, class
+/// and confidence bucket. A repeated or reordered notice does no harm.
+struct rating_notice {
+  vm_id Origin;
+  std::uint64_t Incarnation = 0;
+  version_id Version;
+  class_id Class;
+  std::uint8_t Bucket = 0;
+  std::uint64_t Count = 0;
+  /// Sum of the scores in thousandths.
+  std::uint64_t ScoreMilli = 0;
+  std::uint64_t Successes = 0;
+  std::uint64_t Failures = 0;
+};
+
+/// A request that was running on an endpoint when it broke down.
+struct crash_notice {
+  std::uint64_t Fingerprint = 0;
+  endpoint_id Endpoint;
+};
+
+struct usage_notice {
+  client_account_id Account;
+  std::uint32_t InFlight = 0;
+};
+
+enum class heartbeat_kind { Question, Answer };
+
+struct heartbeat {
+  heartbeat_kind Kind = heartbeat_kind::Question;
+  /// An answer repeats the nonce of its question.
+  std::uint64_t Nonce = 0;
+  std::uint64_t ConfigVersion = 0;
+  /// Whether the sender has recovered the configuration since its start.
+  bool MayVouch = false;
+  /// Age of the store's latest confirmation of ConfirmedVersion.
+  std::optional<milliseconds> ConfirmationAge;
+  std::uint64_t ConfirmedVersion = 0;
+  std::vector<member_notice> Members;
+  std::vector<rating_notice> Ratings;
+  std::vector<crash_notice> Crashes;
+  std::vector<usage_notice> Usage;
+};
+
+struct configuration_request {
+  std::uint64_t KnownVersion = 0;
+};
+
+struct configuration_snapshot {
+  std::string Document;
+};
+
+/// Asks a peer to hold bills until they are released or their origin is gone.
+struct custody_request {
+  std::uint64_t Nonce = 0;
+  std::vector<std::string> Bills;
+};
+
+struct custody_answer {
+  std::uint64_t Nonce = 0;
+};
+
+struct custody_release {
+  std::vector<std::string> Keys;
+};
+
+using peer_message =
+    std::variant<heartbeat, configuration_request, configuration_snapshot,
+                 custody_request, custody_answer, custody_release>;
+
+struct peer_frame {
+  vm_id Sender;
+  std::uint64_t Incarnation = 0;
+  peer_message Message;
+};
+
+} // namespace azurehaven
--- /dev/null
+++ b/Libraries/LibPeer/tcp_peer_network.cpp
@@ -0,0 +1,343 @@
+#include "LibPeer/tcp_peer_network.h"
+
+#include "LibPeer/frame_codec.h"
+
+#include <array>
+#include <asio.hpp>
+#include <atomic>
+#include <deque>
+#include <thread>
+
+namespace azurehaven {
+
+namespace {
+
+using asio::ip::tcp;
+
+constexpr std::size_t QueueLimitFrames = 256;
+constexpr std::size_t InboundConnectionLimit = 4096;
+constexpr milliseconds ReconnectDelay{200};
+
+struct traffic_counters {
+  std::atomic<std::uint64_t> FramesSent = 0;
+  std::atomic<std::uint64_t> BytesSent = 0;
+  std::atomic<std::uint64_t> FramesReceived = 0;
+  std::atomic<std::uint64_t> BytesReceived = 0;
+  std::atomic<std::uint64_t> FramesDropped = 0;
+  std::atomic<std::uint64_t> BadFrames = 0;
+};
+
+using length_prefix = std::array<unsigned char, 4>;
+
+std::string withLengthPrefix(const std::string &Frame) {
+  const auto Length = static_cast<std::uint32_t>(Frame.size());
+  std::string Bytes;
+  Bytes.reserve(Frame.size() + 4);
+  for (int Shift : {24, 16, 8, 0})
+    Bytes.push_back(static_cast<char>(Length >> Shift));
+  Bytes += Frame;
+  return Bytes;
+}
+
+std::uint32_t lengthOf(const length_prefix &Prefix) {
+  std::uint32_t Length = 0;
+  for (unsigned char Byte : Prefix)
+    Length = Length << 8 | Byte;
+  return Length;
+}
+
+/// Reads frames from one accepted connection until it errs.
+class inbound_connection
+    : public std::enable_shared_from_this<inbound_connection> {
+public:
+  inbound_connection(tcp::socket Socket, const peer_receiver &Receiver,
+                     traffic_counters &Counters,
+                     std::shared_ptr<std::size_t> OpenCount)
+      : Socket(std::move(Socket)), Receiver(Receiver), Counters(Counters),
+        OpenCount(std::move(OpenCount)) {
+    ++*this->OpenCount;
+  }
+  ~inbound_connection() { --*OpenCount; }
+
+  void readPrefix() {
+    auto Self = shared_from_this();
+    asio::async_read(Socket, asio::buffer(Prefix),
+                     [Self](std::error_code Code, std::size_t) {
+                       if (!Code)
+                         Self->readFrame();
+                     });
+  }
+
+private:
+  void readFrame() {
+    const std::uint32_t Length = lengthOf(Prefix);
+    if (Length == 0 || Length > FrameLimitBytes) {
+      ++Counters.BadFrames;
+      return;
+    }
+    Frame.resize(Length);
+    auto Self = shared_from_this();
+    asio::async_read(Socket, asio::buffer(Frame),
+                     [Self](std::error_code Code, std::size_t) {
+                       if (!Code)
+                         Self->deliver();
+                     });
+  }
+
+  void deliver() {
+    auto Decoded = decodeFrame(Frame);
+    if (isError(Decoded)) {
+      ++Counters.BadFrames;
+      return;
+    }
+    ++Counters.FramesReceived;
+    Counters.BytesReceived += Frame.size() + Prefix.size();
+    Receiver(valueOf(Decoded));
+    readPrefix();
+  }
+
+  tcp::socket Socket;
+  const peer_receiver &Receiver;
+  traffic_counters &Counters;
+  std::shared_ptr<std::size_t> OpenCount;
+  length_prefix Prefix{};
+  std::string Frame;
+};
+
+/// Keeps one connection to a peer open while there is something to send.
+class outbound_link : public std::enable_shared_from_this<outbound_link> {
+public:
+  outbound_link(asio::io_context &Context, const network_address &Address,
+                traffic_counters &Counters)
+      : Socket(Context), RetryTimer(Context), Address(Address),
+        Counters(Counters) {}
+
+  const network_address &address() const { return Address; }
+
+  void send(std::string Bytes) {
+    if (Queue.size() >= QueueLimitFrames) {
+      ++Counters.FramesDropped;
+      return;
+    }
+    Queue.push_back(std::move(Bytes));
+    if (State == link_state::Closed)
+      connect();
+    else if (State == link_state::Open && Queue.size() == 1)
+      writeFirst();
+  }
+
+  void close() {
+    IsDiscarded = true;
+    std::error_code Ignored;
+    Socket.close(Ignored);
+    RetryTimer.cancel();
+  }
+
+private:
+  enum class link_state { Closed, Connecting, Open };
+
+  void connect() {
+    State = link_state::Connecting;
+    std::error_code Ignored;
+    Socket = tcp::socket(Socket.get_executor());
+    tcp::endpoint Endpoint(asio::ip::make_address(Address.Host, Ignored),
+                           Address.Port);
+    auto Self = shared_from_this();
+    Socket.async_connect(Endpoint, [Self](std::error_code Code) {
+      if (Self->IsDiscarded)
+        return;
+      if (Code)
+        return Self->fail();
+      std::error_code Unset;
+      Self->Socket.set_option(tcp::no_delay(true), Unset);
+      Self->State = link_state::Open;
+      Self->awaitClose();
+      Self->writeFirst();
+    });
+  }
+
+  /// Peers send nothing back on this connection; a completed read means that
+  /// it is closed, which a write alone would notice one frame too late.
+  void awaitClose() {
+    auto Self = shared_from_this();
+    Socket.async_read_some(asio::buffer(Discarded),
+                           [Self](std::error_code Code, std::size_t) {
+                             if (Code == asio::error::operation_aborted)
+                               return;
+                             std::error_code Ignored;
+                             Self->Socket.close(Ignored);
+                             if (Self->Queue.empty())
+                               Self->State = link_state::Closed;
+                           });
+  }
+
+  void writeFirst() {
+    if (Queue.empty())
+      return;
+    auto Self = shared_from_this();
+    asio::async_write(Socket, asio::buffer(Queue.front()),
+                      [Self](std::error_code Code, std::size_t Length) {
+                        if (Self->IsDiscarded)
+                          return;
+                        if (Code)
+                          return Self->fail();
+                        ++Self->Counters.FramesSent;
+                        Self->Counters.BytesSent += Length;
+                        Self->Queue.pop_front();
+                        Self->writeFirst();
+                      });
+  }
+
+  /// Heartbeats are stale once a connection breaks, so the queue is dropped.
+  void fail() {
+    Counters.FramesDropped += Queue.size();
+    Queue.clear();
+    std::error_code Ignored;
+    Socket.close(Ignored);
+    State = link_state::Connecting;
+    auto Self = shared_from_this();
+    RetryTimer.expires_after(ReconnectDelay);
+    RetryTimer.async_wait([Self](std::error_code) {
+      if (Self->IsDiscarded)
+        return;
+      Self->State = link_state::Closed;
+      if (!Self->Queue.empty())
+        Self->connect();
+    });
+  }
+
+  tcp::socket Socket;
+  asio::steady_timer RetryTimer;
+  const network_address Address;
+  traffic_counters &Counters;
+  link_state State = link_state::Closed;
+  bool IsDiscarded = false;
+  std::deque<std::string> Queue;
+  std::array<char, 16> Discarded{};
+};
+
+} // namespace
+
+class tcp_peer_network::network_state
+    : public std::enable_shared_from_this<network_state> {
+public:
+  network_state(vm_id Self, std::uint64_t Incarnation, peer_receiver Receiver)
+      : Self(std::move(Self)), Incarnation(Incarnation),
+        Receiver(std::move(Receiver)), Acceptor(Context) {}
+
+  bool bind(const network_address &Address) {
+    std::error_code Code;
+    tcp::endpoint Endpoint(asio::ip::make_address(Address.Host, Code),
+                           Address.Port);
+    if (!Code)
+      Acceptor.open(Endpoint.protocol(), Code);
+    if (!Code)
+      Acceptor.set_option(asio::socket_base::reuse_address(true), Code);
+    if (!Code)
+      Acceptor.bind(Endpoint, Code);
+    if (!Code)
+      Acceptor.listen(asio::socket_base::max_listen_connections, Code);
+    return !Code;
+  }
+
+  void start() {
+    accept();
+    Worker = std::thread([this] { Context.run(); });
+  }
+
+  void stop() {
+    Context.stop();
+    Worker.join();
+  }
+
+  void setPeers(const std::map<vm_id, network_address> &Peers) {
+    asio::post(Context, [this, Peers] { replaceLinks(Peers); });
+  }
+
+  void send(const vm_id &To, peer_message Message) {
+    auto Bytes =
+        withLengthPrefix(encodeFrame({Self, Incarnation, std::move(Message)}));
+    asio::post(Context, [this, To, Bytes = std::move(Bytes)]() mutable {
+      auto Found = Links.find(To);
+      if (Found == Links.end())
+        ++Counters.FramesDropped;
+      else
+        Found->second->send(std::move(Bytes));
+    });
+  }
+
+  peer_traffic traffic() const {
+    return {Counters.FramesSent,     Counters.BytesSent,
+            Counters.FramesReceived, Counters.BytesReceived,
+            Counters.FramesDropped,  Counters.BadFrames};
+  }
+
+private:
+  void accept() {
+    Acceptor.async_accept([this](std::error_code Code, tcp::socket Socket) {
+      if (Code == asio::error::operation_aborted)
+        return;
+      if (!Code && *OpenCount < InboundConnectionLimit)
+        std::make_shared<inbound_connection>(std::move(Socket), Receiver,
+                                             Counters, OpenCount)
+            ->readPrefix();
+      accept();
+    });
+  }
+
+  void replaceLinks(const std::map<vm_id, network_address> &Peers) {
+    for (auto It = Links.begin(); It != Links.end();) {
+      auto Found = Peers.find(It->first);
+      if (Found != Peers.end() && Found->second == It->second->address()) {
+        ++It;
+        continue;
+      }
+      It->second->close();
+      It = Links.erase(It);
+    }
+    for (const auto &[Vm, Address] : Peers)
+      if (!Links.contains(Vm))
+        Links[Vm] = std::make_shared<outbound_link>(Context, Address, Counters);
+  }
+
+  const vm_id Self;
+  const std::uint64_t Incarnation;
+  const peer_receiver Receiver;
+  traffic_counters Counters;
+  std::shared_ptr<std::size_t> OpenCount = std::make_shared<std::size_t>(0);
+  asio::io_context Context;
+  tcp::acceptor Acceptor;
+  std::map<vm_id, std::shared_ptr<outbound_link>> Links;
+  std::thread Worker;
+};
+
+tcp_peer_network::tcp_peer_network(std::shared_ptr<network_state> State)
+    : State(std::move(State)) {}
+
+tcp_peer_network::~tcp_peer_network() { State->stop(); }
+
+result<std::unique_ptr<tcp_peer_network>>
+tcp_peer_network::listen(const network_address &Address, vm_id Self,
+                         std::uint64_t Incarnation, peer_receiver Receiver) {
+  auto State = std::make_shared<network_state>(std::move(Self), Incarnation,
+                                               std::move(Receiver));
+  if (!State->bind(Address))
+    return error{error_code::Unavailable,
+                 "cannot listen on " + Address.text() +
+                     ": the address is in use or not of this VM"};
+  State->start();
+  return std::unique_ptr<tcp_peer_network>(
+      new tcp_peer_network(std::move(State)));
+}
+
+void tcp_peer_network::setPeers(const std::map<vm_id, network_address> &Peers) {
+  State->setPeers(Peers);
+}
+
+void tcp_peer_network::send(const vm_id &To, peer_message Message) {
+  State->send(To, std::move(Message));
+}
+
+peer_traffic tcp_peer_network::traffic() const { return State->traffic(); }
+
+} // namespace azurehaven
--- /dev/null
+++ b/Libraries/LibRouting/endpoint_table.cpp
@@ -0,0 +1,346 @@
+#include "LibRouting/endpoint_table.h"
+
+#include "LibTypes/fingerprint.h"
+
+#include <algorithm>
+
+namespace azurehaven {
+
+namespace {
+
+/// Loads this close are taken as equal, so that senders which see the same
+/// lagging reports do not all choose the same endpoint.
+constexpr double LoadTolerance = 0.1;
+/// A request keeps to its prefix's endpoint up to this multiple of the mean
+/// load. Source: Mirrokni et al., "Consistent hashing with bounded loads".
+constexpr double AffinityLoadFactor = 1.25;
+constexpr double AffinityLoadSlack = 0.25;
+constexpr std::size_t AffinityChoices = 2;
+constexpr double FirstTokenSmoothing = 0.2;
+constexpr std::uint64_t SlownessSamples = 5;
+constexpr double SlownessFactor = 3;
+constexpr std::uint32_t FailuresToEject = 2;
+constexpr milliseconds FirstEjection{2000};
+constexpr std::uint32_t EjectionDoublings = 4;
+/// Ejection never takes more than this share of the endpoints of a version.
+constexpr double EjectionCap = 0.34;
+
+} // namespace
+
+void endpoint_table::applyList(const std::vector<listed_vm> &List) {
+  std::map<endpoint_id, endpoint> Next;
+  for (const auto &Line : List) {
+    if (Line.Kind == vm_kind::Entry)
+      continue;
+    endpoint_id Id(Line.Vm.text());
+    auto Known = Endpoints.find(Id);
+    endpoint Endpoint;
+    if (Known != Endpoints.end() &&
+        Known->second.Listed.Address == Line.Address)
+      Endpoint = std::move(Known->second);
+    Endpoint.Listed = Line;
+    // The list lags: an endpoint that said it leaves stays left out.
+    Endpoint.IsLeaving |= Line.State == listed_state::Leaving;
+    Next.emplace(Id, std::move(Endpoint));
+  }
+  Endpoints = std::move(Next);
+}
+
+void endpoint_table::report(const endpoint_id &Id,
+                            const endpoint_report &Report,
+                            steady_time AskedAt) {
+  auto Found = Endpoints.find(Id);
+  if (Found == Endpoints.end() || AskedAt < Found->second.ReportedAt)
+    return;
+  endpoint &Endpoint = Found->second;
+  Endpoint.Report = Report;
+  Endpoint.HasReport = true;
+  Endpoint.ReportedAt = AskedAt;
+  Endpoint.ChangeSinceReport = 0;
+  // A restarted endpoint that does not leave any more is welcome again.
+  Endpoint.IsLeaving =
+      Report.IsLeaving || Endpoint.Listed.State == listed_state::Leaving;
+}
+
+void endpoint_table::reportMissing(const endpoint_id &Id, steady_time Now) {
+  auto Found = Endpoints.find(Id);
+  if (Found == Endpoints.end())
+    return;
+  ++Found->second.FailuresInRow;
+  Found->second.ReportedAt = std::max(Found->second.ReportedAt, Now);
+  considerEjection(Found->second, Now);
+}
+
+void endpoint_table::markLeaving(const endpoint_id &Id) {
+  auto Found = Endpoints.find(Id);
+  if (Found != Endpoints.end())
+    Found->second.IsLeaving = true;
+}
+
+bool endpoint_table::isUsable(const endpoint &Endpoint, steady_time Now) const {
+  return Endpoint.HasReport && !Endpoint.IsLeaving &&
+         Now >= Endpoint.EjectedUntil;
+}
+
+bool endpoint_table::serves(const endpoint &Endpoint,
+                            const version_id &Version) const {
+  return Endpoint.Listed.Kind == vm_kind::Engine &&
+         Endpoint.Report.Versions.contains(Version);
+}
+
+double endpoint_table::loadOf(const endpoint &Endpoint) const {
+  // The other senders are taken to have done since the report what this one
+  // did, which keeps several VMs from chasing the same idle endpoint.
+  const double Estimated = static_cast<double>(Endpoint.Report.Load) +
+                           static_cast<double>(Endpoint.ChangeSinceReport) *
+                               static_cast<double>(SenderCount);
+  const double Load =
+      std::max(Estimated, static_cast<double>(Endpoint.InFlight));
+  return Load / std::max<std::uint32_t>(1, Endpoint.Report.Slots);
+}
+
+std::vector<endpoint_table::endpoint *>
+endpoint_table::kinOf(const version_id &Version, steady_time Now) {
+  std::vector<endpoint *> Kin;
+  for (auto &[Id, Endpoint] : Endpoints)
+    if (serves(Endpoint, Version) && isUsable(Endpoint, Now))
+      Kin.push_back(&Endpoint);
+  return Kin;
+}
+
+std::optional<chosen_endpoint>
+endpoint_table::choose(const version_id &Version, std::uint64_t AffinityKey,
+                       const std::set<endpoint_id> &Excluded,
+                       bool IsSuspectRequest, steady_time Now) {
+  std::vector<endpoint *> Candidates;
+  for (endpoint *Endpoint : kinOf(Version, Now)) {
+    if (Excluded.contains(endpoint_id(Endpoint->Listed.Vm.text())))
+      continue;
+    // Two suspect requests on one endpoint could not be told apart.
+    if (IsSuspectRequest && Endpoint->SuspectsInFlight > 0)
+      continue;
+    Candidates.push_back(Endpoint);
+  }
+  if (Candidates.empty())
+    return std::nullopt;
+  endpoint *Chosen = byAffinity(Candidates, AffinityKey);
+  if (!Chosen)
+    Chosen = leastLoaded(Candidates);
+  return chosen_endpoint{endpoint_id(Chosen->Listed.Vm.text()),
+                         Chosen->Listed.Address};
+}
+
+std::optional<chosen_endpoint>
+endpoint_table::chooseService(const service_id &Service,
+                              const std::set<endpoint_id> &Excluded,
+                              steady_time Now) {
+  std::vector<endpoint *> Candidates;
+  for (auto &[Id, Endpoint] : Endpoints)
+    if (Endpoint.Listed.Kind == vm_kind::Service &&
+        Endpoint.Listed.Service == Service && isUsable(Endpoint, Now) &&
+        !Excluded.contains(Id))
+      Candidates.push_back(&Endpoint);
+  if (Candidates.empty())
+    return std::nullopt;
+  endpoint *Chosen = leastLoaded(Candidates);
+  return chosen_endpoint{endpoint_id(Chosen->Listed.Vm.text()),
+                         Chosen->Listed.Address};
+}
+
+endpoint_table::endpoint *
+endpoint_table::leastLoaded(const std::vector<endpoint *> &Candidates) {
+  double Least = loadOf(*Candidates.front());
+  for (const endpoint *Endpoint : Candidates)
+    Least = std::min(Least, loadOf(*Endpoint));
+  std::vector<endpoint *> Equal;
+  for (endpoint *Endpoint : Candidates)
+    if (loadOf(*Endpoint) <= Least + LoadTolerance)
+      Equal.push_back(Endpoint);
+  return Equal[Random() % Equal.size()];
+}
+
+endpoint_table::endpoint *
+endpoint_table::byAffinity(const std::vector<endpoint *> &Candidates,
+                           std::uint64_t AffinityKey) {
+  if (AffinityKey == 0)
+    return nullptr;
+  double Total = 0;
+  std::vector<std::pair<std::uint64_t, endpoint *>> Ranked;
+  for (endpoint *Endpoint : Candidates) {
+    Total += loadOf(*Endpoint);
+    Ranked.emplace_back(fingerprintOf(Endpoint->Listed.Vm.text(), AffinityKey),
+                        Endpoint);
+  }
+  const double Bound =
+      AffinityLoadFactor * Total / static_cast<double>(Candidates.size()) +
+      AffinityLoadSlack;
+  const std::size_t Choices = std::min(AffinityChoices, Ranked.size());
+  std::partial_sort(Ranked.begin(),
+                    Ranked.begin() + static_cast<std::ptrdiff_t>(Choices),
+                    Ranked.end(), [](const auto &Left, const auto &Right) {
+                      return Left.first > Right.first;
+                    });
+  for (std::size_t Index = 0; Index < Choices; ++Index)
+    if (loadOf(*Ranked[Index].second) <= Bound)
+      return Ranked[Index].second;
+  return nullptr;
+}
+
+void endpoint_table::attemptStarted(const endpoint_id &Id,
+                                    bool IsSuspectRequest) {
+  auto Found = Endpoints.find(Id);
+  if (Found == Endpoints.end())
+    return;
+  ++Found->second.InFlight;
+  ++Found->second.ChangeSinceReport;
+  if (IsSuspectRequest)
+    ++Found->second.SuspectsInFlight;
+}
+
+void endpoint_table::attemptFinished(const endpoint_id &Id,
+                                     attempt_outcome Outcome,
+                                     std::optional<milliseconds> FirstToken,
+                                     bool IsSuspectRequest, steady_time Now) {
+  auto Found = Endpoints.find(Id);
+  if (Found == Endpoints.end())
+    return;
+  endpoint &Endpoint = Found->second;
+  if (Endpoint.InFlight > 0)
+    --Endpoint.InFlight;
+  --Endpoint.ChangeSinceReport;
+  if (IsSuspectRequest && Endpoint.SuspectsInFlight > 0)
+    --Endpoint.SuspectsInFlight;
+  if (FirstToken) {
+    const auto Measured = static_cast<double>(FirstToken->count());
+    Endpoint.FirstTokenMs =
+        Endpoint.Samples == 0
+            ? Measured
+            : Endpoint.FirstTokenMs +
+                  FirstTokenSmoothing * (Measured - Endpoint.FirstTokenMs);
+    ++Endpoint.Samples;
+  }
+  if (Outcome == attempt_outcome::Answered) {
+    Endpoint.FailuresInRow = 0;
+    if (!isSlow(Endpoint))
+      Endpoint.Ejections = 0;
+  } else if (Outcome == attempt_outcome::Failed) {
+    ++Endpoint.FailuresInRow;
+  }
+  considerEjection(Endpoint, Now);
+}
+
+bool endpoint_table::isSlow(const endpoint &Endpoint) const {
+  if (Endpoint.Samples < SlownessSamples)
+    return false;
+  std::vector<double> Kin;
+  for (const auto &[Id, Other] : Endpoints) {
+    const bool IsKin =
+        &Other != &Endpoint && Other.Samples >= SlownessSamples &&
+        std::any_of(
+            Endpoint.Report.Versions.begin(), Endpoint.Report.Versions.end(),
+            [&](const version_id &Version) { return serves(Other, Version); });
+    if (IsKin)
+      Kin.push_back(Other.FirstTokenMs);
+  }
+  if (Kin.empty())
+    return false;
+  auto Middle = Kin.begin() + static_cast<std::ptrdiff_t>(Kin.size() / 2);
+  std::nth_element(Kin.begin(), Middle, Kin.end());
+  return Endpoint.FirstTokenMs > SlownessFactor * *Middle;
+}
+
+bool endpoint_table::mayEjectOneMore(const endpoint &Endpoint,
+                                     steady_time Now) const {
+  std::size_t Kin = 0;
+  std::size_t Ejected = 0;
+  for (const auto &[Id, Other] : Endpoints) {
+    const bool IsKin =
+        Other.Listed.Kind == Endpoint.Listed.Kind &&
+        Other.Listed.Service == Endpoint.Listed.Service &&
+        (Endpoint.Report.Versions.empty() ||
+         std::any_of(Endpoint.Report.Versions.begin(),
+                     Endpoint.Report.Versions.end(),
+                     [&](const version_id &Version) {
+                       return Other.Report.Versions.contains(Version);
+                     }));
+    if (!IsKin)
+      continue;
+    ++Kin;
+    if (&Other != &Endpoint && Now < Other.EjectedUntil)
+      ++Ejected;
+  }
+  return static_cast<double>(Ejected + 1) <=
+         std::max(1.0, EjectionCap * static_cast<double>(Kin));
+}
+
+void endpoint_table::considerEjection(endpoint &Endpoint, steady_time Now) {
+  const bool IsFailing = Endpoint.FailuresInRow >= FailuresToEject;
+  if (Now < Endpoint.EjectedUntil || (!IsFailing && !isSlow(Endpoint)))
+    return;
+  if (!mayEjectOneMore(Endpoint, Now))
+    return;
+  const auto Doublings = std::min(Endpoint.Ejections, EjectionDoublings);
+  Endpoint.EjectedUntil = Now + FirstEjection * (1 << Doublings);
+  ++Endpoint.Ejections;
+  // Judged afresh when it comes back.
+  Endpoint.FailuresInRow = IsFailing ? FailuresToEject - 1 : 0;
+  Endpoint.Samples = 0;
+  // One that failed has to answer a question for its report first.
+  if (IsFailing)
+    Endpoint.HasReport = false;
+}
+
+std::uint32_t endpoint_table::slotsOf(const version_id &Version,
+                                      steady_time Now) const {
+  std::uint32_t Slots = 0;
+  for (const auto &[Id, Endpoint] : Endpoints)
+    if (serves(Endpoint, Version) && isUsable(Endpoint, Now))
+      Slots += Endpoint.Report.Slots;
+  return Slots;
+}
+
+bool endpoint_table::hasEndpoint(const version_id &Version,
+                                 steady_time Now) const {
+  return std::any_of(
+      Endpoints.begin(), Endpoints.end(), [&](const auto &Entry) {
+        return serves(Entry.second, Version) && isUsable(Entry.second, Now);
+      });
+}
+
+std::string endpoint_table::bootIdOf(const endpoint_id &Id) const {
+  auto Found = Endpoints.find(Id);
+  return Found == Endpoints.end() ? std::string() : Found->second.Report.BootId;
+}
+
+std::vector<chosen_endpoint>
+endpoint_table::dueForReport(milliseconds MaximumAge, steady_time Now) const {
+  std::vector<chosen_endpoint> Due;
+  for (const auto &[Id, Endpoint] : Endpoints)
+    if (!Endpoint.HasReport || Now - Endpoint.ReportedAt >= MaximumAge)
+      Due.push_back({Id, Endpoint.Listed.Address});
+  return Due;
+}
+
+std::vector<std::string> endpoint_table::describe(steady_time Now) const {
+  std::vector<std::string> Lines;
+  for (const auto &[Id, Endpoint] : Endpoints) {
+    std::string Line = Id.text();
+    for (const auto &Version : Endpoint.Report.Versions)
+      Line += " " + Version.text();
+    if (!Endpoint.Listed.Service.empty())
+      Line += " service=" + Endpoint.Listed.Service.text();
+    Line += " in_flight=" + std::to_string(Endpoint.InFlight);
+    Line += " reported=" + std::to_string(Endpoint.Report.Load) + "/" +
+            std::to_string(Endpoint.Report.Slots);
+    if (Endpoint.IsLeaving)
+      Line += " leaving";
+    if (!Endpoint.HasReport)
+      Line += " unreported";
+    if (Now < Endpoint.EjectedUntil)
+      Line += " ejected";
+    Lines.push_back(std::move(Line));
+  }
+  return Lines;
+}
+
+} // namespace azurehaven
--- /dev/null
+++ b/Libraries/LibRouting/endpoint_table.h
@@ -0,0 +1,119 @@
+#pragma once
+
+#include "LibMembership/vm_list.h"
+#include "LibTypes/ids.h"
+#include "LibTypes/units.h"
+
+#include <map>
+#include <optional>
+#include <random>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace azurehaven {
+
+/// What an endpoint says of itself; it lags behind the truth.
+struct endpoint_report {
+  std::set<version_id> Versions;
+  std::uint32_t Slots = 1;
+  /// Requests running and queued there, of all senders.
+  std::uint32_t Load = 0;
+  bool IsLeaving = false;
+  /// Changes when the endpoint restarts.
+  std::string BootId;
+};
+
+enum class attempt_outcome {
+  Answered,
+  /// No connection, a cut or a malformed answer.
+  Failed,
+  /// The endpoint itself refused the work as busy or leaving.
+  Refused,
+  Cancelled,
+};
+
+struct chosen_endpoint {
+  endpoint_id Id;
+  network_address Address;
+};
+
+/// The endpoints known to this VM, their load as best it can be told, and who
+/// is kept out of service for a while. Not thread-safe.
+class endpoint_table {
+public:
+  explicit endpoint_table(std::uint64_t Seed) : Random(Seed) {}
+
+  /// Takes over the platform's list; unlisted endpoints are forgotten.
+  void applyList(const std::vector<listed_vm> &List);
+  /// A report that was asked for at AskedAt.
+  void report(const endpoint_id &Id, const endpoint_report &Report,
+              steady_time AskedAt);
+  /// The endpoint did not answer a question for its report.
+  void reportMissing(const endpoint_id &Id, steady_time Now);
+  /// A leaving endpoint gets no new work from now on.
+  void markLeaving(const endpoint_id &Id);
+
+  /// The endpoint for one more request, or nullopt. AffinityKey keeps requests
+  /// with a common prompt prefix together as long as the load allows.
+  std::optional<chosen_endpoint> choose(const version_id &Version,
+                                        std::uint64_t AffinityKey,
+                                        const std::set<endpoint_id> &Excluded,
+                                        bool IsSuspectRequest, steady_time Now);
+  std::optional<chosen_endpoint>
+  chooseService(const service_id &Service,
+                const std::set<endpoint_id> &Excluded, steady_time Now);
+
+  void attemptStarted(const endpoint_id &Id, bool IsSuspectRequest);
+  void attemptFinished(const endpoint_id &Id, attempt_outcome Outcome,
+                       std::optional<milliseconds> FirstToken,
+                       bool IsSuspectRequest, steady_time Now);
+
+  /// How many entry VMs share the endpoints.
+  void setSenderCount(std::size_t Count) { SenderCount = Count; }
+  /// Requests that the usable endpoints of a version run at a time.
+  std::uint32_t slotsOf(const version_id &Version, steady_time Now) const;
+  bool hasEndpoint(const version_id &Version, steady_time Now) const;
+  std::string bootIdOf(const endpoint_id &Id) const;
+  /// Endpoints whose report is older than MaximumAge.
+  std::vector<chosen_endpoint> dueForReport(milliseconds MaximumAge,
+                                            steady_time Now) const;
+  /// One line for each endpoint, for operators.
+  std::vector<std::string> describe(steady_time Now) const;
+  std::size_t size() const { return Endpoints.size(); }
+
+private:
+  struct endpoint {
+    listed_vm Listed;
+    endpoint_report Report;
+    bool HasReport = false;
+    bool IsLeaving = false;
+    steady_time ReportedAt{};
+    std::uint32_t InFlight = 0;
+    /// Own starts less own ends since the report was asked for.
+    std::int64_t ChangeSinceReport = 0;
+    std::uint32_t SuspectsInFlight = 0;
+    double FirstTokenMs = 0;
+    std::uint64_t Samples = 0;
+    std::uint32_t FailuresInRow = 0;
+    std::uint32_t Ejections = 0;
+    steady_time EjectedUntil{};
+  };
+
+  bool isUsable(const endpoint &Endpoint, steady_time Now) const;
+  bool serves(const endpoint &Endpoint, const version_id &Version) const;
+  double loadOf(const endpoint &Endpoint) const;
+  std::vector<endpoint *> kinOf(const version_id &Version, steady_time Now);
+  endpoint *leastLoaded(const std::vector<endpoint *> &Candidates);
+  endpoint *byAffinity(const std::vector<endpoint *> &Candidates,
+                       std::uint64_t AffinityKey);
+  void considerEjection(endpoint &Endpoint, steady_time Now);
+  bool isSlow(const endpoint &Endpoint) const;
+  bool mayEjectOneMore(const endpoint &Endpoint, steady_time Now) const;
+
+  std::map<endpoint_id, endpoint> Endpoints;
+  std::size_t SenderCount = 1;
+  std::mt19937_64 Random;
+};
+
+} // namespace azurehaven
--- /dev/null
+++ b/Libraries/LibRouting/rating_pool.h
@@ -0,0 +1,49 @@
+#pragma once
+
+#include "LibMembership/rumor_board.h"
+#include "LibPeer/peer_message.h"
+#include "LibRouting/rating_counts.h"
+
+#include <map>
+#include <optional>
+#include <tuple>
+
+namespace azurehaven {
+
+/// One version in one class of work.
+struct version_class {
+  version_id Version;
+  class_id Class;
+
+  auto operator<=>(const version_class &) const = default;
+};
+
+/// Ratings and outcomes of all VMs, merged without double counting: each
+/// origin's counts only grow, so that the larger notice wins.
+/// Source: Shapiro et al., "Conflict-free replicated data types", 2011
+/// (grow-only counter). Not thread-safe.
+class rating_pool {
+public:
+  rating_pool(vm_id Self, std::uint64_t Incarnation);
+
+  void addLocal(const version_class &Key, std::size_t Bucket,
+                const rating_counts &Added);
+  /// Merges a peer's notice; returns what it adds to the pool, if anything.
+  std::optional<rating_counts> merge(const rating_notice &Notice);
+
+  const bucket_counts &pooled(const version_class &Key) const;
+  /// Notices to piggyback on the next heartbeat.
+  std::vector<rating_notice> takeNotices();
+  std::size_t noticeCount() const { return Notices.size(); }
+
+private:
+  using notice_key =
+      std::tuple<vm_id, std::uint64_t, version_class, std::uint8_t>;
+
+  const vm_id Self;
+  const std::uint64_t Incarnation;
+  std::map<version_class, bucket_counts> Pooled;
+  rumor_board<notice_key, rating_notice> Notices;
+};
+
+} // namespace azurehaven
--- /dev/null
+++ b/Libraries/LibRouting/retry_budget.cpp
@@ -0,0 +1,30 @@
+#include "LibRouting/retry_budget.h"
+
+#include <algorithm>
+
+namespace azurehaven {
+
+namespace {
+
+constexpr double RetriesPerRequest = 0.2;
+constexpr double AccountBalanceLimit = 10;
+constexpr double TotalBalanceLimit = 50;
+
+} // namespace
+
+void retry_budget::requestStarted(const client_account_id &Account) {
+  auto [It, IsNew] = ByAccount.try_emplace(Account, AccountBalanceLimit);
+  It->second = std::min(AccountBalanceLimit, It->second + RetriesPerRequest);
+  Total = std::min(TotalBalanceLimit, Total + RetriesPerRequest);
+}
+
+bool retry_budget::tryTake(const client_account_id &Account) {
+  auto [It, IsNew] = ByAccount.try_emplace(Account, AccountBalanceLimit);
+  if (It->second < 1 || Total < 1)
+    return false;
+  It->second -= 1;
+  Total -= 1;
+  return true;
+}
+
+} // namespace azurehaven
--- /dev/null
+++ b/Libraries/LibRouting/router.cpp
@@ -0,0 +1,350 @@
+#include "LibRouting/router.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace azurehaven {
+
+namespace {
+
+/// Requests sent to endpoints beyond their slots keep their batches full while
+/// answers travel.
+constexpr double PlacesPerSlot = 1.25;
+constexpr milliseconds PeerUsageLifetime{3000};
+constexpr milliseconds NoEndpointRetryAfter{1000};
+/// A version under roll-out is promoted when it is not shown to be worse than
+/// its incumbent by more than this after so many ratings.
+constexpr double RollOutMargin = 0.03;
+constexpr std::uint64_t RollOutRatings = 200;
+
+} // namespace
+
+router::router(vm_id Self, std::uint64_t Incarnation, std::uint64_t Seed,
+               drop_test_settings HealthSettings)
+    : Endpoints(Seed), Chooser(Seed + 1), Ratings(std::move(Self), Incarnation),
+      Health(HealthSettings) {}
+
+std::variant<route_plan, routing_refusal>
+router::plan(const routing_request &Request, steady_time Now,
+             decision_record *Record) {
+  std::lock_guard Lock(Mutex);
+  if (Crashes.standingOf(Request.Fingerprint) == crash_standing::Refused)
+    return routing_refusal{refusal_reason::CrashCausing, milliseconds(0)};
+  const configuration &Configuration = *Request.Configuration;
+  if (Request.PinnedVersion) {
+    if (!Configuration.permits(*Request.Account, *Request.PinnedVersion))
+      return routing_refusal{refusal_reason::VersionWithdrawn, milliseconds(0)};
+    if (!Endpoints.hasEndpoint(*Request.PinnedVersion, Now))
+      return routing_refusal{refusal_reason::NoEndpoint, NoEndpointRetryAfter};
+    route_plan Plan;
+    Plan.Stages = {{*Request.PinnedVersion, std::nullopt}};
+    return Plan;
+  }
+  std::vector<version_view> Views;
+  for (const auto &[Id, Version] : Configuration.Versions)
+    if (Configuration.permits(*Request.Account, Id))
+      Views.push_back(viewOf(Version, *Request.Class, Now));
+  if (Views.empty())
+    return routing_refusal{refusal_reason::NothingAllowed, milliseconds(0)};
+  auto Plan = Chooser.choose(*Request.Class, Views,
+                             Record ? &Record->Candidates : nullptr);
+  if (!Plan)
+    return routing_refusal{refusal_reason::NoEndpoint, NoEndpointRetryAfter};
+  return std::move(*Plan);
+}
+
+version_view router::viewOf(const model_version &Version,
+                            const work_class &Class, steady_time Now) {
+  const version_class Subject{Version.Id, Class.Id};
+  version_view View;
+  View.Version = &Version;
+  View.Ratings = Ratings.pooled(Subject);
+  auto Known = Statistics.find(Subject);
+  if (Known != Statistics.end())
+    View.Statistics = Known->second;
+  // An alarmed version serves nothing new here even before its withdrawal is
+  // in the store.
+  View.HasEndpoint =
+      Endpoints.hasEndpoint(Version.Id, Now) && !Health.isAlarmed(Version.Id);
+  auto Queue = Queues.find(Version.Id);
+  if (Queue != Queues.end())
+    View.QueueMs = static_cast<double>(Queue->second.expectedWait().count());
+  View.IsSuspect = Health.isSuspect(Subject);
+  return View;
+}
+
+admission_queue &router::queueOf(const version_id &Version, steady_time Now) {
+  admission_queue &Queue = Queues[Version];
+  const double Places = PlacesPerSlot *
+                        static_cast<double>(Endpoints.slotsOf(Version, Now)) /
+                        static_cast<double>(EntryCount);
+  Queue.setLimit(
+      std::max<std::uint32_t>(1, static_cast<std::uint32_t>(Places + 0.5)));
+  return Queue;
+}
+
+void router::updateUsageElsewhere(admission_queue &Queue, steady_time Now) {
+  std::map<client_account_id, std::uint32_t> Totals;
+  for (const auto &[Peer, Usage] : PeerUsage)
+    for (const auto &Notice : Usage.Usage)
+      Totals[Notice.Account] +=
+          Now - Usage.At <= PeerUsageLifetime ? Notice.InFlight : 0;
+  for (const auto &[Account, InFlight] : Totals)
+    Queue.setUsageElsewhere(Account, InFlight);
+}
+
+admission_result router::admit(const version_id &Version,
+                               const admission_request &Request,
+                               steady_time Now) {
+  std::lock_guard Lock(Mutex);
+  admission_queue &Queue = queueOf(Version, Now);
+  updateUsageElsewhere(Queue, Now);
+  return Queue.admit(Request, Now);
+}
+
+admission_progress router::release(const version_id &Version,
+                                   admission_ticket Ticket,
+                                   milliseconds Service, steady_time Now) {
+  std::lock_guard Lock(Mutex);
+  return queueOf(Version, Now).release(Ticket, Service, Now);
+}
+
+bool router::cancelAdmission(const version_id &Version,
+                             admission_ticket Ticket) {
+  std::lock_guard Lock(Mutex);
+  auto Found = Queues.find(Version);
+  return Found != Queues.end() && Found->second.cancel(Ticket);
+}
+
+std::vector<std::pair<version_id, admission_progress>>
+router::advance(steady_time Now) {
+  std::lock_guard Lock(Mutex);
+  std::vector<std::pair<version_id, admission_progress>> All;
+  for (auto &[Version, Queue] : Queues) {
+    admission_queue &Current = queueOf(Version, Now);
+    updateUsageElsewhere(Current, Now);
+    All.emplace_back(Version, Current.advance(Now));
+  }
+  return All;
+}
+
+std::optional<attempt>
+router::startAttempt(const version_id &Version, std::uint64_t AffinityKey,
+                     std::uint64_t Fingerprint,
+                     const std::set<endpoint_id> &Excluded, steady_time Now) {
+  std::lock_guard Lock(Mutex);
+  const bool IsSuspect =
+      Crashes.standingOf(Fingerprint) != crash_standing::Clear;
+  auto Endpoint =
+      Endpoints.choose(Version, AffinityKey, Excluded, IsSuspect, Now);
+  if (!Endpoint)
+    return std::nullopt;
+  Endpoints.attemptStarted(Endpoint->Id, IsSuspect);
+  return attempt{*Endpoint, Version, Fingerprint, IsSuspect};
+}
+
+std::optional<attempt>
+router::startServiceAttempt(const service_id &Service,
+                            const std::set<endpoint_id> &Excluded,
+                            steady_time Now) {
+  std::lock_guard Lock(Mutex);
+  auto Endpoint = Endpoints.chooseService(Service, Excluded, Now);
+  if (!Endpoint)
+    return std::nullopt;
+  Endpoints.attemptStarted(Endpoint->Id, false);
+  return attempt{*Endpoint, version_id(), 0, false};
+}
+
+void router::finishAttempt(const attempt &Attempt, const class_id &Class,
+                           const attempt_report &Report, steady_time Now) {
+  std::lock_guard Lock(Mutex);
+  Endpoints.attemptFinished(Attempt.Endpoint.Id, Report.Outcome,
+                            Report.FirstToken, Attempt.IsSuspect, Now);
+  if (Attempt.Version.empty())
+    return;
+  const version_class Subject{Attempt.Version, Class};
+  const std::size_t Bucket = confidenceBucketOf(Report.Confidence);
+  if (Report.Outcome == attempt_outcome::Answered) {
+    Statistics[Subject].add(Report.FirstToken.value_or(Report.Whole),
+                            Report.Whole, Report.PromptTokens,
+                            Report.CompletionTokens);
+    addCounts(Subject, Bucket, {0, 0, 1, 0});
+  } else if (Report.Outcome == attempt_outcome::Failed && Report.HadBegun) {
+    addCounts(Subject, Bucket, {0, 0, 0, 1});
+  }
+}
+
+void router::countRequest(const client_account_id &Account) {
+  std::lock_guard Lock(Mutex);
+  Retries.requestStarted(Account);
+}
+
+bool router::tryTakeRetry(const client_account_id &Account) {
+  std::lock_guard Lock(Mutex);
+  return Retries.tryTake(Account);
+}
+
+void router::addCrash(const crash_notice &Notice) {
+  std::lock_guard Lock(Mutex);
+  Crashes.add(Notice);
+}
+
+crash_standing router::crashStandingOf(std::uint64_t Fingerprint) {
+  std::lock_guard Lock(Mutex);
+  return Crashes.standingOf(Fingerprint);
+}
+
+void router::addRating(const version_class &Subject, double Confidence,
+                       double Score) {
+  std::lock_guard Lock(Mutex);
+  const auto Milli = static_cast<std::uint64_t>(
+      std::lround(std::clamp(Score, 0.0, 1.0) * 1000));
+  addCounts(Subject, confidenceBucketOf(Confidence), {1, Milli, 0, 0});
+}
+
+void router::addCounts(const version_class &Subject, std::size_t Bucket,
+                       const rating_counts &Added) {
+  Ratings.addLocal(Subject, Bucket, Added);
+  Health.add(Subject, Added);
+}
+
+void router::mergeRating(const rating_notice &Notice) {
+  std::lock_guard Lock(Mutex);
+  if (auto Added = Ratings.merge(Notice))
+    Health.add({Notice.Version, Notice.Class}, *Added);
+}
+
+std::vector<rating_notice> router::takeRatingNotices() {
+  std::lock_guard Lock(Mutex);
+  return Ratings.takeNotices();
+}
+
+std::vector<crash_notice> router::takeCrashNotices() {
+  std::lock_guard Lock(Mutex);
+  return Crashes.takeNotices();
+}
+
+std::vector<version_alarm> router::takeAlarms() {
+  std::lock_guard Lock(Mutex);
+  return Health.takeAlarms();
+}
+
+std::optional<version_id>
+router::incumbentOf(const configuration &Configuration,
+                    const model_version &Version, const class_id &Class) {
+  std::optional<version_id> Best;
+  std::uint64_t BestCount = 0;
+  for (const auto &[Id, Other] : Configuration.Versions) {
+    if (Other.Model != Version.Model || Other.State != version_state::Active)
+      continue;
+    const std::uint64_t Count = sumOf(Ratings.pooled({Id, Class})).Count;
+    if (Count > BestCount) {
+      Best = Id;
+      BestCount = Count;
+    }
+  }
+  return Best;
+}
+
+std::vector<version_id>
+router::provenRollOuts(const configuration &Configuration) {
+  std::lock_guard Lock(Mutex);
+  std::vector<version_id> Proven;
+  for (const auto &[Id, Version] : Configuration.Versions) {
+    if (Version.State != version_state::RollingOut)
+      continue;
+    std::uint64_t Tried = 0;
+    bool IsProven = true;
+    for (const auto &[Class, Targets] : Configuration.Classes) {
+      const rating_counts Own = sumOf(Ratings.pooled({Id, Class}));
+      auto Incumbent = incumbentOf(Configuration, Version, Class);
+      if (Own.Count == 0 || !Incumbent)
+        continue;
+      const double Reference =
+          meanQuality(sumOf(Ratings.pooled({*Incumbent, Class})));
+      Health.setIncumbentScore({Id, Class}, Reference);
+      Tried += Own.Count;
+      if (lowerQuality(Own, 1) < Reference - RollOutMargin)
+        IsProven = false;
+    }
+    if (IsProven && Tried >= RollOutRatings && !Health.isAlarmed(Id))
+      Proven.push_back(Id);
+  }
+  return Proven;
+}
+
+void router::configurationChanged(const configuration &Before,
+                                  const configuration &After) {
+  std::lock_guard Lock(Mutex);
+  for (const auto &[Id, Version] : After.Versions) {
+    const model_version *Earlier = Before.findVersion(Id);
+    if (Earlier && Earlier->State == version_state::Withdrawn &&
+        Version.State != version_state::Withdrawn)
+      Health.reset(Id);
+  }
+}
+
+void router::applyList(const std::vector<listed_vm> &List,
+                       std::size_t ServingEntries) {
+  std::lock_guard Lock(Mutex);
+  Endpoints.applyList(List);
+  EntryCount = std::max<std::size_t>(1, ServingEntries);
+  Endpoints.setSenderCount(EntryCount);
+}
+
+void router::endpointReport(const endpoint_id &Id,
+                            const endpoint_report &Report,
+                            steady_time AskedAt) {
+  std::lock_guard Lock(Mutex);
+  Endpoints.report(Id, Report, AskedAt);
+}
+
+void router::endpointReportMissing(const endpoint_id &Id, steady_time Now) {
+  std::lock_guard Lock(Mutex);
+  Endpoints.reportMissing(Id, Now);
+}
+
+void router::endpointLeaving(const endpoint_id &Id) {
+  std::lock_guard Lock(Mutex);
+  Endpoints.markLeaving(Id);
+}
+
+std::vector<chosen_endpoint> router::dueForReport(milliseconds MaximumAge,
+                                                  steady_time Now) {
+  std::lock_guard Lock(Mutex);
+  return Endpoints.dueForReport(MaximumAge, Now);
+}
+
+std::string router::bootIdOf(const endpoint_id &Id) {
+  std::lock_guard Lock(Mutex);
+  return Endpoints.bootIdOf(Id);
+}
+
+std::vector<usage_notice> router::usage() {
+  std::lock_guard Lock(Mutex);
+  std::map<client_account_id, std::uint32_t> Totals;
+  for (const auto &[Version, Queue] : Queues)
+    Queue.addUsageTo(Totals);
+  std::vector<usage_notice> Notices;
+  for (const auto &[Account, InFlightHere] : Totals)
+    Notices.push_back({Account, InFlightHere});
+  return Notices;
+}
+
+void router::setPeerUsage(const vm_id &Peer, std::vector<usage_notice> Usage,
+                          steady_time Now) {
+  std::lock_guard Lock(Mutex);
+  PeerUsage[Peer] = {std::move(Usage), Now};
+}
+
+std::vector<std::string> router::describeEndpoints(steady_time Now) {
+  std::lock_guard Lock(Mutex);
+  return Endpoints.describe(Now);
+}
+
+rating_counts router::ratingsOf(const version_class &Subject) {
+  std::lock_guard Lock(Mutex);
+  return sumOf(Ratings.pooled(Subject));
+}
+
+} // namespace azurehaven
--- /dev/null
+++ b/Libraries/LibRouting/router.h
@@ -0,0 +1,156 @@
+#pragma once
+
+#include "LibConfig/configuration.h"
+#include "LibRouting/admission_queue.h"
+#include "LibRouting/crash_registry.h"
+#include "LibRouting/decision_log.h"
+#include "LibRouting/endpoint_table.h"
+#include "LibRouting/rating_pool.h"
+#include "LibRouting/retry_budget.h"
+#include "LibRouting/version_chooser.h"
+#include "LibRouting/version_health.h"
+#include "LibTypes/ranked_mutex.h"
+
+namespace azurehaven {
+
+struct routing_request {
+  const configuration *Configuration = nullptr;
+  const client_account *Account = nullptr;
+  const work_class *Class = nullptr;
+  /// The version that the request's session is bound to.
+  std::optional<version_id> PinnedVersion;
+  std::uint64_t Fingerprint = 0;
+};
+
+enum class refusal_reason {
+  /// The session's version was withdrawn, or is not allowed any more.
+  VersionWithdrawn,
+  NothingAllowed,
+  NoEndpoint,
+  CrashCausing,
+  Overloaded,
+};
+
+struct routing_refusal {
+  refusal_reason Reason = refusal_reason::NoEndpoint;
+  milliseconds RetryAfter{0};
+};
+
+struct attempt {
+  chosen_endpoint Endpoint;
+  version_id Version;
+  std::uint64_t Fingerprint = 0;
+  bool IsSuspect = false;
+};
+
+/// What a finished attempt taught.
+struct attempt_report {
+  attempt_outcome Outcome = attempt_outcome::Failed;
+  std::optional<milliseconds> FirstToken;
+  milliseconds Whole{0};
+  token_count PromptTokens;
+  token_count CompletionTokens;
+  double Confidence = 1;
+  /// A failure counts against the version only if the answer had begun.
+  bool HadBegun = false;
+};
+
+/// All routing decisions of one VM over its shared tables. No I/O; the time is
+/// an argument. Thread-safe (lock_rank::Router).
+class router {
+public:
+  router(vm_id Self, std::uint64_t Incarnation, std::uint64_t Seed,
+         drop_test_settings HealthSettings);
+
+  /// The versions to try for a request, in order.
+  std::variant<route_plan, routing_refusal> plan(const routing_request &Request,
+                                                 steady_time Now,
+                                                 decision_record *Record);
+
+  admission_result admit(const version_id &Version,
+                         const admission_request &Request, steady_time Now);
+  admission_progress release(const version_id &Version, admission_ticket Ticket,
+                             milliseconds Service, steady_time Now);
+  bool cancelAdmission(const version_id &Version, admission_ticket Ticket);
+  /// Progress of every queue, by version.
+  std::vector<std::pair<version_id, admission_progress>>
+  advance(steady_time Now);
+
+  /// Picks the endpoint of one attempt and counts it as started.
+  std::optional<attempt> startAttempt(const version_id &Version,
+                                      std::uint64_t AffinityKey,
+                                      std::uint64_t Fingerprint,
+                                      const std::set<endpoint_id> &Excluded,
+                                      steady_time Now);
+  std::optional<attempt>
+  startServiceAttempt(const service_id &Service,
+                      const std::set<endpoint_id> &Excluded, steady_time Now);
+  void finishAttempt(const attempt &Attempt, const class_id &Class,
+                     const attempt_report &Report, steady_time Now);
+  void countRequest(const client_account_id &Account);
+  bool tryTakeRetry(const client_account_id &Account);
+
+  /// The endpoint broke down while it ran the attempt.
+  void addCrash(const crash_notice &Notice);
+  crash_standing crashStandingOf(std::uint64_t Fingerprint);
+
+  void addRating(const version_class &Subject, double Confidence, double Score);
+  void mergeRating(const rating_notice &Notice);
+  std::vector<rating_notice> takeRatingNotices();
+  std::vector<crash_notice> takeCrashNotices();
+  std::vector<version_alarm> takeAlarms();
+  /// Versions under roll-out that have proved as good as their incumbent in
+  /// every class that they were tried in.
+  std::vector<version_id> provenRollOuts(const configuration &Configuration);
+  /// Forgets the tests of versions that an operator has put back.
+  void configurationChanged(const configuration &Before,
+                            const configuration &After);
+
+  void applyList(const std::vector<listed_vm> &List, std::size_t EntryCount);
+  void endpointReport(const endpoint_id &Id, const endpoint_report &Report,
+                      steady_time AskedAt);
+  void endpointReportMissing(const endpoint_id &Id, steady_time Now);
+  void endpointLeaving(const endpoint_id &Id);
+  std::vector<chosen_endpoint> dueForReport(milliseconds MaximumAge,
+                                            steady_time Now);
+  std::string bootIdOf(const endpoint_id &Id);
+
+  /// Requests in flight here by account, for the heartbeats.
+  std::vector<usage_notice> usage();
+  /// What a peer said of its usage; replaces its earlier word.
+  void setPeerUsage(const vm_id &Peer, std::vector<usage_notice> Usage,
+                    steady_time Now);
+
+  std::vector<std::string> describeEndpoints(steady_time Now);
+  rating_counts ratingsOf(const version_class &Subject);
+
+private:
+  version_view viewOf(const model_version &Version, const work_class &Class,
+                      steady_time Now);
+  admission_queue &queueOf(const version_id &Version, steady_time Now);
+  void updateUsageElsewhere(admission_queue &Queue, steady_time Now);
+  void addCounts(const version_class &Subject, std::size_t Bucket,
+                 const rating_counts &Added);
+  std::optional<version_id> incumbentOf(const configuration &Configuration,
+                                        const model_version &Version,
+                                        const class_id &Class);
+
+  struct peer_usage {
+    std::vector<usage_notice> Usage;
+    steady_time At;
+  };
+
+  ranked_mutex Mutex{lock_rank::Router};
+  endpoint_table Endpoints;
+  version_chooser Chooser;
+  rating_pool Ratings;
+  version_health Health;
+  crash_registry Crashes;
+  retry_budget Retries;
+  std::map<version_class, version_statistics> Statistics;
+  std::map<version_id, admission_queue> Queues;
+  std::map<vm_id, peer_usage> PeerUsage;
+  std::size_t EntryCount = 1;
+};
+
+} // namespace azurehaven
--- /dev/null
+++ b/Libraries/LibRouting/version_chooser.cpp
@@ -0,0 +1,311 @@
+#include "LibRouting/version_chooser.h"
+
+#include <algorithm>
+#include <cmath>
+#include <cstdio>
+
+namespace azurehaven {
+
+namespace {
+
+constexpr double SmoothingFactor = 0.05;
+/// A prior of one rating of one half.
+constexpr double PriorCount = 1;
+constexpr double PriorScore = 0.5;
+/// Standard errors that a neutral class asks of a quality estimate.
+constexpr double ConfidenceWidth = 1.0;
+constexpr double ExplorationRate = 0.05;
+/// A version with more ratings than this is explored no further.
+constexpr double ExplorationRatings = 400;
+/// Answers of the cheap stage needed before a cascade is considered.
+constexpr std::uint64_t CascadeRatings = 30;
+constexpr double RollOutFirstShare = 0.02;
+constexpr double RollOutRatingsToFull = 500;
+/// Share of requests that a suspect version keeps, for evidence.
+constexpr double SuspectShare = 0.1;
+constexpr double TailDeviations = 2;
+
+double smooth(double Old, double New, std::uint64_t Samples) {
+  const double Factor =
+      std::max(SmoothingFactor, 1.0 / static_cast<double>(Samples + 1));
+  return Old + Factor * (New - Old);
+}
+
+double costOf(const version_view &View) {
+  const version_statistics &Statistics = View.Statistics;
+  return (Statistics.PromptTokens *
+              static_cast<double>(View.Version->PromptPrice.count()) +
+          Statistics.CompletionTokens *
+              static_cast<double>(View.Version->CompletionPrice.count())) /
+         1000.0;
+}
+
+/// An estimate of the 95th percentile of the time to the first token.
+double firstTokenTail(const version_view &View) {
+  return View.QueueMs + View.Statistics.FirstTokenMs +
+         TailDeviations * View.Statistics.FirstTokenDeviationMs;
+}
+
+/// A plan with the estimates that it is judged by.
+struct candidate {
+  route_plan Plan;
+  double LowerQuality = 0;
+  bool IsSuspect = false;
+};
+
+candidate singleCandidate(const version_view &View, double Width) {
+  const rating_counts Ratings = sumOf(View.Ratings);
+  candidate Candidate;
+  Candidate.Plan.Stages = {{View.Version->Id, std::nullopt}};
+  Candidate.Plan.ExpectedCost = costOf(View);
+  Candidate.Plan.ExpectedQuality = meanQuality(Ratings);
+  Candidate.Plan.ExpectedFirstTokenMs = firstTokenTail(View);
+  Candidate.LowerQuality = lowerQuality(Ratings, Width);
+  Candidate.IsSuspect = View.IsSuspect;
+  return Candidate;
+}
+
+/// The cascade that accepts the cheap answer from bucket FirstBucket on.
+std::optional<candidate> cascadeCandidate(const version_view &Cheap,
+                                          const version_view &Strong,
+                                          std::size_t FirstBucket,
+                                          double Width) {
+  const rating_counts All = sumOf(Cheap.Ratings);
+  const rating_counts Accepted = sumOf(Cheap.Ratings, FirstBucket);
+  if (Accepted.Count < CascadeRatings || All.Count < CascadeRatings)
+    return std::nullopt;
+  const double AcceptedShare =
+      static_cast<double>(Accepted.Count) / static_cast<double>(All.Count);
+  const rating_counts StrongRatings = sumOf(Strong.Ratings);
+  candidate Candidate;
+  Candidate.Plan.Stages = {
+      {Cheap.Version->Id, ConfidenceBucketFloor[FirstBucket]},
+      {Strong.Version->Id, std::nullopt}};
+  Candidate.Plan.ExpectedCost =
+      costOf(Cheap) + (1 - AcceptedShare) * costOf(Strong);
+  Candidate.Plan.ExpectedQuality =
+      AcceptedShare * meanQuality(Accepted) +
+      (1 - AcceptedShare) * meanQuality(StrongRatings);
+  Candidate.LowerQuality =
+      AcceptedShare * lowerQuality(Accepted, Width) +
+      (1 - AcceptedShare) * lowerQuality(StrongRatings, Width);
+  // The cheap answer is held until it is accepted, and the tail of the
+  // requests pays for both stages.
+  Candidate.Plan.ExpectedFirstTokenMs =
+      Cheap.QueueMs + Cheap.Statistics.WholeMs + firstTokenTail(Strong);
+  Candidate.IsSuspect = Cheap.IsSuspect || Strong.IsSuspect;
+  return Candidate;
+}
+
+bool mayServe(const version_view &View) {
+  return View.HasEndpoint && View.Version->State == version_state::Active;
+}
+
+std::vector<candidate> candidatesOf(const std::vector<version_view> &Views,
+                                    double Width) {
+  std::vector<candidate> Candidates;
+  for (const auto &View : Views)
+    if (mayServe(View))
+      Candidates.push_back(singleCandidate(View, Width));
+  // A cascade of every pair would grow with the square of the versions.
+  const auto Strongest = std::max_element(
+      Views.begin(), Views.end(), [](const auto &Left, const auto &Right) {
+        const auto Key = [](const version_view &View) {
+          return mayServe(View) ? meanQuality(sumOf(View.Ratings)) : -1.0;
+        };
+        return Key(Left) < Key(Right);
+      });
+  for (const auto &Cheap : Views) {
+    if (!mayServe(Cheap) || Strongest == Views.end() || &Cheap == &*Strongest ||
+        costOf(Cheap) >= costOf(*Strongest))
+      continue;
+    for (std::size_t Bucket = 1; Bucket < ConfidenceBucketCount; ++Bucket)
+      if (auto Candidate = cascadeCandidate(Cheap, *Strongest, Bucket, Width))
+        Candidates.push_back(std::move(*Candidate));
+  }
+  return Candidates;
+}
+
+std::string nameOfPlan(const route_plan &Plan) {
+  std::string Name;
+  for (const auto &Stage : Plan.Stages) {
+    Name += (Name.empty() ? "" : " -> ") + Stage.Version.text();
+    if (Stage.AcceptConfidence) {
+      char Text[32];
+      std::snprintf(Text, sizeof Text, " (accept >= %.2f)",
+                    *Stage.AcceptConfidence);
+      Name += Text;
+    }
+  }
+  return Name;
+}
+
+std::string verdictOf(const work_class &Class, const candidate &Candidate) {
+  char Text[200];
+  std::snprintf(
+      Text, sizeof Text,
+      "%s%s%squality %.3f (lower %.3f, target %.3f), first token "
+      "%.0f ms (target %lld), cost %.0f",
+      Candidate.LowerQuality < Class.QualityTarget ? "quality not shown; " : "",
+      Candidate.Plan.ExpectedFirstTokenMs >
+              static_cast<double>(Class.FirstTokenTarget.count())
+          ? "too slow; "
+          : "",
+      Candidate.IsSuspect ? "suspect; " : "", Candidate.Plan.ExpectedQuality,
+      Candidate.LowerQuality, Class.QualityTarget,
+      Candidate.Plan.ExpectedFirstTokenMs,
+      static_cast<long long>(Class.FirstTokenTarget.count()),
+      Candidate.Plan.ExpectedCost);
+  return Text;
+}
+
+/// Cost, raised by the excess over the latency target.
+double weightedCost(const work_class &Class, const candidate &Candidate) {
+  const double Target =
+      std::max<double>(1, static_cast<double>(Class.FirstTokenTarget.count()));
+  const double Excess =
+      std::max(0.0, Candidate.Plan.ExpectedFirstTokenMs / Target - 1);
+  return (Candidate.Plan.ExpectedCost + 1) * (1 + Class.LatencyWeight * Excess);
+}
+
+const candidate &best(const work_class &Class,
+                      const std::vector<candidate> &Candidates,
+                      const std::vector<const candidate *> &Proven) {
+  if (!Proven.empty())
+    return **std::min_element(
+        Proven.begin(), Proven.end(), [&](const auto *Left, const auto *Right) {
+          return weightedCost(Class, *Left) < weightedCost(Class, *Right);
+        });
+  // Nothing is known to meet the target: the best known quality, and where
+  // nothing is known at all, the dearest version as the likeliest to meet it.
+  return *std::max_element(
+      Candidates.begin(), Candidates.end(),
+      [](const candidate &Left, const candidate &Right) {
+        if (std::abs(Left.LowerQuality - Right.LowerQuality) > 0.02)
+          return Left.LowerQuality < Right.LowerQuality;
+        return Left.Plan.ExpectedCost < Right.Plan.ExpectedCost;
+      });
+}
+
+} // namespace
+
+void version_statistics::add(milliseconds FirstToken, milliseconds Whole,
+                             token_count Prompt, token_count Completion) {
+  const auto First = static_cast<double>(FirstToken.count());
+  FirstTokenDeviationMs =
+      smooth(FirstTokenDeviationMs, std::abs(First - FirstTokenMs), Samples);
+  FirstTokenMs = smooth(FirstTokenMs, First, Samples);
+  WholeMs = smooth(WholeMs, static_cast<double>(Whole.count()), Samples);
+  PromptTokens =
+      smooth(PromptTokens, static_cast<double>(Prompt.count()), Samples);
+  CompletionTokens = smooth(CompletionTokens,
+                            static_cast<double>(Completion.count()), Samples);
+  ++Samples;
+}
+
+double meanQuality(const rating_counts &Ratings) {
+  return (Ratings.score() + PriorScore * PriorCount) /
+         (static_cast<double>(Ratings.Count) + PriorCount);
+}
+
+double lowerQuality(const rating_counts &Ratings, double Width) {
+  const double Mean = meanQuality(Ratings);
+  const double Count = static_cast<double>(Ratings.Count) + PriorCount;
+  return std::max(0.0, Mean - Width * std::sqrt(Mean * (1 - Mean) / Count));
+}
+
+double upperQuality(const rating_counts &Ratings, double Width) {
+  const double Mean = meanQuality(Ratings);
+  const double Count = static_cast<double>(Ratings.Count) + PriorCount;
+  return std::min(1.0, Mean + Width * std::sqrt(Mean * (1 - Mean) / Count));
+}
+
+double rollOutShare(const work_class &Class, const rating_counts &Ratings) {
+  const double Weight = std::max(1.0, Class.ExposureWeight);
+  const double Share = RollOutFirstShare + static_cast<double>(Ratings.Count) /
+                                               (RollOutRatingsToFull * Weight);
+  return std::min(0.5, Share);
+}
+
+std::optional<route_plan>
+version_chooser::choose(const work_class &Class,
+                        const std::vector<version_view> &Views,
+                        std::vector<candidate_note> *Notes) {
+  const double Width =
+      ConfidenceWidth * std::sqrt(std::max(0.25, Class.ExposureWeight));
+  const auto Candidates = candidatesOf(Views, Width);
+  if (Candidates.empty())
+    return std::nullopt;
+  const bool SkipsSuspects = uniform() >= SuspectShare;
+  std::vector<const candidate *> Proven;
+  for (const auto &Candidate : Candidates)
+    if (Candidate.LowerQuality >= Class.QualityTarget &&
+        !(Candidate.IsSuspect && SkipsSuspects))
+      Proven.push_back(&Candidate);
+  const candidate &Chosen = best(Class, Candidates, Proven);
+  if (Notes)
+    for (const auto &Candidate : Candidates)
+      Notes->push_back({nameOfPlan(Candidate.Plan),
+                        (&Candidate == &Chosen ? "chosen: " : "") +
+                            verdictOf(Class, Candidate)});
+  route_plan Plan = Chosen.Plan;
+  const version_view *Instead = rollOut(Class, Views, Plan);
+  if (Instead) {
+    Plan.Purpose = plan_purpose::RollOut;
+  } else {
+    Instead = exploration(Class, Views, Plan.ExpectedCost);
+    if (Instead)
+      Plan.Purpose = plan_purpose::Explore;
+  }
+  if (Instead) {
+    Plan.Stages = {{Instead->Version->Id, std::nullopt}};
+    if (Notes)
+      Notes->push_back({Instead->Version->Id.text(),
+                        Plan.Purpose == plan_purpose::Explore
+                            ? "taken instead, to learn its quality"
+                            : "taken instead, its share of the roll-out"});
+  }
+  return Plan;
+}
+
+const version_view *
+version_chooser::exploration(const work_class &Class,
+                             const std::vector<version_view> &Views,
+                             double CostOfChoice) {
+  if (uniform() >= ExplorationRate / std::max(1.0, Class.ExposureWeight))
+    return nullptr;
+  const version_view *Fewest = nullptr;
+  for (const auto &View : Views) {
+    const rating_counts Ratings = sumOf(View.Ratings);
+    const bool IsWorthKnowing =
+        mayServe(View) && !View.IsSuspect && costOf(View) < CostOfChoice &&
+        static_cast<double>(Ratings.Count) < ExplorationRatings;
+    if (!IsWorthKnowing)
+      continue;
+    if (!Fewest || Ratings.Count < sumOf(Fewest->Ratings).Count)
+      Fewest = &View;
+  }
+  return Fewest;
+}
+
+const version_view *
+version_chooser::rollOut(const work_class &Class,
+                         const std::vector<version_view> &Views,
+                         const route_plan &Choice) {
+  const version_id &Incumbent = Choice.Stages.back().Version;
+  auto Found = std::find_if(Views.begin(), Views.end(), [&](const auto &View) {
+    return View.Version->Id == Incumbent;
+  });
+  if (Found == Views.end())
+    return nullptr;
+  for (const auto &View : Views) {
+    if (View.Version->State != version_state::RollingOut || !View.HasEndpoint ||
+        View.IsSuspect || View.Version->Model != Found->Version->Model)
+      continue;
+    if (uniform() < rollOutShare(Class, sumOf(View.Ratings)))
+      return &View;
+  }
+  return nullptr;
+}
+
+} // namespace azurehaven
--- /dev/null
+++ b/Libraries/LibRouting/version_health.cpp
@@ -0,0 +1,95 @@
+#include "LibRouting/version_health.h"
+
+#include <cstdio>
+
+namespace azurehaven {
+
+namespace {
+
+/// The share of whole answers that any version in service is held to.
+constexpr double ExpectedSuccessRate = 0.97;
+
+std::string describe(const char *What, double Reference,
+                     const rating_counts &Seen) {
+  char Text[160];
+  std::snprintf(Text, sizeof Text,
+                "%s fell below %.3f after %llu ratings, %llu answers, "
+                "%llu failures",
+                What, Reference, static_cast<unsigned long long>(Seen.Count),
+                static_cast<unsigned long long>(Seen.Successes),
+                static_cast<unsigned long long>(Seen.Failures));
+  return Text;
+}
+
+} // namespace
+
+version_health::tests &version_health::testsOf(const version_class &Subject) {
+  auto [It, IsNew] =
+      Tests.try_emplace(Subject, tests{sequential_drop_test(Settings),
+                                       sequential_drop_test(Settings),
+                                       {},
+                                       false});
+  if (IsNew)
+    It->second.Success.setReference(ExpectedSuccessRate);
+  return It->second;
+}
+
+void version_health::setIncumbentScore(const version_class &Subject,
+                                       double Mean) {
+  testsOf(Subject).Quality.setReference(Mean);
+}
+
+void version_health::add(const version_class &Subject,
+                         const rating_counts &Added) {
+  tests &Found = testsOf(Subject);
+  Found.Seen += Added;
+  Found.Quality.add(Added.score(), static_cast<double>(Added.Count));
+  const auto Answers = static_cast<double>(Added.Successes + Added.Failures);
+  Found.Success.add(static_cast<double>(Added.Successes), Answers);
+  report(Subject, Found);
+}
+
+void version_health::report(const version_class &Subject, tests &Found) {
+  if (Found.IsReported)
+    return;
+  if (Found.Quality.hasAlarmed()) {
+    Found.IsReported = true;
+    Alarms.push_back(
+        {Subject, health_concern::Quality,
+         describe("rating", *Found.Quality.reference(), Found.Seen)});
+  } else if (Found.Success.hasAlarmed()) {
+    Found.IsReported = true;
+    Alarms.push_back(
+        {Subject, health_concern::Failures,
+         describe("share of whole answers", ExpectedSuccessRate, Found.Seen)});
+  }
+}
+
+void version_health::reset(const version_id &Version) {
+  std::erase_if(
+      Tests, [&](const auto &Entry) { return Entry.first.Version == Version; });
+}
+
+bool version_health::isSuspect(const version_class &Subject) const {
+  auto Found = Tests.find(Subject);
+  if (Found == Tests.end())
+    return false;
+  // Half the evidence for an alarm is enough to cut a version's share.
+  const double Level = Settings.Threshold / 2;
+  return Found->second.Quality.statistic() >= Level ||
+         Found->second.Success.statistic() >= Level;
+}
+
+bool version_health::isAlarmed(const version_id &Version) const {
+  for (const auto &[Subject, Found] : Tests)
+    if (Subject.Version == Version &&
+        (Found.Quality.hasAlarmed() || Found.Success.hasAlarmed()))
+      return true;
+  return false;
+}
+
+std::vector<version_alarm> version_health::takeAlarms() {
+  return std::exchange(Alarms, {});
+}
+
+} // namespace azurehaven
--- /dev/null
+++ b/Libraries/LibRouting/version_health.h
@@ -0,0 +1,55 @@
+#pragma once
+
+#include "LibRouting/rating_pool.h"
+#include "LibRouting/sequential_drop_test.h"
+
+#include <map>
+#include <string>
+#include <utility>
+
+namespace azurehaven {
+
+enum class health_concern { None, Quality, Failures };
+
+struct version_alarm {
+  version_class Subject;
+  health_concern Concern = health_concern::None;
+  /// For the audit trail: the reference and what was seen.
+  std::string Evidence;
+};
+
+/// Watches each version in each class for a drop of its ratings and for a
+/// raised rate of failed or cut answers. Not thread-safe.
+class version_health {
+public:
+  explicit version_health(drop_test_settings Settings) : Settings(Settings) {}
+
+  /// For a version under roll-out: the mean score of what it replaces.
+  void setIncumbentScore(const version_class &Subject, double Mean);
+  /// Adds new counts, this VM's or a peer's.
+  void add(const version_class &Subject, const rating_counts &Added);
+  /// Starts anew after an operator has put a withdrawn version back.
+  void reset(const version_id &Version);
+
+  bool isSuspect(const version_class &Subject) const;
+  bool isAlarmed(const version_id &Version) const;
+  /// Alarms raised since the last call.
+  std::vector<version_alarm> takeAlarms();
+
+private:
+  struct tests {
+    sequential_drop_test Quality;
+    sequential_drop_test Success;
+    rating_counts Seen;
+    bool IsReported = false;
+  };
+
+  tests &testsOf(const version_class &Subject);
+  void report(const version_class &Subject, tests &Tests);
+
+  const drop_test_settings Settings;
+  std::map<version_class, tests> Tests;
+  std::vector<version_alarm> Alarms;
+};
+
+} // namespace azurehaven
--- /dev/null
+++ b/Libraries/LibSession/session_token.cpp
@@ -0,0 +1,121 @@
+#include "LibSession/session_token.h"
+
+#include <algorithm>
+#include <array>
+#include <charconv>
+#include <nlohmann/json.hpp>
+#include <openssl/crypto.h>
+#include <openssl/evp.h>
+#include <openssl/hmac.h>
+
+namespace azurehaven {
+
+namespace {
+
+constexpr std::size_t TokenLimit = 2048;
+
+std::string toHex(std::string_view Bytes) {
+  static constexpr char Digits[] = "0123456789abcdef";
+  std::string Text;
+  for (unsigned char Byte : Bytes) {
+    Text.push_back(Digits[Byte >> 4]);
+    Text.push_back(Digits[Byte & 15]);
+  }
+  return Text;
+}
+
+std::optional<std::string> fromHex(std::string_view Text) {
+  if (Text.size() % 2 != 0)
+    return std::nullopt;
+  std::string Bytes;
+  for (std::size_t Index = 0; Index < Text.size(); Index += 2) {
+    unsigned char Byte = 0;
+    const char *Begin = Text.data() + Index;
+    auto [Stop, Code] = std::from_chars(Begin, Begin + 2, Byte, 16);
+    if (Code != std::errc() || Stop != Begin + 2)
+      return std::nullopt;
+    Bytes.push_back(static_cast<char>(Byte));
+  }
+  return Bytes;
+}
+
+std::string macOf(const std::string &Payload, const session_key &Key) {
+  std::array<unsigned char, EVP_MAX_MD_SIZE> Digest{};
+  unsigned int Length = 0;
+  HMAC(EVP_sha256(), Key.Secret.data(), static_cast<int>(Key.Secret.size()),
+       reinterpret_cast<const unsigned char *>(Payload.data()), Payload.size(),
+       Digest.data(), &Length);
+  return {reinterpret_cast<const char *>(Digest.data()), Length};
+}
+
+bool areEqualInConstantTime(const std::string &Left, const std::string &Right) {
+  return Left.size() == Right.size() &&
+         CRYPTO_memcmp(Left.data(), Right.data(), Left.size()) == 0;
+}
+
+error invalidToken(const char *Reason) {
+  return {error_code::InvalidInput, std::string("session token: ") + Reason};
+}
+
+result<session> decodePayload(const std::string &Payload) {
+  auto Document = nlohmann::json::parse(Payload, nullptr, false);
+  if (!Document.is_array() || Document.size() != 5 ||
+      !Document[3].is_number_integer())
+    return invalidToken("malformed");
+  for (int Index : {0, 1, 2, 4})
+    if (!Document[Index].is_string())
+      return invalidToken("malformed");
+  return session{client_account_id(Document[0].get<std::string>()),
+                 class_id(Document[1].get<std::string>()),
+                 version_id(Document[2].get<std::string>()),
+                 unix_millis(Document[3].get<std::int64_t>()),
+                 Document[4].get<std::string>()};
+}
+
+} // namespace
+
+result<std::string> sealSession(const session &Session,
+                                const std::vector<session_key> &Keys) {
+  if (Keys.empty())
+    return error{error_code::Unavailable, "no session key is configured"};
+  const session_key &Key = Keys.back();
+  const std::string Payload =
+      nlohmann::json::array({Session.Account.text(), Session.Class.text(),
+                             Session.Version.text(), Session.StartedAt.count(),
+                             Session.Nonce})
+          .dump();
+  return toHex(Payload) + "." + toHex(Key.Id) + "." +
+         toHex(macOf(Payload, Key));
+}
+
+result<session> openSession(const std::string &Token,
+                            const client_account_id &Account,
+                            const std::vector<session_key> &Keys,
+                            unix_millis Now) {
+  const std::size_t First = Token.find('.');
+  const std::size_t Second = Token.find('.', First + 1);
+  if (Token.size() > TokenLimit || First == std::string::npos ||
+      Second == std::string::npos)
+    return invalidToken("malformed");
+  auto Payload = fromHex(std::string_view(Token).substr(0, First));
+  auto KeyId =
+      fromHex(std::string_view(Token).substr(First + 1, Second - First - 1));
+  auto Mac = fromHex(std::string_view(Token).substr(Second + 1));
+  if (!Payload || !KeyId || !Mac)
+    return invalidToken("malformed");
+  auto Key = std::find_if(Keys.begin(), Keys.end(), [&](const auto &Candidate) {
+    return Candidate.Id == *KeyId;
+  });
+  if (Key == Keys.end())
+    return invalidToken("signed with a key that is no longer accepted");
+  if (!areEqualInConstantTime(macOf(*Payload, *Key), *Mac))
+    return invalidToken("wrong signature");
+  TRY(session Session, decodePayload(*Payload));
+  if (Session.Account != Account)
+    return invalidToken("of another account");
+  if (Now.count() - Session.StartedAt.count() > SessionLifetime.count())
+    return invalidToken("expired");
+  return Session;
+}
+
+} // namespace azurehaven
--- /dev/null
+++ b/Libraries/LibStore/http_store.cpp
@@ -0,0 +1,102 @@
+#include "LibStore/http_store.h"
+
+#include "LibHttp/percent_encoding.h"
+
+#include <nlohmann/json.hpp>
+
+namespace azurehaven {
+
+using nlohmann::json;
+
+namespace {
+
+constexpr int StatusOk = 200;
+constexpr int StatusNotFound = 404;
+constexpr int StatusConflict = 409;
+
+error errorOfStatus(const http_response &Response) {
+  if (Response.Status == StatusNotFound)
+    return {error_code::NotFound, "no such key"};
+  if (Response.Status == StatusConflict)
+    return {error_code::Conflict, "the key has another revision"};
+  return {error_code::Unavailable,
+          "the store answered " + std::to_string(Response.Status)};
+}
+
+result<store_entry> entryOf(const json &Item) {
+  try {
+    return store_entry{Item.at("key").get<std::string>(),
+                       Item.at("value").get<std::string>(),
+                       Item.at("revision").get<std::uint64_t>()};
+  } catch (const json::exception &Exception) {
+    return error{error_code::Unavailable,
+                 std::string("the store's answer: ") + Exception.what()};
+  }
+}
+
+} // namespace
+
+http_store::http_store(http_transport &Transport, network_address Address,
+                       milliseconds Timeout)
+    : Transport(Transport),
+      Address(std::move(Address)), Timeouts{Timeout, Timeout} {}
+
+result<http_response> http_store::send(const http_request &Request) {
+  auto Answer =
+      Transport.send(Address, Request, Timeouts, connection_use::Pooled);
+  if (auto *Failure = std::get_if<http_failure>(&Answer))
+    return error{Failure->Delivery == delivery::NotSent
+                     ? error_code::Unavailable
+                     : error_code::OutcomeUnknown,
+                 "store: " + Failure->Message};
+  return std::get<http_response>(std::move(Answer));
+}
+
+result<store_entry> http_store::read(store_purpose, const std::string &Key) {
+  TRY(http_response Response,
+      send({"GET", "/v1/kv?key=" + percentEncode(Key), {}, {}}));
+  if (Response.Status != StatusOk)
+    return errorOfStatus(Response);
+  return entryOf(json::parse(Response.Body, nullptr, false));
+}
+
+result<std::uint64_t> http_store::compareAndSwap(store_purpose,
+                                                 const std::string &Key,
+                                                 const std::string &Value,
+                                                 std::uint64_t Expected) {
+  json Body = {{"key", Key}, {"value", Value}, {"expected", Expected}};
+  TRY(http_response Response, send({"POST",
+                                    "/v1/kv/cas",
+                                    {{"Content-Type", "application/json"}},
+                                    Body.dump()}));
+  if (Response.Status != StatusOk)
+    return errorOfStatus(Response);
+  json Answer = json::parse(Response.Body, nullptr, false);
+  if (!Answer.is_object() || !Answer["revision"].is_number_unsigned())
+    return error{error_code::OutcomeUnknown, "store: unreadable answer"};
+  return Answer["revision"].get<std::uint64_t>();
+}
+
+result<std::vector<store_entry>> http_store::list(store_purpose,
+                                                  const std::string &Prefix,
+                                                  std::uint64_t After) {
+  TRY(http_response Response,
+      send({"GET",
+            "/v1/kv/list?prefix=" + percentEncode(Prefix) +
+                "&after=" + std::to_string(After),
+            {},
+            {}}));
+  if (Response.Status != StatusOk)
+    return errorOfStatus(Response);
+  json Answer = json::parse(Response.Body, nullptr, false);
+  if (!Answer.is_array())
+    return error{error_code::Unavailable, "store: unreadable answer"};
+  std::vector<store_entry> Entries;
+  for (const auto &Item : Answer) {
+    TRY(store_entry Entry, entryOf(Item));
+    Entries.push_back(std::move(Entry));
+  }
+  return Entries;
+}
+
+} // namespace azurehaven
--- /dev/null
+++ b/Libraries/LibTypes/network_address.h
@@ -0,0 +1,22 @@
+#pragma once
+
+#include "LibTypes/result.h"
+
+#include <cstdint>
+#include <string>
+
+namespace azurehaven {
+
+/// An IP number and a port, written "127.0.0.1:8080".
+struct network_address {
+  std::string Host;
+  std::uint16_t Port = 0;
+
+  auto operator<=>(const network_address &) const = default;
+  std::string text() const { return Host + ":" + std::to_string(Port); }
+};
+
+/// Returns InvalidInput unless the text is an IPv4 number, a colon and a port.
+result<network_address> parseNetworkAddress(const std::string &Text);
+
+} // namespace azurehaven
--- /dev/null
+++ b/Services/azurehaven/main.cpp
@@ -0,0 +1,85 @@
+#include "LibClient/ask_command.h"
+#include "LibClient/command_line.h"
+#include "LibClient/ctl_command.h"
+#include "LibEntry/entry_node.h"
+
+#include <csignal>
+#include <cstdlib>
+#include <iostream>
+
+using namespace azurehaven;
+
+namespace {
+
+constexpr const char *Usage = R"(A model-aware router for versions and cascades.
+
+Usage:
+  azurehaven entry [options]    Serve callers on one entry VM
+  azurehaven ctl COMMAND        Operate the system through targets
+  azurehaven ask TEXT           Ask the system as a caller does
+
+Each has a --help of its own.
+)";
+
+/// SIGTERM and SIGINT ask for a planned stop. They are blocked in every thread
+/// and taken by the main one.
+sigset_t blockStopSignals() {
+  sigset_t Signals;
+  sigemptyset(&Signals);
+  sigaddset(&Signals, SIGTERM);
+  sigaddset(&Signals, SIGINT);
+  pthread_sigmask(SIG_BLOCK, &Signals, nullptr);
+  std::signal(SIGPIPE, SIG_IGN);
+  return Signals;
+}
+
+int runEntry(const std::vector<std::string> &Arguments) {
+  command_line Line;
+  if (auto Status = Line.parse(EntryUsage, "entry", Arguments))
+    return *Status;
+  std::vector<std::string> Faults;
+  entry_settings Settings = readEntrySettings(
+      [&](const std::string &Flag) { return Line.text(Flag); },
+      [](const std::string &Variable) -> std::optional<std::string> {
+        const char *Value = std::getenv(Variable.c_str());
+        return Value ? std::optional<std::string>(Value) : std::nullopt;
+      },
+      Faults);
+  if (!Faults.empty()) {
+    for (const auto &Fault : Faults)
+      std::cerr << "azurehaven entry: " << Fault << "\n";
+    return ExitUsage;
+  }
+  if (Line.flag("--check")) {
+    std::cout << "The settings are good.\n";
+    return ExitSuccess;
+  }
+  const sigset_t Signals = blockStopSignals();
+  auto Node = entry_node::start(std::move(Settings));
+  if (isError(Node)) {
+    std::cerr << "azurehaven entry: " << errorOf(Node).Message << "\n";
+    return ExitFailure;
+  }
+  int Signal = 0;
+  sigwait(&Signals, &Signal);
+  valueOf(Node)->drain();
+  return ExitSuccess;
+}
+
+} // namespace
+
+int main(int Count, char **Values) {
+  const std::vector<std::string> All(Values + 1, Values + Count);
+  const std::string Command = All.empty() ? "" : All.front();
+  const std::vector<std::string> Rest(All.begin() + (All.empty() ? 0 : 1),
+                                      All.end());
+  if (Command == "entry")
+    return runEntry(Rest);
+  if (Command == "ctl")
+    return runCtlCommand(Rest);
+  if (Command == "ask")
+    return runAskCommand(Rest);
+  const bool IsHelp = Command == "-h" || Command == "--help";
+  (IsHelp ? std::cout : std::cerr) << Usage;
+  return IsHelp ? ExitSuccess : ExitUsage;
+}
--- /dev/null
+++ b/Tests/LibStandIn/cut_body.h
@@ -0,0 +1,21 @@
+#pragma once
+
+#include "LibHttp/http_server.h"
+
+namespace azurehaven {
+
+/// A body that breaks off at once, as if the process had died after the
+/// request took effect.
+class cut_body : public body_source {
+public:
+  std::optional<std::string> next() override { return std::nullopt; }
+  bool isWhole() const override { return false; }
+};
+
+inline served_response cutAnswer() {
+  served_response Response;
+  Response.Source = std::make_unique<cut_body>();
+  return Response;
+}
+
+} // namespace azurehaven
--- /dev/null
+++ b/Tests/LibStandIn/faulty_store.h
@@ -0,0 +1,64 @@
+#pragma once
+
+#include "LibStore/memory_store.h"
+
+#include <functional>
+
+namespace azurehaven {
+
+enum class store_fault {
+  None,
+  /// Nothing takes effect.
+  Away,
+  /// A write takes effect and its answer is lost; reads fail.
+  AnswerLost,
+};
+
+/// A store in memory with scripted faults, for tests of single parts.
+class faulty_store : public store {
+public:
+  /// Decides the fault of the next call by its number, from 1 on.
+  std::function<store_fault(unsigned)> FaultOf = [](unsigned) {
+    return store_fault::None;
+  };
+  /// Runs before each write, for races.
+  std::function<void(const std::string &Key)> BeforeWrite;
+
+  result<store_entry> read(store_purpose Purpose,
+                           const std::string &Key) override {
+    if (FaultOf(++Calls) != store_fault::None)
+      return away();
+    return Inner.read(Purpose, Key);
+  }
+
+  result<std::uint64_t> compareAndSwap(store_purpose Purpose,
+                                       const std::string &Key,
+                                       const std::string &Value,
+                                       std::uint64_t Expected) override {
+    const store_fault Fault = FaultOf(++Calls);
+    if (Fault == store_fault::Away)
+      return away();
+    if (BeforeWrite)
+      BeforeWrite(Key);
+    auto Swapped = Inner.compareAndSwap(Purpose, Key, Value, Expected);
+    if (Fault == store_fault::AnswerLost)
+      return error{error_code::OutcomeUnknown, "answer lost"};
+    return Swapped;
+  }
+
+  result<std::vector<store_entry>> list(store_purpose Purpose,
+                                        const std::string &Prefix,
+                                        std::uint64_t After) override {
+    if (FaultOf(++Calls) != store_fault::None)
+      return away();
+    return Inner.list(Purpose, Prefix, After);
+  }
+
+  memory_store Inner;
+  unsigned Calls = 0;
+
+private:
+  static error away() { return {error_code::Unavailable, "store away"}; }
+};
+
+} // namespace azurehaven
--- /dev/null
+++ b/Tests/LibStandIn/platform_stand_ins.h
@@ -0,0 +1,36 @@
+#pragma once
+
+#include "LibHttp/http_server.h"
+#include "LibTypes/units.h"
+
+#include <mutex>
+#include <nlohmann/json.hpp>
+
+namespace azurehaven {
+
+/// The platform's list of VMs. PUT /v1/vms replaces it; a line may hold
+/// "views", addresses that differ for single viewers.
+class vm_list_stand_in {
+public:
+  explicit vm_list_stand_in(nlohmann::json Lines) : Lines(std::move(Lines)) {}
+  served_response serve(const served_request &Request);
+
+private:
+  std::mutex Mutex;
+  nlohmann::json Lines;
+};
+
+/// The weight store: so many fetches a second, the rest is refused.
+class weight_store_stand_in {
+public:
+  explicit weight_store_stand_in(double PerSecond) : PerSecond(PerSecond) {}
+  served_response serve(const served_request &Request, steady_time Now);
+
+private:
+  const double PerSecond;
+  std::mutex Mutex;
+  double Tokens = 1;
+  steady_time TokensAt{};
+};
+
+} // namespace azurehaven
--- /dev/null
+++ b/Tests/LibStandIn/store_stand_in.h
@@ -0,0 +1,28 @@
+#pragma once
+
+#include "LibHttp/http_server.h"
+#include "LibStandIn/fault_switches.h"
+#include "LibStore/memory_store.h"
+
+#include <atomic>
+
+namespace azurehaven {
+
+/// The platform's key-value service. Switches: "down" (1: answers 503),
+/// "delay_ms", "lose_answers" (the next N writes take effect unanswered),
+/// "lose_answers_of" (only keys with this prefix).
+class store_stand_in {
+public:
+  served_response serve(const served_request &Request);
+
+private:
+  served_response serveKv(const served_request &Request);
+  served_response swap(const served_request &Request);
+
+  memory_store Store;
+  fault_switches Switches;
+  std::atomic<std::uint64_t> Reads = 0;
+  std::atomic<std::uint64_t> Writes = 0;
+};
+
+} // namespace azurehaven
