--- a/Libraries/LibPeer/frame_codec.cpp
+++ b/Libraries/LibPeer/frame_codec.cpp
@@ -1,6 +1,6 @@
 #include "LibPeer/frame_codec.h"
 
-#include "LibPeer/generated/peer_generated.h"
+#include <peer_generated.h>
 
 namespace azurehaven {
 
--- a/Libraries/LibRouting/endpoint_table.cpp
+++ b/Libraries/LibRouting/endpoint_table.cpp
@@ -229,17 +229,26 @@
   considerEjection(Endpoint, Now);
 }
 
+bool endpoint_table::areKin(const endpoint &Left,
+                            const endpoint &Right) const {
+  if (Left.Listed.Kind != Right.Listed.Kind)
+    return false;
+  if (Left.Listed.Kind == vm_kind::Service)
+    return Left.Listed.Service == Right.Listed.Service;
+  return std::any_of(Left.Report.Versions.begin(), Left.Report.Versions.end(),
+                     [&](const version_id &Version) {
+                       return Right.Report.Versions.contains(Version);
+                     });
+}
+
 bool endpoint_table::isSlow(const endpoint &Endpoint) const {
   if (Endpoint.Samples < SlownessSamples)
     return false;
   std::vector<double> Kin;
-  for (const auto &[Id, Other] : Endpoints) {
-    const bool IsKin =
-        &Other != &Endpoint && Other.Samples >= SlownessSamples &&
-        std::any_of(
-            Endpoint.Report.Versions.begin(), Endpoint.Report.Versions.end(),
-            [&](const version_id &Version) { return serves(Other, Version); });
-    if (IsKin)
+  for (const auto &Entry : Endpoints) {
+    const endpoint &Other = Entry.second;
+    if (&Other != &Endpoint && Other.Samples >= SlownessSamples &&
+        areKin(Endpoint, Other))
       Kin.push_back(Other.FirstTokenMs);
   }
   if (Kin.empty())
@@ -253,17 +262,9 @@
                                      steady_time Now) const {
   std::size_t Kin = 0;
   std::size_t Ejected = 0;
-  for (const auto &[Id, Other] : Endpoints) {
-    const bool IsKin =
-        Other.Listed.Kind == Endpoint.Listed.Kind &&
-        Other.Listed.Service == Endpoint.Listed.Service &&
-        (Endpoint.Report.Versions.empty() ||
-         std::any_of(Endpoint.Report.Versions.begin(),
-                     Endpoint.Report.Versions.end(),
-                     [&](const version_id &Version) {
-                       return Other.Report.Versions.contains(Version);
-                     }));
-    if (!IsKin)
+  for (const auto &Entry : Endpoints) {
+    const endpoint &Other = Entry.second;
+    if (&Other != &Endpoint && !areKin(Endpoint, Other))
       continue;
     ++Kin;
     if (&Other != &Endpoint && Now < Other.EjectedUntil)
--- a/Libraries/LibRouting/endpoint_table.h
+++ b/Libraries/LibRouting/endpoint_table.h
@@ -108,6 +108,8 @@
   endpoint *byAffinity(const std::vector<endpoint *> &Candidates,
                        std::uint64_t AffinityKey);
   void considerEjection(endpoint &Endpoint, steady_time Now);
+  /// Whether both can serve the same requests.
+  bool areKin(const endpoint &Left, const endpoint &Right) const;
   bool isSlow(const endpoint &Endpoint) const;
   bool mayEjectOneMore(const endpoint &Endpoint, steady_time Now) const;
 
--- a/Libraries/LibRouting/rating_pool.h
+++ b/Libraries/LibRouting/rating_pool.h
@@ -15,7 +15,8 @@
   version_id Version;
   class_id Class;
 
-  auto operator<=>(const version_class &) const = default;
+  auto operator<=>(const version_class &) const =
+      default; // NOLINT(readability-identifier-naming)
 };
 
 /// Ratings and outcomes of all VMs, merged without double counting: each
--- a/Libraries/LibTypes/network_address.h
+++ b/Libraries/LibTypes/network_address.h
@@ -12,7 +12,8 @@
   std::string Host;
   std::uint16_t Port = 0;
 
-  auto operator<=>(const network_address &) const = default;
+  auto operator<=>(const network_address &) const =
+      default; // NOLINT(readability-identifier-naming)
   std::string text() const { return Host + ":" + std::to_string(Port); }
 };
 
--- a/Libraries/LibTypes/strong_id.h
+++ b/Libraries/LibTypes/strong_id.h
@@ -15,7 +15,8 @@
   const std::string &text() const { return Text; }
   bool empty() const { return Text.empty(); }
 
-  auto operator<=>(const strong_id &) const = default;
+  auto operator<=>(const strong_id &) const =
+      default; // NOLINT(readability-identifier-naming)
 
 private:
   std::string Text;
--- a/Libraries/LibTypes/units.h
+++ b/Libraries/LibTypes/units.h
@@ -24,7 +24,8 @@
     Count += Other.Count;
     return *this;
   }
-  auto operator<=>(const strong_quantity &) const = default;
+  auto operator<=>(const strong_quantity &) const =
+      default; // NOLINT(readability-identifier-naming)
 
 private:
   std::int64_t Count = 0;
--- /dev/null
+++ b/Tests/LibScenario/background_load.cpp
@@ -0,0 +1,72 @@
+#include "LibScenario/background_load.h"
+
+namespace azurehaven {
+
+namespace {
+
+/// What the entry processes of a scenario are told to hand out.
+constexpr milliseconds DiscoveryKeep{1000};
+constexpr milliseconds RetryDelay{50};
+
+} // namespace
+
+background_load::background_load(http_transport &Transport,
+                                 std::vector<network_address> FirstEntries)
+    : Transport(Transport), FirstEntries(std::move(FirstEntries)) {}
+
+background_load::~background_load() { (void)stop(); }
+
+void background_load::start(std::size_t CallerCount, const std::string &Class) {
+  IsStopping = false;
+  for (std::size_t Number = 0; Number < CallerCount; ++Number)
+    Callers.emplace_back([this, Number, Class] { callerLoop(Number, Class); });
+}
+
+std::vector<caller_answer> background_load::stop() {
+  IsStopping = true;
+  for (auto &Caller : Callers)
+    Caller.join();
+  Callers.clear();
+  std::lock_guard Lock(Mutex);
+  return Answers;
+}
+
+void background_load::callerLoop(std::size_t Number, std::string Class) {
+  caller_client Client(Transport);
+  std::vector<known_entry> Known;
+  steady_time KnownSince{};
+  for (std::size_t Turn = 0; !IsStopping; ++Turn) {
+    const auto Now = std::chrono::steady_clock::now();
+    if (Known.empty() || Now - KnownSince > DiscoveryKeep) {
+      auto Found =
+          Client.discover(FirstEntries[(Number + Turn) % FirstEntries.size()]);
+      if (isError(Found) || valueOf(Found).empty()) {
+        std::this_thread::sleep_for(RetryDelay);
+        continue;
+      }
+      Known = valueOf(Found);
+      KnownSince = Now;
+    }
+    caller_question Question;
+    Question.Key = "pindos-key";
+    Question.Class = Class;
+    Question.RequestId =
+        "load-" + std::to_string(Number) + "-" + std::to_string(Turn);
+    Question.Text = "question " + Question.RequestId;
+    caller_answer Answer =
+        Client.ask(Known[Number % Known.size()].Address, Question);
+    Answer.RequestId = Question.RequestId;
+    const bool IsRefused = !Answer.IsWhole;
+    {
+      std::lock_guard Lock(Mutex);
+      Answers.push_back(std::move(Answer));
+    }
+    ++Count;
+    if (IsRefused) {
+      Known.clear();
+      std::this_thread::sleep_for(RetryDelay);
+    }
+  }
+}
+
+} // namespace azurehaven
--- /dev/null
+++ b/Tests/LibScenario/background_load.h
@@ -0,0 +1,37 @@
+#pragma once
+
+#include "LibClient/caller_client.h"
+
+#include <atomic>
+#include <mutex>
+#include <thread>
+#include <vector>
+
+namespace azurehaven {
+
+/// Callers that ask without pause, each finding its entry VM by discovery and
+/// keeping the answer as long as it may.
+class background_load {
+public:
+  background_load(http_transport &Transport,
+                  std::vector<network_address> FirstEntries);
+  ~background_load();
+
+  void start(std::size_t Callers, const std::string &Class);
+  /// Ends the callers; returns every answer.
+  std::vector<caller_answer> stop();
+  std::size_t answerCount() const { return Count; }
+
+private:
+  void callerLoop(std::size_t Number, std::string Class);
+
+  http_transport &Transport;
+  const std::vector<network_address> FirstEntries;
+  std::atomic<bool> IsStopping = false;
+  std::atomic<std::size_t> Count = 0;
+  std::mutex Mutex;
+  std::vector<caller_answer> Answers;
+  std::vector<std::thread> Callers;
+};
+
+} // namespace azurehaven
--- /dev/null
+++ b/Tests/LibScenario/scenario_world.h
@@ -0,0 +1,73 @@
+#pragma once
+
+#include "LibHttp/pooled_http_transport.h"
+#include "LibScenario/process_group.h"
+
+#include <nlohmann/json.hpp>
+
+namespace azurehaven {
+
+struct scenario_programs {
+  std::string Product;
+  std::string StandIn;
+};
+
+/// The processes and addresses of one scenario: the stand-ins of the platform,
+/// ten engines and services, five entry VMs in four failure domains, and links
+/// between them that can be cut.
+class scenario_world {
+public:
+  /// Net is the third number of the loopback addresses, 1 to 250.
+  scenario_world(scenario_programs Programs, int Net, std::string LogFolder);
+
+  status startPlatform();
+  status startEntry(const std::string &Name);
+  bool isEntry(const std::string &Name) const;
+  std::vector<std::string> entryNames() const;
+  std::vector<std::string> serviceNames() const;
+  std::vector<std::string> engineNames() const;
+  process_group &processes() { return Processes; }
+
+  network_address callers(const std::string &Entry) const;
+  network_address operators(const std::string &Entry) const;
+  /// Sets a fault switch of a stand-in.
+  status setSwitch(const std::string &Name, const std::string &Switch,
+                   const nlohmann::json &Value);
+  status setLink(const std::string &From, const std::string &To, bool IsCut);
+  /// State: live, leaving or gone.
+  status setListed(const std::string &Name, const std::string &State);
+  result<nlohmann::json> stats(const std::string &Name);
+  result<nlohmann::json> operatorGet(const std::string &Entry,
+                                     const std::string &Path);
+  http_transport &transport() { return Transport; }
+
+private:
+  struct node {
+    int Number;
+    std::string Domain;
+    std::string Versions;
+  };
+
+  network_address at(int Number, std::uint16_t Port) const;
+  network_address linkAddress(const std::string &From,
+                              const std::string &To) const;
+  network_address controlOf(const std::string &Name) const;
+  status post(const network_address &Address, const std::string &Path,
+              const nlohmann::json &Body, const std::string &Method = "POST");
+  status makeLink(const std::string &From, const std::string &To,
+                  const network_address &Target);
+  nlohmann::json vmLines() const;
+  status awaitListening(const network_address &Address);
+
+  const scenario_programs Programs;
+  const int Net;
+  const std::string LogFolder;
+  pooled_http_transport Transport;
+  std::map<std::string, node> Entries;
+  std::map<std::string, node> Engines;
+  std::map<std::string, node> Services;
+  std::map<std::string, std::string> ListedStates;
+  process_group Processes;
+};
+
+} // namespace azurehaven
--- a/Tests/LibStandIn/engine_stand_in.cpp
+++ b/Tests/LibStandIn/engine_stand_in.cpp
@@ -35,6 +35,7 @@
   unsigned Running = 0;
   unsigned Waiting = 0;
   std::uint64_t Boot = 1;
+  std::uint64_t Breakdowns = 0;
   std::uint64_t Fence = 0;
   std::uint64_t Requests = 0;
   std::map<std::string, std::uint64_t> RequestsByVersion;
@@ -183,7 +184,7 @@
     std::lock_guard Lock(State->Mutex);
     return respond(200, {{"requests", State->Requests},
                          {"by_version", State->RequestsByVersion},
-                         {"boot", State->Boot}});
+                         {"breakdowns", State->Breakdowns}});
   }
   return respond(State->Switches.set(Request.Body) ? 200 : 400, json::object());
 }
@@ -222,15 +223,6 @@
   if (!Body.is_object() || !Body.contains("messages"))
     return respond(400, json::object());
   const std::string Version = Body.value("model", std::string());
-  const std::string CrashOn = State->Switches.text("crash_on");
-  if (!CrashOn.empty() && Request.Body.find(CrashOn) != std::string::npos) {
-    {
-      std::lock_guard Lock(State->Mutex);
-      ++State->Boot;
-    }
-    if (OnCrash)
-      OnCrash(milliseconds(State->Switches.number("down_ms", 1000)));
-  }
   {
     std::lock_guard Lock(State->Mutex);
     if (!State->Versions.contains(Version))
@@ -244,12 +236,22 @@
   auto Answer = std::make_unique<engine_body>(
       State, Settings, headerValue(Request.Headers, "X-Request-Id"), Version,
       Body);
-  if (!CrashOn.empty() && Request.Body.find(CrashOn) != std::string::npos) {
+  const std::string CrashOn = State->Switches.text("crash_on");
+  if (!CrashOn.empty() && Request.Body.find(CrashOn) != std::string::npos)
+    breakDown();
+  Response.Source = std::move(Answer);
+  return Response;
+}
+
+/// Cuts every running answer, this one included, and closes the listener.
+void engine_stand_in::breakDown() {
+  {
     std::lock_guard Lock(State->Mutex);
     ++State->Boot;
+    ++State->Breakdowns;
   }
-  Response.Source = std::move(Answer);
-  return Response;
+  if (OnCrash)
+    OnCrash(milliseconds(State->Switches.number("down_ms", 1000)));
 }
 
 served_response engine_stand_in::order(const served_request &Request) {
