--- /dev/null
+++ b/Libraries/LibBench/workload.cpp
@@ -0,0 +1,139 @@
+#include "LibBench/workload.h"
+
+namespace azurehaven::bench {
+
+namespace {
+
+struct model_spec {
+  const char *Model;
+  std::int64_t PromptPrice;
+  std::int64_t CompletionPrice;
+  unsigned Engines;
+  double FirstTokenMs;
+  double TokenMs;
+  /// Mean quality in the workload's classes, in their order.
+  std::vector<double> Quality;
+};
+
+struct class_spec {
+  const char *Id;
+  double QualityTarget;
+  int FirstTokenMs;
+  double RequestsPerSecond;
+  double CompletionTokens;
+  int Priority;
+};
+
+struct weights {
+  double Latency;
+  double Exposure;
+};
+
+constexpr double EasyShare = 0.6;
+constexpr double EasyQuality = 0.985;
+constexpr unsigned SlotsPerEngine = 8;
+constexpr milliseconds RequestDeadline{60000};
+
+version_truth truthOf(double Mean) {
+  version_truth Truth;
+  Truth.EasyQuality = std::max(EasyQuality, Mean);
+  Truth.HardQuality = (Mean - EasyShare * Truth.EasyQuality) / (1 - EasyShare);
+  return Truth;
+}
+
+void addClass(workload &Load, const class_spec &Spec, const weights &Weights) {
+  work_class Class;
+  Class.Id = class_id(Spec.Id);
+  Class.QualityTarget = Spec.QualityTarget;
+  Class.FirstTokenTarget = milliseconds(Spec.FirstTokenMs);
+  Class.Deadline = RequestDeadline;
+  Class.LatencyWeight = Weights.Latency;
+  Class.ExposureWeight = Weights.Exposure;
+  Class.Priority = Spec.Priority;
+  Load.Configuration.Classes.emplace(Class.Id, Class);
+  class_load Arrivals;
+  Arrivals.Class = Class.Id;
+  Arrivals.RequestsPerSecond = Spec.RequestsPerSecond;
+  Arrivals.CompletionTokens = Spec.CompletionTokens;
+  Arrivals.EasyShare = EasyShare;
+  Load.Classes.push_back(Arrivals);
+}
+
+/// Two versions of each model are loaded everywhere; the second one takes part
+/// only in the cases that roll it out.
+void addModel(workload &Load, const model_spec &Spec) {
+  const std::string Model = Spec.Model;
+  for (const char *Suffix : {"@1", "@2"}) {
+    model_version Version;
+    Version.Id = version_id(Model + Suffix);
+    Version.Model = model_id(Model);
+    Version.PromptPrice = micro_euros(Spec.PromptPrice);
+    Version.CompletionPrice = micro_euros(Spec.CompletionPrice);
+    Version.State = std::string(Suffix) == "@1" ? version_state::Active
+                                                : version_state::Withdrawn;
+    Load.Configuration.Versions.emplace(Version.Id, Version);
+    for (std::size_t Index = 0; Index < Load.Classes.size(); ++Index)
+      Load.Truths[{Version.Id, Load.Classes[Index].Class}] =
+          truthOf(Spec.Quality[Index]);
+  }
+  for (unsigned Index = 0; Index < Spec.Engines; ++Index) {
+    engine_truth Engine;
+    Engine.Id = endpoint_id(Model + "-" + std::to_string(Index));
+    Engine.Version = version_id(Model + "@1");
+    Engine.MoreVersions = {version_id(Model + "@2")};
+    Engine.Slots = SlotsPerEngine;
+    Engine.FirstTokenMs = Spec.FirstTokenMs;
+    Engine.TokenMs = Spec.TokenMs;
+    Load.Engines.push_back(Engine);
+  }
+}
+
+/// Ten accounts of equal shares, three of them with most of the requests.
+void addAccounts(workload &Load) {
+  for (int Index = 0; Index < 10; ++Index) {
+    client_account Account;
+    Account.Id = client_account_id("account-" + std::to_string(Index));
+    for (const auto &[Id, Version] : Load.Configuration.Versions)
+      Account.AllowedModels.insert(Version.Model);
+    Load.Configuration.Accounts.emplace(Account.Id, Account);
+    Load.Accounts.push_back({Account.Id, Index < 3 ? 2.0 : 4.0 / 7});
+  }
+}
+
+workload makeWorkload(const char *Name, const weights &Weights,
+                      const std::vector<class_spec> &Classes,
+                      const std::vector<model_spec> &Models) {
+  workload Load;
+  Load.Name = Name;
+  Load.Configuration.Version = 1;
+  for (const auto &Spec : Classes)
+    addClass(Load, Spec, Weights);
+  for (const auto &Spec : Models)
+    addModel(Load, Spec);
+  addAccounts(Load);
+  return Load;
+}
+
+} // namespace
+
+workload kairnsWorkload() {
+  return makeWorkload("kairns", {4, 1},
+                      {{"survey", 0.90, 3000, 0.8, 300, 4},
+                       {"manual", 0.85, 2000, 1.5, 200, 5},
+                       {"ridge-question", 0.80, 500, 6, 40, 8}},
+                      {{"scree", 20, 60, 3, 60, 8, {0.70, 0.78, 0.88}},
+                       {"ridge", 80, 240, 3, 120, 15, {0.83, 0.91, 0.95}},
+                       {"summit", 400, 1200, 4, 250, 25, {0.95, 0.96, 0.97}}});
+}
+
+workload cwtchWorkload() {
+  return makeWorkload("cwtch", {1, 3},
+                      {{"season-plan", 0.92, 5000, 0.5, 500, 4},
+                       {"explanation", 0.86, 2000, 2, 120, 6},
+                       {"stall-check", 0.80, 800, 5, 30, 7}},
+                      {{"hut", 15, 45, 4, 60, 8, {0.66, 0.79, 0.87}},
+                       {"stall", 70, 210, 4, 120, 15, {0.82, 0.91, 0.95}},
+                       {"market", 350, 1050, 4, 250, 25, {0.96, 0.97, 0.98}}});
+}
+
+} // namespace azurehaven::bench
--- a/Libraries/LibEntry/chat_run.cpp
+++ b/Libraries/LibEntry/chat_run.cpp
@@ -295,13 +295,13 @@
   if (Failure.Fault == engine_fault::Leaving)
     Services.Router.endpointLeaving(Attempt->Endpoint.Id);
   if (Failure.Fault == engine_fault::Broken)
-    detectCrash(Failure);
+    detectCrash();
   endAttempt(outcomeOf(Failure), nullptr, 0);
 }
 
 /// A broken answer whose endpoint has gone or restarted speaks against the
 /// request; one whose endpoint lives on does not.
-void chat_run::detectCrash(const engine_failure &) {
+void chat_run::detectCrash() {
   const std::string BootId = Services.Router.bootIdOf(Attempt->Endpoint.Id);
   auto Report = fetchEndpointReport(Services.Transport,
                                     Attempt->Endpoint.Address, ProbeTimeout);
@@ -312,9 +312,8 @@
                      {{"request", Request.Id.text()},
                       {"endpoint", Attempt->Endpoint.Id.text()}});
   Services.Metrics.count("azurehaven_endpoint_crashes_total");
-  Services.Router.endpointReportMissing(Attempt->Endpoint.Id,
-                                        Services.Clock.now());
-  Services.Router.addCrash({Request.CrashFingerprint, Attempt->Endpoint.Id});
+  Services.Router.addCrash({Request.CrashFingerprint, Attempt->Endpoint.Id},
+                           Services.Clock.now());
   Services.SpreadNews();
 }
 
--- a/Libraries/LibEntry/chat_run.h
+++ b/Libraries/LibEntry/chat_run.h
@@ -60,7 +60,7 @@
   void endAttempt(attempt_outcome Outcome, const engine_finish *Finish,
                   double Confidence);
   void attemptFailed(const engine_failure &Failure);
-  void detectCrash(const engine_failure &Failure);
+  void detectCrash();
   engine_event resume(const engine_failure &Failure);
   chat_event finish(const engine_finish &Finish);
   void addCost(const engine_finish &Finish);
--- a/Libraries/LibEntry/heartbeat_service.cpp
+++ b/Libraries/LibEntry/heartbeat_service.cpp
@@ -83,8 +83,9 @@
     Services.Members.merge(Notice);
   for (const auto &Notice : Message.Ratings)
     Services.Router.mergeRating(Notice);
+  const steady_time Now = Services.Clock.now();
   for (const auto &Notice : Message.Crashes)
-    Services.Router.addCrash(Notice);
+    Services.Router.addCrash(Notice, Now);
 }
 
 void heartbeat_service::handle(const peer_frame &Frame,
--- a/Libraries/LibRouting/crash_registry.cpp
+++ b/Libraries/LibRouting/crash_registry.cpp
@@ -2,6 +2,8 @@
 
 #include "LibTypes/fingerprint.h"
 
+#include <algorithm>
+
 namespace azurehaven {
 
 namespace {
@@ -45,6 +47,13 @@
   return Notices.take(FreshNoticesPerFrame, RepeatedNoticesPerFrame);
 }
 
+std::size_t crash_registry::refusedCount() const {
+  return static_cast<std::size_t>(std::count_if(
+      Breakdowns.begin(), Breakdowns.end(), [](const auto &Entry) {
+        return Entry.second.size() >= EndpointsToRefuse;
+      }));
+}
+
 std::uint64_t crashFingerprint(const client_account_id &Account,
                                const std::string &Body) {
   return fingerprintOf(Body, fingerprintOf(Account.text()));
--- a/Libraries/LibRouting/crash_registry.h
+++ b/Libraries/LibRouting/crash_registry.h
@@ -28,6 +28,8 @@
   bool add(const crash_notice &Notice);
   crash_standing standingOf(std::uint64_t Fingerprint) const;
   std::vector<crash_notice> takeNotices();
+  /// How many fingerprints are refused.
+  std::size_t refusedCount() const;
 
 private:
   using notice_key = std::pair<std::uint64_t, endpoint_id>;
--- a/Libraries/LibRouting/endpoint_table.cpp
+++ b/Libraries/LibRouting/endpoint_table.cpp
@@ -71,6 +71,14 @@
   considerEjection(Found->second, Now);
 }
 
+void endpoint_table::markBroken(const endpoint_id &Id, steady_time Now) {
+  auto Found = Endpoints.find(Id);
+  if (Found == Endpoints.end())
+    return;
+  Found->second.HasReport = false;
+  Found->second.ReportedAt = std::max(Found->second.ReportedAt, Now);
+}
+
 void endpoint_table::markLeaving(const endpoint_id &Id) {
   auto Found = Endpoints.find(Id);
   if (Found != Endpoints.end())
@@ -229,8 +237,7 @@
   considerEjection(Endpoint, Now);
 }
 
-bool endpoint_table::areKin(const endpoint &Left,
-                            const endpoint &Right) const {
+bool endpoint_table::areKin(const endpoint &Left, const endpoint &Right) const {
   if (Left.Listed.Kind != Right.Listed.Kind)
     return false;
   if (Left.Listed.Kind == vm_kind::Service)
--- a/Libraries/LibRouting/endpoint_table.h
+++ b/Libraries/LibRouting/endpoint_table.h
@@ -51,6 +51,9 @@
               steady_time AskedAt);
   /// The endpoint did not answer a question for its report.
   void reportMissing(const endpoint_id &Id, steady_time Now);
+  /// The endpoint broke down: it gets no work until it has answered a question
+  /// that is asked after Now.
+  void markBroken(const endpoint_id &Id, steady_time Now);
   /// A leaving endpoint gets no new work from now on.
   void markLeaving(const endpoint_id &Id);
 
--- a/Libraries/LibRouting/router.cpp
+++ b/Libraries/LibRouting/router.cpp
@@ -184,9 +184,12 @@
   return Retries.tryTake(Account);
 }
 
-void router::addCrash(const crash_notice &Notice) {
+void router::addCrash(const crash_notice &Notice, steady_time Now) {
   std::lock_guard Lock(Mutex);
-  Crashes.add(Notice);
+  // A request sent to an endpoint that is already going down would be blamed
+  // for the breakdown too.
+  if (Crashes.add(Notice))
+    Endpoints.markBroken(Notice.Endpoint, Now);
 }
 
 crash_standing router::crashStandingOf(std::uint64_t Fingerprint) {
@@ -194,6 +197,11 @@
   return Crashes.standingOf(Fingerprint);
 }
 
+std::size_t router::refusedFingerprintCount() {
+  std::lock_guard Lock(Mutex);
+  return Crashes.refusedCount();
+}
+
 void router::addRating(const version_class &Subject, double Confidence,
                        double Score) {
   std::lock_guard Lock(Mutex);
--- a/Libraries/LibRouting/router.h
+++ b/Libraries/LibRouting/router.h
@@ -90,9 +90,10 @@
   void countRequest(const client_account_id &Account);
   bool tryTakeRetry(const client_account_id &Account);
 
-  /// The endpoint broke down while it ran the attempt.
-  void addCrash(const crash_notice &Notice);
+  /// An endpoint broke down while it ran a request, here or at a peer.
+  void addCrash(const crash_notice &Notice, steady_time Now);
   crash_standing crashStandingOf(std::uint64_t Fingerprint);
+  std::size_t refusedFingerprintCount();
 
   void addRating(const version_class &Subject, double Confidence, double Score);
   void mergeRating(const rating_notice &Notice);
--- /dev/null
+++ b/Services/azurehaven-bench/main.cpp
@@ -0,0 +1,121 @@
+#include "LibBench/policy_bench.h"
+#include "LibClient/command_line.h"
+
+#include <cstdio>
+#include <iostream>
+
+using namespace azurehaven;
+using namespace azurehaven::bench;
+
+namespace {
+
+constexpr const char *Usage = R"(Measures the routing policy in virtual time.
+
+Usage:
+  azurehaven-bench policy [options]
+  azurehaven-bench (-h | --help)
+
+Options:
+  --workload=NAME  kairns or cwtch [default: kairns]
+  --policy=NAME    azurehaven, round-robin, least-loaded, largest,
+                   static-cascade, oracle, or all [default: all]
+  --case=NAME      steady, flash, loss, slightly-bad, very-bad, half-roll-out,
+                   flood, crash-causing, late-reports, or all [default: steady]
+  --seed=N         First seed [default: 1]
+  --seeds=N        How many seeds, one after the other [default: 1]
+  --vms=N          Entry VMs [default: 5]
+  --unpooled       VMs keep their ratings to themselves
+  --json           One JSON object a line
+)";
+
+const std::vector<std::string> AllPolicies = {"azurehaven",     "round-robin",
+                                              "least-loaded",   "largest",
+                                              "static-cascade", "oracle"};
+
+void printHeader() {
+  std::printf("%-14s %-14s %4s %8s %7s %7s %6s %6s %6s %7s %s\n", "case",
+              "policy", "seed", "cost", "p95 ms", "refused", "bad", "false",
+              "broken", "others", "quality by class (* below target)");
+}
+
+void printRow(bench_case Case, const std::string &Policy, std::uint64_t Seed,
+              const bench_outcome &Outcome) {
+  std::printf("%-14s %-14s %4llu %8.1f %7.0f %7zu %6zu %6zu %6zu %7.3f ",
+              nameOf(Case), Policy.c_str(),
+              static_cast<unsigned long long>(Seed), Outcome.CostPerRequest,
+              Outcome.FirstTokenP95, Outcome.Refused, Outcome.BadServed,
+              Outcome.FalseAlarms, Outcome.Breakdowns, Outcome.OthersOnTime);
+  for (const auto &Class : Outcome.Classes)
+    std::printf("%s %.3f%s  ", Class.Class.text().c_str(), Class.Quality,
+                Class.Quality < Class.QualityTarget ? "*" : "");
+  std::printf("\n");
+}
+
+} // namespace
+
+int main(int Count, char **Values) {
+  command_line Line;
+  const std::string Command = Count > 1 ? Values[1] : "";
+  const std::vector<std::string> Arguments(Values + std::min(Count, 2),
+                                           Values + Count);
+  if (auto Status = Line.parse(Usage, Command, Arguments))
+    return *Status;
+  const std::string Workload = *Line.text("--workload");
+  if (Workload != "kairns" && Workload != "cwtch") {
+    std::cerr << "--workload: \"" << Workload
+              << "\"; accepted: kairns, cwtch\n";
+    return ExitUsage;
+  }
+  std::vector<bench_case> Cases = allBenchCases();
+  if (*Line.text("--case") != "all") {
+    auto Case = parseBenchCase(*Line.text("--case"));
+    if (isError(Case)) {
+      std::cerr << errorOf(Case).Message << "\n";
+      return ExitUsage;
+    }
+    Cases = {valueOf(Case)};
+  }
+  std::vector<std::string> Policies = AllPolicies;
+  if (const std::string Wanted = *Line.text("--policy"); Wanted != "all") {
+    if (Wanted != "azurehaven" && !makeBaseline(Wanted)) {
+      std::cerr << "--policy: \"" << Wanted << "\"; see --help\n";
+      return ExitUsage;
+    }
+    Policies = {Wanted};
+  }
+  auto Seed = Line.integer("--seed", 0, 1000000);
+  auto Seeds = Line.integer("--seeds", 1, 1000);
+  auto Vms = Line.integer("--vms", 1, 1000);
+  for (const auto *Number : {&Seed, &Seeds, &Vms})
+    if (isError(*Number)) {
+      std::cerr << errorOf(*Number).Message << "\n";
+      return ExitUsage;
+    }
+  const bool AsJson = Line.flag("--json");
+  if (!AsJson)
+    printHeader();
+  for (bench_case Case : Cases)
+    for (const auto &Policy : Policies)
+      for (std::int64_t Turn = 0; Turn < valueOf(Seeds); ++Turn) {
+        bench_settings Settings;
+        Settings.Case = Case;
+        Settings.Policy = Policy;
+        Settings.Seed = static_cast<std::uint64_t>(valueOf(Seed) + Turn);
+        Settings.VmCount = static_cast<std::size_t>(valueOf(Vms));
+        Settings.ArePooled = !Line.flag("--unpooled");
+        const bench_outcome Outcome = runPolicyBench(
+            Workload == "kairns" ? kairnsWorkload() : cwtchWorkload(),
+            Settings);
+        if (!AsJson) {
+          printRow(Case, Policy, Settings.Seed, Outcome);
+          continue;
+        }
+        auto Document = encodeOutcome(Outcome);
+        Document["case"] = nameOf(Case);
+        Document["policy"] = Policy;
+        Document["seed"] = Settings.Seed;
+        Document["workload"] = Workload;
+        std::cout << Document.dump() << "\n";
+      }
+  return ExitSuccess;
+}
--- a/Tests/LibScenario/scenario_parser.cpp
+++ b/Tests/LibScenario/scenario_parser.cpp
@@ -84,13 +84,13 @@
 };
 
 const std::map<std::string, verb_rule> VerbRules = {
-    {"start", {1, 5}},     {"kill", {1, 5}},   {"freeze", {1, 5}},
-    {"resume", {1, 5}},    {"stop", {1, 5}},   {"await-exit", {1, 5}},
-    {"cut", {2, 2}},       {"heal", {2, 2}},   {"set", {1, 1}},
-    {"list", {2, 2}},      {"change", {2, 3}}, {"ask", {1, 1}},
-    {"book", {1, 1}},      {"join", {1, 9}},   {"expect", {1, 4}},
-    {"load", {1, 1}},      {"mark", {1, 1}},   
-    {"faults", {1, 1}},    {"rate", {2, 2}}};
+    {"start", {1, 5}},  {"kill", {1, 5}},   {"freeze", {1, 5}},
+    {"resume", {1, 5}}, {"stop", {1, 5}},   {"await-exit", {1, 5}},
+    {"cut", {2, 2}},    {"heal", {2, 2}},   {"set", {1, 1}},
+    {"list", {2, 2}},   {"change", {2, 3}}, {"ask", {1, 1}},
+    {"book", {1, 1}},   {"join", {1, 9}},   {"expect", {1, 4}},
+    {"load", {1, 1}},   {"mark", {1, 1}},   {"faults", {1, 1}},
+    {"rate", {2, 2}}};
 
 error errorAt(const std::string &File, std::size_t Line,
               const std::string &Expected) {
--- a/Tests/LibScenario/scenario_runner.cpp
+++ b/Tests/LibScenario/scenario_runner.cpp
@@ -43,8 +43,10 @@
 /// Three models, two classes, two accounts and a booking service.
 json firstTargets() {
   return json::array(
-      {version("scree@1", 20, 60), version("ridge@1", 80, 240),
-       version("summit@1", 400, 1200), workClass("survey", 0.95, 5000, 60000),
+      {version("scree@1", 20, 60),
+       version("ridge@1", 80, 240),
+       version("summit@1", 400, 1200),
+       workClass("survey", 0.95, 5000, 60000),
        workClass("lookup", 0.5, 5000, 60000),
        {{"kind", "put_account"},
         {"body",
@@ -53,16 +55,13 @@
           {"models", {"scree", "ridge", "summit"}}}}},
        {{"kind", "put_account"},
         {"body",
-         {{"id", "taygetos"},
-          {"key", "taygetos-key"},
-          {"models", {"ridge"}}}}},
+         {{"id", "taygetos"}, {"key", "taygetos-key"}, {"models", {"ridge"}}}}},
        {{"kind", "put_service"},
         {"body",
          {{"id", "booking"}, {"idempotent", false}, {"call_price", 500}}}},
        {{"kind", "rotate_session_key"},
         {"body",
-         {{"id", "first"},
-          {"secret", "0123456789abcdef0123456789abcdef"}}}}});
+         {{"id", "first"}, {"secret", "0123456789abcdef0123456789abcdef"}}}}});
 }
 
 std::string describe(const caller_answer &Answer) {
@@ -205,8 +204,7 @@
     json Parsed = json::parse(Value, nullptr, false);
     if (Parsed.is_discarded())
       Parsed = Value;
-    const auto Targets = Statement.Words[0] == "engines"
-                             ? World.engineNames()
+    const auto Targets = Statement.Words[0] == "engines" ? World.engineNames()
                          : Statement.Words[0] == "services"
                              ? World.serviceNames()
                              : std::vector<std::string>{Statement.Words[0]};
@@ -250,13 +248,13 @@
 
 status scenario_runner::change(const statement &Statement) {
   const std::string Entry = Statement.option("at", "entry-1");
-  auto Sent = World.transport().send(
-      World.operators(Entry),
-      {"POST",
-       "/v1/changes",
-       {{"Content-Type", "application/json"}},
-       changeBody(Statement).dump()},
-      {milliseconds(1000), milliseconds(30000)}, connection_use::Fresh);
+  auto Sent = World.transport().send(World.operators(Entry),
+                                     {"POST",
+                                      "/v1/changes",
+                                      {{"Content-Type", "application/json"}},
+                                      changeBody(Statement).dump()},
+                                     {milliseconds(1000), milliseconds(30000)},
+                                     connection_use::Fresh);
   change_result Result;
   if (auto *Response = std::get_if<http_response>(&Sent)) {
     Result.Status = Response->Status;
@@ -284,8 +282,7 @@
   Question.IsStreamed = Statement.option("stream", "yes") == "yes";
   Question.WantsSession = Statement.option("new-session") == "yes";
   if (Statement.Options.contains("session"))
-    Question.SessionToken =
-        Answers[Statement.option("session")].SessionToken;
+    Question.SessionToken = Answers[Statement.option("session")].SessionToken;
   const auto Address = World.callers(Statement.option("at", "entry-1"));
   launch(Statement, [this, Question, Address] {
     return caller_client(World.transport()).ask(Address, Question);
@@ -406,7 +403,8 @@
       {"reaches", &scenario_runner::expectReaches},
       {"engine", &scenario_runner::expectEngine},
       {"leaving", &scenario_runner::expectLeaving},
-      {"breakdowns", &scenario_runner::expectBreakdowns}};
+      {"breakdowns", &scenario_runner::expectBreakdowns},
+      {"crash-causing", &scenario_runner::expectCrashCausing}};
   auto Found = Expectations.find(Statement.Words[0]);
   if (Found == Expectations.end())
     return failure("unknown expectation " + Statement.Words[0]);
@@ -449,10 +447,9 @@
 status scenario_runner::expectChange(const statement &Statement) {
   const change_result &Result = Changes[Statement.Words[1]];
   const std::string &Wanted = Statement.Words[2];
-  const std::string Standing =
-      Result.Status == 200   ? "accepted"
-      : Result.Status == 202 ? "written"
-                             : "refused";
+  const std::string Standing = Result.Status == 200   ? "accepted"
+                               : Result.Status == 202 ? "written"
+                                                      : "refused";
   const json Error = Result.Body.is_object()
                          ? Result.Body.value("error", json::object())
                          : json::object();
@@ -574,7 +571,8 @@
   return eventually([&]() -> status {
     TRY(json Configuration,
         World.operatorGet(Statement.Words[1], "/v1/config"));
-    if (Wanted > 0 && Configuration.value("version", std::uint64_t(0)) >= Wanted)
+    if (Wanted > 0 &&
+        Configuration.value("version", std::uint64_t(0)) >= Wanted)
       return success{};
     return failure("seen: version " + Configuration["version"].dump());
   });
@@ -609,6 +607,17 @@
   });
 }
 
+/// expect crash-causing ENTRY count=N
+status scenario_runner::expectCrashCausing(const statement &Statement) {
+  return eventually([&]() -> status {
+    TRY(json Status, World.operatorGet(Statement.Words[1], "/v1/status"));
+    if (Status.value("crash_causing", std::size_t(0)) ==
+        std::stoul(Statement.option("count")))
+      return success{};
+    return failure("seen: " + Status["crash_causing"].dump());
+  });
+}
+
 /// expect breakdowns count=N, over all engines
 status scenario_runner::expectBreakdowns(const statement &Statement) {
   std::uint64_t Total = 0;
@@ -645,9 +654,8 @@
       break;
     case 1:
       TRY_STATUS(World.processes().signal(Entry, SIGSTOP));
-      Mends.push_back([this, Entry] {
-        return World.processes().signal(Entry, SIGCONT);
-      });
+      Mends.push_back(
+          [this, Entry] { return World.processes().signal(Entry, SIGCONT); });
       break;
     case 2:
       TRY_STATUS(World.setLink(Entry, "store", true));
@@ -658,9 +666,8 @@
       if (Entry == Other)
         break;
       TRY_STATUS(World.setLink(Entry, Other, true));
-      Mends.push_back([this, Entry, Other] {
-        return World.setLink(Entry, Other, false);
-      });
+      Mends.push_back(
+          [this, Entry, Other] { return World.setLink(Entry, Other, false); });
       break;
     case 4:
       TRY_STATUS(World.setSwitch("store", "down", 1));
--- a/Tests/LibScenario/scenario_runner.h
+++ b/Tests/LibScenario/scenario_runner.h
@@ -54,6 +54,7 @@
   status expectReaches(const statement &Statement);
   status expectEngine(const statement &Statement);
   status expectLeaving(const statement &Statement);
+  status expectCrashCausing(const statement &Statement);
   status expectBreakdowns(const statement &Statement);
 
   status startEverything();
--- a/Tests/LibScenario/scenario_world.cpp
+++ b/Tests/LibScenario/scenario_world.cpp
@@ -199,14 +199,13 @@
     return "--control=" + Address.text();
   };
   const std::string &Program = Programs.StandIn;
-  TRY_STATUS(
-      Processes.start("store", {Program, "store", Listen(at(2, 9000))}));
-  TRY_STATUS(Processes.start("vms", {Program, "vms", Listen(at(3, 9001)),
-                                     "--file=" + ListFile}));
+  TRY_STATUS(Processes.start("store", {Program, "store", Listen(at(2, 9000))}));
+  TRY_STATUS(Processes.start(
+      "vms", {Program, "vms", Listen(at(3, 9001)), "--file=" + ListFile}));
   TRY_STATUS(
       Processes.start("rating", {Program, "rating", Listen(at(4, 9002))}));
-  TRY_STATUS(Processes.start(
-      "links", {Program, "links", Control(at(6, ControlPort))}));
+  TRY_STATUS(Processes.start("links",
+                             {Program, "links", Control(at(6, ControlPort))}));
   for (const auto &[Name, Node] : Engines)
     TRY_STATUS(Processes.start(
         Name, {Program, "engine", Listen(at(Node.Number, EndpointPort)),
@@ -217,8 +216,8 @@
     TRY_STATUS(Processes.start(
         Name, {Program, "service", Listen(at(Node.Number, EndpointPort)),
                Control(at(Node.Number, ControlPort)), "--name=" + Name}));
-  for (const auto &Address : {at(2, 9000), at(3, 9001), at(4, 9002),
-                              at(6, ControlPort)})
+  for (const auto &Address :
+       {at(2, 9000), at(3, 9001), at(4, 9002), at(6, ControlPort)})
     TRY_STATUS(awaitListening(Address));
   for (const auto &[Name, Node] : Engines)
     TRY_STATUS(awaitListening(at(Node.Number, EndpointPort)));
@@ -234,15 +233,15 @@
 status scenario_world::startEntry(const std::string &Name) {
   const node &Node = Entries.at(Name);
   TRY_STATUS(Processes.start(
-      Name, {Programs.Product, "entry", "--vm=" + Name,
-             "--domain=" + Node.Domain,
-             "--listen=" + at(Node.Number, CallerPort).text(),
-             "--operator-listen=" + at(Node.Number, OperatorPort).text(),
-             "--peer-listen=" + at(Node.Number, PeerPort).text(),
-             "--store=" + linkAddress(Name, "store").text(),
-             "--vm-list=" + at(3, 9001).text(),
-             "--rating-service=" + at(4, 9002).text(),
-             "--discovery-keep-ms=1000", "--store-timeout-ms=500"}));
+      Name,
+      {Programs.Product, "entry", "--vm=" + Name, "--domain=" + Node.Domain,
+       "--listen=" + at(Node.Number, CallerPort).text(),
+       "--operator-listen=" + at(Node.Number, OperatorPort).text(),
+       "--peer-listen=" + at(Node.Number, PeerPort).text(),
+       "--store=" + linkAddress(Name, "store").text(),
+       "--vm-list=" + at(3, 9001).text(),
+       "--rating-service=" + at(4, 9002).text(), "--discovery-keep-ms=1000",
+       "--store-timeout-ms=500"}));
   return awaitListening(operators(Name));
 }
 
