LibRouting: Learn faster, and keep escalated requests' ratings apart

Cause: manual work stayed on the dearest version since cheaper ones were explored at 5% whatever was known, and the drop test alarmed on a reference learned from few ratings and on the harder mix that a cascade's last stage sees. Ruled out: a lower confidence width alone, which raised exposure.

--- a/Libraries/LibBench/policy_bench.cpp
+++ b/Libraries/LibBench/policy_bench.cpp
@@ -60,6 +60,8 @@
   double Luck = 0;
   route_plan Plan;
   std::size_t Stage = 0;
+  answer_role Role = answer_role::Alone;
+  double AskedConfidence = 0;
   std::optional<admission_ticket> Ticket;
   steady_time AdmittedAt;
   std::optional<attempt> Attempt;
@@ -494,8 +496,10 @@
     if (Baseline)
       Accept = Flow.Placed->AcceptConfidence;
     else {
-      finishAttempt(Flow, Version, Confidence);
-      scheduleRating(Flow, Version, Confidence, Goodness);
+      const double Rated =
+          Flow.Role == answer_role::Alone ? Confidence : Flow.AskedConfidence;
+      finishAttempt(Flow, Rated);
+      scheduleRating(Flow, Version, Rated, Goodness);
       leaveStage(Flow);
       Accept = stageOf(Flow).AcceptConfidence;
     }
@@ -504,7 +508,7 @@
     answer(Flow, Version, Goodness, Accept.has_value());
   }
 
-  void finishAttempt(flow &Flow, const version_id &, double Confidence) {
+  void finishAttempt(flow &Flow, double Confidence) {
     attempt_report Report;
     Report.Outcome = attempt_outcome::Answered;
     Report.FirstToken = std::chrono::duration_cast<milliseconds>(
@@ -514,6 +518,7 @@
     Report.CompletionTokens =
         token_count(static_cast<std::int64_t>(Flow.Request.Tokens));
     Report.Confidence = Confidence;
+    Report.Role = Flow.Role;
     routerOf(Flow).finishAttempt(*Flow.Attempt, Flow.Request.Class, Report,
                                  Now);
     Flow.Attempt.reset();
@@ -523,13 +528,16 @@
                       double Confidence, double Goodness) {
     const double Score = uniform() < Goodness ? 1 : 0;
     schedule(Now + RatingLag, [this, Vm = Flow.Request.Vm, Version,
-                               Class = Flow.Request.Class, Confidence, Score] {
-      Routers[Vm]->addRating({Version, Class}, Confidence, Score);
+                               Role = Flow.Role, Class = Flow.Request.Class,
+                               Confidence, Score] {
+      Routers[Vm]->addRating({Version, Class}, Role, Confidence, Score);
     });
   }
 
   void escalate(flow &Flow) {
     if (!Baseline) {
+      Flow.AskedConfidence = *stageOf(Flow).AcceptConfidence;
+      Flow.Role = answer_role::Escalated;
       ++Flow.Stage;
       return enterStage(Flow);
     }
--- a/Libraries/LibEntry/chat_run.cpp
+++ b/Libraries/LibEntry/chat_run.cpp
@@ -72,7 +72,7 @@
 
 chat_run::~chat_run() {
   if (Attempt)
-    endAttempt(attempt_outcome::Cancelled, nullptr, 0);
+    endAttempt(attempt_outcome::Cancelled, nullptr);
   leaveStage();
   if (Record.Outcome.empty())
     Record.Outcome = "the caller left";
@@ -165,17 +165,18 @@
     return std::nullopt;
   }
   Answer.Finish = std::get<engine_finish>(Event);
-  endAttempt(attempt_outcome::Answered, &Answer.Finish,
-             Answer.Finish.Confidence);
+  endAttempt(attempt_outcome::Answered, &Answer.Finish);
   addCost(Answer.Finish);
   offerRating(Answer.Finish, Answer.Text);
   const bool IsAccepted = Answer.Finish.Confidence >= *Stage.AcceptConfidence;
   note(Stage.Version.text() + " answered with confidence " +
        std::to_string(Answer.Finish.Confidence) +
        (IsAccepted ? ", accepted" : ", escalated"));
-  if (!IsAccepted)
-    return std::nullopt;
-  return Answer;
+  if (IsAccepted)
+    return Answer;
+  Role = answer_role::Escalated;
+  AskedConfidence = *Stage.AcceptConfidence;
+  return std::nullopt;
 }
 
 std::optional<refusal> chat_run::runShownStage() {
@@ -267,15 +268,16 @@
   return Services.Router.tryTakeRetry(Request.Account.Id);
 }
 
-void chat_run::endAttempt(attempt_outcome Outcome, const engine_finish *Finish,
-                          double Confidence) {
+void chat_run::endAttempt(attempt_outcome Outcome,
+                          const engine_finish *Finish) {
   attempt_report Report;
   Report.Outcome = Outcome;
   Report.FirstToken = AttemptFirstToken;
   Report.Whole = since(AttemptStartedAt, Services.Clock.now());
   Report.HadBegun = AttemptFirstToken.has_value();
-  Report.Confidence = Confidence;
+  Report.Role = Role;
   if (Finish) {
+    Report.Confidence = ratedConfidence(*Finish);
     Report.PromptTokens = Finish->PromptTokens;
     Report.CompletionTokens = Finish->CompletionTokens;
   }
@@ -296,7 +298,7 @@
     Services.Router.endpointLeaving(Attempt->Endpoint.Id);
   if (Failure.Fault == engine_fault::Broken)
     detectCrash();
-  endAttempt(outcomeOf(Failure), nullptr, 0);
+  endAttempt(outcomeOf(Failure), nullptr);
 }
 
 /// A broken answer whose endpoint has gone or restarted speaks against the
@@ -364,7 +366,7 @@
 
 chat_event chat_run::finish(const engine_finish &Finish) {
   if (Attempt) {
-    endAttempt(attempt_outcome::Answered, &Finish, Finish.Confidence);
+    endAttempt(attempt_outcome::Answered, &Finish);
     addCost(Finish);
     offerRating(Finish, Shown);
   }
@@ -408,7 +410,8 @@
                            const std::string &Text) {
   rating_job Job;
   Job.Subject = {Version, Request.Class.Id};
-  Job.Confidence = Finish.Confidence;
+  Job.Role = Role;
+  Job.Confidence = ratedConfidence(Finish);
   Job.RequestId = Request.Id.text();
   Job.Prompt = Request.Body["messages"].back()["content"].get<std::string>();
   Job.Answer = Text;
--- a/Libraries/LibEntry/chat_run.h
+++ b/Libraries/LibEntry/chat_run.h
@@ -57,8 +57,7 @@
   std::variant<engine_event, engine_failure> openOnce();
   std::optional<refusal> checkStillPermitted() const;
   bool mayRetry(const engine_failure &Failure);
-  void endAttempt(attempt_outcome Outcome, const engine_finish *Finish,
-                  double Confidence);
+  void endAttempt(attempt_outcome Outcome, const engine_finish *Finish);
   void attemptFailed(const engine_failure &Failure);
   void detectCrash();
   engine_event resume(const engine_failure &Failure);
@@ -86,6 +85,12 @@
   std::optional<milliseconds> AttemptFirstToken;
   std::set<endpoint_id> Excluded;
   unsigned AttemptCount = 0;
+  answer_role Role = answer_role::Alone;
+  /// The confidence that the cascade asked of the stage before.
+  double AskedConfidence = 0;
+  double ratedConfidence(const engine_finish &Finish) const {
+    return Role == answer_role::Alone ? Finish.Confidence : AskedConfidence;
+  }
   bool MayHaveRun = false;
   /// Parts of the answer that are here but not yet handed out.
   std::deque<engine_event> Held;
--- a/Libraries/LibEntry/rating_sender.cpp
+++ b/Libraries/LibEntry/rating_sender.cpp
@@ -89,7 +89,7 @@
     Metrics.count("azurehaven_rating_failures_total");
     return;
   }
-  Router.addRating(Job.Subject, Job.Confidence,
+  Router.addRating(Job.Subject, Job.Role, Job.Confidence,
                    Document["score"].get<double>());
   Metrics.count("azurehaven_ratings_total");
 }
--- a/Libraries/LibRouting/rating_counts.h
+++ b/Libraries/LibRouting/rating_counts.h
@@ -37,22 +37,42 @@
 constexpr std::array<double, ConfidenceBucketCount> ConfidenceBucketFloor = {
     0.0, 0.5, 0.7, 0.85};
 
-constexpr std::size_t confidenceBucketOf(double Confidence) {
+/// Which requests a version answers. The last stage of a cascade sees only
+/// those that a cheaper version was unsure of, which are harder than the rest,
+/// so that its ratings are kept apart, by the confidence that the cascade asks.
+enum class answer_role { Alone, Escalated };
+
+constexpr std::size_t RoleCount = 2;
+constexpr std::size_t BucketCount = RoleCount * ConfidenceBucketCount;
+
+using bucket_counts = std::array<rating_counts, BucketCount>;
+
+constexpr std::size_t firstBucketOf(answer_role Role) {
+  return static_cast<std::size_t>(Role) * ConfidenceBucketCount;
+}
+
+/// Buckets whose answers come from the same mix of requests form one stream.
+constexpr std::size_t streamOfBucket(std::size_t Bucket) {
+  return Bucket < ConfidenceBucketCount ? 0 : Bucket;
+}
+
+/// Confidence is the answer's own, or for an escalated request the one that
+/// the cascade asked of the stage before.
+constexpr std::size_t bucketOf(answer_role Role, double Confidence) {
   std::size_t Bucket = 0;
   while (Bucket + 1 < ConfidenceBucketCount &&
          Confidence >= ConfidenceBucketFloor[Bucket + 1])
     ++Bucket;
-  return Bucket;
+  return firstBucketOf(Role) + Bucket;
 }
 
-using bucket_counts = std::array<rating_counts, ConfidenceBucketCount>;
-
-/// Sum over the buckets from First on.
+/// Sum over a role's buckets from the confidence level First on.
 inline rating_counts sumOf(const bucket_counts &Buckets,
+                           answer_role Role = answer_role::Alone,
                            std::size_t First = 0) {
   rating_counts Sum;
-  for (std::size_t Bucket = First; Bucket < Buckets.size(); ++Bucket)
-    Sum += Buckets[Bucket];
+  for (std::size_t Level = First; Level < ConfidenceBucketCount; ++Level)
+    Sum += Buckets[firstBucketOf(Role) + Level];
   return Sum;
 }
 
--- a/Libraries/LibRouting/rating_pool.cpp
+++ b/Libraries/LibRouting/rating_pool.cpp
@@ -57,7 +57,7 @@
 
 std::optional<rating_counts> rating_pool::merge(const rating_notice &Notice) {
   const bool IsOwn = Notice.Origin == Self && Notice.Incarnation == Incarnation;
-  if (IsOwn || Notice.Bucket >= ConfidenceBucketCount)
+  if (IsOwn || Notice.Bucket >= BucketCount)
     return std::nullopt;
   const version_class Key{Notice.Version, Notice.Class};
   const notice_key Id{Notice.Origin, Notice.Incarnation, Key, Notice.Bucket};
--- a/Libraries/LibRouting/router.cpp
+++ b/Libraries/LibRouting/router.cpp
@@ -16,6 +16,9 @@
 /// its incumbent by more than this after so many ratings.
 constexpr double RollOutMargin = 0.03;
 constexpr std::uint64_t RollOutRatings = 200;
+/// Answers after which a version's own times in a class are relied on.
+constexpr std::uint64_t KnownSamples = 5;
+constexpr double UnknownDeviation = 0.3;
 
 } // namespace
 
@@ -59,9 +62,7 @@
   version_view View;
   View.Version = &Version;
   View.Ratings = Ratings.pooled(Subject);
-  auto Known = Statistics.find(Subject);
-  if (Known != Statistics.end())
-    View.Statistics = Known->second;
+  View.Statistics = statisticsOf(Subject);
   // An alarmed version serves nothing new here even before its withdrawal is
   // in the store.
   View.HasEndpoint =
@@ -73,6 +74,29 @@
   return View;
 }
 
+version_statistics router::statisticsOf(const version_class &Subject) const {
+  auto Known = Statistics.find(Subject);
+  if (Known != Statistics.end() && Known->second.Samples >= KnownSamples)
+    return Known->second;
+  version_statistics Estimate;
+  auto Class = ClassStatistics.find(Subject.Class);
+  if (Class != ClassStatistics.end()) {
+    Estimate.PromptTokens = Class->second.PromptTokens;
+    Estimate.CompletionTokens = Class->second.CompletionTokens;
+  }
+  auto Version = VersionStatistics.find(Subject.Version);
+  if (Version == VersionStatistics.end())
+    return Estimate;
+  const version_statistics &Pace = Version->second;
+  Estimate.FirstTokenMs = Pace.FirstTokenMs;
+  Estimate.FirstTokenDeviationMs = Pace.FirstTokenDeviationMs;
+  const double TokenMs = std::max(0.0, Pace.WholeMs - Pace.FirstTokenMs) /
+                         std::max(1.0, Pace.CompletionTokens);
+  Estimate.WholeMs = Pace.FirstTokenMs + TokenMs * Estimate.CompletionTokens;
+  Estimate.WholeDeviationMs = Estimate.WholeMs * UnknownDeviation;
+  return Estimate;
+}
+
 admission_queue &router::queueOf(const version_id &Version, steady_time Now) {
   admission_queue &Queue = Queues[Version];
   const double Places = PlacesPerSlot *
@@ -163,11 +187,13 @@
   if (Attempt.Version.empty())
     return;
   const version_class Subject{Attempt.Version, Class};
-  const std::size_t Bucket = confidenceBucketOf(Report.Confidence);
+  const std::size_t Bucket = bucketOf(Report.Role, Report.Confidence);
   if (Report.Outcome == attempt_outcome::Answered) {
-    Statistics[Subject].add(Report.FirstToken.value_or(Report.Whole),
-                            Report.Whole, Report.PromptTokens,
-                            Report.CompletionTokens);
+    for (version_statistics *Learned :
+         {&Statistics[Subject], &VersionStatistics[Subject.Version],
+          &ClassStatistics[Subject.Class]})
+      Learned->add(Report.FirstToken.value_or(Report.Whole), Report.Whole,
+                   Report.PromptTokens, Report.CompletionTokens);
     addCounts(Subject, Bucket, {0, 0, 1, 0});
   } else if (Report.Outcome == attempt_outcome::Failed && Report.HadBegun) {
     addCounts(Subject, Bucket, {0, 0, 0, 1});
@@ -202,24 +228,24 @@
   return Crashes.refusedCount();
 }
 
-void router::addRating(const version_class &Subject, double Confidence,
-                       double Score) {
+void router::addRating(const version_class &Subject, answer_role Role,
+                       double Confidence, double Score) {
   std::lock_guard Lock(Mutex);
   const auto Milli = static_cast<std::uint64_t>(
       std::lround(std::clamp(Score, 0.0, 1.0) * 1000));
-  addCounts(Subject, confidenceBucketOf(Confidence), {1, Milli, 0, 0});
+  addCounts(Subject, bucketOf(Role, Confidence), {1, Milli, 0, 0});
 }
 
 void router::addCounts(const version_class &Subject, std::size_t Bucket,
                        const rating_counts &Added) {
   Ratings.addLocal(Subject, Bucket, Added);
-  Health.add(Subject, Added);
+  Health.add(Subject, Bucket, Added);
 }
 
 void router::mergeRating(const rating_notice &Notice) {
   std::lock_guard Lock(Mutex);
   if (auto Added = Ratings.merge(Notice))
-    Health.add({Notice.Version, Notice.Class}, *Added);
+    Health.add({Notice.Version, Notice.Class}, Notice.Bucket, *Added);
 }
 
 std::vector<rating_notice> router::takeRatingNotices() {
@@ -352,7 +378,9 @@
 
 rating_counts router::ratingsOf(const version_class &Subject) {
   std::lock_guard Lock(Mutex);
-  return sumOf(Ratings.pooled(Subject));
+  rating_counts Sum = sumOf(Ratings.pooled(Subject));
+  Sum += sumOf(Ratings.pooled(Subject), answer_role::Escalated);
+  return Sum;
 }
 
 } // namespace azurehaven
--- a/Libraries/LibRouting/router.h
+++ b/Libraries/LibRouting/router.h
@@ -51,6 +51,7 @@
   token_count PromptTokens;
   token_count CompletionTokens;
   double Confidence = 1;
+  answer_role Role = answer_role::Alone;
   /// A failure counts against the version only if the answer had begun.
   bool HadBegun = false;
 };
@@ -95,7 +96,8 @@
   crash_standing crashStandingOf(std::uint64_t Fingerprint);
   std::size_t refusedFingerprintCount();
 
-  void addRating(const version_class &Subject, double Confidence, double Score);
+  void addRating(const version_class &Subject, answer_role Role,
+                 double Confidence, double Score);
   void mergeRating(const rating_notice &Notice);
   std::vector<rating_notice> takeRatingNotices();
   std::vector<crash_notice> takeCrashNotices();
@@ -128,6 +130,7 @@
 private:
   version_view viewOf(const model_version &Version, const work_class &Class,
                       steady_time Now);
+  version_statistics statisticsOf(const version_class &Subject) const;
   admission_queue &queueOf(const version_id &Version, steady_time Now);
   void updateUsageElsewhere(admission_queue &Queue, steady_time Now);
   void addCounts(const version_class &Subject, std::size_t Bucket,
@@ -149,6 +152,10 @@
   crash_registry Crashes;
   retry_budget Retries;
   std::map<version_class, version_statistics> Statistics;
+  /// Over all classes of a version, and over all versions of a class: what a
+  /// pair that this VM has hardly met yet is judged by.
+  std::map<version_id, version_statistics> VersionStatistics;
+  std::map<class_id, version_statistics> ClassStatistics;
   std::map<version_id, admission_queue> Queues;
   std::map<vm_id, peer_usage> PeerUsage;
   std::size_t EntryCount = 1;
--- a/Libraries/LibRouting/sequential_drop_test.h
+++ b/Libraries/LibRouting/sequential_drop_test.h
@@ -38,6 +38,9 @@
   std::optional<double> reference() const;
 
 private:
+  double referenceMean() const;
+  double referenceError() const;
+
   static constexpr std::array<double, 4> Drops = {0.05, 0.1, 0.2, 0.4};
 
   const drop_test_settings Settings;
--- a/Libraries/LibRouting/version_chooser.cpp
+++ b/Libraries/LibRouting/version_chooser.cpp
@@ -14,9 +14,16 @@
 constexpr double PriorScore = 0.5;
 /// Standard errors that a neutral class asks of a quality estimate.
 constexpr double ConfidenceWidth = 1.0;
-constexpr double ExplorationRate = 0.05;
-/// A version with more ratings than this is explored no further.
-constexpr double ExplorationRatings = 400;
+/// Share of requests that explore while a cheaper version might do.
+constexpr double ExplorationRate = 0.25;
+/// Ratings after which the exploration of a version slows down.
+constexpr double ExplorationRatings = 150;
+/// Share of requests that explores even where the quality leaves no room.
+constexpr double LeastExploration = 0.02;
+/// Standard errors within which a version's quality counts as undecided.
+constexpr double UndecidedWidth = 3.0;
+/// With fewer ratings than this nothing is decided.
+constexpr std::uint64_t LeastRatings = 20;
 /// Answers of the cheap stage needed before a cascade is considered.
 constexpr std::uint64_t CascadeRatings = 30;
 constexpr double RollOutFirstShare = 0.02;
@@ -24,6 +31,7 @@
 /// Share of requests that a suspect version keeps, for evidence.
 constexpr double SuspectShare = 0.1;
 constexpr double TailDeviations = 2;
+constexpr double LatencyBelowTarget = 0.05;
 
 double smooth(double Old, double New, std::uint64_t Samples) {
   const double Factor =
@@ -71,12 +79,17 @@
                                           std::size_t FirstBucket,
                                           double Width) {
   const rating_counts All = sumOf(Cheap.Ratings);
-  const rating_counts Accepted = sumOf(Cheap.Ratings, FirstBucket);
+  const rating_counts Accepted =
+      sumOf(Cheap.Ratings, answer_role::Alone, FirstBucket);
   if (Accepted.Count < CascadeRatings || All.Count < CascadeRatings)
     return std::nullopt;
   const double AcceptedShare =
       static_cast<double>(Accepted.Count) / static_cast<double>(All.Count);
-  const rating_counts StrongRatings = sumOf(Strong.Ratings);
+  // Until there are ratings of escalated requests, the others stand in.
+  rating_counts StrongRatings =
+      Strong.Ratings[firstBucketOf(answer_role::Escalated) + FirstBucket];
+  if (StrongRatings.Count < CascadeRatings)
+    StrongRatings = sumOf(Strong.Ratings);
   candidate Candidate;
   Candidate.Plan.Stages = {
       {Cheap.Version->Id, ConfidenceBucketFloor[FirstBucket]},
@@ -92,7 +105,9 @@
   // The cheap answer is held until it is accepted, and the tail of the
   // requests pays for both stages.
   Candidate.Plan.ExpectedFirstTokenMs =
-      Cheap.QueueMs + Cheap.Statistics.WholeMs + firstTokenTail(Strong);
+      Cheap.QueueMs + Cheap.Statistics.WholeMs +
+      TailDeviations * Cheap.Statistics.WholeDeviationMs +
+      firstTokenTail(Strong);
   Candidate.IsSuspect = Cheap.IsSuspect || Strong.IsSuspect;
   return Candidate;
 }
@@ -159,13 +174,16 @@
   return Text;
 }
 
-/// Cost, raised by the excess over the latency target.
+/// Cost, raised by the excess over the latency target. Time below the target
+/// counts a little, so that of two plans of like cost the faster one is taken.
 double weightedCost(const work_class &Class, const candidate &Candidate) {
   const double Target =
       std::max<double>(1, static_cast<double>(Class.FirstTokenTarget.count()));
-  const double Excess =
-      std::max(0.0, Candidate.Plan.ExpectedFirstTokenMs / Target - 1);
-  return (Candidate.Plan.ExpectedCost + 1) * (1 + Class.LatencyWeight * Excess);
+  const double Relative = Candidate.Plan.ExpectedFirstTokenMs / Target;
+  const double Penalty = LatencyBelowTarget * std::min(1.0, Relative) +
+                         std::max(0.0, Relative - 1);
+  return (Candidate.Plan.ExpectedCost + 1) *
+         (1 + Class.LatencyWeight * Penalty);
 }
 
 const candidate &best(const work_class &Class,
@@ -195,7 +213,9 @@
   FirstTokenDeviationMs =
       smooth(FirstTokenDeviationMs, std::abs(First - FirstTokenMs), Samples);
   FirstTokenMs = smooth(FirstTokenMs, First, Samples);
-  WholeMs = smooth(WholeMs, static_cast<double>(Whole.count()), Samples);
+  const auto All = static_cast<double>(Whole.count());
+  WholeDeviationMs = smooth(WholeDeviationMs, std::abs(All - WholeMs), Samples);
+  WholeMs = smooth(WholeMs, All, Samples);
   PromptTokens =
       smooth(PromptTokens, static_cast<double>(Prompt.count()), Samples);
   CompletionTokens = smooth(CompletionTokens,
@@ -253,7 +273,7 @@
   if (Instead) {
     Plan.Purpose = plan_purpose::RollOut;
   } else {
-    Instead = exploration(Class, Views, Plan.ExpectedCost);
+    Instead = exploration(Class, Views, Plan);
     if (Instead)
       Plan.Purpose = plan_purpose::Explore;
   }
@@ -268,24 +288,39 @@
   return Plan;
 }
 
+/// A cheaper version whose quality is still undecided is worth a share of the
+/// requests that falls as its ratings come in.
 const version_view *
 version_chooser::exploration(const work_class &Class,
                              const std::vector<version_view> &Views,
-                             double CostOfChoice) {
-  if (uniform() >= ExplorationRate / std::max(1.0, Class.ExposureWeight))
+                             const route_plan &Choice) {
+  if (uniform() >= ExplorationRate)
     return nullptr;
   const version_view *Fewest = nullptr;
   for (const auto &View : Views) {
     const rating_counts Ratings = sumOf(View.Ratings);
     const bool IsWorthKnowing =
-        mayServe(View) && !View.IsSuspect && costOf(View) < CostOfChoice &&
-        static_cast<double>(Ratings.Count) < ExplorationRatings;
+        mayServe(View) && !View.IsSuspect &&
+        costOf(View) < Choice.ExpectedCost &&
+        (Ratings.Count < LeastRatings ||
+         upperQuality(Ratings, UndecidedWidth) >= Class.QualityTarget);
     if (!IsWorthKnowing)
       continue;
     if (!Fewest || Ratings.Count < sumOf(Fewest->Ratings).Count)
       Fewest = &View;
   }
-  return Fewest;
+  if (!Fewest)
+    return nullptr;
+  const rating_counts Ratings = sumOf(Fewest->Ratings);
+  const double Wanted = std::min(
+      1.0, ExplorationRatings / (static_cast<double>(Ratings.Count) + 1));
+  // No more than keeps the mean quality of all requests at its target.
+  const double Slack = Choice.ExpectedQuality - Class.QualityTarget;
+  const double Loss =
+      std::max(0.01, Choice.ExpectedQuality - meanQuality(Ratings));
+  const double Affordable =
+      std::max(LeastExploration, Slack / Loss) / ExplorationRate;
+  return uniform() < std::min(Wanted, Affordable) ? Fewest : nullptr;
 }
 
 const version_view *
--- a/Libraries/LibRouting/version_chooser.h
+++ b/Libraries/LibRouting/version_chooser.h
@@ -15,6 +15,7 @@
   double FirstTokenMs = 300;
   double FirstTokenDeviationMs = 100;
   double WholeMs = 2000;
+  double WholeDeviationMs = 500;
   double PromptTokens = 200;
   double CompletionTokens = 200;
   std::uint64_t Samples = 0;
@@ -77,7 +78,7 @@
   }
   const version_view *exploration(const work_class &Class,
                                   const std::vector<version_view> &Views,
-                                  double CostOfChoice);
+                                  const route_plan &Choice);
   const version_view *rollOut(const work_class &Class,
                               const std::vector<version_view> &Views,
                               const route_plan &Choice);
--- a/Libraries/LibRouting/version_health.cpp
+++ b/Libraries/LibRouting/version_health.cpp
@@ -23,12 +23,12 @@
 
 } // namespace
 
-version_health::tests &version_health::testsOf(const version_class &Subject) {
+version_health::tests &version_health::testsOf(const test_key &Key) {
   auto [It, IsNew] =
-      Tests.try_emplace(Subject, tests{sequential_drop_test(Settings),
-                                       sequential_drop_test(Settings),
-                                       {},
-                                       false});
+      Tests.try_emplace(Key, tests{sequential_drop_test(Settings),
+                                   sequential_drop_test(Settings),
+                                   {},
+                                   false});
   if (IsNew)
     It->second.Success.setReference(ExpectedSuccessRate);
   return It->second;
@@ -36,12 +36,12 @@
 
 void version_health::setIncumbentScore(const version_class &Subject,
                                        double Mean) {
-  testsOf(Subject).Quality.setReference(Mean);
+  testsOf({Subject, 0}).Quality.setReference(Mean);
 }
 
-void version_health::add(const version_class &Subject,
+void version_health::add(const version_class &Subject, std::size_t Bucket,
                          const rating_counts &Added) {
-  tests &Found = testsOf(Subject);
+  tests &Found = testsOf({Subject, streamOfBucket(Bucket)});
   Found.Seen += Added;
   Found.Quality.add(Added.score(), static_cast<double>(Added.Count));
   const auto Answers = static_cast<double>(Added.Successes + Added.Failures);
@@ -66,23 +66,25 @@
 }
 
 void version_health::reset(const version_id &Version) {
-  std::erase_if(
-      Tests, [&](const auto &Entry) { return Entry.first.Version == Version; });
+  std::erase_if(Tests, [&](const auto &Entry) {
+    return Entry.first.first.Version == Version;
+  });
 }
 
 bool version_health::isSuspect(const version_class &Subject) const {
-  auto Found = Tests.find(Subject);
-  if (Found == Tests.end())
-    return false;
   // Half the evidence for an alarm is enough to cut a version's share.
   const double Level = Settings.Threshold / 2;
-  return Found->second.Quality.statistic() >= Level ||
-         Found->second.Success.statistic() >= Level;
+  for (auto It = Tests.lower_bound({Subject, 0});
+       It != Tests.end() && It->first.first == Subject; ++It)
+    if (It->second.Quality.statistic() >= Level ||
+        It->second.Success.statistic() >= Level)
+      return true;
+  return false;
 }
 
 bool version_health::isAlarmed(const version_id &Version) const {
-  for (const auto &[Subject, Found] : Tests)
-    if (Subject.Version == Version &&
+  for (const auto &[Key, Found] : Tests)
+    if (Key.first.Version == Version &&
         (Found.Quality.hasAlarmed() || Found.Success.hasAlarmed()))
       return true;
   return false;
--- a/Libraries/LibRouting/version_health.h
+++ b/Libraries/LibRouting/version_health.h
@@ -27,7 +27,8 @@
   /// For a version under roll-out: the mean score of what it replaces.
   void setIncumbentScore(const version_class &Subject, double Mean);
   /// Adds new counts, this VM's or a peer's.
-  void add(const version_class &Subject, const rating_counts &Added);
+  void add(const version_class &Subject, std::size_t Bucket,
+           const rating_counts &Added);
   /// Starts anew after an operator has put a withdrawn version back.
   void reset(const version_id &Version);
 
@@ -44,11 +45,14 @@
     bool IsReported = false;
   };
 
-  tests &testsOf(const version_class &Subject);
+  /// The tested pair and the stream of requests, see streamOfBucket().
+  using test_key = std::pair<version_class, std::size_t>;
+
+  tests &testsOf(const test_key &Key);
   void report(const version_class &Subject, tests &Tests);
 
   const drop_test_settings Settings;
-  std::map<version_class, tests> Tests;
+  std::map<test_key, tests> Tests;
   std::vector<version_alarm> Alarms;
 };
 
