LibRouting: Judge whole rounds of ratings, and send all of them

Cause: counts came apart by confidence, so that the drop test saw a round's hard requests before its easy ones; and renewed facts early in the order held the later ones back for ever. Change: one notice carries all of a pair's counts, the tests run once a round, fresh facts are sent in turn.

--- a/Libraries/LibMembership/rumor_board.h
+++ b/Libraries/LibMembership/rumor_board.h
@@ -33,14 +33,7 @@
   /// turn until there are RepeatLimit in all.
   std::vector<Value> take(std::size_t FreshLimit, std::size_t RepeatLimit) {
     std::vector<Value> Taken;
-    for (auto &[Id, Entry] : Entries) {
-      if (Taken.size() >= FreshLimit)
-        return Taken;
-      if (Entry.SendsLeft == 0)
-        continue;
-      --Entry.SendsLeft;
-      Taken.push_back(Entry.Fact);
-    }
+    takeFresh(Taken, FreshLimit);
     repeatOld(Taken, RepeatLimit);
     return Taken;
   }
@@ -56,6 +49,23 @@
     std::size_t SendsLeft;
   };
 
+  /// Goes on after the last one sent, so that facts which are renewed all the
+  /// time do not keep the others back.
+  void takeFresh(std::vector<Value> &Taken, std::size_t Limit) {
+    auto It = Entries.upper_bound(LastFresh);
+    for (std::size_t Seen = 0; Seen < Entries.size() && Taken.size() < Limit;
+         ++Seen) {
+      if (It == Entries.end())
+        It = Entries.begin();
+      if (It->second.SendsLeft > 0) {
+        --It->second.SendsLeft;
+        Taken.push_back(It->second.Fact);
+        LastFresh = It->first;
+      }
+      ++It;
+    }
+  }
+
   void repeatOld(std::vector<Value> &Taken, std::size_t Limit) {
     const std::size_t Wanted = std::min(Limit, Entries.size());
     auto It = Entries.upper_bound(LastRepeated);
@@ -71,6 +81,7 @@
 
   const std::size_t SendsOfFresh;
   std::map<Key, entry> Entries;
+  Key LastFresh{};
   Key LastRepeated{};
 };
 
--- a/Libraries/LibPeer/frame_codec.cpp
+++ b/Libraries/LibPeer/frame_codec.cpp
@@ -2,6 +2,8 @@
 
 #include <peer_generated.h>
 
+#include <algorithm>
+
 namespace azurehaven {
 
 namespace {
@@ -18,10 +20,15 @@
 
 Offset<wire::Rating> encodeRating(FlatBufferBuilder &Builder,
                                   const rating_notice &Notice) {
+  std::vector<wire::Counts> Buckets;
+  for (const auto &Counts : Notice.Buckets)
+    Buckets.emplace_back(static_cast<std::uint32_t>(Counts.Count),
+                         static_cast<std::uint32_t>(Counts.Successes),
+                         static_cast<std::uint32_t>(Counts.Failures),
+                         Counts.ScoreMilli);
   return wire::CreateRatingDirect(
       Builder, Notice.Origin.text().c_str(), Notice.Incarnation,
-      Notice.Version.text().c_str(), Notice.Class.text().c_str(), Notice.Bucket,
-      Notice.Count, Notice.ScoreMilli, Notice.Successes, Notice.Failures);
+      Notice.Version.text().c_str(), Notice.Class.text().c_str(), &Buckets);
 }
 
 /// Writes the body of one message and tells its type.
@@ -102,6 +109,25 @@
   return Decoded;
 }
 
+rating_notice decodeRating(const wire::Rating &Item) {
+  rating_notice Notice;
+  Notice.Origin = vm_id(Item.origin()->str());
+  Notice.Incarnation = Item.incarnation();
+  Notice.Version = version_id(Item.version()->str());
+  Notice.Class = class_id(Item.work_class()->str());
+  const std::size_t Count =
+      Item.buckets()
+          ? std::min<std::size_t>(Item.buckets()->size(), BucketCount)
+          : 0;
+  for (std::size_t Index = 0; Index < Count; ++Index) {
+    const wire::Counts *Counts =
+        Item.buckets()->Get(static_cast<flatbuffers::uoffset_t>(Index));
+    Notice.Buckets[Index] = {Counts->ratings(), Counts->score_milli(),
+                             Counts->successes(), Counts->failures()};
+  }
+  return Notice;
+}
+
 heartbeat decodeHeartbeat(const wire::Heartbeat &Source) {
   heartbeat Message;
   Message.Kind =
@@ -118,17 +144,7 @@
                                            : member_state::Leaving,
                          failure_domain_id(Item.domain()->str())};
   });
-  Message.Ratings = decodeAll(Source.ratings(), [](const wire::Rating &Item) {
-    return rating_notice{vm_id(Item.origin()->str()),
-                         Item.incarnation(),
-                         version_id(Item.version()->str()),
-                         class_id(Item.work_class()->str()),
-                         Item.bucket(),
-                         Item.count(),
-                         Item.score_milli(),
-                         Item.successes(),
-                         Item.failures()};
-  });
+  Message.Ratings = decodeAll(Source.ratings(), decodeRating);
   Message.Crashes = decodeAll(Source.crashes(), [](const wire::Crash &Item) {
     return crash_notice{Item.fingerprint(),
                         endpoint_id(Item.endpoint()->str())};
--- a/Libraries/LibPeer/peer_message.h
+++ b/Libraries/LibPeer/peer_message.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "LibPeer/rating_counts.h"
 #include "LibTypes/ids.h"
 #include "LibTypes/units.h"
 
@@ -25,19 +26,14 @@
   failure_domain_id Domain;
 };
 
-/// Cumulative rating and outcome counts of one origin for one version, class
-/// and confidence bucket. A repeated or reordered notice does no harm.
+/// Cumulative rating and outcome counts of one origin for one version and
+/// class. A repeated or reordered notice does no harm.
 struct rating_notice {
   vm_id Origin;
   std::uint64_t Incarnation = 0;
   version_id Version;
   class_id Class;
-  std::uint8_t Bucket = 0;
-  std::uint64_t Count = 0;
-  /// Sum of the scores in thousandths.
-  std::uint64_t ScoreMilli = 0;
-  std::uint64_t Successes = 0;
-  std::uint64_t Failures = 0;
+  bucket_counts Buckets{};
 };
 
 /// A request that was running on an endpoint when it broke down.
--- a/Libraries/LibRouting/rating_pool.h
+++ b/Libraries/LibRouting/rating_pool.h
@@ -2,7 +2,7 @@
 
 #include "LibMembership/rumor_board.h"
 #include "LibPeer/peer_message.h"
-#include "LibRouting/rating_counts.h"
+#include "LibPeer/rating_counts.h"
 
 #include <map>
 #include <optional>
@@ -30,7 +30,7 @@
   void addLocal(const version_class &Key, std::size_t Bucket,
                 const rating_counts &Added);
   /// Merges a peer's notice; returns what it adds to the pool, if anything.
-  std::optional<rating_counts> merge(const rating_notice &Notice);
+  std::optional<bucket_counts> merge(const rating_notice &Notice);
 
   const bucket_counts &pooled(const version_class &Key) const;
   /// Notices to piggyback on the next heartbeat.
@@ -38,8 +38,7 @@
   std::size_t noticeCount() const { return Notices.size(); }
 
 private:
-  using notice_key =
-      std::tuple<vm_id, std::uint64_t, version_class, std::uint8_t>;
+  using notice_key = std::tuple<vm_id, std::uint64_t, version_class>;
 
   const vm_id Self;
   const std::uint64_t Incarnation;
--- a/Libraries/LibRouting/router.cpp
+++ b/Libraries/LibRouting/router.cpp
@@ -244,8 +244,12 @@
 
 void router::mergeRating(const rating_notice &Notice) {
   std::lock_guard Lock(Mutex);
-  if (auto Added = Ratings.merge(Notice))
-    Health.add({Notice.Version, Notice.Class}, Notice.Bucket, *Added);
+  auto Added = Ratings.merge(Notice);
+  if (!Added)
+    return;
+  for (std::size_t Bucket = 0; Bucket < BucketCount; ++Bucket)
+    if ((*Added)[Bucket] != rating_counts{})
+      Health.add({Notice.Version, Notice.Class}, Bucket, (*Added)[Bucket]);
 }
 
 std::vector<rating_notice> router::takeRatingNotices() {
@@ -260,6 +264,7 @@
 
 std::vector<version_alarm> router::takeAlarms() {
   std::lock_guard Lock(Mutex);
+  Health.evaluate();
   return Health.takeAlarms();
 }
 
--- a/Libraries/LibRouting/router.h
+++ b/Libraries/LibRouting/router.h
@@ -101,6 +101,7 @@
   void mergeRating(const rating_notice &Notice);
   std::vector<rating_notice> takeRatingNotices();
   std::vector<crash_notice> takeCrashNotices();
+  /// Runs the health tests; to be called about as often as heartbeats come.
   std::vector<version_alarm> takeAlarms();
   /// Versions under roll-out that have proved as good as their incumbent in
   /// every class that they were tried in.
--- a/Libraries/LibRouting/sequential_drop_test.cpp
+++ b/Libraries/LibRouting/sequential_drop_test.cpp
@@ -10,9 +10,9 @@
 constexpr double LowestMean = 0.01;
 constexpr double HighestMean = 0.99;
 /// Standard errors by which the learned reference is understated.
-constexpr double ReferenceMargin = 2;
+constexpr double ReferenceMargin = 1.5;
 /// Least size of a drop that is tested, in standard errors of the reference.
-constexpr double DropToError = 3;
+constexpr double DropToError = 3.5;
 
 double logLikelihoodRatio(double Sum, double Count, double Before,
                           double After) {
--- a/Libraries/LibRouting/version_chooser.cpp
+++ b/Libraries/LibRouting/version_chooser.cpp
@@ -13,7 +13,7 @@
 constexpr double PriorCount = 1;
 constexpr double PriorScore = 0.5;
 /// Standard errors that a neutral class asks of a quality estimate.
-constexpr double ConfidenceWidth = 1.0;
+constexpr double ConfidenceWidth = 0.5;
 /// Share of requests that explore while a cheaper version might do.
 constexpr double ExplorationRate = 0.25;
 /// Ratings after which the exploration of a version slows down.
--- a/Libraries/LibRouting/version_chooser.h
+++ b/Libraries/LibRouting/version_chooser.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "LibConfig/configuration.h"
-#include "LibRouting/rating_counts.h"
+#include "LibPeer/rating_counts.h"
 
 #include <optional>
 #include <random>
--- a/Libraries/LibRouting/version_health.h
+++ b/Libraries/LibRouting/version_health.h
@@ -26,9 +26,12 @@
 
   /// For a version under roll-out: the mean score of what it replaces.
   void setIncumbentScore(const version_class &Subject, double Mean);
-  /// Adds new counts, this VM's or a peer's.
+  /// Adds new counts, this VM's or a peer's, for the next evaluate().
   void add(const version_class &Subject, std::size_t Bucket,
            const rating_counts &Added);
+  /// Runs the tests on what was added. Counts come apart by confidence, so that
+  /// a part of a round alone would look better or worse than the whole.
+  void evaluate();
   /// Starts anew after an operator has put a withdrawn version back.
   void reset(const version_id &Version);
 
@@ -41,6 +44,7 @@
   struct tests {
     sequential_drop_test Quality;
     sequential_drop_test Success;
+    rating_counts Added;
     rating_counts Seen;
     bool IsReported = false;
   };
