--- a/Meta/cluster.sh
+++ b/Meta/cluster.sh
@@ -72,7 +72,7 @@
   for line in "${ENGINES[@]}"; do
     set -- $line
     start "$1" $STANDIN engine --listen=127.0.0.$2:9100 --control=127.0.0.$2:9101 \
-      --name="$1" --versions="$4" --token-ms="$5" --first-token-ms="$6" --weights=$WEIGHTS
+      --name="$1" --versions="$4" --token-ms="$5" --first-token-ms="$6" --weights=$WEIGHTS ${ENGINE_FLAGS:-}
   done
   for line in "${SERVICES[@]}"; do
     set -- $line
--- a/Services/azurehaven-bench/main.cpp
+++ b/Services/azurehaven-bench/main.cpp
@@ -1,4 +1,5 @@
 #include "LibBench/policy_bench.h"
+#include "LibBench/proxy_bench.h"
 #include "LibClient/command_line.h"
 
 #include <cstdio>
@@ -9,10 +10,13 @@
 
 namespace {
 
-constexpr const char *Usage = R"(Measures the routing policy in virtual time.
+constexpr const char *Usage =
+    R"(Measures the routing policy in virtual time, or an entry process at work.
 
 Usage:
   azurehaven-bench policy [options]
+  azurehaven-bench proxy --entry=IP:PORT --engine=IP:PORT --version=NAME
+                   --key=KEY --class=NAME [--requests=N]
   azurehaven-bench (-h | --help)
 
 Options:
@@ -26,6 +30,12 @@
   --vms=N          Entry VMs [default: 5]
   --unpooled       VMs keep their ratings to themselves
   --json           One JSON object a line
+  --entry=IP:PORT  An entry VM
+  --engine=IP:PORT An engine that it uses
+  --version=NAME   The version that the engine is asked for
+  --key=KEY        An account's key
+  --class=NAME     A class of work
+  --requests=N     Most requests of one round [default: 600]
 )";
 
 const std::vector<std::string> AllPolicies = {"azurehaven",     "round-robin",
@@ -51,15 +61,32 @@
   std::printf("\n");
 }
 
-} // namespace
+int runProxy(const command_line &Line) {
+  proxy_settings Settings;
+  for (auto [Flag, Target] : {std::pair("--entry", &Settings.Entry),
+                              std::pair("--engine", &Settings.Engine)}) {
+    auto Address = parseNetworkAddress(*Line.text(Flag));
+    if (isError(Address)) {
+      std::cerr << Flag << ": " << errorOf(Address).Message << "\n";
+      return ExitUsage;
+    }
+    *Target = valueOf(Address);
+  }
+  auto Requests = Line.integer("--requests", 1, 1000000);
+  if (isError(Requests)) {
+    std::cerr << errorOf(Requests).Message << "\n";
+    return ExitUsage;
+  }
+  Settings.RequestsEach = static_cast<std::size_t>(valueOf(Requests));
+  Settings.Version = *Line.text("--version");
+  Settings.Key = *Line.text("--key");
+  Settings.Class = *Line.text("--class");
+  for (const auto &Row : runProxyBench(Settings))
+    std::cout << Row.dump() << "\n";
+  return ExitSuccess;
+}
 
-int main(int Count, char **Values) {
-  command_line Line;
-  const std::string Command = Count > 1 ? Values[1] : "";
-  const std::vector<std::string> Arguments(Values + std::min(Count, 2),
-                                           Values + Count);
-  if (auto Status = Line.parse(Usage, Command, Arguments))
-    return *Status;
+int runPolicy(const command_line &Line) {
   const std::string Workload = *Line.text("--workload");
   if (Workload != "kairns" && Workload != "cwtch") {
     std::cerr << "--workload: \"" << Workload
@@ -119,3 +146,15 @@
       }
   return ExitSuccess;
 }
+
+} // namespace
+
+int main(int Count, char **Values) {
+  command_line Line;
+  const std::string Command = Count > 1 ? Values[1] : "";
+  const std::vector<std::string> Arguments(Values + std::min(Count, 2),
+                                           Values + Count);
+  if (auto Status = Line.parse(Usage, Command, Arguments))
+    return *Status;
+  return Line.flag("proxy") ? runProxy(Line) : runPolicy(Line);
+}
