Tests: Test the libraries one by one, and a freeze longer than a confirmation

Scenario 15 saw one request on the withdrawn version: the trace shows a freeze of 2.3 s, within the 3 s that a confirmation lasts and the 7 s that the target allows.

LibMembership: A starting VM stays out of discovery until it knows its configuration and the endpoints. Cause: scenario 14 saw no_endpoint on a VM that had just come back.

--- a/Libraries/LibEntry/endpoint_poller.cpp
+++ b/Libraries/LibEntry/endpoint_poller.cpp
@@ -2,7 +2,6 @@
 
 #include "LibEntry/engine_attempt.h"
 
-#include <atomic>
 #include <thread>
 
 namespace azurehaven {
@@ -25,10 +24,12 @@
   const steady_time Now = Services.Clock.now();
   Services.Members.applyList(valueOf(Lines), Now);
   Services.Router.applyList(valueOf(Lines), Services.Members.servingCount(Now));
+  HasList = true;
   return true;
 }
 
 void endpoint_poller::refreshReports() {
+  const bool HadList = HasList;
   const auto Due =
       Services.Router.dueForReport(ReportMaximumAge, Services.Clock.now());
   std::atomic<std::size_t> Next = 0;
@@ -43,6 +44,8 @@
   Work();
   for (auto &Helper : Helpers)
     Helper.join();
+  if (HadList)
+    HasReports = true;
 }
 
 void endpoint_poller::askOne(const chosen_endpoint &Endpoint) {
--- a/Libraries/LibEntry/entry_node.cpp
+++ b/Libraries/LibEntry/entry_node.cpp
@@ -50,7 +50,7 @@
         RawStore(Transport, Settings.Store, Settings.StoreTimeout),
         Store(RawStore), Currency(Settings.Vm),
         Members(
-            {Settings.Vm, Incarnation, member_state::Serving, Settings.Domain},
+            {Settings.Vm, Incarnation, member_state::Starting, Settings.Domain},
             Settings.Listen, {}),
         Router(Settings.Vm, Incarnation,
                fingerprintOf(Settings.Vm.text(), Incarnation), {}),
@@ -114,7 +114,7 @@
 
   void drain() override {
     Log.write(log_level::Info, "drain_started", {});
-    Members.announceLeaving();
+    Members.announce(member_state::Leaving);
     spreadNews();
     std::this_thread::sleep_for(Settings.DiscoveryKeep + DiscoverySlack);
     CallerServer->stop();
@@ -133,7 +133,10 @@
         Network->setPeers(Members.peerAddresses());
     });
     addTask(StorePollInterval, [this] { Follower.poll(); });
-    addTask(ReportInterval, [this] { Poller.refreshReports(); });
+    addTask(ReportInterval, [this] {
+      Poller.refreshReports();
+      considerServing();
+    });
     addTask(AutomationInterval, [this] { Automation.run(); });
     addTask(GateInterval, [this] { Gate.advance(Clock.now()); });
     addTask(OrphanInterval, [this] {
@@ -155,6 +158,16 @@
     Tasks.push_back(std::make_unique<periodic_task>(Interval, std::move(Task)));
   }
 
+  /// Callers come once this VM has its configuration and knows the endpoints.
+  void considerServing() {
+    if (Members.ownState() != member_state::Starting || !Poller.hasReports() ||
+        !Services.currentConfiguration())
+      return;
+    Members.announce(member_state::Serving);
+    spreadNews();
+    Log.write(log_level::Info, "entry_serving", {});
+  }
+
   void spreadNews() {
     if (HeartbeatTask)
       HeartbeatTask->wake();
--- a/Libraries/LibEntry/operator_api.cpp
+++ b/Libraries/LibEntry/operator_api.cpp
@@ -109,9 +109,10 @@
 }
 
 served_response operator_api::ready() const {
-  const bool IsCurrent = Services.currentConfiguration() != nullptr;
-  served_response Response = respond({{"ready", IsCurrent}});
-  Response.Status = IsCurrent ? 200 : 503;
+  const bool IsReady = Services.currentConfiguration() != nullptr &&
+                       Services.Members.ownState() == member_state::Serving;
+  served_response Response = respond({{"ready", IsReady}});
+  Response.Status = IsReady ? 200 : 503;
   return Response;
 }
 
@@ -149,6 +150,7 @@
                   {"endpoints", Services.Router.describeEndpoints(Now)},
                   {"quality", Quality},
                   {"requests_in_flight", Callers.requestsInFlight()},
+                  {"crash_causing", Services.Router.refusedFingerprintCount()},
                   {"bills",
                    {{"written", Bills.Written},
                     {"unwritten", Bills.Unwritten},
--- a/Libraries/LibMembership/member_table.cpp
+++ b/Libraries/LibMembership/member_table.cpp
@@ -51,7 +51,7 @@
     Found->second.LastHeard = Now;
   const member_notice *Known = Notices.find(Vm);
   if (!Known || Known->Incarnation < Incarnation)
-    Notices.put(Vm, {Vm, Incarnation, member_state::Serving, {}});
+    Notices.put(Vm, {Vm, Incarnation, member_state::Starting, {}});
 }
 
 void member_table::merge(const member_notice &Notice) {
@@ -63,12 +63,19 @@
     Notices.put(Notice.Vm, Notice);
 }
 
-void member_table::announceLeaving() {
+void member_table::announce(member_state State) {
   std::lock_guard Lock(Mutex);
-  Self.State = member_state::Leaving;
+  if (State <= Self.State)
+    return;
+  Self.State = State;
   Notices.put(Self.Vm, Self);
 }
 
+member_state member_table::ownState() const {
+  std::lock_guard Lock(Mutex);
+  return Self.State;
+}
+
 std::vector<member_notice> member_table::takeNotices() {
   std::lock_guard Lock(Mutex);
   return Notices.take(FreshNoticesPerFrame, RepeatedNoticesPerFrame);
@@ -89,7 +96,7 @@
   if (Self.State == member_state::Serving)
     Serving.push_back({Self.Vm, Self.Domain, SelfAddress});
   for (const auto &[Vm, Member] : Members)
-    if (isResponsive(Member, Now) && !isLeaving(Vm))
+    if (isResponsive(Member, Now) && isServing(Vm))
       Serving.push_back({Vm, Member.Listed.Domain, Member.Listed.Address});
   return Serving;
 }
@@ -133,9 +140,9 @@
   return Member.LastHeard && Now - *Member.LastHeard <= Timing.SuspicionAfter;
 }
 
-bool member_table::isLeaving(const vm_id &Vm) const {
+bool member_table::isServing(const vm_id &Vm) const {
   const member_notice *Notice = Notices.find(Vm);
-  return Notice && Notice->State == member_state::Leaving;
+  return Notice && Notice->State == member_state::Serving;
 }
 
 } // namespace azurehaven
--- a/Libraries/LibMembership/member_table.h
+++ b/Libraries/LibMembership/member_table.h
@@ -34,7 +34,9 @@
   void heard(const vm_id &Vm, std::uint64_t Incarnation, steady_time Now);
   /// Merges a notice: the higher incarnation wins, then Leaving.
   void merge(const member_notice &Notice);
-  void announceLeaving();
+  /// Moves this VM on to a later state and spreads the word.
+  void announce(member_state State);
+  member_state ownState() const;
 
   /// Notices to piggyback on the next heartbeat.
   std::vector<member_notice> takeNotices();
@@ -57,7 +59,7 @@
   };
 
   bool isResponsive(const member &Member, steady_time Now) const;
-  bool isLeaving(const vm_id &Vm) const;
+  bool isServing(const vm_id &Vm) const;
 
   mutable ranked_mutex Mutex{lock_rank::Membership};
   member_notice Self;
--- a/Libraries/LibPeer/frame_codec.cpp
+++ b/Libraries/LibPeer/frame_codec.cpp
@@ -139,10 +139,11 @@
     Message.ConfirmationAge = milliseconds(Source.confirmation_age_ms());
   Message.ConfirmedVersion = Source.confirmed_version();
   Message.Members = decodeAll(Source.members(), [](const wire::Member &Item) {
-    return member_notice{vm_id(Item.vm()->str()), Item.incarnation(),
-                         Item.state() == 0 ? member_state::Serving
-                                           : member_state::Leaving,
-                         failure_domain_id(Item.domain()->str())};
+    return member_notice{
+        vm_id(Item.vm()->str()), Item.incarnation(),
+        static_cast<member_state>(std::min<std::uint8_t>(
+            Item.state(), static_cast<std::uint8_t>(member_state::Leaving))),
+        failure_domain_id(Item.domain()->str())};
   });
   Message.Ratings = decodeAll(Source.ratings(), decodeRating);
   Message.Crashes = decodeAll(Source.crashes(), [](const wire::Crash &Item) {
--- a/Libraries/LibPeer/peer_message.h
+++ b/Libraries/LibPeer/peer_message.h
@@ -12,17 +12,20 @@
 
 namespace azurehaven {
 
+/// In the order that a process goes through them.
 enum class member_state : std::uint8_t {
-  Serving = 0,
+  /// Not yet ready for callers.
+  Starting = 0,
+  Serving = 1,
   /// Announced a planned stop; gets no new callers.
-  Leaving = 1,
+  Leaving = 2,
 };
 
 struct member_notice {
   vm_id Vm;
   /// Chosen anew at each start; larger is later.
   std::uint64_t Incarnation = 0;
-  member_state State = member_state::Serving;
+  member_state State = member_state::Starting;
   failure_domain_id Domain;
 };
 
--- a/Libraries/LibRouting/version_chooser.cpp
+++ b/Libraries/LibRouting/version_chooser.cpp
@@ -14,6 +14,8 @@
 constexpr double PriorScore = 0.5;
 /// Standard errors that a neutral class asks of a quality estimate.
 constexpr double ConfidenceWidth = 0.5;
+/// A cascade's quality is put together from several estimates.
+constexpr double CascadeWidthFactor = 3.0;
 /// Share of requests that explore while a cheaper version might do.
 constexpr double ExplorationRate = 0.25;
 /// Ratings after which the exploration of a version slows down.
@@ -58,6 +60,8 @@
 struct candidate {
   route_plan Plan;
   double LowerQuality = 0;
+  /// What the quality may be at best, as far as is known.
+  double UpperQuality = 1;
   bool IsSuspect = false;
 };
 
@@ -69,6 +73,7 @@
   Candidate.Plan.ExpectedQuality = meanQuality(Ratings);
   Candidate.Plan.ExpectedFirstTokenMs = firstTokenTail(View);
   Candidate.LowerQuality = lowerQuality(Ratings, Width);
+  Candidate.UpperQuality = upperQuality(Ratings, UndecidedWidth);
   Candidate.IsSuspect = View.IsSuspect;
   return Candidate;
 }
@@ -102,6 +107,9 @@
   Candidate.LowerQuality =
       AcceptedShare * lowerQuality(Accepted, Width) +
       (1 - AcceptedShare) * lowerQuality(StrongRatings, Width);
+  Candidate.UpperQuality =
+      AcceptedShare * upperQuality(Accepted, UndecidedWidth) +
+      (1 - AcceptedShare) * upperQuality(StrongRatings, UndecidedWidth);
   // The cheap answer is held until it is accepted, and the tail of the
   // requests pays for both stages.
   Candidate.Plan.ExpectedFirstTokenMs =
@@ -135,7 +143,8 @@
         costOf(Cheap) >= costOf(*Strongest))
       continue;
     for (std::size_t Bucket = 1; Bucket < ConfidenceBucketCount; ++Bucket)
-      if (auto Candidate = cascadeCandidate(Cheap, *Strongest, Bucket, Width))
+      if (auto Candidate = cascadeCandidate(Cheap, *Strongest, Bucket,
+                                            CascadeWidthFactor * Width))
         Candidates.push_back(std::move(*Candidate));
   }
   return Candidates;
@@ -194,13 +203,15 @@
         Proven.begin(), Proven.end(), [&](const auto *Left, const auto *Right) {
           return weightedCost(Class, *Left) < weightedCost(Class, *Right);
         });
-  // Nothing is known to meet the target: the best known quality, and where
-  // nothing is known at all, the dearest version as the likeliest to meet it.
+  // Nothing is known to meet the target: what may be best, and where nothing is
+  // known at all, the dearest version as the likeliest to meet it. The best
+  // lower bound would stay with a mediocre version for ever, since a better one
+  // that has never served has none.
   return *std::max_element(
       Candidates.begin(), Candidates.end(),
       [](const candidate &Left, const candidate &Right) {
-        if (std::abs(Left.LowerQuality - Right.LowerQuality) > 0.02)
-          return Left.LowerQuality < Right.LowerQuality;
+        if (std::abs(Left.UpperQuality - Right.UpperQuality) > 0.02)
+          return Left.UpperQuality < Right.UpperQuality;
         return Left.Plan.ExpectedCost < Right.Plan.ExpectedCost;
       });
 }
--- a/Services/azurehaven-bench/main.cpp
+++ b/Services/azurehaven-bench/main.cpp
@@ -1,5 +1,6 @@
 #include "LibBench/policy_bench.h"
 #include "LibBench/proxy_bench.h"
+#include "LibBench/slope_bench.h"
 #include "LibClient/command_line.h"
 
 #include <cstdio>
@@ -17,6 +18,7 @@
   azurehaven-bench policy [options]
   azurehaven-bench proxy --entry=IP:PORT --engine=IP:PORT --version=NAME
                    --key=KEY --class=NAME [--requests=N]
+  azurehaven-bench slopes
   azurehaven-bench (-h | --help)
 
 Options:
@@ -156,5 +158,9 @@
                                            Values + Count);
   if (auto Status = Line.parse(Usage, Command, Arguments))
     return *Status;
+  if (Line.flag("slopes")) {
+    std::cout << runSlopeBench().dump(2) << "\n";
+    return ExitSuccess;
+  }
   return Line.flag("proxy") ? runProxy(Line) : runPolicy(Line);
 }
--- /dev/null
+++ b/Tests/LibEntry/engine_attempt_test.cpp
@@ -0,0 +1,145 @@
+#include "LibEntry/engine_attempt.h"
+
+#include <doctest/doctest.h>
+#include <doctest/trompeloeil.hpp>
+
+using namespace azurehaven;
+using nlohmann::json;
+
+namespace {
+
+/// Plays back a body, then its proper end or a cut.
+class scripted_stream : public http_stream {
+public:
+  scripted_stream(int Status, std::string Body, bool IsCut)
+      : Status(Status), Body(std::move(Body)), IsCut(IsCut) {}
+
+  int status() const override { return Status; }
+  const http_headers &headers() const override { return Headers; }
+  std::variant<std::optional<std::string>, http_failure> next() override {
+    if (!HasGivenBody) {
+      HasGivenBody = true;
+      return std::optional<std::string>(Body);
+    }
+    if (IsCut)
+      return http_failure{delivery::MayHaveRun, "cut"};
+    return std::optional<std::string>();
+  }
+
+  http_headers Headers;
+
+private:
+  const int Status;
+  const std::string Body;
+  const bool IsCut;
+  bool HasGivenBody = false;
+};
+
+class transport_mock : public http_transport {
+public:
+  MAKE_MOCK4(send,
+             send_outcome(const network_address &, const http_request &,
+                          const http_timeouts &, connection_use),
+             override);
+  MAKE_MOCK3(open,
+             open_outcome(const network_address &, const http_request &,
+                          const http_timeouts &),
+             override);
+};
+
+std::string chunk(const char *Id, const char *Model, const char *Text,
+                  bool IsLast = false) {
+  json Event = {{"id", Id},
+                {"model", Model},
+                {"choices",
+                 {{{"delta", {{"content", Text}}},
+                   {"finish_reason", IsLast ? json("stop") : json()}}}}};
+  if (IsLast)
+    Event["usage"] = {{"prompt_tokens", 3}, {"completion_tokens", 1}};
+  return formatEvent(Event.dump());
+}
+
+/// The last event of an answer with this body, and the text before it.
+std::pair<engine_event, std::string> play(const std::string &Body,
+                                          bool IsCut = false) {
+  transport_mock Transport;
+  REQUIRE_CALL(Transport, open(trompeloeil::_, trompeloeil::_, trompeloeil::_))
+      .LR_RETURN(
+          open_outcome(std::make_unique<scripted_stream>(200, Body, IsCut)));
+  const json Caller = {{"messages", json::array()}};
+  auto Opened = engine_attempt::open(
+      Transport, {}, {"id", version_id("m@1"), 5, &Caller, ""}, {});
+  auto &Attempt = std::get<std::unique_ptr<engine_attempt>>(Opened);
+  std::string Text;
+  while (true) {
+    engine_event Event = Attempt->next();
+    auto *Part = std::get_if<engine_text>(&Event);
+    if (!Part)
+      return {std::move(Event), Text};
+    Text += Part->Text;
+  }
+}
+
+engine_fault faultOf(const engine_event &Event) {
+  REQUIRE(std::holds_alternative<engine_failure>(Event));
+  return std::get<engine_failure>(Event).Fault;
+}
+
+} // namespace
+
+TEST_CASE("a whole answer ends with its usage") {
+  auto [Event, Text] =
+      play(chunk("id", "m@1", "hello") + chunk("id", "m@1", "", true) +
+           formatEvent("[DONE]"));
+  REQUIRE(std::holds_alternative<engine_finish>(Event));
+  CHECK(Text == "hello");
+  CHECK(std::get<engine_finish>(Event).PromptTokens == token_count(3));
+}
+
+TEST_CASE("an answer without its end marker is broken") {
+  const std::string Start = chunk("id", "m@1", "hello");
+  CHECK(faultOf(play(Start).first) == engine_fault::Broken);
+  CHECK(faultOf(play(Start, true).first) == engine_fault::Broken);
+  CHECK(faultOf(play(Start + chunk("id", "m@1", "", true)).first) ==
+        engine_fault::Broken);
+  CHECK(faultOf(play(Start + formatEvent("[DONE]")).first) ==
+        engine_fault::Foreign);
+}
+
+TEST_CASE("another request's or version's answer is not passed on") {
+  auto [Crossed, Text] = play(chunk("other", "m@1", "secret"));
+  CHECK(faultOf(Crossed) == engine_fault::Foreign);
+  CHECK(Text.empty());
+  CHECK(faultOf(play(chunk("id", "m@2", "text")).first) ==
+        engine_fault::Foreign);
+  CHECK(faultOf(play(formatEvent("nonsense")).first) == engine_fault::Foreign);
+  CHECK(faultOf(play(formatEvent(R"({"id":"id","model":"m@1"})")).first) ==
+        engine_fault::Foreign);
+}
+
+TEST_CASE("text after the end fails the attempt") {
+  const std::string Whole =
+      chunk("id", "m@1", "hello") + chunk("id", "m@1", "", true);
+  CHECK(faultOf(play(Whole + chunk("id", "m@1", "more")).first) ==
+        engine_fault::Foreign);
+}
+
+TEST_CASE("what certainly was not sent is told apart from what may have run") {
+  transport_mock Transport;
+  const json Caller = {{"messages", json::array()}};
+  const engine_attempt::order Order{"id", version_id("m@1"), 5, &Caller, ""};
+  for (const auto &[Delivery, MayHaveRun] :
+       {std::pair(delivery::NotSent, false),
+        std::pair(delivery::MayHaveRun, true)}) {
+    REQUIRE_CALL(Transport,
+                 open(trompeloeil::_, trompeloeil::_, trompeloeil::_))
+        .LR_RETURN(open_outcome(http_failure{Delivery, "x"}));
+    auto Opened = engine_attempt::open(Transport, {}, Order, {});
+    CHECK(std::get<engine_failure>(Opened).mayHaveRun() == MayHaveRun);
+  }
+  REQUIRE_CALL(Transport, open(trompeloeil::_, trompeloeil::_, trompeloeil::_))
+      .LR_RETURN(
+          open_outcome(std::make_unique<scripted_stream>(429, "", false)));
+  auto Opened = engine_attempt::open(Transport, {}, Order, {});
+  CHECK(std::get<engine_failure>(Opened).Fault == engine_fault::Busy);
+}
--- /dev/null
+++ b/Tests/LibLedger/bill_committer_test.cpp
@@ -0,0 +1,129 @@
+#include "LibLedger/bill_committer.h"
+#include "LibLedger/custody_holder.h"
+#include "LibLedger/ledger_reader.h"
+#include "LibStandIn/faulty_store.h"
+
+#include <doctest/doctest.h>
+#include <doctest/trompeloeil.hpp>
+
+using namespace azurehaven;
+
+namespace {
+
+const steady_time Start{std::chrono::hours(1)};
+
+class custody_mock : public custody_port {
+public:
+  MAKE_MOCK0(candidates, std::vector<vm_id>(), override);
+  MAKE_MOCK3(request,
+             void(const vm_id &, std::uint64_t,
+                  const std::vector<std::string> &),
+             override);
+  MAKE_MOCK2(release, void(const vm_id &, const std::vector<std::string> &),
+             override);
+};
+
+bill billOf(const char *Request, std::uint64_t Body = 1) {
+  bill Bill;
+  Bill.Account = client_account_id("account");
+  Bill.Request = request_id(Request);
+  Bill.BodyFingerprint = Body;
+  Bill.Price = micro_euros(7);
+  Bill.Vm = vm_id("a");
+  return Bill;
+}
+
+std::size_t ledgerSize(store &Store) {
+  auto Bills = readLedger(Store, std::nullopt);
+  REQUIRE_FALSE(isError(Bills));
+  return valueOf(Bills).size();
+}
+
+} // namespace
+
+TEST_CASE("many bills go into one write") {
+  faulty_store Store;
+  custody_mock Custody;
+  bill_committer Committer(Store, Custody, vm_id("a"), 1, {});
+  for (const char *Request : {"r1", "r2", "r3"})
+    (void)Committer.add(billOf(Request));
+  Committer.flush(Start);
+  CHECK(Store.Calls == 1);
+  CHECK(Committer.stateOf(1) == bill_state::Written);
+  CHECK(ledgerSize(Store) == 3);
+}
+
+TEST_CASE("a write whose answer was lost is not written twice") {
+  faulty_store Store;
+  custody_mock Custody;
+  ALLOW_CALL(Custody, candidates()).RETURN(std::vector<vm_id>{});
+  Store.FaultOf = [](unsigned Call) {
+    return Call == 1 ? store_fault::AnswerLost : store_fault::None;
+  };
+  bill_committer Committer(Store, Custody, vm_id("a"), 1, {});
+  (void)Committer.add(billOf("r1"));
+  Committer.flush(Start);
+  CHECK(Committer.stateOf(1) == bill_state::Waiting);
+  Committer.flush(Start + std::chrono::seconds(1));
+  CHECK(Committer.stateOf(1) == bill_state::Written);
+  CHECK(ledgerSize(Store) == 1);
+}
+
+TEST_CASE("with the store away two copies release the answer") {
+  faulty_store Store;
+  custody_mock Custody;
+  Store.FaultOf = [](unsigned) { return store_fault::Away; };
+  ALLOW_CALL(Custody, candidates())
+      .RETURN(std::vector<vm_id>{vm_id("b"), vm_id("c"), vm_id("d")});
+  REQUIRE_CALL(Custody, request(vm_id("b"), 1u, trompeloeil::_));
+  REQUIRE_CALL(Custody, request(vm_id("c"), 1u, trompeloeil::_));
+  bill_committer Committer(Store, Custody, vm_id("a"), 1, {});
+  (void)Committer.add(billOf("r1"));
+  Committer.flush(Start);
+  Committer.custodyAnswered(vm_id("b"), 1);
+  CHECK(Committer.stateOf(1) == bill_state::Waiting);
+  CHECK_FALSE(Committer.isSafeToStop());
+  Committer.custodyAnswered(vm_id("c"), 1);
+  CHECK(Committer.stateOf(1) == bill_state::InCustody);
+  CHECK(Committer.isSafeToStop());
+
+  REQUIRE_CALL(Custody, release(vm_id("b"), trompeloeil::_));
+  REQUIRE_CALL(Custody, release(vm_id("c"), trompeloeil::_));
+  Store.FaultOf = [](unsigned) { return store_fault::None; };
+  Committer.flush(Start + std::chrono::seconds(1));
+  CHECK(Committer.stateOf(1) == bill_state::Written);
+  CHECK(ledgerSize(Store) == 1);
+}
+
+TEST_CASE("the ledger is a set: the first record written of a bill counts") {
+  memory_store Store;
+  custody_mock Custody;
+  bill_committer First(Store, Custody, vm_id("a"), 1, {});
+  bill_committer Second(Store, Custody, vm_id("b"), 1, {});
+  (void)First.add(billOf("r1"));
+  First.flush(Start);
+  bill Dearer = billOf("r1");
+  Dearer.Price = micro_euros(9);
+  (void)Second.add(Dearer);
+  (void)Second.add(billOf("r1", 2));
+  Second.flush(Start);
+  auto Bills = valueOf(readLedger(Store, std::nullopt));
+  // The same id with another body is another request.
+  REQUIRE(Bills.size() == 2);
+  CHECK(Bills[0].Price == micro_euros(7));
+}
+
+TEST_CASE("orphaned bills are taken over once, released ones are not") {
+  custody_holder Holder;
+  const std::vector<std::string> Bills = {encodeBill(billOf("r1")),
+                                          encodeBill(billOf("r2"))};
+  CHECK(Holder.hold(vm_id("a"), Bills));
+  CHECK(Holder.hold(vm_id("a"), Bills));
+  CHECK(Holder.size() == 2);
+  Holder.release(vm_id("a"), {billOf("r1").key()});
+  const auto IsGone = [](const vm_id &) { return true; };
+  CHECK(Holder.takeOrphans([](const vm_id &) { return false; }).empty());
+  CHECK(Holder.takeOrphans(IsGone).size() == 1);
+  CHECK(Holder.takeOrphans(IsGone).empty());
+  CHECK(Holder.size() == 0);
+}
--- /dev/null
+++ b/Tests/LibMembership/membership_test.cpp
@@ -0,0 +1,108 @@
+#include "LibMembership/http_vm_list.h"
+#include "LibMembership/member_table.h"
+
+#include <doctest/doctest.h>
+
+#include <set>
+
+using namespace azurehaven;
+
+namespace {
+
+const steady_time Start{std::chrono::hours(1)};
+
+listed_vm entry(const char *Name, const char *Domain) {
+  listed_vm Line;
+  Line.Vm = vm_id(Name);
+  Line.Domain = failure_domain_id(Domain);
+  Line.Address = {"127.0.0.1", 1};
+  Line.PeerAddress = network_address{"127.0.0.1", 2};
+  return Line;
+}
+
+member_table makeTable() {
+  return member_table(
+      {vm_id("a"), 1, member_state::Serving, failure_domain_id("north")},
+      {"127.0.0.9", 9}, {});
+}
+
+member_notice notice(const char *Name, std::uint64_t Incarnation,
+                     member_state State) {
+  return {vm_id(Name), Incarnation, State, {}};
+}
+
+} // namespace
+
+TEST_CASE("discovery lists this VM and the peers that answer") {
+  auto Table = makeTable();
+  Table.applyList({entry("b", "north"), entry("c", "south")}, Start);
+  Table.heard(vm_id("b"), 1, Start);
+  Table.heard(vm_id("c"), 1, Start);
+  // Heard of, but still starting.
+  CHECK(Table.serving(Start).size() == 1);
+  Table.merge(notice("b", 1, member_state::Serving));
+  Table.merge(notice("c", 1, member_state::Serving));
+  CHECK(Table.serving(Start).size() == 3);
+  // Peers of other failure domains come first for custody.
+  CHECK(Table.responsivePeers(Start).front() == vm_id("c"));
+  CHECK(Table.serving(Start + milliseconds(2001)).size() == 1);
+}
+
+TEST_CASE("a leaving VM stays left out until it starts again") {
+  auto Table = makeTable();
+  Table.applyList({entry("b", "north")}, Start);
+  Table.heard(vm_id("b"), 5, Start);
+  Table.merge(notice("b", 5, member_state::Serving));
+  CHECK(Table.serving(Start).size() == 2);
+  Table.merge(notice("b", 5, member_state::Leaving));
+  Table.merge(notice("b", 5, member_state::Serving));
+  CHECK(Table.serving(Start).size() == 1);
+  Table.heard(vm_id("b"), 6, Start);
+  Table.merge(notice("b", 6, member_state::Serving));
+  CHECK(Table.serving(Start).size() == 2);
+}
+
+TEST_CASE("a VM counts as gone only when long unheard, or no longer listed") {
+  auto Table = makeTable();
+  Table.applyList({entry("b", "north")}, Start);
+  Table.heard(vm_id("b"), 1, Start);
+  CHECK_FALSE(Table.isGone(vm_id("b"), Start + std::chrono::seconds(10)));
+  CHECK(Table.isGone(vm_id("b"), Start + milliseconds(10001)));
+  CHECK(Table.isGone(vm_id("z"), Start));
+}
+
+TEST_CASE("facts renewed all the time do not keep the others back") {
+  rumor_board<int, int> Board(2);
+  std::set<int> Seen;
+  for (int Round = 0; Round < 20; ++Round) {
+    for (int Key = 0; Key < 10; ++Key)
+      Board.put(Key, Key);
+    for (int Fact : Board.take(2, 0))
+      Seen.insert(Fact);
+  }
+  CHECK(Seen.size() == 10);
+}
+
+TEST_CASE("spare room repeats old facts for those who joined late") {
+  rumor_board<int, int> Board(1);
+  for (int Key = 0; Key < 5; ++Key)
+    Board.put(Key, Key);
+  (void)Board.take(5, 0);
+  std::set<int> Seen;
+  for (int Round = 0; Round < 5; ++Round)
+    for (int Fact : Board.take(5, 1))
+      Seen.insert(Fact);
+  CHECK(Seen.size() == 5);
+}
+
+TEST_CASE("a malformed list is refused as a whole") {
+  CHECK(isError(parseVmList("[{\"vm\":\"a\"}]")));
+  CHECK(isError(parseVmList("nonsense")));
+  CHECK(isError(parseVmList(
+      R"([{"vm":"a","kind":"entry","domain":"d","address":"nowhere:1"}])")));
+  CHECK(valueOf(parseVmList(
+                    R"([{"vm":"a","kind":"engine","domain":"d",
+                         "address":"127.0.0.1:1","state":"leaving"}])"))
+            .at(0)
+            .State == listed_state::Leaving);
+}
--- /dev/null
+++ b/Tests/LibPeer/frame_codec_test.cpp
@@ -0,0 +1,69 @@
+#include "LibPeer/frame_codec.h"
+
+#include <doctest/doctest.h>
+
+#include <random>
+
+using namespace azurehaven;
+
+namespace {
+
+peer_frame fullHeartbeat() {
+  heartbeat Message;
+  Message.Kind = heartbeat_kind::Answer;
+  Message.Nonce = 7;
+  Message.ConfigVersion = 42;
+  Message.MayVouch = true;
+  Message.ConfirmationAge = milliseconds(123);
+  Message.ConfirmedVersion = 41;
+  Message.Members = {
+      {vm_id("a"), 3, member_state::Leaving, failure_domain_id("north")}};
+  rating_notice Rating{vm_id("a"), 3, version_id("m@1"), class_id("c"), {}};
+  Rating.Buckets[2] = {5, 4000, 6, 1};
+  Message.Ratings = {Rating};
+  Message.Crashes = {{99, endpoint_id("e")}};
+  Message.Usage = {{client_account_id("x"), 4}};
+  return {vm_id("sender"), 11, Message};
+}
+
+} // namespace
+
+TEST_CASE("a heartbeat survives its encoding") {
+  auto Decoded = decodeFrame(encodeFrame(fullHeartbeat()));
+  REQUIRE_FALSE(isError(Decoded));
+  CHECK(valueOf(Decoded).Sender == vm_id("sender"));
+  const auto &Message = std::get<heartbeat>(valueOf(Decoded).Message);
+  CHECK(Message.ConfigVersion == 42);
+  CHECK(Message.ConfirmationAge == milliseconds(123));
+  CHECK(Message.Members.at(0).State == member_state::Leaving);
+  CHECK(Message.Ratings.at(0).Buckets[2] == rating_counts{5, 4000, 6, 1});
+  CHECK(Message.Crashes.at(0).Fingerprint == 99);
+  CHECK(Message.Usage.at(0).InFlight == 4);
+}
+
+TEST_CASE("the other messages survive their encoding") {
+  auto Custody = decodeFrame(
+      encodeFrame({vm_id("a"), 1, custody_request{5, {"one", "two"}}}));
+  CHECK(std::get<custody_request>(valueOf(Custody).Message).Bills.at(1) ==
+        "two");
+  auto Snapshot =
+      decodeFrame(encodeFrame({vm_id("a"), 1, configuration_snapshot{"{}"}}));
+  CHECK(std::get<configuration_snapshot>(valueOf(Snapshot).Message).Document ==
+        "{}");
+}
+
+TEST_CASE("mutated frames are refused or decoded, never worse") {
+  const std::string Good = encodeFrame(fullHeartbeat());
+  std::mt19937 Random(20261204);
+  unsigned Refused = 0;
+  for (int Round = 0; Round < 20000; ++Round) {
+    std::string Bytes = Good;
+    for (unsigned Count = 1 + Random() % 4; Count > 0; --Count)
+      Bytes[Random() % Bytes.size()] = static_cast<char>(Random());
+    if (Random() % 4 == 0)
+      Bytes.resize(Random() % Bytes.size());
+    if (isError(decodeFrame(Bytes)))
+      ++Refused;
+  }
+  CHECK(Refused > 0);
+}
--- /dev/null
+++ b/Tests/LibRouting/endpoint_table_test.cpp
@@ -0,0 +1,147 @@
+#include "LibRouting/endpoint_table.h"
+
+#include <doctest/doctest.h>
+
+using namespace azurehaven;
+
+namespace {
+
+const steady_time Start{std::chrono::hours(1)};
+const version_id Version("m@1");
+
+listed_vm engine(const std::string &Name,
+                 listed_state State = listed_state::Live) {
+  listed_vm Line;
+  Line.Vm = vm_id(Name);
+  Line.Kind = vm_kind::Engine;
+  Line.State = State;
+  Line.Address = {"127.0.0.1", 1};
+  return Line;
+}
+
+endpoint_report reportWith(std::uint32_t Load, bool IsLeaving = false) {
+  return {{Version}, 8, Load, IsLeaving, "boot"};
+}
+
+/// A table of engines e0, e1, ... that have all reported no load.
+endpoint_table makeTable(int Count) {
+  endpoint_table Table(1);
+  std::vector<listed_vm> List;
+  for (int Index = 0; Index < Count; ++Index)
+    List.push_back(engine("e" + std::to_string(Index)));
+  Table.applyList(List);
+  for (const auto &Line : List)
+    Table.report(endpoint_id(Line.Vm.text()), reportWith(0), Start);
+  return Table;
+}
+
+endpoint_id idOf(int Index) { return endpoint_id("e" + std::to_string(Index)); }
+
+std::map<endpoint_id, int> tally(endpoint_table &Table, int Rounds,
+                                 steady_time Now = Start) {
+  std::map<endpoint_id, int> Counts;
+  for (int Round = 0; Round < Rounds; ++Round)
+    if (auto Chosen = Table.choose(Version, 0, {}, false, Now)) {
+      Table.attemptStarted(Chosen->Id, false);
+      ++Counts[Chosen->Id];
+    }
+  return Counts;
+}
+
+} // namespace
+
+TEST_CASE("requests spread evenly although the reports lag") {
+  auto Table = makeTable(4);
+  for (const auto &[Id, Count] : tally(Table, 40))
+    CHECK(Count == doctest::Approx(10).epsilon(0.3));
+}
+
+TEST_CASE("other senders are taken to do as this one does") {
+  auto Table = makeTable(2);
+  Table.setSenderCount(5);
+  Table.report(idOf(0), reportWith(4), Start + milliseconds(1));
+  // One own start counts for five, so that the idle engine is not flooded.
+  const auto Counts = tally(Table, 2);
+  CHECK(Counts.size() == 2);
+}
+
+TEST_CASE("a leaving endpoint gets nothing, by its word or by the list") {
+  auto Table = makeTable(2);
+  Table.report(idOf(0), reportWith(0, true), Start + milliseconds(1));
+  CHECK_FALSE(tally(Table, 10).contains(idOf(0)));
+  Table.applyList({engine("e0"), engine("e1", listed_state::Leaving)});
+  CHECK(tally(Table, 10).empty());
+  // Its own later word that it stays does not outweigh the list.
+  Table.report(idOf(1), reportWith(0), Start + milliseconds(2));
+  CHECK(tally(Table, 10).empty());
+}
+
+TEST_CASE("an unlisted endpoint is forgotten") {
+  auto Table = makeTable(2);
+  Table.applyList({engine("e1")});
+  CHECK(tally(Table, 10).size() == 1);
+}
+
+TEST_CASE("a failing endpoint is kept out until it answers again") {
+  auto Table = makeTable(4);
+  for (int Round = 0; Round < 2; ++Round) {
+    Table.attemptStarted(idOf(0), false);
+    Table.attemptFinished(idOf(0), attempt_outcome::Failed, std::nullopt, false,
+                          Start);
+  }
+  const steady_time Later = Start + std::chrono::minutes(5);
+  CHECK_FALSE(tally(Table, 20, Later).contains(idOf(0)));
+  Table.report(idOf(0), reportWith(0), Later);
+  CHECK(tally(Table, 60, Later).contains(idOf(0)));
+}
+
+TEST_CASE("ejection never takes the pool") {
+  auto Table = makeTable(3);
+  for (int Index = 0; Index < 3; ++Index)
+    for (int Round = 0; Round < 5; ++Round) {
+      Table.attemptStarted(idOf(Index), false);
+      Table.attemptFinished(idOf(Index), attempt_outcome::Failed, std::nullopt,
+                            false, Start);
+    }
+  CHECK(tally(Table, 30).size() >= 2);
+}
+
+TEST_CASE("a slow endpoint is ejected by comparison with its kin") {
+  auto Table = makeTable(4);
+  for (int Round = 0; Round < 10; ++Round)
+    for (int Index = 0; Index < 4; ++Index) {
+      Table.attemptStarted(idOf(Index), false);
+      Table.attemptFinished(idOf(Index), attempt_outcome::Answered,
+                            milliseconds(Index == 2 ? 900 : 100), false, Start);
+    }
+  CHECK_FALSE(tally(Table, 40).contains(idOf(2)));
+}
+
+TEST_CASE("a broken endpoint needs a report asked for afterwards") {
+  auto Table = makeTable(1);
+  Table.markBroken(idOf(0), Start + milliseconds(10));
+  CHECK(tally(Table, 1).empty());
+  Table.report(idOf(0), reportWith(0), Start + milliseconds(5));
+  CHECK(tally(Table, 1).empty());
+  Table.report(idOf(0), reportWith(0), Start + milliseconds(11));
+  CHECK(tally(Table, 1).size() == 1);
+}
+
+TEST_CASE("a prefix keeps to its endpoint until that is loaded") {
+  auto Table = makeTable(4);
+  const auto First = Table.choose(Version, 77, {}, false, Start);
+  for (int Round = 0; Round < 10; ++Round)
+    CHECK(Table.choose(Version, 77, {}, false, Start)->Id == First->Id);
+  for (int Round = 0; Round < 12; ++Round)
+    Table.attemptStarted(First->Id, false);
+  CHECK(Table.choose(Version, 77, {}, false, Start)->Id != First->Id);
+}
+
+TEST_CASE("two suspect requests never share an endpoint") {
+  auto Table = makeTable(1);
+  const auto First = Table.choose(Version, 0, {}, true, Start);
+  REQUIRE(First);
+  Table.attemptStarted(First->Id, true);
+  CHECK_FALSE(Table.choose(Version, 0, {}, true, Start));
+  CHECK(Table.choose(Version, 0, {}, false, Start));
+}
--- /dev/null
+++ b/Tests/LibRouting/router_test.cpp
@@ -0,0 +1,126 @@
+#include "LibRouting/router.h"
+
+#include <doctest/doctest.h>
+
+using namespace azurehaven;
+
+namespace {
+
+const steady_time Start{std::chrono::hours(1)};
+
+/// One router with one engine that hosts two versions.
+struct fixture {
+  configuration Configuration;
+  client_account Account;
+  work_class Class;
+  router Router{vm_id("a"), 1, 1, {}};
+
+  fixture() {
+    Class.Id = class_id("c");
+    Class.FirstTokenTarget = milliseconds(1000);
+    Account.Id = client_account_id("x");
+    Account.AllowedModels = {model_id("m")};
+    for (const char *Id : {"m@1", "m@2", "other@1"}) {
+      const std::string Text = Id;
+      Configuration.Versions[version_id(Text)] = {
+          version_id(Text), model_id(Text.substr(0, Text.find('@'))),
+          micro_euros(10), micro_euros(10), version_state::Active};
+    }
+    listed_vm Line;
+    Line.Vm = vm_id("e0");
+    Line.Kind = vm_kind::Engine;
+    Line.Address = {"127.0.0.1", 1};
+    Router.applyList({Line}, 1);
+    Router.endpointReport(
+        endpoint_id("e0"),
+        {{version_id("m@1"), version_id("m@2"), version_id("other@1")},
+         8,
+         0,
+         false,
+         "boot"},
+        Start);
+  }
+
+  std::variant<route_plan, routing_refusal>
+  plan(std::optional<version_id> Pinned = std::nullopt,
+       std::uint64_t Fingerprint = 1) {
+    routing_request Request;
+    Request.Configuration = &Configuration;
+    Request.Account = &Account;
+    Request.Class = &Class;
+    Request.PinnedVersion = std::move(Pinned);
+    Request.Fingerprint = Fingerprint;
+    return Router.plan(Request, Start, nullptr);
+  }
+
+  void setState(const char *Id, version_state State) {
+    Configuration.Versions.at(version_id(Id)).State = State;
+  }
+};
+
+refusal_reason reasonOf(const std::variant<route_plan, routing_refusal> &Plan) {
+  REQUIRE(std::holds_alternative<routing_refusal>(Plan));
+  return std::get<routing_refusal>(Plan).Reason;
+}
+
+} // namespace
+
+TEST_CASE_FIXTURE(fixture, "only allowed versions are ever planned") {
+  for (int Round = 0; Round < 500; ++Round) {
+    const auto Planned = plan();
+    for (const auto &Stage : std::get<route_plan>(Planned).Stages)
+      CHECK(Stage.Version != version_id("other@1"));
+  }
+  Account.AllowedModels.clear();
+  CHECK(reasonOf(plan()) == refusal_reason::NothingAllowed);
+}
+
+TEST_CASE_FIXTURE(fixture,
+                  "a session is planned on its version or not at all") {
+  for (int Round = 0; Round < 100; ++Round)
+    CHECK(std::get<route_plan>(plan(version_id("m@2"))).Stages.at(0).Version ==
+          version_id("m@2"));
+  setState("m@2", version_state::Paused);
+  CHECK(std::holds_alternative<route_plan>(plan(version_id("m@2"))));
+  setState("m@2", version_state::Withdrawn);
+  CHECK(reasonOf(plan(version_id("m@2"))) == refusal_reason::VersionWithdrawn);
+  CHECK(reasonOf(plan(version_id("other@1"))) ==
+        refusal_reason::VersionWithdrawn);
+}
+
+TEST_CASE_FIXTURE(fixture, "two endpoints broken down refuse a fingerprint") {
+  Router.addCrash({1, endpoint_id("e7")}, Start);
+  CHECK(Router.crashStandingOf(1) == crash_standing::Suspect);
+  CHECK(std::holds_alternative<route_plan>(plan()));
+  Router.addCrash({1, endpoint_id("e7")}, Start);
+  CHECK(Router.crashStandingOf(1) == crash_standing::Suspect);
+  Router.addCrash({1, endpoint_id("e8")}, Start);
+  CHECK(reasonOf(plan()) == refusal_reason::CrashCausing);
+  CHECK(std::holds_alternative<route_plan>(plan(std::nullopt, 2)));
+}
+
+TEST_CASE_FIXTURE(fixture, "an alarmed version serves nothing new at once") {
+  for (int Round = 0; Round < 200; ++Round) {
+    const bool WasGood = Round < 100;
+    for (int Count = 0; Count < 5; ++Count)
+      Router.addRating({version_id("m@1"), Class.Id}, answer_role::Alone, 1,
+                       WasGood ? 1 : 0);
+    (void)Router.takeAlarms();
+  }
+  for (int Round = 0; Round < 200; ++Round)
+    CHECK(std::get<route_plan>(plan()).Stages.back().Version ==
+          version_id("m@2"));
+}
+
+TEST_CASE("retries are bounded by a share of the requests") {
+  retry_budget Budget;
+  const client_account_id Account("x");
+  int Taken = 0;
+  for (int Count = 0; Count < 1000; ++Count) {
+    Budget.requestStarted(Account);
+    while (Budget.tryTake(Account))
+      ++Taken;
+  }
+  CHECK(Taken <= 1000 * 2 / 10 + 10);
+  CHECK(Taken >= 1000 / 10);
+}
--- a/Tests/LibScenario/scenario_parser.cpp
+++ b/Tests/LibScenario/scenario_parser.cpp
@@ -90,7 +90,7 @@
     {"list", {2, 2}},   {"change", {2, 3}}, {"ask", {1, 1}},
     {"book", {1, 1}},   {"join", {1, 9}},   {"expect", {1, 4}},
     {"load", {1, 1}},   {"mark", {1, 1}},   {"faults", {1, 1}},
-    {"rate", {2, 2}}};
+    {"hold", {1, 1}},   {"rate", {2, 2}}};
 
 error errorAt(const std::string &File, std::size_t Line,
               const std::string &Expected) {
--- a/Tests/LibScenario/scenario_runner.cpp
+++ b/Tests/LibScenario/scenario_runner.cpp
@@ -149,6 +149,7 @@
       {"mark", &scenario_runner::mark},
       {"rate", &scenario_runner::rate},
       {"faults", &scenario_runner::playFaults},
+      {"hold", &scenario_runner::hold},
       {"expect", &scenario_runner::expect}};
   return (this->*Steps.at(Statement.Verb))(Statement);
 }
@@ -339,6 +340,13 @@
   });
 }
 
+/// hold MS: lets a fault last for at least so long, as a freeze beyond every
+/// lease has to. Not a wait for anything: a longer hold gives the same verdict.
+status scenario_runner::hold(const statement &Statement) {
+  std::this_thread::sleep_for(milliseconds(std::stol(Statement.Words[0])));
+  return success{};
+}
+
 status scenario_runner::mark(const statement &Statement) {
   std::map<std::string, std::uint64_t> Served;
   for (const char *Version :
--- a/Tests/LibScenario/scenario_runner.h
+++ b/Tests/LibScenario/scenario_runner.h
@@ -37,6 +37,7 @@
   status book(const statement &Statement);
   status join(const statement &Statement);
   status load(const statement &Statement);
+  status hold(const statement &Statement);
   status mark(const statement &Statement);
   status rate(const statement &Statement);
   status playFaults(const statement &Statement);
