--- /dev/null
+++ b/Libraries/LibBench/event_queue.h
@@ -0,0 +1,46 @@
+#pragma once
+
+#include "LibTypes/units.h"
+
+#include <cstdint>
+#include <functional>
+#include <queue>
+#include <tuple>
+#include <vector>
+
+namespace azurehaven::bench {
+
+/// Actions at points of virtual time; those of the same time run in the order
+/// in which they were scheduled.
+class event_queue {
+public:
+  void schedule(steady_time At, std::function<void()> Action) {
+    Events.push({At, NextOrder++, std::move(Action)});
+  }
+
+  /// Runs everything up to End; Now tells each action its time.
+  void runUntil(steady_time End, steady_time &Now) {
+    while (!Events.empty() && Events.top().At <= End) {
+      Now = Events.top().At;
+      auto Action = Events.top().Action;
+      Events.pop();
+      Action();
+    }
+  }
+
+private:
+  struct event {
+    steady_time At;
+    std::uint64_t Order;
+    std::function<void()> Action;
+
+    bool operator<(const event &Other) const {
+      return std::tie(At, Order) > std::tie(Other.At, Other.Order);
+    }
+  };
+
+  std::priority_queue<event> Events;
+  std::uint64_t NextOrder = 0;
+};
+
+} // namespace azurehaven::bench
--- a/Libraries/LibBench/policy_bench.cpp
+++ b/Libraries/LibBench/policy_bench.cpp
@@ -1,8 +1,11 @@
 #include "LibBench/policy_bench.h"
 
+#include "LibBench/bench_flow.h"
+#include "LibBench/bench_summary.h"
+#include "LibBench/event_queue.h"
+
 #include <algorithm>
 #include <cmath>
-#include <queue>
 
 namespace azurehaven::bench {
 
@@ -23,9 +26,6 @@
 constexpr milliseconds RestartTime{5000};
 constexpr milliseconds CrashRetryInterval{20000};
 constexpr int QueuePatience = 4;
-constexpr std::uint64_t PoisonFingerprint = 666;
-/// First tokens later than this multiple of the target are not on time.
-constexpr double OnTimeFactor = 1.0;
 const steady_time Start{std::chrono::hours(1)};
 
 steady_time atSecond(double Seconds) {
@@ -38,48 +38,6 @@
       std::chrono::duration<double, std::milli>(Count));
 }
 
-struct case_name {
-  bench_case Case;
-  const char *Name;
-};
-
-constexpr case_name CaseNames[] = {{bench_case::Steady, "steady"},
-                                   {bench_case::Flash, "flash"},
-                                   {bench_case::Loss, "loss"},
-                                   {bench_case::SlightlyBad, "slightly-bad"},
-                                   {bench_case::VeryBad, "very-bad"},
-                                   {bench_case::HalfRollOut, "half-roll-out"},
-                                   {bench_case::Flood, "flood"},
-                                   {bench_case::CrashCausing, "crash-causing"},
-                                   {bench_case::LateReports, "late-reports"}};
-
-/// The course of one request through the bench.
-struct flow {
-  bench_request Request;
-  bool IsEasy = true;
-  double Luck = 0;
-  route_plan Plan;
-  std::size_t Stage = 0;
-  answer_role Role = answer_role::Alone;
-  double AskedConfidence = 0;
-  std::optional<admission_ticket> Ticket;
-  steady_time AdmittedAt;
-  std::optional<attempt> Attempt;
-  std::set<endpoint_id> Excluded;
-  std::optional<placement> Placed;
-  std::size_t Engine = 0;
-  steady_time SentAt;
-  steady_time FirstTokenAt;
-  std::uint64_t EngineRun = 0;
-  double Cost = 0;
-  bool IsDone = false;
-  bool IsAnswered = false;
-  version_id AnsweredBy;
-  bool IsGood = false;
-  double Goodness = 0;
-  unsigned Tries = 0;
-};
-
 class simulation {
 public:
   simulation(workload Chosen, const bench_settings &Settings)
@@ -97,34 +55,16 @@
   bench_outcome run() {
     for (std::size_t Index = 0; Index < Load.Classes.size(); ++Index)
       scheduleArrival(Index, Start);
-    schedule(Start, [this] { reportLoads(); });
-    schedule(Start + GossipInterval, [this] { gossip(); });
-    schedule(Start + QueueInterval, [this] { advanceQueues(); });
-    schedule(Start + AutomationInterval, [this] { automate(); });
+    Events.schedule(Start, [this] { reportLoads(); });
+    Events.schedule(Start + GossipInterval, [this] { gossip(); });
+    Events.schedule(Start + QueueInterval, [this] { advanceQueues(); });
+    Events.schedule(Start + AutomationInterval, [this] { automate(); });
     const steady_time End = atSecond(Settings.Seconds);
-    while (!Events.empty() && Events.top().At <= End) {
-      Now = Events.top().At;
-      auto Action = Events.top().Action;
-      Events.pop();
-      Action();
-    }
-    return summarize();
+    Events.runUntil(End, Now);
+    return outcome();
   }
 
 private:
-  struct event {
-    steady_time At;
-    std::uint64_t Order;
-    std::function<void()> Action;
-    bool operator<(const event &Other) const {
-      return std::tie(At, Order) > std::tie(Other.At, Other.Order);
-    }
-  };
-
-  void schedule(steady_time At, std::function<void()> Action) {
-    Events.push({At, NextOrder++, std::move(Action)});
-  }
-
   double uniform() {
     return std::uniform_real_distribution<double>(0, 1)(Random);
   }
@@ -161,13 +101,13 @@
     Victim = Load.Engines.front().Version;
     switch (Settings.Case) {
     case bench_case::SlightlyBad:
-      schedule(atSecond(FaultSeconds), [this] { turnBad(Victim, 0.1); });
+      Events.schedule(atSecond(FaultSeconds), [this] { turnBad(Victim, 0.1); });
       break;
     case bench_case::VeryBad:
-      schedule(atSecond(FaultSeconds), [this] { turnBad(Victim, 0.5); });
+      Events.schedule(atSecond(FaultSeconds), [this] { turnBad(Victim, 0.5); });
       break;
     case bench_case::HalfRollOut:
-      schedule(atSecond(FaultSeconds), [this] {
+      Events.schedule(atSecond(FaultSeconds), [this] {
         const version_id Next(
             Load.Configuration.Versions.at(Victim).Model.text() + "@2");
         turnBad(Next, 0.2);
@@ -175,13 +115,13 @@
       });
       break;
     case bench_case::Loss:
-      schedule(atSecond(FaultSeconds), [this] {
+      Events.schedule(atSecond(FaultSeconds), [this] {
         for (std::size_t Index = 0; Index < Engines.size(); Index += 4)
           breakDown(Index, std::chrono::hours(1));
       });
       break;
     case bench_case::CrashCausing:
-      schedule(atSecond(FaultSeconds), [this] { sendPoison(); });
+      Events.schedule(atSecond(FaultSeconds), [this] { sendPoison(); });
       break;
     default:
       break;
@@ -229,16 +169,17 @@
     double Rate = Load.Classes[ClassIndex].RequestsPerSecond * rateFactor();
     if (Settings.Case == bench_case::Flood && Now >= atSecond(FaultSeconds))
       Rate *= 1 + (FloodFactor - 1) * 0.2;
-    schedule(From + millis(1000 * exponential(Rate)), [this, ClassIndex] {
-      scheduleArrival(ClassIndex, Now);
-      arrive(Load.Classes[ClassIndex], drawAccount(), 0);
-    });
+    Events.schedule(From + millis(1000 * exponential(Rate)),
+                    [this, ClassIndex] {
+                      scheduleArrival(ClassIndex, Now);
+                      arrive(Load.Classes[ClassIndex], drawAccount(), 0);
+                    });
   }
 
   void sendPoison() {
     arrive(Load.Classes.back(), Load.Accounts.back().Account,
            PoisonFingerprint);
-    schedule(Now + CrashRetryInterval, [this] { sendPoison(); });
+    Events.schedule(Now + CrashRetryInterval, [this] { sendPoison(); });
   }
 
   void arrive(const class_load &Class, const client_account_id &Account,
@@ -430,15 +371,16 @@
       const std::uint64_t Run = EngineRuns[EngineIndex];
       RunningJobs[EngineIndex].insert(Index);
       Flows[Index].FirstTokenAt = Now + millis(Started->FirstTokenMs);
-      schedule(Now + millis(Started->WholeMs),
-               [this, EngineIndex, Index, Run, Version = Started->Job.Version] {
-                 if (EngineRuns[EngineIndex] != Run)
-                   return;
-                 Engines[EngineIndex].finishOne();
-                 RunningJobs[EngineIndex].erase(Index);
-                 finishJob(Flows[Index], Version);
-                 startJobs(EngineIndex);
-               });
+      Events.schedule(
+          Now + millis(Started->WholeMs),
+          [this, EngineIndex, Index, Run, Version = Started->Job.Version] {
+            if (EngineRuns[EngineIndex] != Run)
+              return;
+            Engines[EngineIndex].finishOne();
+            RunningJobs[EngineIndex].erase(Index);
+            finishJob(Flows[Index], Version);
+            startJobs(EngineIndex);
+          });
     }
   }
 
@@ -447,8 +389,8 @@
     ++EngineRuns[EngineIndex];
     Engines[EngineIndex] = virtual_engine(Engines[EngineIndex].truth());
     Engines[EngineIndex].setUp(false);
-    schedule(Now + DownTime,
-             [this, EngineIndex] { Engines[EngineIndex].setUp(true); });
+    Events.schedule(Now + DownTime,
+                    [this, EngineIndex] { Engines[EngineIndex].setUp(true); });
     // Queued and running work alike is cut.
     for (std::size_t Index = 0; Index < Flows.size(); ++Index) {
       flow &Flow = Flows[Index];
@@ -527,11 +469,11 @@
   void scheduleRating(const flow &Flow, const version_id &Version,
                       double Confidence, double Goodness) {
     const double Score = uniform() < Goodness ? 1 : 0;
-    schedule(Now + RatingLag, [this, Vm = Flow.Request.Vm, Version,
-                               Role = Flow.Role, Class = Flow.Request.Class,
-                               Confidence, Score] {
-      Routers[Vm]->addRating({Version, Class}, Role, Confidence, Score);
-    });
+    Events.schedule(
+        Now + RatingLag, [this, Vm = Flow.Request.Vm, Version, Role = Flow.Role,
+                          Class = Flow.Request.Class, Confidence, Score] {
+          Routers[Vm]->addRating({Version, Class}, Role, Confidence, Score);
+        });
   }
 
   void escalate(flow &Flow) {
@@ -576,7 +518,7 @@
                          : ReportInterval;
     for (std::size_t Index = 0; Index < Engines.size(); ++Index)
       reportOne(Index, Age);
-    schedule(Now + ReportInterval, [this] { reportLoads(); });
+    Events.schedule(Now + ReportInterval, [this] { reportLoads(); });
   }
 
   void reportOne(std::size_t Index, milliseconds Age) {
@@ -590,7 +532,7 @@
     Report.Load = Engine.load();
     const bool IsUp = Engine.isUp();
     const steady_time AskedAt = Now;
-    schedule(Now + Age, [this, Index, Report, IsUp, AskedAt] {
+    Events.schedule(Now + Age, [this, Index, Report, IsUp, AskedAt] {
       ReportedLoads[Index] = Report.Load;
       for (auto &Router : Routers) {
         const endpoint_id &Id = Engines[Index].truth().Id;
@@ -620,7 +562,7 @@
       }
     }
     if (!Routers.empty())
-      schedule(Now + GossipInterval, [this] { gossip(); });
+      Events.schedule(Now + GossipInterval, [this] { gossip(); });
   }
 
   void advanceQueues() {
@@ -628,20 +570,20 @@
       for (const auto &[Version, Progress] : Routers[Vm]->advance(Now))
         play(Vm, Version, Progress);
     if (!Routers.empty())
-      schedule(Now + QueueInterval, [this] { advanceQueues(); });
+      Events.schedule(Now + QueueInterval, [this] { advanceQueues(); });
   }
 
   void automate() {
     for (auto &Router : Routers) {
       for (const auto &Alarm : Router->takeAlarms())
-        schedule(
+        Events.schedule(
             Now + ConfigurationDelay,
             [this, Version = Alarm.Subject.Version] { withdraw(Version); });
       for (const auto &Version : Router->provenRollOuts(Load.Configuration))
         setState(Version, version_state::Active);
     }
     if (!Routers.empty())
-      schedule(Now + AutomationInterval, [this] { automate(); });
+      Events.schedule(Now + AutomationInterval, [this] { automate(); });
   }
 
   void withdraw(const version_id &Version) {
@@ -655,85 +597,14 @@
     setState(Version, version_state::Withdrawn);
   }
 
-  // ---- the result
-
-  static double quantile(std::vector<double> &Values, double Part) {
-    if (Values.empty())
-      return 0;
-    auto Nth =
-        Values.begin() + static_cast<std::ptrdiff_t>(
-                             Part * static_cast<double>(Values.size() - 1));
-    std::nth_element(Values.begin(), Nth, Values.end());
-    return *Nth;
-  }
-
-  bool isOnTime(const flow &Flow) const {
-    const std::chrono::duration<double, std::milli> FirstToken =
-        Flow.FirstTokenAt - Flow.Request.ArrivedAt;
-    return Flow.IsAnswered &&
-           FirstToken.count() <=
-               OnTimeFactor *
-                   static_cast<double>(classOf(Flow).FirstTokenTarget.count());
-  }
-
-  bool counts(const flow &Flow) const {
-    return Flow.IsDone && Flow.Request.ArrivedAt >= atSecond(WarmUpSeconds) &&
-           Flow.Request.Fingerprint != PoisonFingerprint;
-  }
-
-  class_outcome summarizeClass(const class_id &Class,
-                               std::vector<double> &AllFirstTokens,
-                               double &AllCost) const {
-    class_outcome Outcome;
-    Outcome.Class = Class;
-    Outcome.QualityTarget = Load.Configuration.Classes.at(Class).QualityTarget;
-    std::vector<double> FirstTokens;
-    for (const flow &Flow : Flows) {
-      if (Flow.Request.Class != Class || !counts(Flow))
-        continue;
-      if (!Flow.IsAnswered) {
-        ++Outcome.Refused;
-        continue;
-      }
-      ++Outcome.Answered;
-      Outcome.OnTime += isOnTime(Flow);
-      Outcome.Quality += Flow.Goodness;
-      Outcome.Cost += Flow.Cost;
-      FirstTokens.push_back(std::chrono::duration<double, std::milli>(
-                                Flow.FirstTokenAt - Flow.Request.ArrivedAt)
-                                .count());
-    }
-    AllCost += Outcome.Cost;
-    AllFirstTokens.insert(AllFirstTokens.end(), FirstTokens.begin(),
-                          FirstTokens.end());
-    const double Count =
-        std::max<double>(1, static_cast<double>(Outcome.Answered));
-    Outcome.Quality /= Count;
-    Outcome.Cost /= Count;
-    Outcome.FirstTokenP50 = quantile(FirstTokens, 0.50);
-    Outcome.FirstTokenP95 = quantile(FirstTokens, 0.95);
-    Outcome.FirstTokenP99 = quantile(FirstTokens, 0.99);
-    return Outcome;
-  }
-
-  bench_outcome summarize() {
-    bench_outcome Outcome;
-    std::vector<double> FirstTokens;
-    double Cost = 0;
-    for (const auto &Class : Load.Classes) {
-      Outcome.Classes.push_back(summarizeClass(Class.Class, FirstTokens, Cost));
-      Outcome.Answered += Outcome.Classes.back().Answered;
-      Outcome.Refused += Outcome.Classes.back().Refused;
-    }
-    Outcome.CostPerRequest =
-        Cost / std::max<double>(1, static_cast<double>(Outcome.Answered));
-    Outcome.FirstTokenP95 = quantile(FirstTokens, 0.95);
+  bench_outcome outcome() {
+    bench_outcome Outcome =
+        summarize(Load, Flows, atSecond(WarmUpSeconds), atSecond(FaultSeconds));
     Outcome.BadServed = BadServed;
     Outcome.BadServedByFirstVm = BadServedByFirstVm;
     Outcome.WasWithdrawn = WasWithdrawn;
     Outcome.FalseAlarms = FalseAlarms;
     Outcome.Breakdowns = Breakdowns;
-    Outcome.OthersOnTime = othersOnTime();
     if (DecisionCount > 0)
       Outcome.DecisionMicros =
           std::chrono::duration<double, std::micro>(DecisionTime).count() /
@@ -741,20 +612,6 @@
     return Outcome;
   }
 
-  double othersOnTime() const {
-    std::size_t All = 0;
-    std::size_t OnTime = 0;
-    for (const flow &Flow : Flows) {
-      if (!counts(Flow) || Flow.Request.ArrivedAt < atSecond(FaultSeconds) ||
-          Flow.Request.Account == Load.Accounts.front().Account)
-        continue;
-      ++All;
-      OnTime += isOnTime(Flow);
-    }
-    return All == 0 ? 1
-                    : static_cast<double>(OnTime) / static_cast<double>(All);
-  }
-
   workload Load;
   const bench_settings Settings;
   std::mt19937_64 Random;
@@ -768,8 +625,7 @@
   version_id Victim;
   std::deque<flow> Flows;
   std::map<waiting_key, std::size_t> Waiting;
-  std::priority_queue<event> Events;
-  std::uint64_t NextOrder = 0;
+  event_queue Events;
   steady_time Now = Start;
   std::chrono::steady_clock::duration DecisionTime{};
   std::size_t DecisionCount = 0;
@@ -782,67 +638,8 @@
 
 } // namespace
 
-result<bench_case> parseBenchCase(const std::string &Name) {
-  std::string Known;
-  for (const auto &Entry : CaseNames) {
-    if (Name == Entry.Name)
-      return Entry.Case;
-    Known += std::string(Known.empty() ? "" : ", ") + Entry.Name;
-  }
-  return error{error_code::InvalidInput,
-               "--case: \"" + Name + "\"; accepted: " + Known};
-}
-
-const char *nameOf(bench_case Case) {
-  for (const auto &Entry : CaseNames)
-    if (Entry.Case == Case)
-      return Entry.Name;
-  return "unknown";
-}
-
-std::vector<bench_case> allBenchCases() {
-  std::vector<bench_case> All;
-  for (const auto &Entry : CaseNames)
-    All.push_back(Entry.Case);
-  return All;
-}
-
 bench_outcome runPolicyBench(workload Load, const bench_settings &Settings) {
   return simulation(std::move(Load), Settings).run();
 }
 
-double exposureBound(double GoodMean, double BadMean, double LogSamples) {
-  const double Divergence =
-      BadMean * std::log(BadMean / GoodMean) +
-      (1 - BadMean) * std::log((1 - BadMean) / (1 - GoodMean));
-  return LogSamples / Divergence;
-}
-
-nlohmann::json encodeOutcome(const bench_outcome &Outcome) {
-  nlohmann::json Classes = nlohmann::json::array();
-  for (const auto &Class : Outcome.Classes)
-    Classes.push_back({{"class", Class.Class.text()},
-                       {"quality", Class.Quality},
-                       {"quality_target", Class.QualityTarget},
-                       {"cost", Class.Cost},
-                       {"first_token_p50_ms", Class.FirstTokenP50},
-                       {"first_token_p95_ms", Class.FirstTokenP95},
-                       {"first_token_p99_ms", Class.FirstTokenP99},
-                       {"answered", Class.Answered},
-                       {"refused", Class.Refused},
-                       {"on_time", Class.OnTime}});
-  return {{"classes", Classes},
-          {"cost_per_request", Outcome.CostPerRequest},
-          {"first_token_p95_ms", Outcome.FirstTokenP95},
-          {"answered", Outcome.Answered},
-          {"refused", Outcome.Refused},
-          {"bad_served", Outcome.BadServed},
-          {"bad_served_by_first_vm", Outcome.BadServedByFirstVm},
-          {"withdrawn", Outcome.WasWithdrawn},
-          {"false_alarms", Outcome.FalseAlarms},
-          {"breakdowns", Outcome.Breakdowns},
-          {"others_on_time", Outcome.OthersOnTime},
-          {"decision_us", Outcome.DecisionMicros}};
-}
-
 } // namespace azurehaven::bench
--- a/Libraries/LibRouting/router.cpp
+++ b/Libraries/LibRouting/router.cpp
@@ -98,13 +98,20 @@
 }
 
 admission_queue &router::queueOf(const version_id &Version, steady_time Now) {
-  admission_queue &Queue = Queues[Version];
+  auto [It, IsNew] = Queues.try_emplace(Version);
+  if (IsNew)
+    updateLimit(Version, It->second, Now);
+  return It->second;
+}
+
+/// Looks at every endpoint, and is therefore left to advance().
+void router::updateLimit(const version_id &Version, admission_queue &Queue,
+                         steady_time Now) {
   const double Places = PlacesPerSlot *
                         static_cast<double>(Endpoints.slotsOf(Version, Now)) /
                         static_cast<double>(EntryCount);
   Queue.setLimit(
       std::max<std::uint32_t>(1, static_cast<std::uint32_t>(Places + 0.5)));
-  return Queue;
 }
 
 void router::updateUsageElsewhere(admission_queue &Queue, steady_time Now) {
@@ -145,9 +152,9 @@
   std::lock_guard Lock(Mutex);
   std::vector<std::pair<version_id, admission_progress>> All;
   for (auto &[Version, Queue] : Queues) {
-    admission_queue &Current = queueOf(Version, Now);
-    updateUsageElsewhere(Current, Now);
-    All.emplace_back(Version, Current.advance(Now));
+    updateLimit(Version, Queue, Now);
+    updateUsageElsewhere(Queue, Now);
+    All.emplace_back(Version, Queue.advance(Now));
   }
   return All;
 }
--- a/Libraries/LibRouting/router.h
+++ b/Libraries/LibRouting/router.h
@@ -73,7 +73,7 @@
   admission_progress release(const version_id &Version, admission_ticket Ticket,
                              milliseconds Service, steady_time Now);
   bool cancelAdmission(const version_id &Version, admission_ticket Ticket);
-  /// Progress of every queue, by version.
+  /// Progress of every queue, by version; to be called every few milliseconds.
   std::vector<std::pair<version_id, admission_progress>>
   advance(steady_time Now);
 
@@ -133,6 +133,8 @@
                       steady_time Now);
   version_statistics statisticsOf(const version_class &Subject) const;
   admission_queue &queueOf(const version_id &Version, steady_time Now);
+  void updateLimit(const version_id &Version, admission_queue &Queue,
+                   steady_time Now);
   void updateUsageElsewhere(admission_queue &Queue, steady_time Now);
   void addCounts(const version_class &Subject, std::size_t Bucket,
                  const rating_counts &Added);
--- a/Services/azurehaven-bench/main.cpp
+++ b/Services/azurehaven-bench/main.cpp
@@ -1,3 +1,4 @@
+#include "LibBench/policy.h"
 #include "LibBench/policy_bench.h"
 #include "LibBench/proxy_bench.h"
 #include "LibBench/slope_bench.h"
@@ -5,6 +6,7 @@
 
 #include <cstdio>
 #include <iostream>
+#include <sstream>
 
 using namespace azurehaven;
 using namespace azurehaven::bench;
@@ -17,7 +19,7 @@
 Usage:
   azurehaven-bench policy [options]
   azurehaven-bench proxy --entry=IP:PORT --engine=IP:PORT --version=NAME
-                   --key=KEY --class=NAME [--requests=N]
+                   --key=KEY --class=NAME [options]
   azurehaven-bench slopes
   azurehaven-bench (-h | --help)
 
@@ -38,6 +40,7 @@
   --key=KEY        An account's key
   --class=NAME     A class of work
   --requests=N     Most requests of one round [default: 600]
+  --streams=LIST   Concurrent streams, one after the other [default: 1,50,300]
 )";
 
 const std::vector<std::string> AllPolicies = {"azurehaven",     "round-robin",
@@ -79,6 +82,10 @@
     std::cerr << errorOf(Requests).Message << "\n";
     return ExitUsage;
   }
+  Settings.Concurrencies.clear();
+  std::stringstream Streams(*Line.text("--streams"));
+  for (std::string Item; std::getline(Streams, Item, ',');)
+    Settings.Concurrencies.push_back(std::strtoul(Item.c_str(), nullptr, 10));
   Settings.RequestsEach = static_cast<std::size_t>(valueOf(Requests));
   Settings.Version = *Line.text("--version");
   Settings.Key = *Line.text("--key");
--- /dev/null
+++ b/Tests/LibScenario/scenario_expectations.cpp
@@ -0,0 +1,268 @@
+#include "LibScenario/scenario_expectations.h"
+
+#include "LibScenario/eventually.h"
+
+#include <algorithm>
+
+namespace azurehaven {
+
+using nlohmann::json;
+
+namespace {
+
+error failure(const std::string &Message) {
+  return {error_code::Internal, Message};
+}
+
+std::string describe(const caller_answer &Answer) {
+  return "status " + std::to_string(Answer.Status) + ", whole " +
+         (Answer.IsWhole ? "yes" : "no") + ", version " + Answer.Version +
+         ", code " + Answer.ErrorCode + ", run " + Answer.Run + ", message " +
+         Answer.ErrorMessage;
+}
+
+} // namespace
+
+status scenario_expectations::check(const statement &Statement) {
+  static const std::map<std::string, expectation> Expectations = {
+      {"answer", &scenario_expectations::expectAnswer},
+      {"change", &scenario_expectations::expectChange},
+      {"bills", &scenario_expectations::expectBills},
+      {"runs", &scenario_expectations::expectRuns},
+      {"served", &scenario_expectations::expectServed},
+      {"entry", &scenario_expectations::expectEntry},
+      {"discovery", &scenario_expectations::expectDiscovery},
+      {"load", &scenario_expectations::expectLoad},
+      {"version", &scenario_expectations::expectVersionState},
+      {"reaches", &scenario_expectations::expectReaches},
+      {"engine", &scenario_expectations::expectEngine},
+      {"leaving", &scenario_expectations::expectLeaving},
+      {"breakdowns", &scenario_expectations::expectBreakdowns},
+      {"crash-causing", &scenario_expectations::expectCrashCausing}};
+  auto Found = Expectations.find(Statement.Words[0]);
+  if (Found == Expectations.end())
+    return failure("unknown expectation " + Statement.Words[0]);
+  return (this->*Found->second)(Statement);
+}
+
+/// expect answer NAME whole|refused [version=] [same-as=] [code=] [run=]
+status scenario_expectations::expectAnswer(const statement &Statement) {
+  auto Found = Record.Answers.find(Statement.Words[1]);
+  if (Found == Record.Answers.end())
+    return failure("no answer " + Statement.Words[1]);
+  const caller_answer &Answer = Found->second;
+  const bool WantsWhole =
+      Statement.Words.size() > 2 && Statement.Words[2] == "whole";
+  bool IsGood = Answer.IsWhole == WantsWhole;
+  for (const auto &[Name, Value] : Statement.Options) {
+    if (Name == "version")
+      IsGood &= Answer.Version == Value;
+    else if (Name == "not-version")
+      IsGood &= Answer.Version != Value;
+    else if (Name == "same-as")
+      IsGood &= Answer.Version == Record.Answers[Value].Version;
+    else if (Name == "code")
+      IsGood &= Answer.ErrorCode == Value;
+    else if (Name == "run")
+      IsGood &= Answer.Run == Value;
+    else if (Name == "retry")
+      IsGood &= Answer.RetryAfter.has_value() == (Value == "yes");
+    else if (Name == "text")
+      IsGood &= Answer.Text.find(Value) != std::string::npos;
+    else
+      return failure("unknown option " + Name);
+  }
+  if (!IsGood)
+    return failure("seen: " + describe(Answer));
+  return success{};
+}
+
+/// expect change ID accepted|written|refused [code=] [message=]
+status scenario_expectations::expectChange(const statement &Statement) {
+  const scenario_record::change_result &Result =
+      Record.Changes[Statement.Words[1]];
+  const std::string &Wanted = Statement.Words[2];
+  const std::string Standing = Result.Status == 200   ? "accepted"
+                               : Result.Status == 202 ? "written"
+                                                      : "refused";
+  const json Error = Result.Body.is_object()
+                         ? Result.Body.value("error", json::object())
+                         : json::object();
+  const bool IsGood =
+      Standing == Wanted &&
+      (!Statement.Options.contains("code") ||
+       Error.value("code", "") == Statement.option("code")) &&
+      Error.value("message", "").find(Statement.option("message")) !=
+          std::string::npos;
+  if (!IsGood)
+    return failure("seen: " + std::to_string(Result.Status) + " " +
+                   Result.Body.dump());
+  return success{};
+}
+
+/// expect bills REQUEST count=N
+status scenario_expectations::expectBills(const statement &Statement) {
+  const std::size_t Wanted = std::stoul(Statement.option("count", "1"));
+  return eventually([&]() -> status {
+    TRY(auto Counts, World.billCounts());
+    const std::size_t Seen = Counts[Statement.Words[1]];
+    if (Seen == Wanted)
+      return success{};
+    return failure("seen: " + std::to_string(Seen) + " bills");
+  });
+}
+
+/// expect runs REQUEST count=N
+status scenario_expectations::expectRuns(const statement &Statement) {
+  TRY(std::uint64_t Seen, World.runsOf(Statement.Words[1]));
+  if (Seen == std::stoul(Statement.option("count", "1")))
+    return success{};
+  return failure("seen: " + std::to_string(Seen) + " runs");
+}
+
+/// expect served VERSION since=MARK count=N, or more-than=N
+status scenario_expectations::expectServed(const statement &Statement) {
+  TRY(std::uint64_t Served, World.servedBy(Statement.Words[1]));
+  Served -= Record.Marks[Statement.option("since")][Statement.Words[1]];
+  const bool IsGood =
+      Statement.Options.contains("more-than")
+          ? Served > std::stoul(Statement.option("more-than"))
+          : Served == std::stoul(Statement.option("count", "0"));
+  if (IsGood)
+    return success{};
+  return failure("seen: " + std::to_string(Served) + " requests");
+}
+
+/// expect entry NAME ready|stale
+status scenario_expectations::expectEntry(const statement &Statement) {
+  const bool WantsReady = Statement.Words[2] == "ready";
+  return eventually([&]() -> status {
+    TRY(json Ready, World.operatorGet(Statement.Words[1], "/readyz"));
+    if (Ready.value("ready", false) == WantsReady)
+      return success{};
+    return failure("seen: " + Ready.dump());
+  });
+}
+
+/// expect discovery ENTRY with=VM, or without=VM
+status scenario_expectations::expectDiscovery(const statement &Statement) {
+  const bool WantsIt = Statement.Options.contains("with");
+  const std::string Vm = Statement.option(WantsIt ? "with" : "without");
+  return eventually([&]() -> status {
+    TRY(auto Entries, caller_client(World.transport())
+                          .discover(World.callers(Statement.Words[1])));
+    const bool HasIt =
+        std::any_of(Entries.begin(), Entries.end(),
+                    [&](const known_entry &Entry) { return Entry.Vm == Vm; });
+    if (HasIt == WantsIt)
+      return success{};
+    return failure(Vm + (HasIt ? " is listed" : " is not listed"));
+  });
+}
+
+/// expect load whole: every request got a whole answer.
+/// expect load honest: every whole answer is billed once, no request twice.
+status scenario_expectations::expectLoad(const statement &Statement) {
+  if (Record.LoadAnswers.empty())
+    return failure("the load had no answers");
+  if (Statement.Words[1] == "whole") {
+    for (const auto &Answer : Record.LoadAnswers)
+      if (!Answer.IsWhole)
+        return failure(Answer.RequestId + " at " + Answer.ServedBy + ": " +
+                       describe(Answer));
+  }
+  return eventually([&]() -> status {
+    TRY(auto Counts, World.billCounts());
+    std::size_t WholeCount = 0;
+    for (const auto &Answer : Record.LoadAnswers) {
+      const std::size_t Bills = Counts[Answer.RequestId];
+      WholeCount += Answer.IsWhole;
+      if (Bills > 1 || (Answer.IsWhole && Bills != 1))
+        return failure(Answer.RequestId + " has " + std::to_string(Bills) +
+                       " bills: " + describe(Answer));
+    }
+    if (WholeCount == 0)
+      return failure("no request got a whole answer");
+    return success{};
+  });
+}
+
+/// expect version VERSION active|withdrawn|...
+status scenario_expectations::expectVersionState(const statement &Statement) {
+  return eventually([&]() -> status {
+    TRY(json Configuration, World.anyOperatorGet("/v1/config"));
+    for (const auto &Version : Configuration["versions"])
+      if (Version["id"] == Statement.Words[1] &&
+          Version["state"] == Statement.Words[2])
+        return success{};
+    return failure("seen: " + Configuration["versions"].dump());
+  });
+}
+
+/// expect reaches ENTRY CHANGE: the change is in force there.
+status scenario_expectations::expectReaches(const statement &Statement) {
+  const auto Wanted = Record.Changes[Statement.Words[2]].Body.value(
+      "version", std::uint64_t(0));
+  return eventually([&]() -> status {
+    TRY(json Configuration,
+        World.operatorGet(Statement.Words[1], "/v1/config"));
+    if (Wanted > 0 &&
+        Configuration.value("version", std::uint64_t(0)) >= Wanted)
+      return success{};
+    return failure("seen: version " + Configuration["version"].dump());
+  });
+}
+
+/// expect engine NAME since=MARK count=N
+status scenario_expectations::expectEngine(const statement &Statement) {
+  const std::string &Name = Statement.Words[1];
+  TRY(json Stats, World.stats(Name));
+  const auto Served = Stats.value("requests", std::uint64_t(0)) -
+                      Record.Marks[Statement.option("since")][Name];
+  if (Served == std::stoul(Statement.option("count", "0")))
+    return success{};
+  return failure("seen: " + std::to_string(Served) + " requests");
+}
+
+/// expect leaving ENGINE: every running entry VM has noticed.
+status scenario_expectations::expectLeaving(const statement &Statement) {
+  return eventually([&]() -> status {
+    for (const auto &Entry : World.entryNames()) {
+      if (!World.processes().isRunning(Entry))
+        continue;
+      TRY(json Status, World.operatorGet(Entry, "/v1/status"));
+      for (const auto &Item : Status["endpoints"]) {
+        const auto Line = Item.get<std::string>();
+        if (Line.starts_with(Statement.Words[1] + " ") &&
+            Line.find(" leaving") == std::string::npos)
+          return failure(Entry + " has not noticed");
+      }
+    }
+    return success{};
+  });
+}
+
+/// expect crash-causing ENTRY count=N
+status scenario_expectations::expectCrashCausing(const statement &Statement) {
+  return eventually([&]() -> status {
+    TRY(json Status, World.operatorGet(Statement.Words[1], "/v1/status"));
+    if (Status.value("crash_causing", std::size_t(0)) ==
+        std::stoul(Statement.option("count")))
+      return success{};
+    return failure("seen: " + Status["crash_causing"].dump());
+  });
+}
+
+/// expect breakdowns count=N, over all engines
+status scenario_expectations::expectBreakdowns(const statement &Statement) {
+  std::uint64_t Total = 0;
+  for (const auto &Engine : World.engineNames()) {
+    TRY(json Stats, World.stats(Engine));
+    Total += Stats.value("breakdowns", std::uint64_t(0));
+  }
+  if (Total == std::stoul(Statement.option("count")))
+    return success{};
+  return failure("seen: " + std::to_string(Total) + " breakdowns");
+}
+
+} // namespace azurehaven
--- /dev/null
+++ b/Tests/LibScenario/scenario_expectations.h
@@ -0,0 +1,39 @@
+#pragma once
+
+#include "LibScenario/scenario_record.h"
+#include "LibScenario/scenario_world.h"
+#include "LibScenario/statement.h"
+
+namespace azurehaven {
+
+/// Checks the "expect" statements of one scenario.
+class scenario_expectations {
+public:
+  scenario_expectations(scenario_world &World, scenario_record &Record)
+      : World(World), Record(Record) {}
+
+  status check(const statement &Statement);
+
+private:
+  using expectation = status (scenario_expectations::*)(const statement &);
+
+  status expectAnswer(const statement &Statement);
+  status expectChange(const statement &Statement);
+  status expectBills(const statement &Statement);
+  status expectRuns(const statement &Statement);
+  status expectServed(const statement &Statement);
+  status expectEntry(const statement &Statement);
+  status expectDiscovery(const statement &Statement);
+  status expectLoad(const statement &Statement);
+  status expectVersionState(const statement &Statement);
+  status expectReaches(const statement &Statement);
+  status expectEngine(const statement &Statement);
+  status expectLeaving(const statement &Statement);
+  status expectCrashCausing(const statement &Statement);
+  status expectBreakdowns(const statement &Statement);
+
+  scenario_world &World;
+  scenario_record &Record;
+};
+
+} // namespace azurehaven
--- a/Tests/LibScenario/scenario_runner.cpp
+++ b/Tests/LibScenario/scenario_runner.cpp
@@ -1,6 +1,7 @@
 #include "LibScenario/scenario_runner.h"
 
 #include "LibClient/operator_client.h"
+#include "LibScenario/eventually.h"
 
 #include <csignal>
 #include <random>
@@ -14,7 +15,6 @@
 
 /// Far above what any awaited event takes, also on a busy machine.
 constexpr milliseconds EventLimit{60000};
-constexpr milliseconds PollInterval{50};
 constexpr std::size_t LoadCallers = 6;
 const std::string AccountKey = "pindos-key";
 
@@ -64,16 +64,10 @@
          {{"id", "first"}, {"secret", "0123456789abcdef0123456789abcdef"}}}}});
 }
 
-std::string describe(const caller_answer &Answer) {
-  return "status " + std::to_string(Answer.Status) + ", whole " +
-         (Answer.IsWhole ? "yes" : "no") + ", version " + Answer.Version +
-         ", code " + Answer.ErrorCode + ", run " + Answer.Run + ", message " +
-         Answer.ErrorMessage;
-}
-
 } // namespace
 
-scenario_runner::scenario_runner(scenario_world &World) : World(World) {}
+scenario_runner::scenario_runner(scenario_world &World)
+    : World(World), Expectations(World, Record) {}
 
 status scenario_runner::run(const std::vector<statement> &Statements) {
   TRY_STATUS(startEverything());
@@ -119,16 +113,6 @@
   });
 }
 
-status scenario_runner::eventually(const std::function<status()> &Check) {
-  const auto GiveUpAt = std::chrono::steady_clock::now() + EventLimit;
-  while (true) {
-    auto Done = Check();
-    if (!isError(Done) || std::chrono::steady_clock::now() >= GiveUpAt)
-      return Done;
-    std::this_thread::sleep_for(PollInterval);
-  }
-}
-
 status scenario_runner::runOne(const statement &Statement) {
   static const std::map<std::string, step> Steps = {
       {"start", &scenario_runner::startNodes},
@@ -154,6 +138,10 @@
   return (this->*Steps.at(Statement.Verb))(Statement);
 }
 
+status scenario_runner::expect(const statement &Statement) {
+  return Expectations.check(Statement);
+}
+
 status scenario_runner::startNodes(const statement &Statement) {
   for (const auto &Name : Statement.Words) {
     if (!World.isEntry(Name))
@@ -243,7 +231,7 @@
   }
   if (Statement.Options.contains("base"))
     Change["base_version"] =
-        Changes.at(Statement.option("base")).Body.value("version", 0);
+        Record.Changes.at(Statement.option("base")).Body.value("version", 0);
   return Change;
 }
 
@@ -256,12 +244,12 @@
                                       changeBody(Statement).dump()},
                                      {milliseconds(1000), milliseconds(30000)},
                                      connection_use::Fresh);
-  change_result Result;
+  scenario_record::change_result Result;
   if (auto *Response = std::get_if<http_response>(&Sent)) {
     Result.Status = Response->Status;
     Result.Body = json::parse(Response->Body, nullptr, false);
   }
-  Changes[Statement.Words[0]] = std::move(Result);
+  Record.Changes[Statement.Words[0]] = std::move(Result);
   return success{};
 }
 
@@ -271,7 +259,7 @@
   if (Statement.option("background") == "yes")
     Running[Name] = std::async(std::launch::async, std::move(Request));
   else
-    Answers[Name] = Request();
+    Record.Answers[Name] = Request();
 }
 
 status scenario_runner::ask(const statement &Statement) {
@@ -283,7 +271,8 @@
   Question.IsStreamed = Statement.option("stream", "yes") == "yes";
   Question.WantsSession = Statement.option("new-session") == "yes";
   if (Statement.Options.contains("session"))
-    Question.SessionToken = Answers[Statement.option("session")].SessionToken;
+    Question.SessionToken =
+        Record.Answers[Statement.option("session")].SessionToken;
   const auto Address = World.callers(Statement.option("at", "entry-1"));
   launch(Statement, [this, Question, Address] {
     return caller_client(World.transport()).ask(Address, Question);
@@ -295,7 +284,7 @@
   const std::string Id = Statement.option("id", Statement.Words[0]);
   const std::string Body = Statement.option("body", "{\"permit\":1}");
   const auto Address = World.callers(Statement.option("at", "entry-1"));
-  Bookings.push_back(Id);
+  Record.Bookings.push_back(Id);
   launch(Statement, [this, Id, Body, Address] {
     return caller_client(World.transport())
         .callService(Address, AccountKey, Id, "/booking/permits", Body, false);
@@ -308,7 +297,7 @@
     auto Found = Running.find(Name);
     if (Found == Running.end())
       return failure("nothing runs under the name " + Name);
-    Answers[Name] = Found->second.get();
+    Record.Answers[Name] = Found->second.get();
     Running.erase(Found);
   }
   return success{};
@@ -326,7 +315,7 @@
   if (!Load)
     return failure("no load runs");
   if (Statement.Words[0] == "stop") {
-    LoadAnswers = Load->stop();
+    Record.LoadAnswers = Load->stop();
     Load.reset();
     return success{};
   }
@@ -351,293 +340,16 @@
   std::map<std::string, std::uint64_t> Served;
   for (const char *Version :
        {"scree@1", "scree@2", "ridge@1", "ridge@2", "summit@1"}) {
-    TRY(Served[Version], servedBy(Version));
+    TRY(Served[Version], World.servedBy(Version));
   }
   for (const auto &Engine : World.engineNames()) {
     TRY(json Stats, World.stats(Engine));
     Served[Engine] = Stats.value("requests", std::uint64_t(0));
   }
-  Marks[Statement.Words[0]] = std::move(Served);
+  Record.Marks[Statement.Words[0]] = std::move(Served);
   return success{};
 }
 
-result<std::uint64_t> scenario_runner::servedBy(const std::string &Version) {
-  std::uint64_t Total = 0;
-  for (const auto &Engine : World.engineNames()) {
-    TRY(json Stats, World.stats(Engine));
-    Total += Stats["by_version"].value(Version, std::uint64_t(0));
-  }
-  return Total;
-}
-
-result<std::uint64_t> scenario_runner::runsOf(const std::string &Request) {
-  std::uint64_t Total = 0;
-  for (const auto &Service : World.serviceNames()) {
-    TRY(json Stats, World.stats(Service));
-    Total += Stats["runs"].value("pindos/" + Request, std::uint64_t(0));
-  }
-  return Total;
-}
-
-result<json> scenario_runner::anyOperatorGet(const std::string &Path) {
-  result<json> Answer = failure("no entry VM answers");
-  for (const auto &Name : World.entryNames()) {
-    Answer = World.operatorGet(Name, Path);
-    if (!isError(Answer))
-      return Answer;
-  }
-  return Answer;
-}
-
-result<std::map<std::string, std::size_t>> scenario_runner::billCounts() {
-  TRY(json Bills, anyOperatorGet("/v1/bills"));
-  std::map<std::string, std::size_t> Counts;
-  for (const auto &Bill : Bills)
-    ++Counts[Bill.value("request", std::string())];
-  return Counts;
-}
-
-status scenario_runner::expect(const statement &Statement) {
-  static const std::map<std::string, step> Expectations = {
-      {"answer", &scenario_runner::expectAnswer},
-      {"change", &scenario_runner::expectChange},
-      {"bills", &scenario_runner::expectBills},
-      {"runs", &scenario_runner::expectRuns},
-      {"served", &scenario_runner::expectServed},
-      {"entry", &scenario_runner::expectEntry},
-      {"discovery", &scenario_runner::expectDiscovery},
-      {"load", &scenario_runner::expectLoad},
-      {"version", &scenario_runner::expectVersionState},
-      {"reaches", &scenario_runner::expectReaches},
-      {"engine", &scenario_runner::expectEngine},
-      {"leaving", &scenario_runner::expectLeaving},
-      {"breakdowns", &scenario_runner::expectBreakdowns},
-      {"crash-causing", &scenario_runner::expectCrashCausing}};
-  auto Found = Expectations.find(Statement.Words[0]);
-  if (Found == Expectations.end())
-    return failure("unknown expectation " + Statement.Words[0]);
-  return (this->*Found->second)(Statement);
-}
-
-/// expect answer NAME whole|refused [version=] [same-as=] [code=] [run=]
-status scenario_runner::expectAnswer(const statement &Statement) {
-  auto Found = Answers.find(Statement.Words[1]);
-  if (Found == Answers.end())
-    return failure("no answer " + Statement.Words[1]);
-  const caller_answer &Answer = Found->second;
-  const bool WantsWhole =
-      Statement.Words.size() > 2 && Statement.Words[2] == "whole";
-  bool IsGood = Answer.IsWhole == WantsWhole;
-  for (const auto &[Name, Value] : Statement.Options) {
-    if (Name == "version")
-      IsGood &= Answer.Version == Value;
-    else if (Name == "not-version")
-      IsGood &= Answer.Version != Value;
-    else if (Name == "same-as")
-      IsGood &= Answer.Version == Answers[Value].Version;
-    else if (Name == "code")
-      IsGood &= Answer.ErrorCode == Value;
-    else if (Name == "run")
-      IsGood &= Answer.Run == Value;
-    else if (Name == "retry")
-      IsGood &= Answer.RetryAfter.has_value() == (Value == "yes");
-    else if (Name == "text")
-      IsGood &= Answer.Text.find(Value) != std::string::npos;
-    else
-      return failure("unknown option " + Name);
-  }
-  if (!IsGood)
-    return failure("seen: " + describe(Answer));
-  return success{};
-}
-
-/// expect change ID accepted|written|refused [code=] [message=]
-status scenario_runner::expectChange(const statement &Statement) {
-  const change_result &Result = Changes[Statement.Words[1]];
-  const std::string &Wanted = Statement.Words[2];
-  const std::string Standing = Result.Status == 200   ? "accepted"
-                               : Result.Status == 202 ? "written"
-                                                      : "refused";
-  const json Error = Result.Body.is_object()
-                         ? Result.Body.value("error", json::object())
-                         : json::object();
-  const bool IsGood =
-      Standing == Wanted &&
-      (!Statement.Options.contains("code") ||
-       Error.value("code", "") == Statement.option("code")) &&
-      Error.value("message", "").find(Statement.option("message")) !=
-          std::string::npos;
-  if (!IsGood)
-    return failure("seen: " + std::to_string(Result.Status) + " " +
-                   Result.Body.dump());
-  return success{};
-}
-
-/// expect bills REQUEST count=N
-status scenario_runner::expectBills(const statement &Statement) {
-  const std::size_t Wanted = std::stoul(Statement.option("count", "1"));
-  return eventually([&]() -> status {
-    TRY(auto Counts, billCounts());
-    const std::size_t Seen = Counts[Statement.Words[1]];
-    if (Seen == Wanted)
-      return success{};
-    return failure("seen: " + std::to_string(Seen) + " bills");
-  });
-}
-
-/// expect runs REQUEST count=N
-status scenario_runner::expectRuns(const statement &Statement) {
-  TRY(std::uint64_t Seen, runsOf(Statement.Words[1]));
-  if (Seen == std::stoul(Statement.option("count", "1")))
-    return success{};
-  return failure("seen: " + std::to_string(Seen) + " runs");
-}
-
-/// expect served VERSION since=MARK count=N, or more-than=N
-status scenario_runner::expectServed(const statement &Statement) {
-  TRY(std::uint64_t Served, servedBy(Statement.Words[1]));
-  Served -= Marks[Statement.option("since")][Statement.Words[1]];
-  const bool IsGood =
-      Statement.Options.contains("more-than")
-          ? Served > std::stoul(Statement.option("more-than"))
-          : Served == std::stoul(Statement.option("count", "0"));
-  if (IsGood)
-    return success{};
-  return failure("seen: " + std::to_string(Served) + " requests");
-}
-
-/// expect entry NAME ready|stale
-status scenario_runner::expectEntry(const statement &Statement) {
-  const bool WantsReady = Statement.Words[2] == "ready";
-  return eventually([&]() -> status {
-    TRY(json Ready, World.operatorGet(Statement.Words[1], "/readyz"));
-    if (Ready.value("ready", false) == WantsReady)
-      return success{};
-    return failure("seen: " + Ready.dump());
-  });
-}
-
-/// expect discovery ENTRY with=VM, or without=VM
-status scenario_runner::expectDiscovery(const statement &Statement) {
-  const bool WantsIt = Statement.Options.contains("with");
-  const std::string Vm = Statement.option(WantsIt ? "with" : "without");
-  return eventually([&]() -> status {
-    TRY(auto Entries, caller_client(World.transport())
-                          .discover(World.callers(Statement.Words[1])));
-    const bool HasIt =
-        std::any_of(Entries.begin(), Entries.end(),
-                    [&](const known_entry &Entry) { return Entry.Vm == Vm; });
-    if (HasIt == WantsIt)
-      return success{};
-    return failure(Vm + (HasIt ? " is listed" : " is not listed"));
-  });
-}
-
-/// expect load whole: every request got a whole answer.
-/// expect load honest: every whole answer is billed once, no request twice.
-status scenario_runner::expectLoad(const statement &Statement) {
-  if (LoadAnswers.empty())
-    return failure("the load had no answers");
-  if (Statement.Words[1] == "whole") {
-    for (const auto &Answer : LoadAnswers)
-      if (!Answer.IsWhole)
-        return failure(Answer.RequestId + " at " + Answer.ServedBy + ": " +
-                       describe(Answer));
-  }
-  return eventually([&]() -> status {
-    TRY(auto Counts, billCounts());
-    std::size_t WholeCount = 0;
-    for (const auto &Answer : LoadAnswers) {
-      const std::size_t Bills = Counts[Answer.RequestId];
-      WholeCount += Answer.IsWhole;
-      if (Bills > 1 || (Answer.IsWhole && Bills != 1))
-        return failure(Answer.RequestId + " has " + std::to_string(Bills) +
-                       " bills: " + describe(Answer));
-    }
-    if (WholeCount == 0)
-      return failure("no request got a whole answer");
-    return success{};
-  });
-}
-
-/// expect version VERSION active|withdrawn|...
-status scenario_runner::expectVersionState(const statement &Statement) {
-  return eventually([&]() -> status {
-    TRY(json Configuration, anyOperatorGet("/v1/config"));
-    for (const auto &Version : Configuration["versions"])
-      if (Version["id"] == Statement.Words[1] &&
-          Version["state"] == Statement.Words[2])
-        return success{};
-    return failure("seen: " + Configuration["versions"].dump());
-  });
-}
-
-/// expect reaches ENTRY CHANGE: the change is in force there.
-status scenario_runner::expectReaches(const statement &Statement) {
-  const auto Wanted =
-      Changes[Statement.Words[2]].Body.value("version", std::uint64_t(0));
-  return eventually([&]() -> status {
-    TRY(json Configuration,
-        World.operatorGet(Statement.Words[1], "/v1/config"));
-    if (Wanted > 0 &&
-        Configuration.value("version", std::uint64_t(0)) >= Wanted)
-      return success{};
-    return failure("seen: version " + Configuration["version"].dump());
-  });
-}
-
-/// expect engine NAME since=MARK count=N
-status scenario_runner::expectEngine(const statement &Statement) {
-  const std::string &Name = Statement.Words[1];
-  TRY(json Stats, World.stats(Name));
-  const auto Served = Stats.value("requests", std::uint64_t(0)) -
-                      Marks[Statement.option("since")][Name];
-  if (Served == std::stoul(Statement.option("count", "0")))
-    return success{};
-  return failure("seen: " + std::to_string(Served) + " requests");
-}
-
-/// expect leaving ENGINE: every running entry VM has noticed.
-status scenario_runner::expectLeaving(const statement &Statement) {
-  return eventually([&]() -> status {
-    for (const auto &Entry : World.entryNames()) {
-      if (!World.processes().isRunning(Entry))
-        continue;
-      TRY(json Status, World.operatorGet(Entry, "/v1/status"));
-      for (const auto &Item : Status["endpoints"]) {
-        const auto Line = Item.get<std::string>();
-        if (Line.starts_with(Statement.Words[1] + " ") &&
-            Line.find(" leaving") == std::string::npos)
-          return failure(Entry + " has not noticed");
-      }
-    }
-    return success{};
-  });
-}
-
-/// expect crash-causing ENTRY count=N
-status scenario_runner::expectCrashCausing(const statement &Statement) {
-  return eventually([&]() -> status {
-    TRY(json Status, World.operatorGet(Statement.Words[1], "/v1/status"));
-    if (Status.value("crash_causing", std::size_t(0)) ==
-        std::stoul(Statement.option("count")))
-      return success{};
-    return failure("seen: " + Status["crash_causing"].dump());
-  });
-}
-
-/// expect breakdowns count=N, over all engines
-status scenario_runner::expectBreakdowns(const statement &Statement) {
-  std::uint64_t Total = 0;
-  for (const auto &Engine : World.engineNames()) {
-    TRY(json Stats, World.stats(Engine));
-    Total += Stats.value("breakdowns", std::uint64_t(0));
-  }
-  if (Total == std::stoul(Statement.option("count")))
-    return success{};
-  return failure("seen: " + std::to_string(Total) + " breakdowns");
-}
-
 /// faults COUNT seed=N: random faults one after the other, each mended before
 /// the next but one, with bookings and the load going on.
 status scenario_runner::playFaults(const statement &Statement) {
@@ -690,7 +402,7 @@
     }
     // A booking in the middle of the fault, then a resend through another VM.
     const std::string Id = "soak-" + std::to_string(Fault);
-    Bookings.push_back(Id);
+    Record.Bookings.push_back(Id);
     for (const std::string &Through : {Other, AnyEntry()})
       (void)caller_client(World.transport())
           .callService(World.callers(Through), AccountKey, Id,
@@ -698,8 +410,8 @@
     if (Random() % 2 == 0 || Fault + 1 == Count)
       TRY_STATUS(MendAll());
   }
-  for (const auto &Id : Bookings) {
-    TRY(std::uint64_t Runs, runsOf(Id));
+  for (const auto &Id : Record.Bookings) {
+    TRY(std::uint64_t Runs, World.runsOf(Id));
     if (Runs > 1)
       return failure(Id + " ran " + std::to_string(Runs) + " times");
   }
--- a/Tests/LibScenario/scenario_runner.h
+++ b/Tests/LibScenario/scenario_runner.h
@@ -2,7 +2,7 @@
 
 #include "LibClient/caller_client.h"
 #include "LibScenario/background_load.h"
-#include "LibScenario/scenario_world.h"
+#include "LibScenario/scenario_expectations.h"
 #include "LibScenario/statement.h"
 
 #include <future>
@@ -19,10 +19,6 @@
   status run(const std::vector<statement> &Statements);
 
 private:
-  struct change_result {
-    int Status = 0;
-    nlohmann::json Body;
-  };
   using step = status (scenario_runner::*)(const statement &);
 
   status runOne(const statement &Statement);
@@ -43,40 +39,16 @@
   status playFaults(const statement &Statement);
 
   status expect(const statement &Statement);
-  status expectAnswer(const statement &Statement);
-  status expectChange(const statement &Statement);
-  status expectBills(const statement &Statement);
-  status expectRuns(const statement &Statement);
-  status expectServed(const statement &Statement);
-  status expectEntry(const statement &Statement);
-  status expectDiscovery(const statement &Statement);
-  status expectLoad(const statement &Statement);
-  status expectVersionState(const statement &Statement);
-  status expectReaches(const statement &Statement);
-  status expectEngine(const statement &Statement);
-  status expectLeaving(const statement &Statement);
-  status expectCrashCausing(const statement &Statement);
-  status expectBreakdowns(const statement &Statement);
-
   status startEverything();
-  result<nlohmann::json> anyOperatorGet(const std::string &Path);
-  result<std::map<std::string, std::size_t>> billCounts();
-  result<std::uint64_t> runsOf(const std::string &Request);
-  result<std::uint64_t> servedBy(const std::string &Version);
-  /// Polls until Check returns no error, or returns its last one.
-  status eventually(const std::function<status()> &Check);
   void launch(const statement &Statement,
               std::function<caller_answer()> Request);
   nlohmann::json changeBody(const statement &Statement) const;
 
   scenario_world &World;
   std::unique_ptr<background_load> Load;
-  std::vector<caller_answer> LoadAnswers;
-  std::map<std::string, caller_answer> Answers;
+  scenario_record Record;
+  scenario_expectations Expectations;
   std::map<std::string, std::future<caller_answer>> Running;
-  std::map<std::string, change_result> Changes;
-  std::map<std::string, std::map<std::string, std::uint64_t>> Marks;
-  std::vector<std::string> Bookings;
 };
 
 } // namespace azurehaven
--- a/Tests/LibScenario/scenario_world.cpp
+++ b/Tests/LibScenario/scenario_world.cpp
@@ -269,4 +269,40 @@
   return Document;
 }
 
+result<std::uint64_t> scenario_world::servedBy(const std::string &Version) {
+  std::uint64_t Total = 0;
+  for (const auto &Engine : engineNames()) {
+    TRY(json Stats, stats(Engine));
+    Total += Stats["by_version"].value(Version, std::uint64_t(0));
+  }
+  return Total;
+}
+
+result<std::uint64_t> scenario_world::runsOf(const std::string &Request) {
+  std::uint64_t Total = 0;
+  for (const auto &Service : serviceNames()) {
+    TRY(json Stats, stats(Service));
+    Total += Stats["runs"].value("pindos/" + Request, std::uint64_t(0));
+  }
+  return Total;
+}
+
+result<json> scenario_world::anyOperatorGet(const std::string &Path) {
+  result<json> Answer = error{error_code::Unavailable, "no entry VM answers"};
+  for (const auto &Name : entryNames()) {
+    Answer = operatorGet(Name, Path);
+    if (!isError(Answer))
+      return Answer;
+  }
+  return Answer;
+}
+
+result<std::map<std::string, std::size_t>> scenario_world::billCounts() {
+  TRY(json Bills, anyOperatorGet("/v1/bills"));
+  std::map<std::string, std::size_t> Counts;
+  for (const auto &Bill : Bills)
+    ++Counts[Bill.value("request", std::string())];
+  return Counts;
+}
+
 } // namespace azurehaven
--- a/Tests/LibScenario/scenario_world.h
+++ b/Tests/LibScenario/scenario_world.h
@@ -39,6 +39,14 @@
   result<nlohmann::json> stats(const std::string &Name);
   result<nlohmann::json> operatorGet(const std::string &Entry,
                                      const std::string &Path);
+  /// The answer of the first entry VM that gives one.
+  result<nlohmann::json> anyOperatorGet(const std::string &Path);
+  /// Bills by request id.
+  result<std::map<std::string, std::size_t>> billCounts();
+  /// How often the booking services ran a request.
+  result<std::uint64_t> runsOf(const std::string &Request);
+  /// Requests that the engines took for a version.
+  result<std::uint64_t> servedBy(const std::string &Version);
   http_transport &transport() { return Transport; }
 
 private:
