LibControl: Let a VM vouch only for what it holds itself

Cause: a restarted VM that heard of a confirmed version counted as recovered before it held that version, and so lent its vote to holders of older ones; two majorities then need not share a VM that knows the change. Found by reading; the test failed first. The older test of vouching now asks, as the process does, while the store's word is fresh.

LibLedger: Retry a store that failed on a thread of its own. Cause: with a store that hangs, each probe held new bills up for the store's time-out. A segment is left to the retrying thread explicitly, so that none is forgotten when the store comes back in between.

--- a/Libraries/LibControl/configuration_currency.cpp
+++ b/Libraries/LibControl/configuration_currency.cpp
@@ -18,7 +18,6 @@
 void configuration_currency::storeConfirmed(std::uint64_t Version,
                                             steady_time AskedAt) {
   std::lock_guard Lock(Mutex);
-  HasRecovered = true;
   if (ConfirmedAt && (Version < ConfirmedVersion || AskedAt <= *ConfirmedAt))
     return;
   ConfirmedAt = AskedAt;
@@ -44,8 +43,12 @@
                                        const std::set<vm_id> &Roster,
                                        steady_time Now) {
   std::lock_guard Lock(Mutex);
-  if (ConfirmedAt && ConfirmedVersion <= Version && isFresh(*ConfirmedAt, Now))
+  if (ConfirmedAt && ConfirmedVersion <= Version &&
+      isFresh(*ConfirmedAt, Now)) {
+    // Only now: to have heard of a version is not to hold it.
+    HasRecovered = true;
     return true;
+  }
   if (Roster.empty())
     return false;
   if (!HasRecovered) {
--- a/Libraries/LibEntry/entry_node.cpp
+++ b/Libraries/LibEntry/entry_node.cpp
@@ -26,6 +26,7 @@
 constexpr milliseconds AutomationInterval{500};
 constexpr milliseconds GateInterval{20};
 constexpr milliseconds FlushWait{100};
+constexpr milliseconds BillRetryInterval{100};
 constexpr milliseconds OrphanInterval{1000};
 /// Callers that asked just before the stop was known everywhere.
 constexpr milliseconds DiscoverySlack{1500};
@@ -139,6 +140,7 @@
     });
     addTask(AutomationInterval, [this] { Automation.run(); });
     addTask(GateInterval, [this] { Gate.advance(Clock.now()); });
+    addTask(BillRetryInterval, [this] { Bills.retryUnwritten(Clock.now()); });
     addTask(OrphanInterval, [this] {
       Claims.retryPending();
       adoptBills([this](const vm_id &Origin) {
--- a/Libraries/LibLedger/bill_committer.cpp
+++ b/Libraries/LibLedger/bill_committer.cpp
@@ -49,7 +49,6 @@
 }
 
 void bill_committer::flush(steady_time Now) {
-  retryUnwritten(Now);
   if (Now < NextWrite)
     return;
   auto Segment = takeNewSegment();
@@ -60,11 +59,10 @@
     finish(Segment);
     return;
   }
-  if (!IsStoreAway) {
-    IsStoreAway = true;
-    NextProbe = Now + Settings.ProbeInterval;
-  }
+  IsStoreAway = true;
   requestCustody(Segment);
+  std::lock_guard Lock(Mutex);
+  Segment->IsForRetry = true;
 }
 
 std::shared_ptr<bill_committer::segment> bill_committer::takeNewSegment() {
@@ -161,14 +159,15 @@
 }
 
 void bill_committer::retryUnwritten(steady_time Now) {
-  if (!IsStoreAway || Now < NextProbe)
+  if (Now < NextProbe)
     return;
   NextProbe = Now + Settings.ProbeInterval;
   std::vector<std::shared_ptr<segment>> Pending;
   {
     std::lock_guard Lock(Mutex);
     for (const auto &[Number, Segment] : Unwritten)
-      Pending.push_back(Segment);
+      if (Segment->IsForRetry)
+        Pending.push_back(Segment);
   }
   for (const auto &Segment : Pending) {
     if (write(*Segment) == write_outcome::Written) {
--- a/Libraries/LibLedger/bill_committer.h
+++ b/Libraries/LibLedger/bill_committer.h
@@ -5,6 +5,7 @@
 #include "LibStore/store.h"
 #include "LibTypes/ranked_mutex.h"
 
+#include <atomic>
 #include <condition_variable>
 #include <deque>
 #include <map>
@@ -58,6 +59,9 @@
 
   /// One round of writing, to be called from one thread; blocks on the store.
   void flush(steady_time Now);
+  /// Tries a store that failed again; to be called from one other thread, so
+  /// that a store which hangs holds up no new bill.
+  void retryUnwritten(steady_time Now);
   void custodyAnswered(const vm_id &Peer, std::uint64_t Nonce);
   /// Blocks until there is something to flush or the timeout passes.
   void awaitWork(milliseconds Timeout);
@@ -70,6 +74,8 @@
   /// Bills that are written together under one key.
   struct segment {
     std::uint64_t Number = 0;
+    /// The flushing thread has left it to the retrying one.
+    bool IsForRetry = false;
     std::vector<std::uint64_t> Tickets;
     std::vector<std::string> Bills;
     std::vector<std::string> Keys;
@@ -84,7 +90,6 @@
   write_outcome write(const segment &Segment);
   void finish(const std::shared_ptr<segment> &Segment);
   void requestCustody(const std::shared_ptr<segment> &Segment);
-  void retryUnwritten(steady_time Now);
   void setState(const segment &Segment, bill_state State);
   std::string keyOf(const segment &Segment) const;
 
@@ -107,9 +112,11 @@
   std::map<std::uint64_t, std::shared_ptr<segment>> Unwritten;
   std::uint64_t NextTicket = 1;
   std::uint64_t NextSegment = 1;
+  /// Of the flushing thread alone.
   steady_time NextWrite{};
+  /// Of the retrying thread alone.
   steady_time NextProbe{};
-  bool IsStoreAway = false;
+  std::atomic<bool> IsStoreAway = false;
   bill_committer_counts Counts;
 };
 
--- a/Tests/LibControl/configuration_currency_test.cpp
+++ b/Tests/LibControl/configuration_currency_test.cpp
@@ -49,6 +49,7 @@
 TEST_CASE("a majority of the roster vouches when the store is away") {
   configuration_currency Currency(vm_id("a"));
   Currency.storeConfirmed(3, Start);
+  CHECK(Currency.isCurrent(3, Roster, Start));
   const steady_time Later = Start + std::chrono::minutes(10);
   Currency.peerAnswered(vm_id("b"), answerWith(3), Later);
   CHECK_FALSE(Currency.isCurrent(3, Roster, Later));
@@ -83,6 +84,19 @@
   CHECK(Currency.mayVouch());
 }
 
+TEST_CASE("a VM that only heard of a confirmed version may not vouch") {
+  configuration_currency Currency(vm_id("a"));
+  heartbeat Answer = answerWith(5);
+  Answer.ConfirmationAge = milliseconds(10);
+  Answer.ConfirmedVersion = 5;
+  Currency.peerAnswered(vm_id("b"), Answer, Start);
+  // It restarted, holds nothing, and has forgotten what it had accepted.
+  CHECK_FALSE(Currency.isCurrent(0, Roster, Start));
+  CHECK_FALSE(Currency.mayVouch());
+  CHECK(Currency.isCurrent(5, Roster, Start));
+  CHECK(Currency.mayVouch());
+}
+
 TEST_CASE("a change is held once a majority has it or a later one") {
   configuration_currency Currency(vm_id("a"));
   CHECK_FALSE(Currency.isHeldByMajority(5, Roster, Start));
--- a/Tests/LibLedger/bill_committer_test.cpp
+++ b/Tests/LibLedger/bill_committer_test.cpp
@@ -64,7 +64,7 @@
   (void)Committer.add(billOf("r1"));
   Committer.flush(Start);
   CHECK(Committer.stateOf(1) == bill_state::Waiting);
-  Committer.flush(Start + std::chrono::seconds(1));
+  Committer.retryUnwritten(Start + std::chrono::seconds(1));
   CHECK(Committer.stateOf(1) == bill_state::Written);
   CHECK(ledgerSize(Store) == 1);
 }
@@ -90,7 +90,7 @@
   REQUIRE_CALL(Custody, release(vm_id("b"), trompeloeil::_));
   REQUIRE_CALL(Custody, release(vm_id("c"), trompeloeil::_));
   Store.FaultOf = [](unsigned) { return store_fault::None; };
-  Committer.flush(Start + std::chrono::seconds(1));
+  Committer.retryUnwritten(Start + std::chrono::seconds(1));
   CHECK(Committer.stateOf(1) == bill_state::Written);
   CHECK(ledgerSize(Store) == 1);
 }
