--- a/Libraries/LibHttp/http_server.cpp
+++ b/Libraries/LibHttp/http_server.cpp
@@ -93,7 +93,7 @@
     for (const auto &[Name, Value] : Answer.Headers)
       Response.set_header(Name, Value);
     if (!Answer.Source) {
-      Response.set_content(std::move(Answer.Body), Answer.ContentType);
+      Response.set_content(Answer.Body, Answer.ContentType);
       return;
     }
     std::shared_ptr<body_source> Source(std::move(Answer.Source));
--- a/Libraries/LibRouting/version_health.cpp
+++ b/Libraries/LibRouting/version_health.cpp
@@ -24,11 +24,7 @@
 } // namespace
 
 version_health::tests &version_health::testsOf(const test_key &Key) {
-  auto [It, IsNew] =
-      Tests.try_emplace(Key, tests{sequential_drop_test(Settings),
-                                   sequential_drop_test(Settings),
-                                   {},
-                                   false});
+  auto [It, IsNew] = Tests.try_emplace(Key, Settings);
   if (IsNew)
     It->second.Success.setReference(ExpectedSuccessRate);
   return It->second;
--- a/Libraries/LibRouting/version_health.h
+++ b/Libraries/LibRouting/version_health.h
@@ -42,6 +42,9 @@
 
 private:
   struct tests {
+    explicit tests(drop_test_settings Settings)
+        : Quality(Settings), Success(Settings) {}
+
     sequential_drop_test Quality;
     sequential_drop_test Success;
     rating_counts Added;
--- a/Tests/LibEntry/engine_attempt_test.cpp
+++ b/Tests/LibEntry/engine_attempt_test.cpp
@@ -128,14 +128,13 @@
   transport_mock Transport;
   const json Caller = {{"messages", json::array()}};
   const engine_attempt::order Order{"id", version_id("m@1"), 5, &Caller, ""};
-  for (const auto &[Delivery, MayHaveRun] :
-       {std::pair(delivery::NotSent, false),
-        std::pair(delivery::MayHaveRun, true)}) {
+  for (const delivery Delivery : {delivery::NotSent, delivery::MayHaveRun}) {
     REQUIRE_CALL(Transport,
                  open(trompeloeil::_, trompeloeil::_, trompeloeil::_))
         .LR_RETURN(open_outcome(http_failure{Delivery, "x"}));
     auto Opened = engine_attempt::open(Transport, {}, Order, {});
-    CHECK(std::get<engine_failure>(Opened).mayHaveRun() == MayHaveRun);
+    CHECK(std::get<engine_failure>(Opened).mayHaveRun() ==
+          (Delivery == delivery::MayHaveRun));
   }
   REQUIRE_CALL(Transport, open(trompeloeil::_, trompeloeil::_, trompeloeil::_))
       .LR_RETURN(
