--- a/Libraries/LibEntry/chat_run.cpp
+++ b/Libraries/LibEntry/chat_run.cpp
@@ -76,6 +76,14 @@
   leaveStage();
   if (Record.Outcome.empty())
     Record.Outcome = "the caller left";
+  Services.Log.write(
+      log_level::Info, "request_finished",
+      {{"request", Request.Id.text()},
+       {"account", Request.Account.Id.text()},
+       {"class", Request.Class.Id.text()},
+       {"outcome", Record.Outcome},
+       {"ms", std::to_string(
+                  since(Request.ArrivedAt, Services.Clock.now()).count())}});
   Services.Decisions.add(std::move(Record));
 }
 
