--- /dev/null
+++ b/Libraries/LibDispatch/candidate_filter.cpp
@@ -0,0 +1,62 @@
+#include "LibDispatch/candidate_filter.h"
+
+#include "LibTypes/fingerprint.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace azurehaven {
+
+namespace {
+
+/// A trial uses as small a part of the target's endpoints as of the requests,
+/// so that they bear the load that they will have later.
+constexpr std::size_t LeastTrialEndpoints = 2;
+
+endpoint_list usableOnes(const endpoint_list &Endpoints,
+                         const std::string &Target, bool WantsTarget,
+                         steady_time Now) {
+  endpoint_list Usable;
+  std::copy_if(Endpoints.begin(), Endpoints.end(), std::back_inserter(Usable),
+               [&](const auto &Endpoint) {
+                 return (Endpoint->Facts.Release == Target) == WantsTarget &&
+                        Endpoint->isUsable(Now);
+               });
+  return Usable;
+}
+
+void keepTrialEndpoints(endpoint_list &Targets, double Share) {
+  const auto Wanted = std::max(
+      LeastTrialEndpoints,
+      static_cast<std::size_t>(
+          std::ceil(static_cast<double>(Targets.size()) * Share)));
+  if (Targets.size() <= Wanted)
+    return;
+  std::sort(Targets.begin(), Targets.end(), [](const auto &A, const auto &B) {
+    return rendezvousScore("trial", A->Facts.Id.text()) >
+           rendezvousScore("trial", B->Facts.Id.text());
+  });
+  Targets.resize(Wanted);
+}
+
+} // namespace
+
+endpoint_list candidatesFor(const endpoint_list &Endpoints,
+                            const release_rule &Rule, release_choice Choice,
+                            steady_time Now) {
+  if (Choice == release_choice::Any)
+    return Endpoints;
+  const bool WantsTarget = Choice == release_choice::Target;
+  endpoint_list Wanted = usableOnes(Endpoints, Rule.Target, WantsTarget, Now);
+  if (WantsTarget && Rule.Phase == rollout_phase::Trial)
+    keepTrialEndpoints(Wanted, Rule.TargetShare);
+  if (!Wanted.empty())
+    return Wanted;
+  const bool MayFallBack =
+      WantsTarget || Rule.Phase == rollout_phase::Completed;
+  if (!MayFallBack)
+    return {};
+  return usableOnes(Endpoints, Rule.Target, !WantsTarget, Now);
+}
+
+} // namespace azurehaven
--- a/Libraries/LibDispatch/crash_quarantine.cpp
+++ b/Libraries/LibDispatch/crash_quarantine.cpp
@@ -14,11 +14,17 @@
 
 } // namespace
 
-bool crash_quarantine::add(std::uint64_t Fingerprint,
+void crash_quarantine::add(std::uint64_t Fingerprint,
+                           const endpoint_id &Endpoint, steady_time Now) {
+  put(Fingerprint, Endpoint, Now);
+  News.push_back({Fingerprint, Endpoint});
+}
+
+void crash_quarantine::put(std::uint64_t Fingerprint,
                            const endpoint_id &Endpoint, steady_time Now) {
   auto &Known = ByFingerprint[Fingerprint];
   Known.Last = Now;
-  return Known.Endpoints.insert(Endpoint).second;
+  Known.Endpoints.insert(Endpoint);
 }
 
 bool crash_quarantine::isRefused(std::uint64_t Fingerprint) const {
--- a/Libraries/LibDispatch/crash_quarantine.h
+++ b/Libraries/LibDispatch/crash_quarantine.h
@@ -7,6 +7,8 @@
 #include <map>
 #include <set>
 #include <string>
+#include <utility>
+#include <vector>
 
 namespace azurehaven {
 
@@ -14,9 +16,19 @@
 /// that the caller's resend shares. Not thread-safe.
 class crash_quarantine {
 public:
-  /// Returns whether the breakdown was not known yet.
-  bool add(std::uint64_t Fingerprint, const endpoint_id &Endpoint,
+  struct breakdown {
+    std::uint64_t Fingerprint = 0;
+    /// With its incarnation: each start counts by itself.
+    endpoint_id Endpoint;
+  };
+
+  /// A breakdown that this VM has seen; it is news for the others.
+  void add(std::uint64_t Fingerprint, const endpoint_id &Endpoint,
+           steady_time Now);
+  /// One that another VM has seen.
+  void put(std::uint64_t Fingerprint, const endpoint_id &Endpoint,
            steady_time Now);
+  std::vector<breakdown> takeNews() { return std::exchange(News, {}); }
   /// Whether the request has taken down so many endpoints that it is refused.
   bool isRefused(std::uint64_t Fingerprint) const;
   void expire(steady_time Now);
@@ -27,6 +39,7 @@
     steady_time Last;
   };
   std::map<std::uint64_t, breakdowns> ByFingerprint;
+  std::vector<breakdown> News;
 };
 
 /// Path, account and body: what a resend has in common with its first send.
--- a/Libraries/LibDispatch/endpoint_roster.h
+++ b/Libraries/LibDispatch/endpoint_roster.h
@@ -29,6 +29,16 @@
   std::int64_t Incarnation = 0;
 };
 
+/// What a model engine says of its own work; some hundred milliseconds old.
+struct engine_report {
+  std::uint32_t Running = 0;
+  std::uint32_t Queued = 0;
+  std::uint64_t CacheUsed = 0;
+  std::uint64_t CacheTotal = 0;
+  /// Events made so far, for each running request.
+  std::map<request_id, std::uint64_t> EventsByRun;
+};
+
 /// Load that an endpoint last reported in a response.
 struct reported_load {
   std::uint32_t Running = 0;
@@ -40,18 +50,30 @@
 /// One endpoint with what this VM knows of its load and health.
 struct endpoint_record {
   endpoint_facts Facts;
-  /// Requests of this VM that it runs.
+  /// Requests of this VM that it runs or that wait for it.
   std::uint32_t InFlight = 0;
-  /// Prompt work that this VM has sent and whose first event is still due.
-  double PendingPrefillMs = 0;
+  /// Prompt work that this VM has sent and whose first event is still due, in
+  /// tokens weighted by the size of the model.
+  double PromptWork = 0;
+  /// The same of all other VMs, by their last word.
+  std::uint32_t PeersInFlight = 0;
+  double PeersPromptWork = 0;
+  /// When this VM last sent a prompt that begins with each part and model.
+  std::map<std::string, steady_time> SentBeginnings;
   std::optional<reported_load> Load;
   /// When the last bytes of any response came from it.
   steady_time LastHeard;
+  /// When a request on it last broke off.
+  steady_time LastBreakdown;
   /// Failures in a row, and until when it gets no new work after them.
   std::uint32_t FailuresInRow = 0;
   steady_time AvoidUntil;
   /// Moving averages of the outcome of recent requests.
   double FailureShare = 0;
+  /// What the engine last said of its runs, and whether it is being asked.
+  std::shared_ptr<const engine_report> Report;
+  steady_time ReportAt;
+  bool IsBeingAsked = false;
   /// Set where the entry has vanished while the store was away.
   std::optional<steady_time> RemoveAt;
 
--- /dev/null
+++ b/Libraries/LibDispatch/model_choice.cpp
@@ -0,0 +1,38 @@
+#include "LibDispatch/model_choice.h"
+
+#include <cmath>
+
+namespace azurehaven {
+
+namespace {
+
+/// Confidence below which a smaller model's answer is dropped.
+constexpr int AcceptedConfidence = 60;
+/// How much more work a token is for the largest model than for the smallest.
+constexpr double LargestToSmallest = 10;
+
+} // namespace
+
+std::size_t model_choice::firstModel(const route &,
+                                     const dispatch_request &) const {
+  return 0;
+}
+
+double model_choice::tokenWork(const route &Route, std::size_t Model) const {
+  if (Route.ModelsBySize.size() < 2)
+    return 1;
+  const double Step = static_cast<double>(Model) /
+                      static_cast<double>(Route.ModelsBySize.size() - 1);
+  return std::pow(LargestToSmallest, Step);
+}
+
+std::optional<std::size_t>
+model_choice::escalate(const route &Route, const dispatch_request &,
+                       std::size_t Model, int Confidence) const {
+  const std::size_t Largest = Route.ModelsBySize.size() - 1;
+  if (Model >= Largest || Confidence >= AcceptedConfidence)
+    return std::nullopt;
+  return Largest;
+}
+
+} // namespace azurehaven
--- /dev/null
+++ b/Libraries/LibDispatch/pace_baseline.cpp
@@ -0,0 +1,35 @@
+#include "LibDispatch/pace_baseline.h"
+
+#include <algorithm>
+
+namespace azurehaven {
+
+namespace {
+
+constexpr double Smoothing = 0.05;
+/// Answers before the average means anything.
+constexpr std::uint32_t LeastCount = 8;
+constexpr double SlowFactor = 3;
+/// Pauses below this are never slow, whatever the usual one is.
+constexpr double SlowAtLeastMs = 30;
+
+} // namespace
+
+void pace_baseline::add(const std::string &Route, const model_id &Model,
+                        double Ms) {
+  average &Average = Averages[{Route, Model}];
+  ++Average.Count;
+  const double Weight =
+      std::max(Smoothing, 1 / static_cast<double>(Average.Count));
+  Average.MeanMs += Weight * (Ms - Average.MeanMs);
+}
+
+bool pace_baseline::isSlow(const std::string &Route, const model_id &Model,
+                           double Ms) const {
+  auto Found = Averages.find({Route, Model});
+  if (Found == Averages.end() || Found->second.Count < LeastCount)
+    return false;
+  return Ms > SlowAtLeastMs && Ms > SlowFactor * Found->second.MeanMs;
+}
+
+} // namespace azurehaven
--- a/Libraries/LibDispatch/placement.cpp
+++ b/Libraries/LibDispatch/placement.cpp
@@ -10,10 +10,11 @@
 
 /// A reported load is worth nothing after this time.
 constexpr milliseconds ReportLife{2000};
-/// How far above the mean load the preferred engine may be: a share of the
-/// mean, and a number of requests so that light load does not scatter.
-constexpr double ToleratedExcess = 1.25;
-constexpr double ToleratedRequests = 4;
+/// Work that one running request adds to the others beside its prompt, in
+/// tokens of the smallest model.
+constexpr double RunningWork = 2000;
+/// How long an engine is expected to keep a prompt that was sent there.
+constexpr std::chrono::seconds CacheLife{15};
 /// Requests by which a nearer endpoint may be more loaded than a farther one.
 constexpr double NearBonus = 0.5;
 
@@ -22,25 +23,29 @@
   return Endpoint.isUsable(Now) && !Terms.Tried.contains(Endpoint.Facts.Id);
 }
 
-/// What requests with the same cached beginning have in common: all parts but
-/// the last, which belongs to the request itself.
+} // namespace
+
 std::string sharedBeginning(const dispatch_request &Request,
                             const model_id &Model) {
-  if (Request.Prompt.empty())
-    return Request.Path;
-  const std::size_t Deepest =
-      Request.Prompt.size() > 1 ? Request.Prompt.size() - 2 : 0;
-  return Request.Prompt[Deepest].Id + "/" + Model.text();
+  // The last part belongs to the request itself.
+  if (Request.Prompt.size() < 2)
+    return {};
+  return Request.Prompt[Request.Prompt.size() - 2].Id + "/" + Model.text();
 }
 
-} // namespace
+std::uint32_t sharedTokens(const dispatch_request &Request) {
+  std::uint32_t Tokens = 0;
+  for (std::size_t Index = 0; Index + 1 < Request.Prompt.size(); ++Index)
+    Tokens += Request.Prompt[Index].Tokens;
+  return Tokens;
+}
 
 double estimatedLoad(const endpoint_record &Endpoint, steady_time Now) {
-  const double Own = Endpoint.InFlight;
+  const double Known = Endpoint.InFlight + Endpoint.PeersInFlight;
   if (!Endpoint.Load || Now - Endpoint.Load->At > ReportLife)
-    return Own;
-  return std::max(Own, static_cast<double>(Endpoint.Load->Running +
-                                           Endpoint.Load->Waiting));
+    return Known;
+  return std::max(Known, static_cast<double>(Endpoint.Load->Running +
+                                             Endpoint.Load->Waiting));
 }
 
 std::shared_ptr<endpoint_record> placeOnEngine(const dispatch_request &Request,
@@ -48,25 +53,38 @@
                                                const placement_terms &Terms,
                                                steady_time Now) {
   const std::string Beginning = sharedBeginning(Request, Terms.Model);
-  double Total = 0;
-  std::vector<std::pair<std::uint64_t, std::shared_ptr<endpoint_record>>> Order;
+  const double UncachedWork = sharedTokens(Request) * Terms.TokenWork;
+  std::shared_ptr<endpoint_record> First;
+  std::uint64_t FirstScore = 0;
   for (const auto &Endpoint : Candidates) {
     if (!isCandidate(*Endpoint, Terms, Now))
       continue;
-    Total += estimatedLoad(*Endpoint, Now);
-    Order.emplace_back(rendezvousScore(Beginning, Endpoint->Facts.Id.text()),
-                       Endpoint);
+    const std::uint64_t Score = rendezvousScore(
+        Beginning.empty() ? Request.Id.text() : Beginning,
+        Endpoint->Facts.Id.text());
+    if (First && Score <= FirstScore)
+      continue;
+    First = Endpoint;
+    FirstScore = Score;
   }
-  if (Order.empty())
-    return nullptr;
-  std::sort(Order.begin(), Order.end(),
-            [](const auto &A, const auto &B) { return A.first > B.first; });
-  const double Mean = Total / static_cast<double>(Order.size());
-  const double Bound = Mean * ToleratedExcess + ToleratedRequests;
-  for (const auto &[Score, Endpoint] : Order)
-    if (estimatedLoad(*Endpoint, Now) <= Bound)
-      return Endpoint;
-  return Order.front().second;
+  std::shared_ptr<endpoint_record> Best;
+  double BestWork = 0;
+  for (const auto &Endpoint : Candidates) {
+    if (!isCandidate(*Endpoint, Terms, Now))
+      continue;
+    auto Sent = Endpoint->SentBeginnings.find(Beginning);
+    const bool IsCached = Endpoint == First ||
+                          (Sent != Endpoint->SentBeginnings.end() &&
+                           Now - Sent->second < CacheLife);
+    const double Work = Endpoint->PromptWork + Endpoint->PeersPromptWork +
+                        RunningWork * estimatedLoad(*Endpoint, Now) +
+                        (IsCached ? 0 : UncachedWork);
+    if (Best && Work >= BestWork)
+      continue;
+    Best = Endpoint;
+    BestWork = Work;
+  }
+  return Best;
 }
 
 std::shared_ptr<endpoint_record>
--- a/Libraries/LibDispatch/placement.h
+++ b/Libraries/LibDispatch/placement.h
@@ -18,12 +18,15 @@
   /// VMs that place requests on the same endpoints.
   std::size_t VmCount = 1;
   model_id Model;
+  /// Work of one prompt token on this model; 1 for the smallest one.
+  double TokenWork = 1;
 };
 
-/// Chooses the engine for a request whose prompt is cached in parts. Keeps
-/// requests with a common part on one engine, in an order that all VMs agree
-/// on, unless that engine is loaded well above the others: a heavy load on a
-/// few subjects then spreads over further engines one by one.
+/// Chooses the engine that will have done this prompt first: the work that is
+/// under way there, and the tokens that it has not cached. One engine, the same
+/// for all VMs, is taken to have the beginning of the prompt cached; others
+/// only where this VM has sent it lately. Made for bursts on few subjects: as
+/// the first engine fills up, others take over one by one.
 /// Returns null when no candidate takes new work.
 std::shared_ptr<endpoint_record> placeOnEngine(const dispatch_request &Request,
                                                const endpoint_list &Candidates,
@@ -35,8 +38,14 @@
 placeOnLeastLoaded(const endpoint_list &Candidates, const placement_terms &Terms,
                    steady_time Now);
 
-/// Requests that an endpoint probably runs: this VM's own are exact, those of
-/// the other VMs come from its last report.
+/// The beginning that a prompt shares with others, by model.
+std::string sharedBeginning(const dispatch_request &Request,
+                            const model_id &Model);
+/// Tokens of the shared beginning.
+std::uint32_t sharedTokens(const dispatch_request &Request);
+
+/// Requests that an endpoint probably has: this VM's own are exact, those of
+/// the other VMs come from their notices or its last report.
 double estimatedLoad(const endpoint_record &Endpoint, steady_time Now);
 
 } // namespace azurehaven
--- /dev/null
+++ b/Libraries/LibDispatch/release_evidence.cpp
@@ -0,0 +1,102 @@
+#include "LibDispatch/release_evidence.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace azurehaven {
+
+namespace {
+
+/// Standard deviations; a false alarm rolls a good release back.
+constexpr double Significance = 4;
+/// Bad outcomes below which nothing is concluded.
+constexpr std::uint32_t LeastBad = 4;
+/// Usual share assumed at least: a few failures happen to any release.
+constexpr double LeastUsualShare = 0.03;
+/// Requests that the assumed share weighs as much as.
+constexpr double PriorRequests = 20;
+
+double usualShare(std::uint32_t Bad, std::uint32_t Total) {
+  return std::max(LeastUsualShare,
+                  (Bad + LeastUsualShare * PriorRequests) /
+                      (Total + PriorRequests));
+}
+
+} // namespace
+
+release_counts &release_counts::operator+=(const release_counts &Other) {
+  Requests += Other.Requests;
+  Failures += Other.Failures;
+  Slow += Other.Slow;
+  return *this;
+}
+
+bool isBeyondChance(std::uint32_t Bad, std::uint32_t Total, double UsualShare) {
+  if (Bad < LeastBad || Total == 0)
+    return false;
+  const double Share = static_cast<double>(Bad) / Total;
+  const double Deviation =
+      std::sqrt(UsualShare * (1 - UsualShare) / static_cast<double>(Total));
+  return Share > UsualShare + Significance * Deviation;
+}
+
+void release_evidence::add(const release_key &Key,
+                           const release_counts &Counts) {
+  Own[Key] += Counts;
+}
+
+void release_evidence::put(const vm_id &Origin, std::uint64_t Incarnation,
+                           const release_report &Report) {
+  release_counts &Known = Others[{Origin, Incarnation, Report.Key}];
+  if (Report.Counts.Requests >= Known.Requests)
+    Known = Report.Counts;
+}
+
+std::vector<release_report> release_evidence::own() const {
+  std::vector<release_report> Reports;
+  for (const auto &[Key, Counts] : Own)
+    Reports.push_back({Key, Counts});
+  return Reports;
+}
+
+std::map<release_key, release_counts>
+release_evidence::totals(const service_id &Service) const {
+  std::map<release_key, release_counts> Totals;
+  for (const auto &[Key, Counts] : Own)
+    if (Key.Service == Service)
+      Totals[Key] += Counts;
+  for (const auto &[Origin, Counts] : Others)
+    if (std::get<release_key>(Origin).Service == Service)
+      Totals[std::get<release_key>(Origin)] += Counts;
+  return Totals;
+}
+
+release_counts
+release_evidence::ofRelease(const service_id &Service,
+                            const std::string &Release) const {
+  release_counts Sum;
+  for (const auto &[Key, Counts] : totals(Service))
+    if (Key.Release == Release)
+      Sum += Counts;
+  return Sum;
+}
+
+bool release_evidence::isWorse(const service_id &Service,
+                               const std::string &Release) const {
+  std::map<std::string, release_counts> Judged;
+  std::map<std::string, release_counts> Usual;
+  // The empty name stands for all routes together.
+  for (const auto &[Key, Counts] : totals(Service))
+    for (const auto &Route : {Key.Route, std::string()})
+      (Key.Release == Release ? Judged : Usual)[Route] += Counts;
+  return std::any_of(Judged.begin(), Judged.end(), [&](const auto &Entry) {
+    const release_counts &New = Entry.second;
+    const release_counts &Old = Usual[Entry.first];
+    return isBeyondChance(New.Failures, New.Requests,
+                          usualShare(Old.Failures, Old.Requests)) ||
+           isBeyondChance(New.Slow, New.Requests,
+                          usualShare(Old.Slow, Old.Requests));
+  });
+}
+
+} // namespace azurehaven
--- /dev/null
+++ b/Libraries/LibDispatch/rollout_control.cpp
@@ -0,0 +1,151 @@
+#include "LibDispatch/rollout_control.h"
+
+#include <algorithm>
+
+namespace azurehaven {
+
+namespace {
+
+/// Part of the allowed exposure that a trial uses: the rest is left for the
+/// shift, in which a release that fails only under load shows it.
+constexpr double TrialPart = 0.6;
+/// Parts of the roll-out's time. Sessions keep their release in its first
+/// half; the shift begins after it, and completion leaves time for the streams
+/// that still run on the old release.
+constexpr double SessionsMoveAt = 0.52;
+constexpr double ShiftAt = 0.55;
+constexpr double CompleteAt = 0.85;
+
+} // namespace
+
+const char *nameOf(rollout_outcome Outcome) {
+  switch (Outcome) {
+  case rollout_outcome::InProgress:
+    return "in_progress";
+  case rollout_outcome::Completed:
+    return "completed";
+  case rollout_outcome::RolledBack:
+    return "rolled_back";
+  }
+  return "unknown";
+}
+
+release_choice chooseRelease(const release_rule &Rule,
+                             const std::optional<std::string> &Pinned,
+                             double Draw) {
+  const bool IsOnTarget = Pinned && *Pinned == Rule.Target;
+  switch (Rule.Phase) {
+  case rollout_phase::None:
+    return release_choice::Any;
+  case rollout_phase::Completed:
+  case rollout_phase::Shift:
+    return release_choice::Target;
+  case rollout_phase::RolledBack:
+    return release_choice::NotTarget;
+  case rollout_phase::Trial:
+    break;
+  }
+  if (IsOnTarget)
+    return release_choice::Target;
+  if (Pinned && Rule.KeepsSessions)
+    return release_choice::NotTarget;
+  return Draw < Rule.TargetShare ? release_choice::Target
+                                 : release_choice::NotTarget;
+}
+
+void rollout_control::onOrder(const rollout_order &Order, milliseconds Elapsed,
+                              steady_time Now) {
+  auto &Rollout = Rollouts[Order.Service];
+  if (Rollout.Order.Revision >= Order.Revision)
+    return;
+  Rollout = {Order, Now - Elapsed, false, std::nullopt, 0};
+  attachPublished(Rollout);
+}
+
+void rollout_control::onOutcome(const service_id &Service,
+                                const std::string &Target,
+                                rollout_outcome Outcome,
+                                std::uint64_t Revision) {
+  auto &Known = Published[Service];
+  if (Known.Revision >= Revision)
+    return;
+  Known = {Target, Outcome, Revision};
+  auto Found = Rollouts.find(Service);
+  if (Found != Rollouts.end())
+    attachPublished(Found->second);
+}
+
+void rollout_control::attachPublished(rollout &Rollout) const {
+  auto Found = Published.find(Rollout.Order.Service);
+  if (Found == Published.end())
+    return;
+  const published_outcome &Known = Found->second;
+  Rollout.PublishedRevision = Known.Revision;
+  // What was published before the order speaks of an earlier roll-out.
+  if (Known.Target == Rollout.Order.Target &&
+      Known.Revision > Rollout.Order.Revision)
+    Rollout.Published = Known.Outcome;
+}
+
+double rollout_control::progress(const rollout &Rollout,
+                                 steady_time Now) const {
+  const auto Elapsed =
+      std::chrono::duration<double, std::milli>(Now - Rollout.BeganAt).count();
+  return Elapsed /
+         static_cast<double>(std::max<std::int64_t>(
+             Rollout.Order.TimeLimit.count(), 1));
+}
+
+release_rule rollout_control::ruleFor(const service_id &Service,
+                                      steady_time Now) const {
+  auto Found = Rollouts.find(Service);
+  if (Found == Rollouts.end())
+    return {};
+  const rollout &Rollout = Found->second;
+  release_rule Rule;
+  Rule.Target = Rollout.Order.Target;
+  const double Progress = progress(Rollout, Now);
+  if (Rollout.Published == rollout_outcome::RolledBack || Rollout.IsBad)
+    Rule.Phase = rollout_phase::RolledBack;
+  else if (Rollout.Published == rollout_outcome::Completed)
+    Rule.Phase = rollout_phase::Completed;
+  else if (Progress >= ShiftAt)
+    Rule.Phase = rollout_phase::Shift;
+  else
+    Rule.Phase = rollout_phase::Trial;
+  Rule.TargetShare = ExposureShare * TrialPart;
+  Rule.KeepsSessions = Progress < SessionsMoveAt;
+  return Rule;
+}
+
+void rollout_control::judge(const release_evidence &Evidence, steady_time) {
+  for (auto &[Service, Rollout] : Rollouts) {
+    const bool IsOpen = !Rollout.Published ||
+                        *Rollout.Published == rollout_outcome::InProgress;
+    if (IsOpen && !Rollout.IsBad)
+      Rollout.IsBad = Evidence.isWorse(Service, Rollout.Order.Target);
+  }
+}
+
+std::vector<rollout_control::due_outcome>
+rollout_control::dueOutcomes(steady_time Now) const {
+  std::vector<due_outcome> Due;
+  for (const auto &[Service, Rollout] : Rollouts) {
+    if (Rollout.Published == rollout_outcome::Completed ||
+        Rollout.Published == rollout_outcome::RolledBack)
+      continue;
+    rollout_outcome Wanted = rollout_outcome::InProgress;
+    if (Rollout.IsBad)
+      Wanted = rollout_outcome::RolledBack;
+    else if (progress(Rollout, Now) >= CompleteAt)
+      Wanted = rollout_outcome::Completed;
+    if (Rollout.Published == Wanted)
+      continue;
+    Due.push_back({Rollout.Order, Wanted, Rollout.PublishedRevision,
+                   std::chrono::duration_cast<milliseconds>(
+                       Now - Rollout.BeganAt)});
+  }
+  return Due;
+}
+
+} // namespace azurehaven
--- /dev/null
+++ b/Libraries/LibDispatch/session_pins.cpp
@@ -0,0 +1,59 @@
+#include "LibDispatch/session_pins.h"
+
+namespace azurehaven {
+
+namespace {
+
+/// A pin is kept a little longer than the gap that ends a session: the
+/// requests' ends are known only roughly.
+constexpr double KeepFactor = 1.3;
+/// Sessions remembered at most; beyond it the whole table would not fit a VM.
+constexpr std::size_t PinLimit = 200000;
+
+} // namespace
+
+session_pins::session_pins(milliseconds SessionGap)
+    : KeepFor(static_cast<std::int64_t>(
+          static_cast<double>(SessionGap.count()) * KeepFactor)) {}
+
+void session_pins::note(std::uint64_t Session, const std::string &Release,
+                        steady_time Now) {
+  const session_pin Pin{Session, Release, Now};
+  put(Pin);
+  News[Session] = Pin;
+}
+
+void session_pins::put(const session_pin &Pin) {
+  auto Found = Pins.find(Pin.Session);
+  if (Found != Pins.end()) {
+    if (Found->second.SeenAt <= Pin.SeenAt)
+      Found->second = Pin;
+  } else if (Pins.size() < PinLimit) {
+    Pins.emplace(Pin.Session, Pin);
+  }
+}
+
+std::optional<std::string> session_pins::releaseOf(std::uint64_t Session,
+                                                   steady_time Now) const {
+  auto Found = Pins.find(Session);
+  if (Found == Pins.end() || Now - Found->second.SeenAt > KeepFor)
+    return std::nullopt;
+  return Found->second.Release;
+}
+
+std::vector<session_pin> session_pins::takeNews() {
+  std::vector<session_pin> Taken;
+  Taken.reserve(News.size());
+  for (auto &[Session, Pin] : News)
+    Taken.push_back(std::move(Pin));
+  News.clear();
+  return Taken;
+}
+
+void session_pins::expire(steady_time Now) {
+  std::erase_if(Pins, [&](const auto &Entry) {
+    return Now - Entry.second.SeenAt > KeepFor;
+  });
+}
+
+} // namespace azurehaven
--- a/Libraries/LibEntry/heartbeat_service.h
+++ b/Libraries/LibEntry/heartbeat_service.h
@@ -26,6 +26,8 @@
   void handle(const peer_frame &Frame, const custody_request &Message);
   void handle(const peer_frame &Frame, const custody_answer &Message);
   void handle(const peer_frame &Frame, const custody_release &Message);
+  /// Sent by relay processes only.
+  void handle(const peer_frame &, const fleet_notice &) {}
   void takeNews(const heartbeat &Message);
 
   const entry_services &Services;
--- a/Libraries/LibPeer/frame_codec.cpp
+++ b/Libraries/LibPeer/frame_codec.cpp
@@ -93,6 +93,31 @@
     return wire::CreateCustodyRelease(Builder, Keys).Union();
   }
 
+  Offset<void> operator()(const fleet_notice &Message) {
+    Type = wire::Body_FleetNotice;
+    std::vector<Offset<wire::EndpointUse>> Uses;
+    for (const auto &Use : Message.Uses)
+      Uses.push_back(wire::CreateEndpointUseDirect(
+          Builder, Use.Endpoint.text().c_str(), Use.InFlight, Use.PromptWork));
+    std::vector<Offset<wire::ReleaseCounts>> Releases;
+    for (const auto &Release : Message.Releases)
+      Releases.push_back(wire::CreateReleaseCountsDirect(
+          Builder, Release.Service.text().c_str(), Release.Release.c_str(),
+          Release.Route.c_str(), Release.Requests, Release.Failures,
+          Release.Slow));
+    std::vector<Offset<wire::SessionSighting>> Sightings;
+    for (const auto &Sighting : Message.Sightings)
+      Sightings.push_back(wire::CreateSessionSightingDirect(
+          Builder, Sighting.Session, Sighting.Release.c_str()));
+    std::vector<Offset<wire::Crash>> Crashes;
+    for (const auto &Notice : Message.Crashes)
+      Crashes.push_back(wire::CreateCrashDirect(
+          Builder, Notice.Fingerprint, Notice.Endpoint.text().c_str()));
+    return wire::CreateFleetNoticeDirect(Builder, &Uses, &Releases, &Sightings,
+                                         &Crashes)
+        .Union();
+  }
+
 private:
   FlatBufferBuilder &Builder;
 };
@@ -128,6 +153,10 @@
   return Notice;
 }
 
+crash_notice decodeCrash(const wire::Crash &Item) {
+  return {Item.fingerprint(), endpoint_id(Item.endpoint()->str())};
+}
+
 heartbeat decodeHeartbeat(const wire::Heartbeat &Source) {
   heartbeat Message;
   Message.Kind =
@@ -146,10 +175,7 @@
         failure_domain_id(Item.domain()->str())};
   });
   Message.Ratings = decodeAll(Source.ratings(), decodeRating);
-  Message.Crashes = decodeAll(Source.crashes(), [](const wire::Crash &Item) {
-    return crash_notice{Item.fingerprint(),
-                        endpoint_id(Item.endpoint()->str())};
-  });
+  Message.Crashes = decodeAll(Source.crashes(), decodeCrash);
   Message.Usage = decodeAll(Source.usage(), [](const wire::Usage &Item) {
     return usage_notice{client_account_id(Item.account()->str()),
                         Item.in_flight()};
@@ -157,6 +183,29 @@
   return Message;
 }
 
+fleet_notice decodeFleetNotice(const wire::FleetNotice &Source) {
+  fleet_notice Message;
+  Message.Uses = decodeAll(Source.uses(), [](const wire::EndpointUse &Item) {
+    return endpoint_use_notice{endpoint_id(Item.endpoint()->str()),
+                               Item.in_flight(), Item.prompt_work()};
+  });
+  Message.Releases =
+      decodeAll(Source.releases(), [](const wire::ReleaseCounts &Item) {
+        return release_notice{service_id(Item.service()->str()),
+                              Item.release()->str(),
+                              Item.route()->str(),
+                              Item.requests(),
+                              Item.failures(),
+                              Item.slow()};
+      });
+  Message.Sightings =
+      decodeAll(Source.sightings(), [](const wire::SessionSighting &Item) {
+        return session_notice{Item.session(), Item.release()->str()};
+      });
+  Message.Crashes = decodeAll(Source.crashes(), decodeCrash);
+  return Message;
+}
+
 std::vector<std::string>
 decodeTexts(const flatbuffers::Vector<Offset<flatbuffers::String>> *Items) {
   return decodeAll(Items,
@@ -181,6 +230,8 @@
     return custody_answer{Frame.body_as_CustodyAnswer()->nonce()};
   case wire::Body_CustodyRelease:
     return custody_release{decodeTexts(Frame.body_as_CustodyRelease()->keys())};
+  case wire::Body_FleetNotice:
+    return decodeFleetNotice(*Frame.body_as_FleetNotice());
   default:
     return std::nullopt;
   }
--- a/Libraries/LibPeer/peer_message.h
+++ b/Libraries/LibPeer/peer_message.h
@@ -90,9 +90,41 @@
   std::vector<std::string> Keys;
 };
 
+/// What one VM has under way on an endpoint.
+struct endpoint_use_notice {
+  endpoint_id Endpoint;
+  std::uint32_t InFlight = 0;
+  /// Prompt work that is still to be done, in prompt_work units.
+  std::uint64_t PromptWork = 0;
+};
+
+/// Cumulative outcomes of one release on one route, since the sender's start.
+struct release_notice {
+  service_id Service;
+  std::string Release;
+  std::string Route;
+  std::uint32_t Requests = 0;
+  std::uint32_t Failures = 0;
+  std::uint32_t Slow = 0;
+};
+
+/// A session's request was just served by this release.
+struct session_notice {
+  std::uint64_t Session = 0;
+  std::string Release;
+};
+
+/// What VMs tell each other several times a second about the work they place.
+struct fleet_notice {
+  std::vector<endpoint_use_notice> Uses;
+  std::vector<release_notice> Releases;
+  std::vector<session_notice> Sightings;
+  std::vector<crash_notice> Crashes;
+};
+
 using peer_message =
     std::variant<heartbeat, configuration_request, configuration_snapshot,
-                 custody_request, custody_answer, custody_release>;
+                 custody_request, custody_answer, custody_release, fleet_notice>;
 
 struct peer_frame {
   vm_id Sender;
--- a/Libraries/LibRelay/endpoint_attempt.cpp
+++ b/Libraries/LibRelay/endpoint_attempt.cpp
@@ -4,16 +4,22 @@
 
 endpoint_attempt::endpoint_attempt(relay_context &Context,
                                    std::shared_ptr<endpoint_record> Endpoint,
-                                   request_id Id,
+                                   request_id Id, double PromptWork,
                                    std::weak_ptr<attempt_owner> Owner)
     : Context(Context), Endpoint(std::move(Endpoint)), Id(std::move(Id)),
-      Owner(std::move(Owner)) {
+      Owner(std::move(Owner)), PromptWork(PromptWork) {
   ++this->Endpoint->InFlight;
+  this->Endpoint->PromptWork += PromptWork;
 }
 
 endpoint_attempt::~endpoint_attempt() { countOff(); }
 
+void endpoint_attempt::countPromptOff() {
+  Endpoint->PromptWork -= std::exchange(PromptWork, 0);
+}
+
 void endpoint_attempt::countOff() {
+  countPromptOff();
   if (Counted)
     --Endpoint->InFlight;
   Counted = false;
@@ -31,6 +37,7 @@
 }
 
 head_verdict endpoint_attempt::onResponseHead(const response_head &Head) {
+  countPromptOff();
   const endpoint_answer Answer =
       Context.Dialect.decodeAnswer(Head, Context.Clock.now());
   if (Answer.Load)
@@ -47,6 +54,7 @@
 
 void endpoint_attempt::onResponseBody(std::string Bytes) {
   Endpoint->LastHeard = Context.Clock.now();
+  countPromptOff();
   if (auto Receiver = Owner.lock())
     Receiver->onAnswerBody(std::move(Bytes));
 }
--- a/Libraries/LibRelay/endpoint_attempt.h
+++ b/Libraries/LibRelay/endpoint_attempt.h
@@ -23,9 +23,10 @@
 class endpoint_attempt : public exchange_observer,
                          public std::enable_shared_from_this<endpoint_attempt> {
 public:
+  /// PromptWork: what the prompt costs the endpoint until its first event.
   endpoint_attempt(relay_context &Context,
                    std::shared_ptr<endpoint_record> Endpoint, request_id Id,
-                   std::weak_ptr<attempt_owner> Owner);
+                   double PromptWork, std::weak_ptr<attempt_owner> Owner);
   ~endpoint_attempt() override;
 
   void start(outgoing_request Request, connection_trust Trust);
@@ -41,6 +42,7 @@
 
 private:
   void countOff();
+  void countPromptOff();
 
   relay_context &Context;
   const std::shared_ptr<endpoint_record> Endpoint;
@@ -48,6 +50,7 @@
   const std::weak_ptr<attempt_owner> Owner;
   std::shared_ptr<endpoint_connection> Connection;
   milliseconds IdleLimit{4000};
+  double PromptWork;
   bool Counted = true;
 };
 
--- /dev/null
+++ b/Libraries/LibRelay/engine_inspector.h
@@ -0,0 +1,19 @@
+#pragma once
+
+#include "LibDispatch/endpoint_roster.h"
+#include "LibTypes/result.h"
+
+#include <functional>
+
+namespace azurehaven {
+
+/// Asks an engine what it runs. The handler is called once, on the event loop,
+/// with Unavailable if the engine does not respond.
+class engine_inspector {
+public:
+  virtual ~engine_inspector() = default;
+  virtual void inspect(const endpoint_facts &Endpoint,
+                       std::function<void(result<engine_report>)> Handler) = 0;
+};
+
+} // namespace azurehaven
--- /dev/null
+++ b/Libraries/LibRelay/fleet_exchange.cpp
@@ -0,0 +1,93 @@
+#include "LibRelay/fleet_exchange.h"
+
+#include <algorithm>
+
+namespace azurehaven {
+
+namespace {
+
+/// Work that a silent VM told of is over by now, or its endpoints say so.
+constexpr milliseconds UseLife{1500};
+
+} // namespace
+
+fleet_notice fleet_exchange::buildNotice() {
+  fleet_notice Notice;
+  for (const auto &Id : Fleet.Endpoints.ids()) {
+    const auto Endpoint = Fleet.Endpoints.find(Id);
+    if (Endpoint->InFlight > 0)
+      Notice.Uses.push_back(
+          {Id, Endpoint->InFlight,
+           static_cast<std::uint64_t>(std::max(Endpoint->PromptWork, 0.0))});
+  }
+  for (const auto &Report : Fleet.Evidence.own())
+    Notice.Releases.push_back({Report.Key.Service, Report.Key.Release,
+                               Report.Key.Route, Report.Counts.Requests,
+                               Report.Counts.Failures, Report.Counts.Slow});
+  for (const auto &Pin : Fleet.Pins.takeNews())
+    Notice.Sightings.push_back({Pin.Session, Pin.Release});
+  for (const auto &Crash : Fleet.Quarantine.takeNews())
+    Notice.Crashes.push_back({Crash.Fingerprint, Crash.Endpoint});
+  return Notice;
+}
+
+void fleet_exchange::tell() {
+  std::map<vm_id, network_address> Addresses;
+  for (const auto &Member : Fleet.Members.all())
+    if (Member.Vm != Fleet.Self)
+      Addresses[Member.Vm] = Member.PeerAddress;
+  Peers.setPeers(Addresses);
+  if (Addresses.empty())
+    return;
+  const fleet_notice Notice = buildNotice();
+  for (const auto &[Vm, Address] : Addresses)
+    Peers.send(Vm, Notice);
+}
+
+void fleet_exchange::onFrame(const peer_frame &Frame) {
+  const auto *Notice = std::get_if<fleet_notice>(&Frame.Message);
+  if (!Notice)
+    return;
+  const steady_time Now = Clock.now();
+  told_uses &Told = Uses[Frame.Sender];
+  Told.At = Now;
+  Told.ByEndpoint.clear();
+  for (const auto &Use : Notice->Uses)
+    Told.ByEndpoint[Use.Endpoint] = Use;
+  applyUses();
+  for (const auto &Release : Notice->Releases)
+    Fleet.Evidence.put(
+        Frame.Sender, Frame.Incarnation,
+        {{Release.Service, Release.Release, Release.Route},
+         {Release.Requests, Release.Failures, Release.Slow}});
+  for (const auto &Sighting : Notice->Sightings)
+    Fleet.Pins.put({Sighting.Session, Sighting.Release, Now});
+  for (const auto &Crash : Notice->Crashes)
+    Fleet.Quarantine.put(Crash.Fingerprint, Crash.Endpoint, Now);
+}
+
+void fleet_exchange::applyUses() {
+  for (const auto &Id : Fleet.Endpoints.ids()) {
+    const auto Endpoint = Fleet.Endpoints.find(Id);
+    Endpoint->PeersInFlight = 0;
+    Endpoint->PeersPromptWork = 0;
+    for (const auto &[Vm, Told] : Uses) {
+      auto Found = Told.ByEndpoint.find(Id);
+      if (Found == Told.ByEndpoint.end())
+        continue;
+      Endpoint->PeersInFlight += Found->second.InFlight;
+      Endpoint->PeersPromptWork += static_cast<double>(Found->second.PromptWork);
+    }
+  }
+}
+
+void fleet_exchange::expire() {
+  const steady_time Now = Clock.now();
+  const auto Removed = std::erase_if(Uses, [&](const auto &Entry) {
+    return Now - Entry.second.At > UseLife;
+  });
+  if (Removed > 0)
+    applyUses();
+}
+
+} // namespace azurehaven
--- a/Libraries/LibRelay/fleet_state.h
+++ b/Libraries/LibRelay/fleet_state.h
@@ -3,8 +3,13 @@
 #include "LibDispatch/configuration_confirmation.h"
 #include "LibDispatch/crash_quarantine.h"
 #include "LibDispatch/endpoint_roster.h"
+#include "LibDispatch/model_choice.h"
+#include "LibDispatch/pace_baseline.h"
+#include "LibDispatch/release_evidence.h"
 #include "LibDispatch/retry_allowance.h"
+#include "LibDispatch/rollout_control.h"
 #include "LibDispatch/route_table.h"
+#include "LibDispatch/session_pins.h"
 #include "LibFleet/fleet_members.h"
 
 #include <memory>
@@ -22,7 +27,12 @@
   fleet_members Members;
   configuration_confirmation Confirmation;
   retry_allowance Retries;
-  crash_quarantine Quarantine;
+  session_pins Pins;
+  rollout_control Rollouts;
+  crash_quarantine Quarantine{};
+  model_choice Models{};
+  release_evidence Evidence{};
+  pace_baseline Paces{};
   bool IsStopping = false;
   steady_time StoppingSince;
 };
--- a/Libraries/LibRelay/fleet_updates.cpp
+++ b/Libraries/LibRelay/fleet_updates.cpp
@@ -1,5 +1,7 @@
 #include "LibRelay/fleet_updates.h"
 
+#include <algorithm>
+
 namespace azurehaven {
 
 namespace {
@@ -74,6 +76,42 @@
   Log.write(log_level::Info, "member_unlisted", {{"member", Vm.text()}});
 }
 
+milliseconds fleet_updates::elapsedOf(const rollout_order &Order) const {
+  auto Known = RolloutRecords.find(Order.Service);
+  if (Known == RolloutRecords.end() || Known->second.Target != Order.Target)
+    return milliseconds(0);
+  // The times of day of two VMs differ, and may jump.
+  const auto Elapsed = Clock.wallNow() - Known->second.BeganAt;
+  return std::clamp(milliseconds(Elapsed.count()), milliseconds(0),
+                    2 * Order.TimeLimit);
+}
+
+void fleet_updates::onRolloutOrder(const rollout_order &Order) {
+  const milliseconds Elapsed = elapsedOf(Order);
+  Fleet.Rollouts.onOrder(Order, Elapsed, Clock.now());
+  Log.write(log_level::Info, "rollout_ordered",
+            {{"service", Order.Service.text()},
+             {"target", Order.Target},
+             {"time_limit_ms", std::to_string(Order.TimeLimit.count())},
+             {"elapsed_ms", std::to_string(Elapsed.count())}});
+}
+
+void fleet_updates::onRolloutOutcome(const service_id &Service,
+                                     const std::string &Target,
+                                     rollout_outcome Outcome,
+                                     std::uint64_t Revision) {
+  Fleet.Rollouts.onOutcome(Service, Target, Outcome, Revision);
+  Log.write(log_level::Info, "rollout_published",
+            {{"service", Service.text()},
+             {"target", Target},
+             {"outcome", nameOf(Outcome)}});
+}
+
+void fleet_updates::onRolloutRecord(const service_id &Service,
+                                    const rollout_record &Record) {
+  RolloutRecords[Service] = Record;
+}
+
 void fleet_updates::onConfirmed(steady_time At) {
   Fleet.Confirmation.confirm(At);
 }
--- a/Libraries/LibRelay/fleet_updates.h
+++ b/Libraries/LibRelay/fleet_updates.h
@@ -4,6 +4,7 @@
 #include "LibLog/event_log.h"
 #include "LibMetrics/metrics.h"
 #include "LibRelay/fleet_state.h"
+#include "LibRelay/rollout_driver.h"
 #include "LibTypes/clock_source.h"
 
 namespace azurehaven {
@@ -19,6 +20,10 @@
   void onEndpoint(const endpoint_facts &Facts);
   void onEndpointGone(const endpoint_id &Id, removal_cause Cause);
   void onMember(const member_entry &Member);
+  void onRolloutOrder(const rollout_order &Order);
+  void onRolloutOutcome(const service_id &Service, const std::string &Target,
+                        rollout_outcome Outcome, std::uint64_t Revision);
+  void onRolloutRecord(const service_id &Service, const rollout_record &Record);
   void onMemberGone(const vm_id &Vm, removal_cause Cause);
   void onConfirmed(steady_time At);
   void onStoreReachable();
@@ -30,6 +35,9 @@
   void advance();
 
 private:
+  milliseconds elapsedOf(const rollout_order &Order) const;
+
+  std::map<service_id, rollout_record> RolloutRecords;
   fleet_state &Fleet;
   const clock_source &Clock;
   const event_log &Log;
--- /dev/null
+++ b/Libraries/LibRelay/liveness_watch.cpp
@@ -0,0 +1,109 @@
+#include "LibRelay/liveness_watch.h"
+
+namespace azurehaven {
+
+namespace {
+
+/// A plain service answers within some ten milliseconds.
+constexpr milliseconds PlainSilence{300};
+/// Silence after which an engine is asked, and how often it is asked again. A
+/// long prompt keeps an engine silent for a second.
+constexpr milliseconds EngineSilence{700};
+constexpr milliseconds AskEvery{700};
+constexpr milliseconds CheckEvery{150};
+/// An engine's report is this old when it arrives, at most.
+constexpr milliseconds ReportLag{600};
+/// Events that the engine may be ahead of what has arrived.
+constexpr std::uint64_t EventsUnderWay = 3;
+
+} // namespace
+
+liveness_watch::liveness_watch(relay_context &Context,
+                               std::shared_ptr<endpoint_record> Endpoint,
+                               request_id Id, bool IsEngine,
+                               silence_handler Handler)
+    : Context(Context), Endpoint(std::move(Endpoint)), Id(std::move(Id)),
+      IsEngine(IsEngine), Handler(std::move(Handler)), Timer(Context.Executor),
+      LastHeard(Context.Clock.now()) {}
+
+void liveness_watch::start() { waitAgain(); }
+
+void liveness_watch::stop() {
+  Handler = nullptr;
+  Timer.cancel();
+}
+
+void liveness_watch::heard(std::uint64_t NewEvents, steady_time Now) {
+  LastHeard = Now;
+  Events = NewEvents;
+  HasHeard = true;
+}
+
+void liveness_watch::waitAgain() {
+  Timer.expires_after(CheckEvery);
+  Timer.async_wait([Self = shared_from_this()](const asio::error_code &Code) {
+    if (!Code && Self->Handler)
+      Self->check();
+  });
+}
+
+void liveness_watch::check() {
+  const steady_time Now = Context.Clock.now();
+  const auto Silence = Now - LastHeard;
+  if (!IsEngine) {
+    if (Silence >= PlainSilence)
+      return giveUp("the endpoint is silent");
+    return waitAgain();
+  }
+  if (Silence >= EngineSilence) {
+    judgeReport(Now);
+    if (!Handler)
+      return;
+    if (!Endpoint->IsBeingAsked && Now - Endpoint->ReportAt >= AskEvery)
+      ask();
+  }
+  waitAgain();
+}
+
+void liveness_watch::judgeReport(steady_time Now) {
+  // Only a report made well after the silence began says anything of it.
+  const bool IsTelling = Endpoint->Report &&
+                         Endpoint->ReportAt > LastHeard + ReportLag &&
+                         Now - Endpoint->ReportAt < AskEvery;
+  if (!IsTelling)
+    return;
+  auto Run = Endpoint->Report->EventsByRun.find(Id);
+  const bool IsRunning = Run != Endpoint->Report->EventsByRun.end();
+  if (IsRunning && Run->second > Events + EventsUnderWay)
+    return giveUp("the connection is silent while the engine goes on");
+  if (!IsRunning && Endpoint->Report->Queued == 0 && HasHeard)
+    return giveUp("the engine no longer runs the request");
+}
+
+void liveness_watch::ask() {
+  Endpoint->IsBeingAsked = true;
+  Context.Metrics.count("azurehaven_engine_inspections_total");
+  Context.Inspector->inspect(
+      Endpoint->Facts,
+      [Endpoint = Endpoint, &Clock = Context.Clock,
+       Weak = weak_from_this()](result<engine_report> Report) {
+        Endpoint->IsBeingAsked = false;
+        Endpoint->ReportAt = Clock.now();
+        if (!isError(Report)) {
+          Endpoint->Report =
+              std::make_shared<const engine_report>(std::move(valueOf(Report)));
+          return;
+        }
+        Endpoint->Report = nullptr;
+        auto Self = Weak.lock();
+        if (Self && Self->Handler)
+          Self->giveUp("the engine does not respond");
+      });
+}
+
+void liveness_watch::giveUp(const std::string &Reason) {
+  if (auto Told = std::exchange(Handler, nullptr))
+    Told(Reason);
+}
+
+} // namespace azurehaven
--- /dev/null
+++ b/Libraries/LibRelay/liveness_watch.h
@@ -0,0 +1,46 @@
+#pragma once
+
+#include "LibRelay/relay.h"
+
+#include <asio/steady_timer.hpp>
+
+#include <functional>
+#include <memory>
+
+namespace azurehaven {
+
+/// Watches whether an endpoint still works on one request that may be
+/// repeated. An engine that is merely busy says so when it is asked; one that
+/// is dark, or whose connection has gone silent, is given up.
+class liveness_watch : public std::enable_shared_from_this<liveness_watch> {
+public:
+  using silence_handler = std::function<void(const std::string &Reason)>;
+
+  liveness_watch(relay_context &Context,
+                 std::shared_ptr<endpoint_record> Endpoint, request_id Id,
+                 bool IsEngine, silence_handler Handler);
+
+  void start();
+  void stop();
+  /// Bytes of this request's answer have come; Events: whole events so far.
+  void heard(std::uint64_t Events, steady_time Now);
+
+private:
+  void waitAgain();
+  void check();
+  void ask();
+  void judgeReport(steady_time Now);
+  void giveUp(const std::string &Reason);
+
+  relay_context &Context;
+  const std::shared_ptr<endpoint_record> Endpoint;
+  const request_id Id;
+  const bool IsEngine;
+  silence_handler Handler;
+  asio::steady_timer Timer;
+  steady_time LastHeard;
+  std::uint64_t Events = 0;
+  bool HasHeard = false;
+};
+
+} // namespace azurehaven
--- a/Libraries/LibRelay/relay.h
+++ b/Libraries/LibRelay/relay.h
@@ -4,6 +4,7 @@
 #include "LibConnection/connection_pool.h"
 #include "LibLog/event_log.h"
 #include "LibMetrics/metrics.h"
+#include "LibRelay/engine_inspector.h"
 #include "LibRelay/fleet_state.h"
 #include "LibRelay/wire_dialect.h"
 #include "LibTypes/clock_source.h"
@@ -19,6 +20,7 @@
   metrics &Metrics;
   fleet_state &Fleet;
   connection_pool &Connections;
+  engine_inspector *Inspector = nullptr;
   /// Requests that are being served.
   std::size_t ActiveRequests = 0;
 };
--- a/Libraries/LibRelay/relay_node.cpp
+++ b/Libraries/LibRelay/relay_node.cpp
@@ -11,6 +11,8 @@
                                            milliseconds(2500)};
 /// How often due removals and expired connections are looked for.
 constexpr milliseconds TickEvery{100};
+/// How often VMs tell each other of their work.
+constexpr milliseconds ExchangeEvery{200};
 /// Descriptors kept for files, the store, peers and endpoints.
 constexpr std::size_t OtherDescriptors = 400;
 /// Callers that keep a directory answer three times as long as told still
@@ -37,10 +39,11 @@
             {},
             configuration_confirmation(Settings.RevokeBound),
             retry_allowance(Settings.Retries),
-            {}},
+            session_pins(Settings.SessionGap),
+            rollout_control(Settings.Exposure.Share)},
       Connections(Loop.get_executor(), EndpointTiming),
       Context{Loop.get_executor(), Clock,       Dialect, Log,
-              Metrics,             Fleet,       Connections},
+              Metrics,             Fleet,       Connections, nullptr},
       Relay(Context), Updates(Fleet, Clock, Log, Metrics),
       Scheduler(Loop.get_executor(), Clock), Signals(Loop, SIGTERM, SIGINT),
       Incarnation(static_cast<std::uint64_t>(Clock.wallNow().count())) {}
@@ -58,13 +61,25 @@
   return answerDirectory(Fleet, Settings.CallerAddress, Clock.now());
 }
 
-status relay_node::start(member_registration &NewRegistration) {
+status relay_node::start(member_registration &NewRegistration,
+                         engine_inspector &Inspector,
+                         rollout_publisher &Publisher) {
   Registration = &NewRegistration;
+  Context.Inspector = &Inspector;
+  // The network receives on a thread of its own; beliefs change on the loop.
+  TRY(Peers, tcp_peer_network::listen(
+                 Settings.PeerAddress, Settings.Vm, Incarnation,
+                 [this](const peer_frame &Frame) {
+                   asio::post(Loop, [this, Frame] { Exchange->onFrame(Frame); });
+                 }));
+  Exchange = std::make_unique<fleet_exchange>(Fleet, Clock, *Peers);
+  Rollouts = std::make_unique<rollout_driver>(Fleet, Clock, Log, Publisher);
   TRY(Listener, connection_listener::listen(Loop, Settings.CallerAddress, Relay,
                                             callerLimit(Settings)));
   Registration->start();
   waitForSignal();
   tick();
+  exchange();
   Log.write(log_level::Info, "started",
             {{"caller_address", Settings.CallerAddress.text()},
              {"failure_domain", Settings.Domain.text()}});
@@ -74,11 +89,19 @@
 void relay_node::tick() {
   Updates.advance();
   Connections.closeExpired(Clock.now());
+  Rollouts->advance();
   if (Fleet.IsStopping)
     finishStop();
   Scheduler.runAfter(TickEvery, [this] { tick(); });
 }
 
+void relay_node::exchange() {
+  Exchange->expire();
+  Exchange->tell();
+  Fleet.Pins.expire(Clock.now());
+  Scheduler.runAfter(ExchangeEvery, [this] { exchange(); });
+}
+
 void relay_node::waitForSignal() {
   Signals.async_wait([this](const asio::error_code &Code, int) {
     if (Code)
--- a/Libraries/LibRelay/relay_node.h
+++ b/Libraries/LibRelay/relay_node.h
@@ -5,8 +5,11 @@
 #include "LibRelay/asio_scheduler.h"
 #include "LibRelay/directory_service.h"
 #include "LibRelay/fleet_updates.h"
+#include "LibPeer/tcp_peer_network.h"
+#include "LibRelay/fleet_exchange.h"
 #include "LibRelay/relay.h"
 #include "LibRelay/relay_settings.h"
+#include "LibRelay/rollout_driver.h"
 
 #include <asio/io_context.hpp>
 #include <asio/signal_set.hpp>
@@ -30,11 +33,13 @@
 
   /// Starts to serve; the registration announces this VM in the store. Returns
   /// Unavailable when the callers' address can't be bound.
-  status start(member_registration &Registration);
+  status start(member_registration &Registration,
+               engine_inspector &Inspector, rollout_publisher &Publisher);
   member_entry selfEntry() const;
 
 private:
   void tick();
+  void exchange();
   void waitForSignal();
   void beginStop();
   void finishStop();
@@ -52,6 +57,9 @@
   asio::signal_set Signals;
   std::unique_ptr<connection_listener> Listener;
   member_registration *Registration = nullptr;
+  std::unique_ptr<peer_network> Peers;
+  std::unique_ptr<fleet_exchange> Exchange;
+  std::unique_ptr<rollout_driver> Rollouts;
   const std::uint64_t Incarnation;
 };
 
--- a/Libraries/LibRelay/request_run.cpp
+++ b/Libraries/LibRelay/request_run.cpp
@@ -1,5 +1,7 @@
 #include "LibRelay/request_run.h"
 
+#include "LibTypes/fingerprint.h"
+
 #include <algorithm>
 
 namespace azurehaven {
@@ -17,10 +19,12 @@
 constexpr std::size_t CallerBacklog = 256 << 10;
 /// Answers that are kept whole before they are passed on.
 constexpr std::size_t WholeAnswerLimit = 8 << 20;
-/// How long an endpoint may be silent on all connections before a request that
-/// may be repeated goes elsewhere.
-constexpr milliseconds StreamSilence{1500};
-constexpr milliseconds PlainSilence{300};
+/// Failures of one endpoint within this time have one cause.
+constexpr milliseconds BreakdownSpan{1000};
+/// Events of a stream from which its pace can be told.
+constexpr std::uint64_t LeastEventsForPace = 4;
+/// Sessions are dealt to shares in steps of this part.
+constexpr std::uint64_t DrawSteps = 100003;
 /// How long an endpoint gets no new work after a failure; doubles with each
 /// further one in a row.
 constexpr milliseconds FirstAvoidance{250};
@@ -75,8 +79,11 @@
       Request(std::move(Request)), Routes(Context.Fleet.Routes), Route(Route),
       Account(Account), Fingerprint(Fingerprint), Caller(std::move(Caller)),
       ArrivedAt(Context.Clock.now()), TimeLimit(limitOf(this->Request, Route)),
-      Deadline(Context.Executor), Silence(Context.Executor),
-      Splicer(this->Request.LastEventId) {
+      Deadline(Context.Executor),
+      Session(fingerprintOf(this->Request.Session.empty()
+                                ? this->Request.Id.text()
+                                : this->Request.Session)),
+      Service(chooseService()), Splicer(this->Request.LastEventId) {
   ++Context.ActiveRequests;
 }
 
@@ -100,8 +107,7 @@
     if (!Code)
       Self->onDeadline();
   });
-  for (const auto &Share : Route.Shares)
-    Context.Fleet.Retries.requestArrived(Share.Service, ArrivedAt);
+  Context.Fleet.Retries.requestArrived(Service, ArrivedAt);
   sendNext();
 }
 
@@ -110,38 +116,62 @@
          std::chrono::duration_cast<milliseconds>(Now - ArrivedAt);
 }
 
-std::shared_ptr<endpoint_record> request_run::place(steady_time Now) {
-  placement_terms Terms;
-  Terms.OwnDomain = Context.Fleet.Domain;
-  Terms.Tried = Tried;
-  Terms.VmCount = Context.Fleet.Members.size();
-  Terms.Model = Model;
-  // Shares by weight; a request stays with its choice while it is retried.
+service_id request_run::chooseService() const {
   double Total = 0;
   for (const auto &Share : Route.Shares)
     Total += Share.Weight;
+  // A request and its resends draw the same share.
   double Drawn =
-      static_cast<double>(Fingerprint % 10007) / 10007.0 * Total;
-  const pool_share *Chosen = nullptr;
+      static_cast<double>(Fingerprint % DrawSteps) / DrawSteps * Total;
   for (const auto &Share : Route.Shares) {
-    Chosen = &Share;
     Drawn -= Share.Weight;
     if (Drawn < 0)
-      break;
+      return Share.Service;
   }
-  if (!Chosen)
-    return nullptr;
-  const auto &Candidates = Context.Fleet.Endpoints.ofService(Chosen->Service);
-  const endpoint_pool *Pool = Routes->pool(Chosen->Service);
-  return Pool && Pool->Engine
-             ? placeOnEngine(Request, Candidates, Terms, Now)
-             : placeOnLeastLoaded(Candidates, Terms, Now);
+  return Route.Shares.empty() ? service_id() : Route.Shares.back().Service;
+}
+
+std::shared_ptr<endpoint_record> request_run::place(steady_time Now) {
+  fleet_state &Fleet = Context.Fleet;
+  placement_terms Terms;
+  Terms.OwnDomain = Fleet.Domain;
+  Terms.Tried = Tried;
+  Terms.VmCount = Fleet.Members.size();
+  Terms.Model = Model;
+  if (ModelIndex)
+    Terms.TokenWork = Fleet.Models.tokenWork(Route, *ModelIndex);
+  const release_rule Rule = Fleet.Rollouts.ruleFor(Service, Now);
+  const release_choice Choice =
+      chooseRelease(Rule, Fleet.Pins.releaseOf(Session, Now),
+                    static_cast<double>(Session % DrawSteps) / DrawSteps);
+  const endpoint_list Candidates = candidatesFor(
+      Fleet.Endpoints.ofService(Service), Rule, Choice, Now);
+  const endpoint_pool *Pool = Routes->pool(Service);
+  return Pool && Pool->Engine ? placeOnEngine(Request, Candidates, Terms, Now)
+                              : placeOnLeastLoaded(Candidates, Terms, Now);
+}
+
+double request_run::promptWorkOn(const endpoint_record &Target,
+                                 steady_time Now) const {
+  if (!ModelIndex)
+    return 0;
+  const std::uint32_t Shared = sharedTokens(Request);
+  auto Sent = Target.SentBeginnings.find(sharedBeginning(Request, Model));
+  const bool IsCached = Sent != Target.SentBeginnings.end() &&
+                        Now - Sent->second < std::chrono::seconds(15);
+  const std::uint32_t Own =
+      Request.PromptTokens > Shared ? Request.PromptTokens - Shared : 0;
+  return (Own + (IsCached ? 0 : Shared)) *
+         Context.Fleet.Models.tokenWork(Route, *ModelIndex);
 }
 
 void request_run::sendNext() {
   const steady_time Now = Context.Clock.now();
-  if (Request.leavesModelOpen() && Model.empty() && !Route.ModelsBySize.empty())
-    Model = Route.ModelsBySize.back();
+  if (Request.leavesModelOpen() && !Route.ModelsBySize.empty()) {
+    if (!ModelIndex)
+      ModelIndex = Context.Fleet.Models.firstModel(Route, Request);
+    Model = Route.ModelsBySize[*ModelIndex];
+  }
   const auto Target = place(Now);
   if (!Target)
     return refuse(refusalAfter(Runs > 0, "no_endpoint"));
@@ -176,61 +206,115 @@
                      {"in_flight", std::to_string(Target->InFlight)},
                      {"time_left_ms", std::to_string(Send.TimeLeft.count())}});
   Attempt = std::make_shared<endpoint_attempt>(
-      Context, Target, Request.Id, std::weak_ptr<attempt_owner>(shared_from_this()));
+      Context, Target, Request.Id, promptWorkOn(*Target, Now),
+      std::weak_ptr<attempt_owner>(shared_from_this()));
+  if (ModelIndex)
+    Target->SentBeginnings[sharedBeginning(Request, Model)] = Now;
   outgoing_request Outgoing;
   Outgoing.Head = Context.Dialect.encodeSend(Head, Request, Send);
   Outgoing.Body = Body;
   Outgoing.IsHead = Head.Method == "HEAD";
   SentAt = Now;
-  LastHeard = Now;
+  FirstEventAt.reset();
+  EventsBefore = Splicer.eventCount();
+  noteSession(Now);
   Attempt->start(std::move(Outgoing), Route.mayRepeat()
                                           ? connection_trust::AnyIdle
                                           : connection_trust::SurelyOpen);
   if (Route.mayRepeat())
-    watchSilence();
+    watchLiveness();
 }
 
-void request_run::watchSilence() {
-  const milliseconds Limit =
-      Route.Kind == work_kind::Stream ? StreamSilence : PlainSilence;
-  Silence.expires_after(Limit / 2);
-  Silence.async_wait([Self = shared_from_this(), Watched = Attempt,
-                      Limit](const asio::error_code &Code) {
-    if (Code || Self->Over || Self->Attempt != Watched)
-      return;
-    const steady_time Now = Self->Context.Clock.now();
-    const steady_time Heard =
-        std::max(Self->LastHeard, Self->Endpoint->LastHeard);
-    if (Now - Heard < Limit)
-      return Self->watchSilence();
-    Self->onAttemptFailed(attempt_failure::Broken, "the endpoint is silent");
-  });
+void request_run::watchLiveness() {
+  const endpoint_pool *Pool = Routes->pool(Service);
+  Liveness = std::make_shared<liveness_watch>(
+      Context, Endpoint, Request.Id, Pool && Pool->Engine,
+      [Weak = weak_from_this()](const std::string &Reason) {
+        if (auto Self = Weak.lock())
+          Self->onAttemptFailed(attempt_failure::Broken, Reason);
+      });
+  Liveness->start();
+}
+
+void request_run::noteSession(steady_time Now) {
+  if (!Request.Session.empty())
+    Context.Fleet.Pins.note(Session, Endpoint->Facts.Release, Now);
+}
+
+void request_run::record(bool Failed) {
+  const steady_time Now = Context.Clock.now();
+  run_outcome Outcome;
+  Outcome.Failed = Failed;
+  const std::uint64_t Events = Splicer.eventCount() - EventsBefore;
+  const auto MsBetween = [](steady_time From, steady_time To) {
+    return std::chrono::duration<double, std::milli>(To - From).count();
+  };
+  if (Route.Kind == work_kind::Stream) {
+    if (FirstEventAt && Events >= LeastEventsForPace)
+      Outcome.PaceMs = MsBetween(*FirstEventAt, LastEventAt) /
+                       static_cast<double>(Events - 1);
+  } else if (!Failed) {
+    Outcome.PaceMs = MsBetween(SentAt, Now);
+  }
+  recordOutcome(Context.Fleet, Endpoint->Facts, Route, Model, Outcome, Now);
 }
 
 head_verdict request_run::onAnswerHead(const response_head &NewHead,
                                        const endpoint_answer &NewAnswer) {
   if (Over)
     return head_verdict::Reject;
-  LastHeard = Context.Clock.now();
-  if (!FirstByteAfter)
-    FirstByteAfter =
-        std::chrono::duration_cast<milliseconds>(LastHeard - ArrivedAt);
   const bool Belongs = NewAnswer.Answers || !isSuccess(NewAnswer.Status);
   const bool IsProper =
       !isSuccess(NewAnswer.Status) ||
       (NewAnswer.IsSigned && !NewAnswer.HasContentEncoding);
   if (!Belongs || !IsProper)
     return head_verdict::Reject;
+  if (escalates(NewAnswer))
+    return head_verdict::Reject;
   AnswerHead = NewHead;
   Answer = NewAnswer;
   AnswerBody.clear();
   return head_verdict::Accept;
 }
 
+bool request_run::escalates(const endpoint_answer &NewAnswer) {
+  if (!ModelIndex || !NewAnswer.Confidence || !isSuccess(NewAnswer.Status) ||
+      AnswerStarted || Runs + 1 >= Route.MaxAttempts)
+    return false;
+  const auto Larger = Context.Fleet.Models.escalate(
+      Route, Request, *ModelIndex, *NewAnswer.Confidence);
+  Context.Log.write(log_level::Info, "answer_judged",
+                    {{"request", Request.Id.text()},
+                     {"route", Route.Name},
+                     {"model", Model.text()},
+                     {"confidence", std::to_string(*NewAnswer.Confidence)},
+                     {"beginning", sharedBeginning(Request, Model)},
+                     {"outcome", Larger ? "escalated" : "accepted"}});
+  if (!Larger)
+    return false;
+  if (!Context.Fleet.Retries.tryTake(Endpoint->Facts.Service,
+                                     Context.Fleet.Members.size(),
+                                     Context.Clock.now()))
+    return false;
+  ModelIndex = Larger;
+  ++Runs;
+  noteSuccess(*Endpoint);
+  if (Liveness)
+    Liveness->stop();
+  record(false);
+  Tried.erase(Endpoint->Facts.Id);
+  // The attempt ends first; the next one starts from the event loop.
+  Attempt->cancel();
+  asio::post(Context.Executor, [Self = shared_from_this()] {
+    if (!Self->Over)
+      Self->sendNext();
+  });
+  return true;
+}
+
 void request_run::onAnswerBody(std::string Bytes) {
   if (Over)
     return;
-  LastHeard = Context.Clock.now();
   if (Route.Kind == work_kind::Stream && isSuccess(Answer.Status))
     return passOnStream(std::move(Bytes));
   AnswerBody += Bytes;
@@ -241,10 +325,18 @@
 }
 
 void request_run::passOnStream(std::string Bytes) {
+  const steady_time Now = Context.Clock.now();
   const std::string Events = Splicer.add(Bytes);
+  if (Liveness)
+    Liveness->heard(Splicer.eventCount() - EventsBefore, Now);
   if (!Events.empty()) {
+    LastEventAt = Now;
+    if (!FirstEventAt)
+      FirstEventAt = Now;
     if (!AnswerStarted) {
       AnswerStarted = true;
+      FirstEventAfter = std::chrono::duration_cast<milliseconds>(
+          Now - ArrivedAt);
       Caller->startAnswer(AnswerHead.Status,
                           Context.Dialect.passedOnFields(AnswerHead));
     }
@@ -282,6 +374,8 @@
     return onAttemptFailed(attempt_failure::Broken, "cut in an event");
   }
   noteSuccess(*Endpoint);
+  record(false);
+  noteSession(Context.Clock.now());
   if (Route.Kind == work_kind::Stream)
     return passOnWhole();
   Caller->sendAnswer(AnswerHead.Status,
@@ -299,6 +393,7 @@
 
 void request_run::passOnFailure() {
   noteFailure(*Endpoint, Context.Clock.now());
+  record(true);
   // A failure of one endpoint among several is no reason to avoid it at once.
   if (Endpoint->FailuresInRow < 2)
     Endpoint->AvoidUntil = {};
@@ -323,12 +418,19 @@
                                   const std::string &Reason) {
   if (Over)
     return;
-  Silence.cancel();
+  if (Liveness)
+    Liveness->stop();
   Attempt->cancel();
   const steady_time Now = Context.Clock.now();
   noteFailure(*Endpoint, Now);
   if (Failure == attempt_failure::Broken) {
     ++Runs;
+    // All requests on an endpoint that breaks down fail with it: they count
+    // as one.
+    const bool IsFirst = Now - Endpoint->LastBreakdown > BreakdownSpan;
+    Endpoint->LastBreakdown = Now;
+    if (IsFirst)
+      record(true);
     Context.Fleet.Quarantine.add(
         Fingerprint,
         endpoint_id(Endpoint->Facts.Id.text() + "/" +
@@ -381,8 +483,12 @@
 void request_run::onDeadline() {
   if (Over)
     return;
-  if (Attempt)
+  if (Attempt) {
     Attempt->cancel();
+    // A stream that never began says that its release is slow.
+    if (!AnswerStarted)
+      record(true);
+  }
   refuse(refusalAtDeadline(Sends > 0));
 }
 
@@ -399,7 +505,8 @@
 void request_run::finish(const char *Outcome) {
   Over = true;
   Deadline.cancel();
-  Silence.cancel();
+  if (Liveness)
+    Liveness->stop();
   const steady_time Now = Context.Clock.now();
   const auto Took =
       std::chrono::duration_cast<milliseconds>(Now - ArrivedAt);
@@ -413,10 +520,12 @@
        {"route", Route.Name},
        {"account", Account.Account.text()},
        {"outcome", Outcome},
+       {"endpoint", Endpoint ? Endpoint->Facts.Id.text() : "none"},
+       {"model", Model.text()},
        {"config_version", std::to_string(Routes->version())},
        {"sends", std::to_string(Sends)},
-       {"first_byte_ms", FirstByteAfter
-                             ? std::to_string(FirstByteAfter->count())
+       {"first_event_ms", FirstEventAfter
+                             ? std::to_string(FirstEventAfter->count())
                              : "none"},
        {"took_ms", std::to_string(Took.count())}});
   Attempt.reset();
--- a/Libraries/LibRelay/request_run.h
+++ b/Libraries/LibRelay/request_run.h
@@ -3,7 +3,10 @@
 #include "LibDispatch/attempt_policy.h"
 #include "LibDispatch/event_splicer.h"
 #include "LibDispatch/placement.h"
+#include "LibDispatch/candidate_filter.h"
 #include "LibRelay/endpoint_attempt.h"
+#include "LibRelay/liveness_watch.h"
+#include "LibRelay/run_outcome.h"
 #include "LibRelay/relay.h"
 
 #include <asio/steady_timer.hpp>
@@ -51,8 +54,13 @@
   void finish(const char *Outcome);
   bool isOver() const { return Over; }
   milliseconds timeLeft(steady_time Now) const;
+  service_id chooseService() const;
   std::shared_ptr<endpoint_record> place(steady_time Now);
-  void watchSilence();
+  double promptWorkOn(const endpoint_record &Target, steady_time Now) const;
+  void watchLiveness();
+  void record(bool Failed);
+  void noteSession(steady_time Now);
+  bool escalates(const endpoint_answer &NewAnswer);
 
   relay_context &Context;
   const request_head Head;
@@ -67,10 +75,16 @@
   const steady_time ArrivedAt;
   const milliseconds TimeLimit;
   asio::steady_timer Deadline;
-  asio::steady_timer Silence;
+  std::shared_ptr<liveness_watch> Liveness;
 
+  /// What all requests of the session have in common.
+  const std::uint64_t Session;
+  const service_id Service;
   std::shared_ptr<endpoint_attempt> Attempt;
   std::shared_ptr<endpoint_record> Endpoint;
+  /// The model of the present attempt, where the system chooses: its place
+  /// among the route's models.
+  std::optional<std::size_t> ModelIndex;
   model_id Model;
   std::set<endpoint_id> Tried;
   /// Sends so far, and those of them that may have run.
@@ -84,8 +98,10 @@
   endpoint_answer Answer;
   std::string AnswerBody;
   steady_time SentAt;
-  steady_time LastHeard;
-  std::optional<milliseconds> FirstByteAfter;
+  std::optional<steady_time> FirstEventAt;
+  steady_time LastEventAt;
+  std::uint64_t EventsBefore = 0;
+  std::optional<milliseconds> FirstEventAfter;
 };
 
 } // namespace azurehaven
--- /dev/null
+++ b/Libraries/LibRelay/rollout_driver.cpp
@@ -0,0 +1,86 @@
+#include "LibRelay/rollout_driver.h"
+
+#include <nlohmann/json.hpp>
+
+namespace azurehaven {
+
+namespace {
+
+/// How long the VM whose turn it is may take before the others publish too.
+constexpr milliseconds TurnTime{700};
+constexpr milliseconds RetryEvery{300};
+
+} // namespace
+
+std::string encodeRolloutRecord(const rollout_record &Record) {
+  return nlohmann::json{{"target", Record.Target},
+                        {"began_unix_ms", Record.BeganAt.count()}}
+      .dump();
+}
+
+result<rollout_record> decodeRolloutRecord(const std::string &Text) {
+  const auto Object = nlohmann::json::parse(Text, nullptr, false);
+  const bool IsRecord = Object.is_object() && Object.contains("target") &&
+                        Object["target"].is_string() &&
+                        Object.contains("began_unix_ms") &&
+                        Object["began_unix_ms"].is_number_integer();
+  if (!IsRecord)
+    return error{error_code::InvalidInput, "not a record of a roll-out"};
+  return rollout_record{Object["target"].get<std::string>(),
+                        unix_millis(Object["began_unix_ms"].get<std::int64_t>())};
+}
+
+void rollout_driver::advance() {
+  const steady_time Now = Clock.now();
+  Fleet.Rollouts.judge(Fleet.Evidence, Now);
+  // A process that is stopping may be gone before the store answers.
+  if (Fleet.IsStopping)
+    return;
+  const auto Due = Fleet.Rollouts.dueOutcomes(Now);
+  for (const auto &Entry : Due) {
+    pending_outcome &State = Pending[Entry.Order.Service];
+    if (State.Outcome != Entry.Outcome || State.DueSince == steady_time()) {
+      const bool IsBeingWritten = State.IsBeingWritten;
+      State = {Entry.Outcome, Now, IsBeingWritten, Now};
+    }
+    const bool IsOwnTurn = Fleet.Members.isFirstFor(
+        RolloutPrefix + Entry.Order.Service.text(), Fleet.Self);
+    const bool MayWrite = IsOwnTurn || Now - State.DueSince >= TurnTime;
+    if (MayWrite && !State.IsBeingWritten && Now >= State.RetryAt)
+      publish(Entry, Now);
+  }
+}
+
+void rollout_driver::publish(const rollout_control::due_outcome &Due,
+                             steady_time Now) {
+  const service_id Service = Due.Order.Service;
+  pending_outcome &State = Pending[Service];
+  State.IsBeingWritten = true;
+  State.RetryAt = Now + RetryEvery;
+  const rollout_record Record{Due.Order.Target,
+                              Clock.wallNow() -
+                                  unix_millis(Due.Elapsed.count())};
+  const auto Counts =
+      Fleet.Evidence.ofRelease(Service, Due.Order.Target);
+  Log.write(log_level::Info, "rollout_publishing",
+            {{"service", Service.text()},
+             {"target", Due.Order.Target},
+             {"outcome", nameOf(Due.Outcome)},
+             {"elapsed_ms", std::to_string(Due.Elapsed.count())},
+             {"requests", std::to_string(Counts.Requests)},
+             {"failures", std::to_string(Counts.Failures)},
+             {"slow", std::to_string(Counts.Slow)}});
+  Publisher.publish(
+      Due.Order, Due.Outcome, Due.PublishedRevision,
+      {{RolloutPrefix + Service.text(), encodeRolloutRecord(Record), NoLease}},
+      [this, Service, Outcome = Due.Outcome](result<std::uint64_t> Result) {
+        Pending[Service].IsBeingWritten = false;
+        if (isError(Result))
+          Log.write(log_level::Warning, "rollout_not_published",
+                    {{"service", Service.text()},
+                     {"outcome", nameOf(Outcome)},
+                     {"reason", errorOf(Result).Message}});
+      });
+}
+
+} // namespace azurehaven
--- /dev/null
+++ b/Libraries/LibRelay/run_outcome.h
@@ -0,0 +1,21 @@
+#pragma once
+
+#include "LibDispatch/route_table.h"
+#include "LibRelay/fleet_state.h"
+
+namespace azurehaven {
+
+/// What one attempt showed of the endpoint and its release.
+struct run_outcome {
+  bool Failed = false;
+  /// Pause between events, or the whole time of a plain answer, in
+  /// milliseconds; nullopt where too little was seen.
+  std::optional<double> PaceMs;
+};
+
+/// Takes the outcome into the evidence on the endpoint's release.
+void recordOutcome(fleet_state &Fleet, const endpoint_facts &Endpoint,
+                   const route &Route, const model_id &Model,
+                   const run_outcome &Outcome, steady_time Now);
+
+} // namespace azurehaven
