--- a/Libraries/LibDispatch/model_choice.cpp
+++ b/Libraries/LibDispatch/model_choice.cpp
@@ -7,7 +7,7 @@
 namespace {
 
 /// Confidence below which a smaller model's answer is dropped.
-constexpr int AcceptedConfidence = 60;
+constexpr int AcceptedConfidence = 50;
 /// How much more work a token is for the largest model than for the smallest.
 constexpr double LargestToSmallest = 10;
 
--- a/Libraries/LibDispatch/placement.cpp
+++ b/Libraries/LibDispatch/placement.cpp
@@ -13,6 +13,9 @@
 /// Work that one running request adds to the others beside its prompt, in
 /// tokens of the smallest model.
 constexpr double RunningWork = 2000;
+/// A prompt that is read again delays all that run on its engine, beside the
+/// request itself.
+constexpr double RereadWeight = 4;
 /// How long an engine is expected to keep a prompt that was sent there.
 constexpr std::chrono::seconds CacheLife{15};
 /// Requests by which a nearer endpoint may be more loaded than a farther one.
@@ -78,7 +81,7 @@
                            Now - Sent->second < CacheLife);
     const double Work = Endpoint->PromptWork + Endpoint->PeersPromptWork +
                         RunningWork * estimatedLoad(*Endpoint, Now) +
-                        (IsCached ? 0 : UncachedWork);
+                        (IsCached ? 0 : RereadWeight * UncachedWork);
     if (Best && Work >= BestWork)
       continue;
     Best = Endpoint;
