--- a/Libraries/LibConnection/caller_connection.cpp
+++ b/Libraries/LibConnection/caller_connection.cpp
@@ -55,21 +55,21 @@
   if (Reading || State == state::Closed || Unparsed.size() > ReadAheadLimit)
     return;
   Reading = true;
-  Socket.async_read_some(
-      asio::buffer(Buffer), [Self = shared_from_this()](
-                                const asio::error_code &Code, std::size_t Size) {
-        Self->Reading = false;
-        if (Self->State == state::Closed)
-          return;
-        if (Code)
-          return Self->close();
-        if (Self->State != state::Closing) {
-          Self->Unparsed.append(Self->Buffer.data(), Size);
-          if (Self->State == state::Reading)
-            Self->parse();
-        }
-        Self->read();
-      });
+  Socket.async_read_some(asio::buffer(Buffer),
+                         [Self = shared_from_this()](
+                             const asio::error_code &Code, std::size_t Size) {
+                           Self->Reading = false;
+                           if (Self->State == state::Closed)
+                             return;
+                           if (Code)
+                             return Self->close();
+                           if (Self->State != state::Closing) {
+                             Self->Unparsed.append(Self->Buffer.data(), Size);
+                             if (Self->State == state::Reading)
+                               Self->parse();
+                           }
+                           Self->read();
+                         });
 }
 
 void caller_connection::parse() {
@@ -213,23 +213,22 @@
   Outgoing.clear();
   Writing = true;
   auto Text = std::make_shared<std::string>(std::move(Joined));
-  asio::async_write(
-      Socket, asio::buffer(*Text),
-      [Self = shared_from_this(), Text](const asio::error_code &Code,
-                                        std::size_t) {
-        Self->Writing = false;
-        if (Self->State == state::Closed)
-          return;
-        if (Code)
-          return Self->close();
-        Self->PendingBytes -= Text->size();
-        if (!Self->Outgoing.empty())
-          return Self->flush();
-        if (auto Watcher = Self->Observer.lock())
-          Watcher->onCallerDrained();
-        if (Self->CloseWhenSent)
-          Self->closeGracefully();
-      });
+  asio::async_write(Socket, asio::buffer(*Text),
+                    [Self = shared_from_this(),
+                     Text](const asio::error_code &Code, std::size_t) {
+                      Self->Writing = false;
+                      if (Self->State == state::Closed)
+                        return;
+                      if (Code)
+                        return Self->close();
+                      Self->PendingBytes -= Text->size();
+                      if (!Self->Outgoing.empty())
+                        return Self->flush();
+                      if (auto Watcher = Self->Observer.lock())
+                        Watcher->onCallerDrained();
+                      if (Self->CloseWhenSent)
+                        Self->closeGracefully();
+                    });
 }
 
 void caller_connection::closeGracefully() {
--- a/Libraries/LibConnection/connection_listener.cpp
+++ b/Libraries/LibConnection/connection_listener.cpp
@@ -21,11 +21,9 @@
     : Acceptor(Loop), RetryTimer(Loop), Handler(Handler),
       ConnectionLimit(ConnectionLimit) {}
 
-result<std::unique_ptr<connection_listener>>
-connection_listener::listen(asio::io_context &Loop,
-                            const network_address &Address,
-                            request_handler &Handler,
-                            std::size_t ConnectionLimit) {
+result<std::unique_ptr<connection_listener>> connection_listener::listen(
+    asio::io_context &Loop, const network_address &Address,
+    request_handler &Handler, std::size_t ConnectionLimit) {
   std::unique_ptr<connection_listener> Listener(
       new connection_listener(Loop, Handler, ConnectionLimit));
   asio::error_code Code;
@@ -69,13 +67,15 @@
   auto Connection =
       std::make_shared<caller_connection>(std::move(Socket), Handler);
   auto Position = Connections.insert(Connections.end(), Connection);
-  Connection->setClosedHandler([this, Position] { Connections.erase(Position); });
+  Connection->setClosedHandler(
+      [this, Position] { Connections.erase(Position); });
   Connection->start();
 }
 
 void connection_listener::makeRoom() {
-  auto Found = std::find_if(Connections.begin(), Connections.end(),
-                            [](const auto &Entry) { return !Entry->hasRequest(); });
+  auto Found =
+      std::find_if(Connections.begin(), Connections.end(),
+                   [](const auto &Entry) { return !Entry->hasRequest(); });
   if (Found == Connections.end())
     return;
   // Closing erases the entry; the copy keeps the connection alive until then.
--- a/Libraries/LibConnection/endpoint_connection.cpp
+++ b/Libraries/LibConnection/endpoint_connection.cpp
@@ -12,8 +12,9 @@
     : Socket(Executor), ConnectTimer(Executor), Address(std::move(Address)),
       Timing(Timing) {}
 
-void endpoint_connection::start(outgoing_request NewRequest,
-                                std::shared_ptr<exchange_observer> NewObserver) {
+void endpoint_connection::start(
+    outgoing_request NewRequest,
+    std::shared_ptr<exchange_observer> NewObserver) {
   Request = std::move(NewRequest);
   Observer = std::move(NewObserver);
   HeadTold = false;
--- a/Libraries/LibConnection/head_guard.cpp
+++ b/Libraries/LibConnection/head_guard.cpp
@@ -39,17 +39,19 @@
     return false;
   if (Byte == '\r')
     return true;
-  const bool IsFold = LineLength == 0 && Lines > 0 && (Byte == ' ' || Byte == '\t');
-  const bool IsControl = (Byte >= 0 && Byte < ' ' && Byte != '\t') || Byte == 127;
+  const bool IsFold =
+      LineLength == 0 && Lines > 0 && (Byte == ' ' || Byte == '\t');
+  const bool IsControl =
+      (Byte >= 0 && Byte < ' ' && Byte != '\t') || Byte == 127;
   ++LineLength;
   return !IsFold && !IsControl;
 }
 
 bool isConnectionField(const std::string &Name, const http_headers &Headers) {
   static constexpr std::array<const char *, 9> Fields = {
-      "connection", "keep-alive", "proxy-connection",  "transfer-encoding",
-      "te",         "trailer",    "content-length",    "upgrade",
-      "expect"};
+      "connection",        "keep-alive", "proxy-connection",
+      "transfer-encoding", "te",         "trailer",
+      "content-length",    "upgrade",    "expect"};
   const auto IsName = [&](const char *Field) {
     return strcasecmp(Field, Name.c_str()) == 0;
   };
--- a/Libraries/LibConnection/request_parser.cpp
+++ b/Libraries/LibConnection/request_parser.cpp
@@ -80,12 +80,12 @@
 }
 
 int request_parser::finishHead() {
-  Head.Method =
-      http_method_str(static_cast<http_method>(Parser.method));
+  Head.Method = http_method_str(static_cast<http_method>(Parser.method));
   Head.KeepAlive = http_should_keep_alive(&Parser) != 0;
   HeadComplete = true;
   const bool IsProper = Parser.http_major == 1 && Parser.http_minor <= 1 &&
-                        Head.Target.starts_with('/') && hasOneHost(Head.Headers);
+                        Head.Target.starts_with('/') &&
+                        hasOneHost(Head.Headers);
   if (!IsProper) {
     Fault = request_fault::Malformed;
     return -1;
--- a/Libraries/LibConnection/single_call.cpp
+++ b/Libraries/LibConnection/single_call.cpp
@@ -11,9 +11,9 @@
                        public std::enable_shared_from_this<whole_response> {
 public:
   whole_response(std::shared_ptr<endpoint_connection> Connection,
-                 call_handler Handler, asio::any_io_executor Executor)
+                 call_handler Handler, const asio::any_io_executor &Executor)
       : Connection(std::move(Connection)), Handler(std::move(Handler)),
-        Timer(std::move(Executor)) {}
+        Timer(Executor) {}
 
   void waitFor(milliseconds Timeout) {
     Timer.expires_after(Timeout);
@@ -66,7 +66,8 @@
   Connection->start(std::move(Request), Call);
 }
 
-outgoing_request formatCall(const std::string &Method, const std::string &Target,
+outgoing_request formatCall(const std::string &Method,
+                            const std::string &Target,
                             const network_address &Address,
                             const std::string &JsonBody) {
   outgoing_request Request;
--- a/Libraries/LibConnection/single_call.h
+++ b/Libraries/LibConnection/single_call.h
@@ -17,7 +17,8 @@
                call_handler Handler);
 
 /// A request without forwarded fields, ready to send.
-outgoing_request formatCall(const std::string &Method, const std::string &Target,
+outgoing_request formatCall(const std::string &Method,
+                            const std::string &Target,
                             const network_address &Address,
                             const std::string &JsonBody = {});
 
--- a/Libraries/LibConnection/socket_options.h
+++ b/Libraries/LibConnection/socket_options.h
@@ -9,7 +9,8 @@
 
 /// Options for connections between VMs: no delay of small packets, and an
 /// error when sent bytes stay unacknowledged for this long.
-void setConnectionOptions(asio::ip::tcp::socket &Socket, milliseconds SilenceLimit);
+void setConnectionOptions(asio::ip::tcp::socket &Socket,
+                          milliseconds SilenceLimit);
 
 /// Closes with a reset, so that the peer learns of it even when unread bytes
 /// are under way.
--- a/Libraries/LibDispatch/candidate_filter.cpp
+++ b/Libraries/LibDispatch/candidate_filter.cpp
@@ -26,10 +26,10 @@
 }
 
 void keepTrialEndpoints(endpoint_list &Targets, double Share) {
-  const auto Wanted = std::max(
-      LeastTrialEndpoints,
-      static_cast<std::size_t>(
-          std::ceil(static_cast<double>(Targets.size()) * Share)));
+  const auto Wanted =
+      std::max(LeastTrialEndpoints,
+               static_cast<std::size_t>(
+                   std::ceil(static_cast<double>(Targets.size()) * Share)));
   if (Targets.size() <= Wanted)
     return;
   std::sort(Targets.begin(), Targets.end(), [](const auto &A, const auto &B) {
--- a/Libraries/LibDispatch/crash_quarantine.cpp
+++ b/Libraries/LibDispatch/crash_quarantine.cpp
@@ -42,7 +42,8 @@
 std::uint64_t resendFingerprint(const std::string &Path,
                                 const client_account_id &Account,
                                 const std::string &Body) {
-  return fingerprintOf(Body, fingerprintOf(Path, fingerprintOf(Account.text())));
+  return fingerprintOf(Body,
+                       fingerprintOf(Path, fingerprintOf(Account.text())));
 }
 
 } // namespace azurehaven
--- a/Libraries/LibDispatch/endpoint_roster.cpp
+++ b/Libraries/LibDispatch/endpoint_roster.cpp
@@ -4,9 +4,9 @@
 
 void endpoint_roster::put(const endpoint_facts &Facts, steady_time) {
   auto &Record = ById[Facts.Id];
-  const bool IsSame =
-      Record && Record->Facts.Incarnation == Facts.Incarnation &&
-      Record->Facts.Address == Facts.Address;
+  const bool IsSame = Record &&
+                      Record->Facts.Incarnation == Facts.Incarnation &&
+                      Record->Facts.Address == Facts.Address;
   // What was learned of an earlier start says nothing of this one.
   if (!IsSame)
     Record = std::make_shared<endpoint_record>();
--- a/Libraries/LibDispatch/event_splicer.cpp
+++ b/Libraries/LibDispatch/event_splicer.cpp
@@ -35,7 +35,8 @@
     if (Line.starts_with(' '))
       Line.remove_prefix(1);
     std::uint64_t Id = 0;
-    auto [Stop, Code] = std::from_chars(Line.data(), Line.data() + Line.size(), Id);
+    auto [Stop, Code] =
+        std::from_chars(Line.data(), Line.data() + Line.size(), Id);
     if (Code == std::errc())
       return Id;
   }
--- a/Libraries/LibDispatch/model_choice.cpp
+++ b/Libraries/LibDispatch/model_choice.cpp
@@ -26,9 +26,10 @@
   return std::pow(LargestToSmallest, Step);
 }
 
-std::optional<std::size_t>
-model_choice::escalate(const route &Route, const dispatch_request &,
-                       std::size_t Model, int Confidence) const {
+std::optional<std::size_t> model_choice::escalate(const route &Route,
+                                                  const dispatch_request &,
+                                                  std::size_t Model,
+                                                  int Confidence) const {
   const std::size_t Largest = Route.ModelsBySize.size() - 1;
   if (Model >= Largest || Confidence >= AcceptedConfidence)
     return std::nullopt;
--- a/Libraries/LibDispatch/model_choice.h
+++ b/Libraries/LibDispatch/model_choice.h
@@ -15,7 +15,8 @@
 class model_choice {
 public:
   /// The place in Route.ModelsBySize of the model that answers first.
-  std::size_t firstModel(const route &Route, const dispatch_request &Request) const;
+  std::size_t firstModel(const route &Route,
+                         const dispatch_request &Request) const;
   /// Work of one prompt token on the route's model, 1 for the smallest one.
   double tokenWork(const route &Route, std::size_t Model) const;
   /// The place of a larger model that is to answer instead, or nullopt if this
--- a/Libraries/LibDispatch/placement.cpp
+++ b/Libraries/LibDispatch/placement.cpp
@@ -62,9 +62,9 @@
   for (const auto &Endpoint : Candidates) {
     if (!isCandidate(*Endpoint, Terms, Now))
       continue;
-    const std::uint64_t Score = rendezvousScore(
-        Beginning.empty() ? Request.Id.text() : Beginning,
-        Endpoint->Facts.Id.text());
+    const std::uint64_t Score =
+        rendezvousScore(Beginning.empty() ? Request.Id.text() : Beginning,
+                        Endpoint->Facts.Id.text());
     if (First && Score <= FirstScore)
       continue;
     First = Endpoint;
@@ -76,9 +76,9 @@
     if (!isCandidate(*Endpoint, Terms, Now))
       continue;
     auto Sent = Endpoint->SentBeginnings.find(Beginning);
-    const bool IsCached = Endpoint == First ||
-                          (Sent != Endpoint->SentBeginnings.end() &&
-                           Now - Sent->second < CacheLife);
+    const bool IsCached =
+        Endpoint == First || (Sent != Endpoint->SentBeginnings.end() &&
+                              Now - Sent->second < CacheLife);
     const double Work = Endpoint->PromptWork + Endpoint->PeersPromptWork +
                         RunningWork * estimatedLoad(*Endpoint, Now) +
                         (IsCached ? 0 : RereadWeight * UncachedWork);
--- a/Libraries/LibDispatch/placement.h
+++ b/Libraries/LibDispatch/placement.h
@@ -35,8 +35,8 @@
 
 /// Chooses the least loaded endpoint, near ones first among equals.
 std::shared_ptr<endpoint_record>
-placeOnLeastLoaded(const endpoint_list &Candidates, const placement_terms &Terms,
-                   steady_time Now);
+placeOnLeastLoaded(const endpoint_list &Candidates,
+                   const placement_terms &Terms, steady_time Now);
 
 /// The beginning that a prompt shares with others, by model.
 std::string sharedBeginning(const dispatch_request &Request,
--- a/Libraries/LibDispatch/release_evidence.cpp
+++ b/Libraries/LibDispatch/release_evidence.cpp
@@ -17,9 +17,8 @@
 constexpr double PriorRequests = 20;
 
 double usualShare(std::uint32_t Bad, std::uint32_t Total) {
-  return std::max(LeastUsualShare,
-                  (Bad + LeastUsualShare * PriorRequests) /
-                      (Total + PriorRequests));
+  return std::max(LeastUsualShare, (Bad + LeastUsualShare * PriorRequests) /
+                                       (Total + PriorRequests));
 }
 
 } // namespace
@@ -71,9 +70,8 @@
   return Totals;
 }
 
-release_counts
-release_evidence::ofRelease(const service_id &Service,
-                            const std::string &Release) const {
+release_counts release_evidence::ofRelease(const service_id &Service,
+                                           const std::string &Release) const {
   release_counts Sum;
   for (const auto &[Key, Counts] : totals(Service))
     if (Key.Release == Release)
--- a/Libraries/LibDispatch/retry_allowance.cpp
+++ b/Libraries/LibDispatch/retry_allowance.cpp
@@ -29,9 +29,9 @@
   auto &Window = Windows[Service];
   expire(Window, Now);
   const double Bound =
-      UsedPart * (Terms.Ratio * static_cast<double>(Window.Requests.size()) +
-                  Terms.Slack / static_cast<double>(std::max<std::size_t>(
-                                    VmCount, 1)));
+      UsedPart *
+      (Terms.Ratio * static_cast<double>(Window.Requests.size()) +
+       Terms.Slack / static_cast<double>(std::max<std::size_t>(VmCount, 1)));
   if (static_cast<double>(Window.Repeats.size()) + 1 > Bound)
     return false;
   Window.Repeats.push_back(Now);
--- a/Libraries/LibDispatch/rollout_control.cpp
+++ b/Libraries/LibDispatch/rollout_control.cpp
@@ -91,9 +91,8 @@
                                  steady_time Now) const {
   const auto Elapsed =
       std::chrono::duration<double, std::milli>(Now - Rollout.BeganAt).count();
-  return Elapsed /
-         static_cast<double>(std::max<std::int64_t>(
-             Rollout.Order.TimeLimit.count(), 1));
+  return Elapsed / static_cast<double>(std::max<std::int64_t>(
+                       Rollout.Order.TimeLimit.count(), 1));
 }
 
 release_rule rollout_control::ruleFor(const service_id &Service,
@@ -120,8 +119,8 @@
 
 void rollout_control::judge(const release_evidence &Evidence, steady_time) {
   for (auto &[Service, Rollout] : Rollouts) {
-    const bool IsOpen = !Rollout.Published ||
-                        *Rollout.Published == rollout_outcome::InProgress;
+    const bool IsOpen =
+        !Rollout.Published || *Rollout.Published == rollout_outcome::InProgress;
     if (IsOpen && !Rollout.IsBad)
       Rollout.IsBad = Evidence.isWorse(Service, Rollout.Order.Target);
   }
@@ -141,9 +140,9 @@
       Wanted = rollout_outcome::Completed;
     if (Rollout.Published == Wanted)
       continue;
-    Due.push_back({Rollout.Order, Wanted, Rollout.PublishedRevision,
-                   std::chrono::duration_cast<milliseconds>(
-                       Now - Rollout.BeganAt)});
+    Due.push_back(
+        {Rollout.Order, Wanted, Rollout.PublishedRevision,
+         std::chrono::duration_cast<milliseconds>(Now - Rollout.BeganAt)});
   }
   return Due;
 }
--- a/Libraries/LibEntry/entry_services.h
+++ b/Libraries/LibEntry/entry_services.h
@@ -3,14 +3,14 @@
 #include "LibControl/configuration_currency.h"
 #include "LibControl/configuration_holder.h"
 #include "LibEntry/admission_gate.h"
-#include "LibTypes/clock_source.h"
 #include "LibEntry/entry_settings.h"
-#include "LibMetrics/metrics.h"
 #include "LibEntry/rating_sender.h"
 #include "LibLedger/bill_committer.h"
 #include "LibLedger/claim_registry.h"
 #include "LibLog/event_log.h"
 #include "LibMembership/member_table.h"
+#include "LibMetrics/metrics.h"
+#include "LibTypes/clock_source.h"
 
 namespace azurehaven {
 
--- a/Libraries/LibEntry/peer_custody.h
+++ b/Libraries/LibEntry/peer_custody.h
@@ -1,9 +1,9 @@
 #pragma once
 
-#include "LibTypes/clock_source.h"
 #include "LibLedger/custody_port.h"
 #include "LibMembership/member_table.h"
 #include "LibPeer/peer_network.h"
+#include "LibTypes/clock_source.h"
 
 namespace azurehaven {
 
--- a/Libraries/LibEntry/rating_sender.h
+++ b/Libraries/LibEntry/rating_sender.h
@@ -1,9 +1,9 @@
 #pragma once
 
-#include "LibTypes/clock_source.h"
-#include "LibMetrics/metrics.h"
 #include "LibHttp/http_transport.h"
+#include "LibMetrics/metrics.h"
 #include "LibRouting/router.h"
+#include "LibTypes/clock_source.h"
 
 #include <condition_variable>
 #include <deque>
--- a/Libraries/LibFleet/store_mirror.cpp
+++ b/Libraries/LibFleet/store_mirror.cpp
@@ -63,8 +63,7 @@
 }
 
 milliseconds store_mirror::nextWait(steady_time Now) const {
-  const auto Age =
-      std::chrono::duration_cast<milliseconds>(Now - ConfirmedAt);
+  const auto Age = std::chrono::duration_cast<milliseconds>(Now - ConfirmedAt);
   return std::clamp(WantedAge - Age, ShortestWait, LongestWait);
 }
 
--- a/Libraries/LibPeer/peer_message.h
+++ b/Libraries/LibPeer/peer_message.h
@@ -124,7 +124,8 @@
 
 using peer_message =
     std::variant<heartbeat, configuration_request, configuration_snapshot,
-                 custody_request, custody_answer, custody_release, fleet_notice>;
+                 custody_request, custody_answer, custody_release,
+                 fleet_notice>;
 
 struct peer_frame {
   vm_id Sender;
--- a/Libraries/LibRelay/directory_service.cpp
+++ b/Libraries/LibRelay/directory_service.cpp
@@ -11,8 +11,7 @@
 } // namespace
 
 bool isReadyForCallers(const fleet_state &Fleet, steady_time Now) {
-  return Fleet.Routes && !Fleet.IsStopping &&
-         Fleet.Confirmation.isCurrent(Now);
+  return Fleet.Routes && !Fleet.IsStopping && Fleet.Confirmation.isCurrent(Now);
 }
 
 directory_answer answerDirectory(const fleet_state &Fleet,
--- a/Libraries/LibRelay/fleet_exchange.cpp
+++ b/Libraries/LibRelay/fleet_exchange.cpp
@@ -56,10 +56,9 @@
     Told.ByEndpoint[Use.Endpoint] = Use;
   applyUses();
   for (const auto &Release : Notice->Releases)
-    Fleet.Evidence.put(
-        Frame.Sender, Frame.Incarnation,
-        {{Release.Service, Release.Release, Release.Route},
-         {Release.Requests, Release.Failures, Release.Slow}});
+    Fleet.Evidence.put(Frame.Sender, Frame.Incarnation,
+                       {{Release.Service, Release.Release, Release.Route},
+                        {Release.Requests, Release.Failures, Release.Slow}});
   for (const auto &Sighting : Notice->Sightings)
     Fleet.Pins.put({Sighting.Session, Sighting.Release, Now});
   for (const auto &Crash : Notice->Crashes)
@@ -76,16 +75,16 @@
       if (Found == Told.ByEndpoint.end())
         continue;
       Endpoint->PeersInFlight += Found->second.InFlight;
-      Endpoint->PeersPromptWork += static_cast<double>(Found->second.PromptWork);
+      Endpoint->PeersPromptWork +=
+          static_cast<double>(Found->second.PromptWork);
     }
   }
 }
 
 void fleet_exchange::expire() {
   const steady_time Now = Clock.now();
-  const auto Removed = std::erase_if(Uses, [&](const auto &Entry) {
-    return Now - Entry.second.At > UseLife;
-  });
+  const auto Removed = std::erase_if(
+      Uses, [&](const auto &Entry) { return Now - Entry.second.At > UseLife; });
   if (Removed > 0)
     applyUses();
 }
--- a/Libraries/LibRelay/fleet_updates.cpp
+++ b/Libraries/LibRelay/fleet_updates.cpp
@@ -51,16 +51,16 @@
   const auto Known = Fleet.Endpoints.find(Id);
   if (!Known)
     return;
-  const bool MayReturn = Cause == removal_cause::MissingAfterOutage &&
-                         !Known->Facts.IsLeaving;
+  const bool MayReturn =
+      Cause == removal_cause::MissingAfterOutage && !Known->Facts.IsLeaving;
   if (MayReturn)
     Fleet.Endpoints.removeAt(Id, Clock.now() + RenewalTime);
   else
     Fleet.Endpoints.remove(Id);
-  Log.write(log_level::Info, "endpoint_unlisted",
-            {{"endpoint", Id.text()},
-             {"kept_for_ms",
-              std::to_string(MayReturn ? RenewalTime.count() : 0)}});
+  Log.write(
+      log_level::Info, "endpoint_unlisted",
+      {{"endpoint", Id.text()},
+       {"kept_for_ms", std::to_string(MayReturn ? RenewalTime.count() : 0)}});
 }
 
 void fleet_updates::onMember(const member_entry &Member) {
--- a/Libraries/LibRelay/liveness_watch.cpp
+++ b/Libraries/LibRelay/liveness_watch.cpp
@@ -84,9 +84,8 @@
   Endpoint->IsBeingAsked = true;
   Context.Metrics.count("azurehaven_engine_inspections_total");
   Context.Inspector->inspect(
-      Endpoint->Facts,
-      [Endpoint = Endpoint, &Clock = Context.Clock,
-       Weak = weak_from_this()](result<engine_report> Report) {
+      Endpoint->Facts, [Endpoint = Endpoint, &Clock = Context.Clock,
+                        Weak = weak_from_this()](result<engine_report> Report) {
         Endpoint->IsBeingAsked = false;
         Endpoint->ReportAt = Clock.now();
         if (!isError(Report)) {
--- a/Libraries/LibRelay/relay.cpp
+++ b/Libraries/LibRelay/relay.cpp
@@ -29,7 +29,7 @@
 bool relay::closesConnections() const { return Context.Fleet.IsStopping; }
 
 void relay::onRejected(request_fault Fault) {
-  const char *Name = Fault == request_fault::HeadTooLarge ? "head_too_large"
+  const char *Name = Fault == request_fault::HeadTooLarge   ? "head_too_large"
                      : Fault == request_fault::BodyTooLarge ? "body_too_large"
                                                             : "malformed";
   Context.Metrics.count("azurehaven_rejected_bytes_total",
@@ -53,9 +53,8 @@
        {"config_version",
         Fleet.Routes ? std::to_string(Fleet.Routes->version()) : "none"},
        {"config_age_ms", Age ? std::to_string(Age->count()) : "never"}});
-  Caller.sendAnswer(Status,
-                    Context.Dialect.ownAnswerFields(Request.Id, RetryAfter),
-                    {});
+  Caller.sendAnswer(
+      Status, Context.Dialect.ownAnswerFields(Request.Id, RetryAfter), {});
 }
 
 void relay::onRequest(incoming_request Incoming,
--- a/Libraries/LibRelay/relay_node.cpp
+++ b/Libraries/LibRelay/relay_node.cpp
@@ -31,19 +31,19 @@
 relay_node::relay_node(asio::io_context &Loop, const relay_settings &Settings,
                        const clock_source &Clock, const wire_dialect &Dialect,
                        const event_log &Log, metrics &Metrics)
-    : Loop(Loop), Settings(Settings), Clock(Clock), Log(Log),
-      Fleet{Settings.Vm,
-            Settings.Domain,
-            nullptr,
-            {},
-            {},
-            configuration_confirmation(Settings.RevokeBound),
-            retry_allowance(Settings.Retries),
-            session_pins(Settings.SessionGap),
-            rollout_control(Settings.Exposure.Share)},
+    : Loop(Loop), Settings(Settings), Clock(Clock),
+      Log(Log), Fleet{Settings.Vm,
+                      Settings.Domain,
+                      nullptr,
+                      {},
+                      {},
+                      configuration_confirmation(Settings.RevokeBound),
+                      retry_allowance(Settings.Retries),
+                      session_pins(Settings.SessionGap),
+                      rollout_control(Settings.Exposure.Share)},
       Connections(Loop.get_executor(), EndpointTiming),
-      Context{Loop.get_executor(), Clock,       Dialect, Log,
-              Metrics,             Fleet,       Connections, nullptr},
+      Context{Loop.get_executor(), Clock,  Dialect, Log, Metrics, Fleet,
+              Connections,         nullptr},
       Relay(Context), Updates(Fleet, Clock, Log, Metrics),
       Scheduler(Loop.get_executor(), Clock), Signals(Loop, SIGTERM, SIGINT),
       Incarnation(static_cast<std::uint64_t>(Clock.wallNow().count())) {}
@@ -67,11 +67,13 @@
   Registration = &NewRegistration;
   Context.Inspector = &Inspector;
   // The network receives on a thread of its own; beliefs change on the loop.
-  TRY(Peers, tcp_peer_network::listen(
-                 Settings.PeerAddress, Settings.Vm, Incarnation,
-                 [this](const peer_frame &Frame) {
-                   asio::post(Loop, [this, Frame] { Exchange->onFrame(Frame); });
-                 }));
+  TRY(Peers,
+      tcp_peer_network::listen(Settings.PeerAddress, Settings.Vm, Incarnation,
+                               [this](const peer_frame &Frame) {
+                                 asio::post(Loop, [this, Frame] {
+                                   Exchange->onFrame(Frame);
+                                 });
+                               }));
   Exchange = std::make_unique<fleet_exchange>(Fleet, Clock, *Peers);
   Rollouts = std::make_unique<rollout_driver>(Fleet, Clock, Log, Publisher);
   TRY(Listener, connection_listener::listen(Loop, Settings.CallerAddress, Relay,
--- a/Libraries/LibRelay/relay_node.h
+++ b/Libraries/LibRelay/relay_node.h
@@ -2,11 +2,11 @@
 
 #include "LibConnection/connection_listener.h"
 #include "LibFleet/member_registration.h"
+#include "LibPeer/tcp_peer_network.h"
 #include "LibRelay/asio_scheduler.h"
 #include "LibRelay/directory_service.h"
-#include "LibRelay/fleet_updates.h"
-#include "LibPeer/tcp_peer_network.h"
 #include "LibRelay/fleet_exchange.h"
+#include "LibRelay/fleet_updates.h"
 #include "LibRelay/relay.h"
 #include "LibRelay/relay_settings.h"
 #include "LibRelay/rollout_driver.h"
@@ -33,8 +33,8 @@
 
   /// Starts to serve; the registration announces this VM in the store. Returns
   /// Unavailable when the callers' address can't be bound.
-  status start(member_registration &Registration,
-               engine_inspector &Inspector, rollout_publisher &Publisher);
+  status start(member_registration &Registration, engine_inspector &Inspector,
+               rollout_publisher &Publisher);
   member_entry selfEntry() const;
 
 private:
--- a/Libraries/LibRelay/request_run.cpp
+++ b/Libraries/LibRelay/request_run.cpp
@@ -35,9 +35,8 @@
 
 void noteFailure(endpoint_record &Endpoint, steady_time Now) {
   Endpoint.FailuresInRow = std::min(Endpoint.FailuresInRow + 1, 8u);
-  const milliseconds Pause =
-      std::min(FirstAvoidance * (1 << (Endpoint.FailuresInRow - 1)),
-               LongestAvoidance);
+  const milliseconds Pause = std::min(
+      FirstAvoidance * (1 << (Endpoint.FailuresInRow - 1)), LongestAvoidance);
   Endpoint.AvoidUntil = std::max(Endpoint.AvoidUntil, Now + Pause);
   Endpoint.FailureShare += FailureSmoothing * (1 - Endpoint.FailureShare);
 }
@@ -103,17 +102,17 @@
 void request_run::begin() {
   Caller->setObserver(weak_from_this());
   Deadline.expires_after(TimeLimit);
-  Deadline.async_wait([Self = shared_from_this()](const asio::error_code &Code) {
-    if (!Code)
-      Self->onDeadline();
-  });
+  Deadline.async_wait(
+      [Self = shared_from_this()](const asio::error_code &Code) {
+        if (!Code)
+          Self->onDeadline();
+      });
   Context.Fleet.Retries.requestArrived(Service, ArrivedAt);
   sendNext();
 }
 
 milliseconds request_run::timeLeft(steady_time Now) const {
-  return TimeLimit -
-         std::chrono::duration_cast<milliseconds>(Now - ArrivedAt);
+  return TimeLimit - std::chrono::duration_cast<milliseconds>(Now - ArrivedAt);
 }
 
 service_id request_run::chooseService() const {
@@ -144,8 +143,8 @@
   const release_choice Choice =
       chooseRelease(Rule, Fleet.Pins.releaseOf(Session, Now),
                     static_cast<double>(Session % DrawSteps) / DrawSteps);
-  const endpoint_list Candidates = candidatesFor(
-      Fleet.Endpoints.ofService(Service), Rule, Choice, Now);
+  const endpoint_list Candidates =
+      candidatesFor(Fleet.Endpoints.ofService(Service), Rule, Choice, Now);
   const endpoint_pool *Pool = Routes->pool(Service);
   return Pool && Pool->Engine ? placeOnEngine(Request, Candidates, Terms, Now)
                               : placeOnLeastLoaded(Candidates, Terms, Now);
@@ -264,9 +263,8 @@
   if (Over)
     return head_verdict::Reject;
   const bool Belongs = NewAnswer.Answers || !isSuccess(NewAnswer.Status);
-  const bool IsProper =
-      !isSuccess(NewAnswer.Status) ||
-      (NewAnswer.IsSigned && !NewAnswer.HasContentEncoding);
+  const bool IsProper = !isSuccess(NewAnswer.Status) ||
+                        (NewAnswer.IsSigned && !NewAnswer.HasContentEncoding);
   if (!Belongs || !IsProper)
     return head_verdict::Reject;
   if (escalates(NewAnswer))
@@ -281,8 +279,8 @@
   if (!ModelIndex || !NewAnswer.Confidence || !isSuccess(NewAnswer.Status) ||
       AnswerStarted || Runs + 1 >= Route.MaxAttempts)
     return false;
-  const auto Larger = Context.Fleet.Models.escalate(
-      Route, Request, *ModelIndex, *NewAnswer.Confidence);
+  const auto Larger = Context.Fleet.Models.escalate(Route, Request, *ModelIndex,
+                                                    *NewAnswer.Confidence);
   Context.Log.write(log_level::Info, "answer_judged",
                     {{"request", Request.Id.text()},
                      {"route", Route.Name},
@@ -335,8 +333,8 @@
       FirstEventAt = Now;
     if (!AnswerStarted) {
       AnswerStarted = true;
-      FirstEventAfter = std::chrono::duration_cast<milliseconds>(
-          Now - ArrivedAt);
+      FirstEventAfter =
+          std::chrono::duration_cast<milliseconds>(Now - ArrivedAt);
       Caller->startAnswer(AnswerHead.Status,
                           Context.Dialect.passedOnFields(AnswerHead));
     }
@@ -397,9 +395,8 @@
   // A failure of one endpoint among several is no reason to avoid it at once.
   if (Endpoint->FailuresInRow < 2)
     Endpoint->AvoidUntil = {};
-  const bool MaySend =
-      maySendAgain(Route, attempt_failure::AnsweredFailure) &&
-      Runs < Route.MaxAttempts && !AnswerStarted;
+  const bool MaySend = maySendAgain(Route, attempt_failure::AnsweredFailure) &&
+                       Runs < Route.MaxAttempts && !AnswerStarted;
   if (MaySend)
     return retryOrRefuse(attempt_failure::AnsweredFailure,
                          "status " + std::to_string(Answer.Status));
@@ -455,15 +452,16 @@
                          !Context.Fleet.Quarantine.isRefused(Fingerprint) &&
                          timeLeft(Now).count() > 0;
   const bool HasBudget =
-      IsAllowed && (Failure == attempt_failure::NotSent ||
-                    Context.Fleet.Retries.tryTake(
-                        Endpoint->Facts.Service, Context.Fleet.Members.size(),
-                        Now));
+      IsAllowed &&
+      (Failure == attempt_failure::NotSent ||
+       Context.Fleet.Retries.tryTake(Endpoint->Facts.Service,
+                                     Context.Fleet.Members.size(), Now));
   if (HasBudget) {
     Splicer.startNextSource();
     return sendNext();
   }
-  refuse(refusalAfter(Runs > 0, IsAllowed ? "retry_budget" : "attempts_failed"));
+  refuse(
+      refusalAfter(Runs > 0, IsAllowed ? "retry_budget" : "attempts_failed"));
 }
 
 void request_run::refuse(const final_refusal &Refusal) {
@@ -508,10 +506,9 @@
   if (Liveness)
     Liveness->stop();
   const steady_time Now = Context.Clock.now();
-  const auto Took =
-      std::chrono::duration_cast<milliseconds>(Now - ArrivedAt);
-  const std::string Labels =
-      std::string("kind=\"") + nameOf(Route.Kind) + "\",outcome=\"" + Outcome + "\"";
+  const auto Took = std::chrono::duration_cast<milliseconds>(Now - ArrivedAt);
+  const std::string Labels = std::string("kind=\"") + nameOf(Route.Kind) +
+                             "\",outcome=\"" + Outcome + "\"";
   Context.Metrics.count("azurehaven_requests_total", Labels);
   Context.Metrics.observe("azurehaven_request_ms", Labels, Took);
   Context.Log.write(
@@ -524,9 +521,8 @@
        {"model", Model.text()},
        {"config_version", std::to_string(Routes->version())},
        {"sends", std::to_string(Sends)},
-       {"first_event_ms", FirstEventAfter
-                             ? std::to_string(FirstEventAfter->count())
-                             : "none"},
+       {"first_event_ms",
+        FirstEventAfter ? std::to_string(FirstEventAfter->count()) : "none"},
        {"took_ms", std::to_string(Took.count())}});
   Attempt.reset();
 }
--- a/Libraries/LibRelay/request_run.h
+++ b/Libraries/LibRelay/request_run.h
@@ -1,13 +1,13 @@
 #pragma once
 
 #include "LibDispatch/attempt_policy.h"
+#include "LibDispatch/candidate_filter.h"
 #include "LibDispatch/event_splicer.h"
 #include "LibDispatch/placement.h"
-#include "LibDispatch/candidate_filter.h"
 #include "LibRelay/endpoint_attempt.h"
 #include "LibRelay/liveness_watch.h"
-#include "LibRelay/run_outcome.h"
 #include "LibRelay/relay.h"
+#include "LibRelay/run_outcome.h"
 
 #include <asio/steady_timer.hpp>
 
--- a/Libraries/LibRelay/rollout_driver.cpp
+++ b/Libraries/LibRelay/rollout_driver.cpp
@@ -26,8 +26,9 @@
                         Object["began_unix_ms"].is_number_integer();
   if (!IsRecord)
     return error{error_code::InvalidInput, "not a record of a roll-out"};
-  return rollout_record{Object["target"].get<std::string>(),
-                        unix_millis(Object["began_unix_ms"].get<std::int64_t>())};
+  return rollout_record{
+      Object["target"].get<std::string>(),
+      unix_millis(Object["began_unix_ms"].get<std::int64_t>())};
 }
 
 void rollout_driver::advance() {
@@ -57,11 +58,9 @@
   pending_outcome &State = Pending[Service];
   State.IsBeingWritten = true;
   State.RetryAt = Now + RetryEvery;
-  const rollout_record Record{Due.Order.Target,
-                              Clock.wallNow() -
-                                  unix_millis(Due.Elapsed.count())};
-  const auto Counts =
-      Fleet.Evidence.ofRelease(Service, Due.Order.Target);
+  const rollout_record Record{
+      Due.Order.Target, Clock.wallNow() - unix_millis(Due.Elapsed.count())};
+  const auto Counts = Fleet.Evidence.ofRelease(Service, Due.Order.Target);
   Log.write(log_level::Info, "rollout_publishing",
             {{"service", Service.text()},
              {"target", Due.Order.Target},
--- a/Libraries/LibRelay/run_outcome.cpp
+++ b/Libraries/LibRelay/run_outcome.cpp
@@ -9,8 +9,8 @@
   Counts.Requests = 1;
   Counts.Failures = Outcome.Failed;
   const release_rule Rule = Fleet.Rollouts.ruleFor(Endpoint.Service, Now);
-  const bool IsOnTrial = Rule.Phase != rollout_phase::None &&
-                         Endpoint.Release == Rule.Target;
+  const bool IsOnTrial =
+      Rule.Phase != rollout_phase::None && Endpoint.Release == Rule.Target;
   if (Outcome.PaceMs) {
     Counts.Slow = Fleet.Paces.isSlow(Route.Name, Model, *Outcome.PaceMs);
     if (!IsOnTrial)
