LibRelay: Answer every request before a planned stop ends, and ask engines twice

Now plain requests are refused 1.8 s before the end, what is left gets its answer 0.8 s before it, and the process exits at once. 2. Now two reports since the last byte have to show that the run went on, and a request that can't go elsewhere waits. Ruled out: the endpoints (their runs ended whole) and the retry budget.

--- a/Libraries/LibRelay/fleet_state.h
+++ b/Libraries/LibRelay/fleet_state.h
@@ -34,7 +34,9 @@
   release_evidence Evidence{};
   pace_baseline Paces{};
   bool IsStopping = false;
-  steady_time StoppingSince;
+  steady_time StoppingSince{};
+  /// From the request to stop until the process is killed.
+  milliseconds StopGrace{8000};
 };
 
 } // namespace azurehaven
--- a/Libraries/LibRelay/liveness_watch.cpp
+++ b/Libraries/LibRelay/liveness_watch.cpp
@@ -13,8 +13,6 @@
 constexpr milliseconds CheckEvery{150};
 /// An engine's report is this old when it arrives, at most.
 constexpr milliseconds ReportLag{600};
-/// Events that the engine may be ahead of what has arrived.
-constexpr std::uint64_t EventsUnderWay = 3;
 
 } // namespace
 
@@ -33,10 +31,9 @@
   Timer.cancel();
 }
 
-void liveness_watch::heard(std::uint64_t NewEvents, steady_time Now) {
+void liveness_watch::heard(steady_time Now) {
   LastHeard = Now;
-  Events = NewEvents;
-  HasHeard = true;
+  ReportedEvents.reset();
 }
 
 void liveness_watch::waitAgain() {
@@ -74,9 +71,17 @@
     return;
   auto Run = Endpoint->Report->EventsByRun.find(Id);
   const bool IsRunning = Run != Endpoint->Report->EventsByRun.end();
-  if (IsRunning && Run->second > Events + EventsUnderWay)
+  const auto Before = std::exchange(
+      ReportedEvents,
+      IsRunning ? std::optional<std::uint64_t>(Run->second) : std::nullopt);
+  const bool IsNewReport =
+      std::exchange(JudgedReport, Endpoint->ReportAt) != Endpoint->ReportAt;
+  // Two reports since the last byte: between them the run went on or ended.
+  if (!IsNewReport || !Before)
+    return;
+  if (IsRunning && Run->second > *Before)
     return giveUp("the connection is silent while the engine goes on");
-  if (!IsRunning && Endpoint->Report->Queued == 0 && HasHeard)
+  if (!IsRunning)
     return giveUp("the engine no longer runs the request");
 }
 
--- a/Libraries/LibRelay/liveness_watch.h
+++ b/Libraries/LibRelay/liveness_watch.h
@@ -22,8 +22,8 @@
 
   void start();
   void stop();
-  /// Bytes of this request's answer have come; Events: whole events so far.
-  void heard(std::uint64_t Events, steady_time Now);
+  /// Bytes of this request's answer have come.
+  void heard(steady_time Now);
 
 private:
   void waitAgain();
@@ -39,8 +39,9 @@
   silence_handler Handler;
   asio::steady_timer Timer;
   steady_time LastHeard;
-  std::uint64_t Events = 0;
-  bool HasHeard = false;
+  /// Events of this request in the last report since the last byte.
+  std::optional<std::uint64_t> ReportedEvents;
+  steady_time JudgedReport;
 };
 
 } // namespace azurehaven
--- a/Libraries/LibRelay/relay.cpp
+++ b/Libraries/LibRelay/relay.cpp
@@ -14,6 +14,8 @@
 /// How long after the start of a planned stop streams are still begun: later
 /// ones would be cut by its end.
 constexpr milliseconds StreamsDuringStop{3000};
+/// Plain requests are begun until so long before the end of the process.
+constexpr milliseconds PlainBeforeEnd{1800};
 constexpr milliseconds ComeBackElsewhere{50};
 
 } // namespace
@@ -85,9 +87,12 @@
     if (!Account)
       return refuse(Request, *Caller, 401, std::nullopt, "unknown_key");
   }
-  const bool IsLate =
-      Fleet.IsStopping && Now - Fleet.StoppingSince > StreamsDuringStop;
-  if (IsLate && Route->Kind == work_kind::Stream)
+  const auto Stopping = Now - Fleet.StoppingSince;
+  const bool IsTooLate =
+      Fleet.IsStopping && Stopping > (Route->Kind == work_kind::Stream
+                                          ? StreamsDuringStop
+                                          : Fleet.StopGrace - PlainBeforeEnd);
+  if (IsTooLate)
     return refuse(Request, *Caller, 503, ComeBackElsewhere, "stopping");
   const client_account_id AccountId =
       Account ? Account->Account : client_account_id();
--- a/Libraries/LibRelay/relay.h
+++ b/Libraries/LibRelay/relay.h
@@ -9,8 +9,18 @@
 #include "LibRelay/wire_dialect.h"
 #include "LibTypes/clock_source.h"
 
+#include <set>
+
 namespace azurehaven {
 
+/// A request that is being served.
+class active_request {
+public:
+  virtual ~active_request() = default;
+  /// Gives the caller its final answer now: the process is about to end.
+  virtual void endNow() = 0;
+};
+
 /// What the requests of one event loop share.
 struct relay_context {
   asio::any_io_executor Executor;
@@ -21,8 +31,7 @@
   fleet_state &Fleet;
   connection_pool &Connections;
   engine_inspector *Inspector = nullptr;
-  /// Requests that are being served.
-  std::size_t ActiveRequests = 0;
+  std::set<active_request *> ActiveRequests{};
 };
 
 /// Takes callers' requests: checks key, route and configuration, and starts a
--- a/Libraries/LibRelay/relay_node.cpp
+++ b/Libraries/LibRelay/relay_node.cpp
@@ -19,7 +19,9 @@
 /// connect for so long after a stop has begun.
 constexpr milliseconds AcceptDuringStop{3500};
 /// Kept back from the grace time, so that the process ends by itself.
-constexpr milliseconds StopMargin{300};
+constexpr milliseconds StopMargin{250};
+/// The last requests get their answers so long before the end of the process.
+constexpr milliseconds AnswersBeforeEnd{800};
 
 std::size_t callerLimit(const relay_settings &Settings) {
   const std::size_t Limit = Settings.DescriptorLimit;
@@ -46,7 +48,9 @@
               Connections,         nullptr},
       Relay(Context), Updates(Fleet, Clock, Log, Metrics),
       Scheduler(Loop.get_executor(), Clock), Signals(Loop, SIGTERM, SIGINT),
-      Incarnation(static_cast<std::uint64_t>(Clock.wallNow().count())) {}
+      Incarnation(static_cast<std::uint64_t>(Clock.wallNow().count())) {
+  Fleet.StopGrace = Settings.StopGrace;
+}
 
 member_entry relay_node::selfEntry() const {
   return {Settings.Vm, Settings.Domain, Settings.CallerAddress,
@@ -118,8 +122,9 @@
   Fleet.IsStopping = true;
   Fleet.StoppingSince = Clock.now();
   Registration->leave();
-  Log.write(log_level::Info, "stop_begun",
-            {{"active_requests", std::to_string(Context.ActiveRequests)}});
+  Log.write(
+      log_level::Info, "stop_begun",
+      {{"active_requests", std::to_string(Context.ActiveRequests.size())}});
 }
 
 void relay_node::finishStop() {
@@ -127,11 +132,18 @@
   if (Since < std::min(AcceptDuringStop, Settings.StopGrace / 2))
     return;
   Listener->closeIdle();
+  const bool IsLast = Since > Settings.StopGrace - AnswersBeforeEnd;
+  if (IsLast) {
+    const auto Remaining = Context.ActiveRequests;
+    for (active_request *Request : Remaining)
+      Request->endNow();
+  }
   const bool IsOver = Since > Settings.StopGrace - StopMargin;
-  if (Context.ActiveRequests > 0 && !IsOver)
+  if (Listener->servingCount() > 0 && !IsOver)
     return;
-  Log.write(log_level::Info, "stopped",
-            {{"active_requests", std::to_string(Context.ActiveRequests)}});
+  Log.write(
+      log_level::Info, "stopped",
+      {{"active_requests", std::to_string(Context.ActiveRequests.size())}});
   Loop.stop();
 }
 
--- a/Libraries/LibRelay/request_run.cpp
+++ b/Libraries/LibRelay/request_run.cpp
@@ -83,10 +83,10 @@
                                 ? this->Request.Id.text()
                                 : this->Request.Session)),
       Service(chooseService()), Splicer(this->Request.LastEventId) {
-  ++Context.ActiveRequests;
+  Context.ActiveRequests.insert(this);
 }
 
-request_run::~request_run() { --Context.ActiveRequests; }
+request_run::~request_run() { Context.ActiveRequests.erase(this); }
 
 void request_run::start(relay_context &Context, incoming_request Incoming,
                         dispatch_request Request, const route &Route,
@@ -229,7 +229,10 @@
   Liveness = std::make_shared<liveness_watch>(
       Context, Endpoint, Request.Id, Pool && Pool->Engine,
       [Weak = weak_from_this()](const std::string &Reason) {
-        if (auto Self = Weak.lock())
+        auto Self = Weak.lock();
+        // Silence alone is no reason to end a request that can't go elsewhere.
+        if (Self && Self->maySendAgainAfter(attempt_failure::Broken,
+                                            Self->Context.Clock.now()))
           Self->onAttemptFailed(attempt_failure::Broken, Reason);
       });
   Liveness->start();
@@ -326,7 +329,7 @@
   const steady_time Now = Context.Clock.now();
   const std::string Events = Splicer.add(Bytes);
   if (Liveness)
-    Liveness->heard(Splicer.eventCount() - EventsBefore, Now);
+    Liveness->heard(Now);
   if (!Events.empty()) {
     LastEventAt = Now;
     if (!FirstEventAt)
@@ -437,6 +440,14 @@
   retryOrRefuse(Failure, Reason);
 }
 
+bool request_run::maySendAgainAfter(attempt_failure Failure,
+                                    steady_time Now) const {
+  return maySendAgain(Route, Failure) && Runs < Route.MaxAttempts &&
+         Sends < Route.MaxAttempts + ExtraSends &&
+         !Context.Fleet.Quarantine.isRefused(Fingerprint) &&
+         timeLeft(Now).count() > 0;
+}
+
 void request_run::retryOrRefuse(attempt_failure Failure,
                                 const std::string &Reason) {
   const steady_time Now = Context.Clock.now();
@@ -446,11 +457,7 @@
                      {"reason", Reason},
                      {"may_have_run", mayHaveRun(Failure) ? "yes" : "no"},
                      {"sends", std::to_string(Sends)}});
-  const bool IsAllowed = maySendAgain(Route, Failure) &&
-                         Runs < Route.MaxAttempts &&
-                         Sends < Route.MaxAttempts + ExtraSends &&
-                         !Context.Fleet.Quarantine.isRefused(Fingerprint) &&
-                         timeLeft(Now).count() > 0;
+  const bool IsAllowed = maySendAgainAfter(Failure, Now);
   const bool HasBudget =
       IsAllowed &&
       (Failure == attempt_failure::NotSent ||
@@ -490,6 +497,14 @@
   refuse(refusalAtDeadline(Sends > 0));
 }
 
+void request_run::endNow() {
+  if (Over)
+    return;
+  if (Attempt)
+    Attempt->cancel();
+  refuse(refusalAfter(Sends > 0, "stopping"));
+}
+
 void request_run::onCallerGone() {
   if (Over)
     return;
--- a/Libraries/LibRelay/request_run.h
+++ b/Libraries/LibRelay/request_run.h
@@ -16,6 +16,7 @@
 /// One request on its way from the caller through its attempts to the answer.
 /// Ends with exactly one answer, or with the caller's leaving.
 class request_run : public caller_observer,
+                    public active_request,
                     public attempt_owner,
                     public std::enable_shared_from_this<request_run> {
 public:
@@ -25,6 +26,7 @@
                     std::shared_ptr<caller_connection> Caller);
   ~request_run() override;
 
+  void endNow() override;
   void onCallerGone() override;
   void onCallerDrained() override;
 
@@ -52,7 +54,7 @@
   void refuse(const final_refusal &Refusal);
   void breakOff(const char *Reason);
   void finish(const char *Outcome);
-  bool isOver() const { return Over; }
+  bool maySendAgainAfter(attempt_failure Failure, steady_time Now) const;
   milliseconds timeLeft(steady_time Now) const;
   service_id chooseService() const;
   std::shared_ptr<endpoint_record> place(steady_time Now);
