--- a/Libraries/LibConnection/connection_listener.cpp
+++ b/Libraries/LibConnection/connection_listener.cpp
@@ -42,6 +42,13 @@
   return Listener;
 }
 
+connection_listener::~connection_listener() {
+  for (const auto &Connection : Connections) {
+    Connection->setClosedHandler(nullptr);
+    Connection->abort();
+  }
+}
+
 void connection_listener::accept() {
   Acceptor.async_accept(
       [this](const asio::error_code &Code, asio::ip::tcp::socket Socket) {
--- a/Libraries/LibConnection/connection_listener.h
+++ b/Libraries/LibConnection/connection_listener.h
@@ -21,6 +21,8 @@
   listen(asio::io_context &Loop, const network_address &Address,
          request_handler &Handler, std::size_t ConnectionLimit);
 
+  ~connection_listener();
+
   /// Closes the connections that carry no request.
   void closeIdle();
   std::size_t connectionCount() const { return Connections.size(); }
--- a/Libraries/LibEntry/entry_node.cpp
+++ b/Libraries/LibEntry/entry_node.cpp
@@ -1,5 +1,7 @@
 #include "LibEntry/entry_node.h"
 
+#include "LibLog/console_event_log.h"
+
 #include "LibEntry/automation.h"
 #include "LibEntry/endpoint_poller.h"
 #include "LibEntry/heartbeat_service.h"
@@ -207,7 +209,7 @@
   const entry_settings Settings;
   system_clock_source Clock;
   const std::uint64_t Incarnation;
-  event_log Log;
+  console_event_log Log;
   metrics Metrics;
   pooled_http_transport Transport;
   http_store RawStore;
--- a/Libraries/LibFleet/store_mirror.cpp
+++ b/Libraries/LibFleet/store_mirror.cpp
@@ -45,7 +45,8 @@
   FailuresInRow = 0;
   if (!Reachable) {
     Reachable = true;
-    ReachableSince = Scheduler.now();
+    if (WasReachable)
+      RegainedAt = Scheduler.now();
     Listener.onReachable();
   }
   const removal_cause Cause = causeAt(Scheduler.now());
@@ -119,8 +120,7 @@
 }
 
 removal_cause store_mirror::causeAt(steady_time Now) const {
-  const bool IsJustBack =
-      WasReachable && Now - ReachableSince < RenewalAfterOutage;
+  const bool IsJustBack = RegainedAt && Now - *RegainedAt < RenewalAfterOutage;
   return IsJustBack ? removal_cause::MissingAfterOutage
                     : removal_cause::Removed;
 }
--- a/Libraries/LibFleet/store_mirror.h
+++ b/Libraries/LibFleet/store_mirror.h
@@ -4,6 +4,7 @@
 #include "LibStore/async_store.h"
 
 #include <map>
+#include <optional>
 #include <string>
 
 namespace azurehaven {
@@ -60,7 +61,8 @@
   std::map<std::string, std::uint64_t> Known;
   std::uint64_t Revision = 0;
   steady_time ConfirmedAt;
-  steady_time ReachableSince;
+  /// When the store came back after it had been away.
+  std::optional<steady_time> RegainedAt;
   unsigned FailuresInRow = 0;
   bool Reachable = false;
   bool WasReachable = false;
--- /dev/null
+++ b/Libraries/LibLog/console_event_log.h
@@ -0,0 +1,24 @@
+#pragma once
+
+#include "LibLog/event_log.h"
+
+#include <memory>
+
+namespace azurehaven {
+
+/// One JSON line for each event on standard error.
+class console_event_log : public event_log {
+public:
+  console_event_log(std::string Vm, log_level Level);
+  ~console_event_log() override;
+
+  void write(log_level Level, std::string_view Event,
+             std::initializer_list<log_field> Fields) const override;
+
+private:
+  struct library_state;
+  const std::string Vm;
+  std::unique_ptr<library_state> State;
+};
+
+} // namespace azurehaven
--- a/Libraries/LibLog/event_log.h
+++ b/Libraries/LibLog/event_log.h
@@ -3,33 +3,38 @@
 #include "LibTypes/result.h"
 
 #include <initializer_list>
-#include <memory>
 #include <string>
 #include <string_view>
 #include <utility>
 
 namespace azurehaven {
 
+/// Warnings and errors concern a failed or refused request, or a lost
+/// dependency; they are kept longest when there is too much to write.
 enum class log_level { Debug, Info, Warning, Error };
 
 result<log_level> parseLogLevel(const std::string &Name);
 
 using log_field = std::pair<std::string_view, std::string>;
 
-/// One JSON line for each event on standard error, with a stable event name.
-/// Thread-safe.
+/// Takes one line for each event, with a stable event name. Thread-safe; never
+/// waits for a reader.
 class event_log {
 public:
-  event_log(std::string Vm, log_level Level);
-  ~event_log();
-
-  void write(log_level Level, std::string_view Event,
-             std::initializer_list<log_field> Fields) const;
+  virtual ~event_log() = default;
+  virtual void write(log_level Level, std::string_view Event,
+                     std::initializer_list<log_field> Fields) const = 0;
+};
 
-private:
-  struct library_state;
-  const std::string Vm;
-  std::unique_ptr<library_state> State;
+/// Drops all lines; for tests of other things.
+class silent_event_log : public event_log {
+public:
+  void write(log_level, std::string_view,
+             std::initializer_list<log_field>) const override {}
 };
 
+/// The members of a JSON object, without the braces.
+std::string formatFields(std::string_view Vm, std::string_view Event,
+                         std::initializer_list<log_field> Fields);
+
 } // namespace azurehaven
--- a/Libraries/LibRelay/relay.cpp
+++ b/Libraries/LibRelay/relay.cpp
@@ -48,7 +48,7 @@
   Context.Metrics.count("azurehaven_refused_total",
                         std::string("reason=\"") + Reason + "\"");
   Context.Log.write(
-      log_level::Info, "request_refused",
+      log_level::Warning, "request_refused",
       {{"request", Request.Id.text()},
        {"status", std::to_string(Status)},
        {"reason", Reason},
--- a/Libraries/LibRelay/request_run.cpp
+++ b/Libraries/LibRelay/request_run.cpp
@@ -451,7 +451,7 @@
 void request_run::retryOrRefuse(attempt_failure Failure,
                                 const std::string &Reason) {
   const steady_time Now = Context.Clock.now();
-  Context.Log.write(log_level::Info, "attempt_failed",
+  Context.Log.write(log_level::Warning, "attempt_failed",
                     {{"request", Request.Id.text()},
                      {"endpoint", Endpoint->Facts.Id.text()},
                      {"reason", Reason},
@@ -526,8 +526,9 @@
                              "\",outcome=\"" + Outcome + "\"";
   Context.Metrics.count("azurehaven_requests_total", Labels);
   Context.Metrics.observe("azurehaven_request_ms", Labels, Took);
+  const bool IsAnswered = std::string_view(Outcome) == "answered";
   Context.Log.write(
-      log_level::Info, "request_finished",
+      IsAnswered ? log_level::Info : log_level::Warning, "request_finished",
       {{"request", Request.Id.text()},
        {"route", Route.Name},
        {"account", Account.Account.text()},
--- /dev/null
+++ b/Tests/LibConnection/connection_listener_test.cpp
@@ -0,0 +1,123 @@
+#include "LibConnection/connection_listener.h"
+#include "LibConnection/single_call.h"
+
+#include <doctest/doctest.h>
+
+#include <asio/write.hpp>
+
+#include <optional>
+
+using namespace azurehaven;
+
+namespace {
+
+class echo_handler : public request_handler {
+public:
+  void onRequest(incoming_request Request,
+                 std::shared_ptr<caller_connection> Caller) override {
+    Caller->sendAnswer(200, {}, Request.Body);
+  }
+  void onRejected(request_fault) override { ++Rejected; }
+  caller_limits limits() const override { return Limits; }
+  bool closesConnections() const override { return false; }
+
+  caller_limits Limits;
+  int Rejected = 0;
+};
+
+network_address addressOf(std::uint16_t Port) { return {"127.0.0.1", Port}; }
+
+/// A listener on a free port of the loopback address.
+std::unique_ptr<connection_listener> listenSomewhere(asio::io_context &Loop,
+                                                     echo_handler &Handler,
+                                                     std::size_t Limit,
+                                                     std::uint16_t &Port) {
+  for (Port = 42000; Port < 43000; ++Port) {
+    auto Listener =
+        connection_listener::listen(Loop, addressOf(Port), Handler, Limit);
+    if (!isError(Listener))
+      return std::move(valueOf(Listener));
+  }
+  return nullptr;
+}
+
+} // namespace
+
+TEST_CASE("Idle and half-sent connections do not keep new callers out") {
+  asio::io_context Loop(1);
+  echo_handler Handler;
+  std::uint16_t Port = 0;
+  constexpr std::size_t Limit = 20;
+  auto Listener = listenSomewhere(Loop, Handler, Limit, Port);
+  REQUIRE(Listener);
+  std::vector<asio::ip::tcp::socket> Idle;
+  for (std::size_t Index = 0; Index < 5 * Limit; ++Index) {
+    Idle.emplace_back(Loop);
+    Idle.back().connect({asio::ip::make_address("127.0.0.1"), Port});
+    if (Index % 2 == 0)
+      asio::write(Idle.back(), asio::buffer(std::string("GET / HT")));
+    Loop.poll();
+  }
+  std::optional<call_result> Answer;
+  startCall(std::make_shared<endpoint_connection>(
+                Loop.get_executor(), addressOf(Port), connection_timing{}),
+            formatCall("POST", "/", addressOf(Port), "{}"),
+            std::chrono::seconds(20),
+            [&](call_result Result) { Answer = std::move(Result); });
+  while (!Answer)
+    Loop.run_one();
+  REQUIRE(std::holds_alternative<http_response>(*Answer));
+  CHECK(std::get<http_response>(*Answer).Body == "{}");
+  CHECK(Listener->connectionCount() <= Limit);
+}
+
+TEST_CASE("A half-sent head is closed after its limit") {
+  asio::io_context Loop(1);
+  echo_handler Handler;
+  Handler.Limits.HeaderTimeout = milliseconds(50);
+  Handler.Limits.IdleTimeout = std::chrono::hours(1);
+  std::uint16_t Port = 0;
+  auto Listener = listenSomewhere(Loop, Handler, 10, Port);
+  REQUIRE(Listener);
+  asio::ip::tcp::socket Socket(Loop);
+  Socket.connect({asio::ip::make_address("127.0.0.1"), Port});
+  asio::write(Socket, asio::buffer(std::string("GET / HT")));
+  bool IsClosed = false;
+  char Byte = 0;
+  Socket.async_read_some(
+      asio::buffer(&Byte, 1),
+      [&](const asio::error_code &Code, std::size_t) { IsClosed = !!Code; });
+  while (!IsClosed)
+    Loop.run_one();
+  CHECK(Listener->connectionCount() == 0);
+}
+
+TEST_CASE("Malformed bytes get 400 and a closed connection") {
+  asio::io_context Loop(1);
+  echo_handler Handler;
+  std::uint16_t Port = 0;
+  auto Listener = listenSomewhere(Loop, Handler, 10, Port);
+  REQUIRE(Listener);
+  asio::ip::tcp::socket Socket(Loop);
+  Socket.connect({asio::ip::make_address("127.0.0.1"), Port});
+  asio::write(Socket, asio::buffer(std::string("GET /\n\nHost: x\r\n\r\n")));
+  std::string Answer(1000, '\0');
+  std::size_t Size = 0;
+  bool IsClosed = false;
+  std::function<void()> Read = [&] {
+    Socket.async_read_some(
+        asio::buffer(Answer.data() + Size, Answer.size() - Size),
+        [&](const asio::error_code &Code, std::size_t Added) {
+          Size += Added;
+          if (Code)
+            IsClosed = true;
+          else
+            Read();
+        });
+  };
+  Read();
+  while (!IsClosed)
+    Loop.run_one();
+  CHECK(Answer.starts_with("HTTP/1.1 400 "));
+  CHECK(Handler.Rejected == 1);
+}
--- /dev/null
+++ b/Tests/LibDispatch/event_splicer_test.cpp
@@ -0,0 +1,44 @@
+#include "LibDispatch/event_splicer.h"
+
+#include <doctest/doctest.h>
+
+using namespace azurehaven;
+
+TEST_CASE("Only whole events are passed on") {
+  event_splicer Splicer(std::nullopt);
+  CHECK(Splicer.add("id: 1\ndata: a") == "");
+  CHECK(Splicer.hasPartialEvent());
+  CHECK(Splicer.add("\n\nid: 2\nda") == "id: 1\ndata: a\n\n");
+  CHECK(Splicer.lastEventId() == 1);
+  CHECK(Splicer.add("ta: b\n\n") == "id: 2\ndata: b\n\n");
+  CHECK_FALSE(Splicer.hasPartialEvent());
+  CHECK(Splicer.eventCount() == 2);
+}
+
+TEST_CASE("A second source continues without a gap or a repetition") {
+  event_splicer Splicer(std::nullopt);
+  Splicer.add("id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 3\ndata: c");
+  Splicer.startNextSource();
+  CHECK_FALSE(Splicer.hasPartialEvent());
+  CHECK(Splicer.lastEventId() == 2);
+  CHECK(Splicer.add("id: 2\ndata: b\n\nid: 3\ndata: c\n\n") ==
+        "id: 3\ndata: c\n\n");
+}
+
+TEST_CASE("What the caller has already is not sent again") {
+  event_splicer Splicer(5);
+  CHECK(Splicer.add("id: 5\ndata: a\n\nid: 6\ndata: b\n\n") ==
+        "id: 6\ndata: b\n\n");
+}
+
+TEST_CASE("Lines that end in CR LF frame events too") {
+  event_splicer Splicer(std::nullopt);
+  CHECK(Splicer.add("id: 1\r\ndata: a\r\n\r\n") == "id: 1\r\ndata: a\r\n\r\n");
+  CHECK(Splicer.lastEventId() == 1);
+}
+
+TEST_CASE("An event beyond the limit breaks the stream") {
+  event_splicer Splicer(std::nullopt, 100);
+  Splicer.add(std::string(101, 'x'));
+  CHECK(Splicer.isBroken());
+}
--- /dev/null
+++ b/Tests/LibDispatch/placement_test.cpp
@@ -0,0 +1,101 @@
+#include "LibDispatch/placement.h"
+
+#include <doctest/doctest.h>
+
+#include <algorithm>
+
+using namespace azurehaven;
+
+namespace {
+
+const steady_time Start{std::chrono::hours(1)};
+
+endpoint_list makeEndpoints(int Count) {
+  endpoint_list List;
+  for (int Index = 0; Index < Count; ++Index) {
+    auto Endpoint = std::make_shared<endpoint_record>();
+    Endpoint->Facts.Id = endpoint_id("e" + std::to_string(Index));
+    Endpoint->Facts.Domain = failure_domain_id(Index % 2 ? "odd" : "even");
+    List.push_back(Endpoint);
+  }
+  return List;
+}
+
+dispatch_request requestAbout(const std::string &Subject) {
+  dispatch_request Request;
+  Request.Id = request_id("r");
+  Request.Prompt = {{Subject, 10000}, {"own", 500}};
+  Request.PromptTokens = 10500;
+  return Request;
+}
+
+} // namespace
+
+TEST_CASE("Requests with one beginning meet on one engine, on every VM") {
+  const auto Endpoints = makeEndpoints(9);
+  placement_terms Terms;
+  Terms.Model = model_id("m");
+  const auto First = placeOnEngine(requestAbout("a"), Endpoints, Terms, Start);
+  for (int Index = 0; Index < 5; ++Index)
+    CHECK(placeOnEngine(requestAbout("a"), Endpoints, Terms, Start) == First);
+}
+
+TEST_CASE("A burst on one subject spreads over the engines") {
+  const auto Endpoints = makeEndpoints(9);
+  placement_terms Terms;
+  std::set<endpoint_id> Used;
+  std::uint32_t Most = 0;
+  // 200 requests about one thing, none of which ends meanwhile.
+  for (int Index = 0; Index < 200; ++Index) {
+    const auto Chosen =
+        placeOnEngine(requestAbout("hot"), Endpoints, Terms, Start);
+    ++Chosen->InFlight;
+    Chosen->PromptWork += 500;
+    Chosen->SentBeginnings[sharedBeginning(requestAbout("hot"), Terms.Model)] =
+        Start;
+    Used.insert(Chosen->Facts.Id);
+    Most = std::max(Most, Chosen->InFlight);
+  }
+  CHECK(Used.size() == 9);
+  CHECK(Most <= 2 * 200 / 9);
+}
+
+TEST_CASE("Light load stays where the prompt is cached") {
+  const auto Endpoints = makeEndpoints(9);
+  placement_terms Terms;
+  const auto First = placeOnEngine(requestAbout("a"), Endpoints, Terms, Start);
+  First->InFlight = 3;
+  CHECK(placeOnEngine(requestAbout("a"), Endpoints, Terms, Start) == First);
+}
+
+TEST_CASE("Tried, leaving and avoided endpoints get nothing") {
+  const auto Endpoints = makeEndpoints(3);
+  Endpoints[0]->Facts.IsLeaving = true;
+  Endpoints[1]->AvoidUntil = Start + milliseconds(1);
+  placement_terms Terms;
+  Terms.Tried = {endpoint_id("e2")};
+  CHECK_FALSE(placeOnLeastLoaded(Endpoints, Terms, Start));
+  CHECK_FALSE(placeOnEngine(requestAbout("a"), Endpoints, Terms, Start));
+  CHECK(placeOnLeastLoaded(Endpoints, Terms, Start + milliseconds(1)) ==
+        Endpoints[1]);
+}
+
+TEST_CASE("Plain work goes to the least loaded, near ones first") {
+  const auto Endpoints = makeEndpoints(4);
+  placement_terms Terms;
+  Terms.OwnDomain = failure_domain_id("odd");
+  CHECK(placeOnLeastLoaded(Endpoints, Terms, Start)->Facts.Domain ==
+        failure_domain_id("odd"));
+  Endpoints[1]->InFlight = 1;
+  Endpoints[3]->InFlight = 1;
+  CHECK(placeOnLeastLoaded(Endpoints, Terms, Start)->Facts.Domain ==
+        failure_domain_id("even"));
+}
+
+TEST_CASE("Five VMs that see each other's work do not meet on one endpoint") {
+  const auto Endpoints = makeEndpoints(4);
+  placement_terms Terms;
+  for (const auto &Endpoint : Endpoints)
+    Endpoint->PeersInFlight = Endpoint == Endpoints[2] ? 0 : 4;
+  CHECK(placeOnLeastLoaded(Endpoints, Terms, Start) == Endpoints[2]);
+}
--- /dev/null
+++ b/Tests/LibDispatch/release_evidence_test.cpp
@@ -0,0 +1,76 @@
+#include "LibDispatch/release_evidence.h"
+
+#include <doctest/doctest.h>
+
+#include <random>
+
+using namespace azurehaven;
+
+namespace {
+
+const service_id Service("s");
+
+release_key keyOf(const char *Release, const char *Route = "r") {
+  return {Service, Release, Route};
+}
+
+/// Plays requests until the release is judged worse; returns their number, or
+/// the limit if it never is.
+int requestsUntilJudged(double OldFailures, double NewFailures, unsigned Seed,
+                        int Limit) {
+  std::mt19937 Random(Seed);
+  std::bernoulli_distribution Old(OldFailures);
+  std::bernoulli_distribution New(NewFailures);
+  release_evidence Evidence;
+  for (int Count = 1; Count <= Limit; ++Count) {
+    for (int Index = 0; Index < 10; ++Index)
+      Evidence.add(keyOf("v1"), {1, Old(Random), 0});
+    Evidence.add(keyOf("v2"), {1, New(Random), 0});
+    if (Evidence.isWorse(Service, "v2"))
+      return Count;
+  }
+  return Limit;
+}
+
+} // namespace
+
+TEST_CASE("A release that fails a third of its requests is found soon") {
+  // The operators allow 50 bad answers; a third of 60 requests are 20.
+  for (unsigned Seed = 0; Seed < 50; ++Seed)
+    CHECK(requestsUntilJudged(0.01, 0.33, Seed, 200) <= 60);
+}
+
+TEST_CASE("A good release is not taken back") {
+  for (unsigned Seed = 0; Seed < 50; ++Seed) {
+    CHECK(requestsUntilJudged(0.01, 0.01, Seed, 200) == 200);
+    CHECK(requestsUntilJudged(0.14, 0.14, Seed, 200) == 200);
+  }
+}
+
+TEST_CASE("A release that fails on one route only is found") {
+  release_evidence Evidence;
+  Evidence.add(keyOf("v1", "a"), {500, 5, 0});
+  Evidence.add(keyOf("v1", "b"), {500, 5, 0});
+  Evidence.add(keyOf("v2", "a"), {200, 2, 0});
+  Evidence.add(keyOf("v2", "b"), {10, 5, 0});
+  CHECK(Evidence.isWorse(Service, "v2"));
+}
+
+TEST_CASE("A slow release is found") {
+  release_evidence Evidence;
+  Evidence.add(keyOf("v1"), {500, 0, 10});
+  Evidence.add(keyOf("v2"), {20, 0, 10});
+  CHECK(Evidence.isWorse(Service, "v2"));
+}
+
+TEST_CASE("Reports of other VMs count once, whatever order they come in") {
+  release_evidence Evidence;
+  const vm_id Peer("p");
+  Evidence.put(Peer, 1, {keyOf("v2"), {5, 1, 0}});
+  Evidence.put(Peer, 1, {keyOf("v2"), {9, 2, 0}});
+  Evidence.put(Peer, 1, {keyOf("v2"), {5, 1, 0}});
+  CHECK(Evidence.ofRelease(Service, "v2").Requests == 9);
+  // A restarted VM counts anew, beside what its earlier start has told.
+  Evidence.put(Peer, 2, {keyOf("v2"), {3, 0, 0}});
+  CHECK(Evidence.ofRelease(Service, "v2").Requests == 12);
+}
--- /dev/null
+++ b/Tests/LibFleet/fleet_members_test.cpp
@@ -0,0 +1,41 @@
+#include "LibFleet/fleet_members.h"
+
+#include <doctest/doctest.h>
+
+using namespace azurehaven;
+
+namespace {
+
+const steady_time Start{std::chrono::hours(1)};
+
+member_entry entryOf(const std::string &Vm) {
+  return {vm_id(Vm),
+          failure_domain_id("a"),
+          {"127.0.0.1", 80},
+          {"127.0.0.1", 81},
+          1};
+}
+
+} // namespace
+
+TEST_CASE("One member is first for a piece of work") {
+  fleet_members Members;
+  for (int Index = 0; Index < 5; ++Index)
+    Members.put(entryOf("vm-" + std::to_string(Index)));
+  int First = 0;
+  for (const auto &Member : Members.all())
+    First += Members.isFirstFor("work", Member.Vm);
+  CHECK(First == 1);
+}
+
+TEST_CASE("A member that lapsed is kept until it is due, or written again") {
+  fleet_members Members;
+  Members.put(entryOf("vm-1"));
+  Members.put(entryOf("vm-2"));
+  Members.removeAt(vm_id("vm-1"), Start);
+  Members.removeAt(vm_id("vm-2"), Start);
+  Members.put(entryOf("vm-2"));
+  Members.removeDue(Start);
+  CHECK(Members.size() == 1);
+  CHECK(Members.find(vm_id("vm-2")));
+}
--- /dev/null
+++ b/Tests/LibFleet/member_registration_test.cpp
@@ -0,0 +1,79 @@
+#include "LibFleet/member_registration.h"
+
+#include "scripted_store.h"
+#include "virtual_scheduler.h"
+
+#include <doctest/doctest.h>
+
+using namespace azurehaven;
+
+namespace {
+
+member_entry selfEntry() {
+  return {vm_id("vm-1"),
+          failure_domain_id("a"),
+          {"127.0.0.1", 80},
+          {"127.0.0.1", 81},
+          7};
+}
+
+struct registration_fixture {
+  virtual_scheduler Scheduler;
+  scripted_store Store{Scheduler};
+  silent_event_log Log;
+  member_registration Registration{Store, Scheduler, Log, selfEntry()};
+};
+
+} // namespace
+
+TEST_CASE("A VM is listed under a lease that it renews") {
+  registration_fixture Fixture;
+  Fixture.Registration.start();
+  const auto Item = Fixture.Store.Items.at(memberKey(vm_id("vm-1")));
+  CHECK(Item.Lease == Fixture.Store.LiveLease);
+  auto Decoded = decodeMember(Item.Value);
+  REQUIRE_FALSE(isError(Decoded));
+  CHECK(valueOf(Decoded).CallerAddress.text() == "127.0.0.1:80");
+  Fixture.Scheduler.advance(milliseconds(10000));
+  CHECK(Fixture.Store.Renewals >= 10);
+}
+
+TEST_CASE("A lapsed lease is taken anew") {
+  registration_fixture Fixture;
+  Fixture.Registration.start();
+  Fixture.Store.LiveLease = NoLease;
+  Fixture.Store.Items.clear();
+  Fixture.Scheduler.advance(milliseconds(2000));
+  CHECK(Fixture.Store.Items.contains(memberKey(vm_id("vm-1"))));
+}
+
+TEST_CASE("A VM that starts without a store is listed once it is there") {
+  registration_fixture Fixture;
+  Fixture.Store.IsDown = true;
+  Fixture.Registration.start();
+  Fixture.Scheduler.advance(milliseconds(5000));
+  CHECK(Fixture.Store.Items.empty());
+  Fixture.Store.IsDown = false;
+  Fixture.Scheduler.advance(milliseconds(1000));
+  CHECK(Fixture.Store.Items.contains(memberKey(vm_id("vm-1"))));
+}
+
+TEST_CASE("A planned stop ends the lease and does not take another") {
+  registration_fixture Fixture;
+  Fixture.Registration.start();
+  const lease_id Lease = Fixture.Store.LiveLease;
+  Fixture.Registration.leave();
+  CHECK(Fixture.Store.EndedLease == Lease);
+  Fixture.Scheduler.advance(milliseconds(5000));
+  CHECK(Fixture.Store.LiveLease == Lease);
+}
+
+TEST_CASE("What is no member's entry is refused") {
+  for (const char *Text :
+       {"", "[]", "{}", R"({"vm":"a","caller_address":"x"})",
+        R"({"vm":"","failure_domain":"a","caller_address":"127.0.0.1:1",)"
+        R"("peer_address":"127.0.0.1:2","incarnation":1})"}) {
+    CAPTURE(Text);
+    CHECK(isError(decodeMember(Text)));
+  }
+}
--- /dev/null
+++ b/Tests/LibFleet/scripted_store.h
@@ -0,0 +1,121 @@
+#pragma once
+
+#include "LibFleet/event_scheduler.h"
+#include "LibStore/async_store.h"
+
+#include <map>
+
+namespace azurehaven {
+
+/// A store in memory whose outages and lapsed leases a test sets.
+class scripted_store : public async_store {
+public:
+  explicit scripted_store(event_scheduler &Scheduler) : Scheduler(Scheduler) {}
+
+  void put(const std::string &Key, const std::string &Value) {
+    Items[Key] = {Key, Value, ++Revision, NoLease};
+    tell({Key, Revision, Items[Key]});
+  }
+  void remove(const std::string &Key) {
+    Items.erase(Key);
+    tell({Key, ++Revision, std::nullopt});
+  }
+  /// A removal that no watch hears of.
+  void removeSilently(const std::string &Key) {
+    Items.erase(Key);
+    ++Revision;
+  }
+  void breakWatch() {
+    if (auto Handler = std::exchange(Watch, nullptr))
+      Handler(error{error_code::OutcomeUnknown, "cut"});
+  }
+  void loseHistory() {
+    if (auto Handler = std::exchange(Watch, nullptr))
+      Handler(history_lost{});
+  }
+
+  void readRange(const std::string &,
+                 store_handler<store_range> Handler) override {
+    ++Reads;
+    Scheduler.runAfter(Delay, [this, Handler] {
+      if (IsDown)
+        return Handler(error{error_code::Unavailable, "down"});
+      store_range Range;
+      Range.Revision = Revision;
+      for (const auto &[Key, Item] : Items)
+        Range.Items.push_back(Item);
+      Handler(Range);
+    });
+  }
+  void watch(const std::string &, std::uint64_t After, milliseconds Wait,
+             std::function<void(watch_outcome)> Handler) override {
+    WatchedAfter = After;
+    Watch = Handler;
+    const std::uint64_t Number = ++Watches;
+    Scheduler.runAfter(Wait, [this, Number] {
+      if (Number != Watches || !Watch)
+        return;
+      auto Quiet = std::exchange(Watch, nullptr);
+      if (IsDown)
+        Quiet(error{error_code::Unavailable, "down"});
+      else
+        Quiet(store_news{{}, Revision});
+    });
+  }
+  void commit(store_transaction Transaction,
+              store_handler<std::uint64_t> Handler) override {
+    if (IsDown)
+      return Handler(error{error_code::Unavailable, "down"});
+    for (const auto &Put : Transaction.Puts) {
+      Items[Put.Key] = {Put.Key, Put.Value, ++Revision, Put.Lease};
+      Commits.push_back(Put);
+    }
+    Handler(Revision);
+  }
+  void grantLease(milliseconds, store_handler<lease_id> Handler) override {
+    if (IsDown)
+      return Handler(error{error_code::Unavailable, "down"});
+    LiveLease = ++NextLease;
+    Handler(LiveLease);
+  }
+  void renewLease(lease_id Lease, store_handler<success> Handler) override {
+    ++Renewals;
+    if (IsDown)
+      return Handler(error{error_code::OutcomeUnknown, "down"});
+    if (Lease != LiveLease)
+      return Handler(error{error_code::NotFound, "no lease"});
+    Handler(success{});
+  }
+  void endLease(lease_id Lease, store_handler<success> Handler) override {
+    EndedLease = Lease;
+    Handler(success{});
+  }
+
+  event_scheduler &Scheduler;
+  std::map<std::string, store_item> Items;
+  std::uint64_t Revision = 1;
+  milliseconds Delay{4};
+  bool IsDown = false;
+  std::uint64_t Reads = 0;
+  std::uint64_t Watches = 0;
+  std::uint64_t WatchedAfter = 0;
+  std::uint64_t Renewals = 0;
+  lease_id NextLease = 100;
+  lease_id LiveLease = NoLease;
+  lease_id EndedLease = NoLease;
+  std::vector<store_put> Commits;
+
+private:
+  void tell(store_change Change) {
+    if (IsDown)
+      return;
+    if (auto Handler = std::exchange(Watch, nullptr)) {
+      ++Watches;
+      Handler(store_news{{std::move(Change)}, Revision});
+    }
+  }
+
+  std::function<void(watch_outcome)> Watch;
+};
+
+} // namespace azurehaven
--- /dev/null
+++ b/Tests/LibFleet/store_mirror_test.cpp
@@ -0,0 +1,136 @@
+#include "LibFleet/store_mirror.h"
+
+#include "scripted_store.h"
+#include "virtual_scheduler.h"
+
+#include <doctest/doctest.h>
+
+using namespace azurehaven;
+
+namespace {
+
+class recorder : public store_mirror_listener {
+public:
+  void onItem(const store_item &Item) override { Items[Item.Key] = Item.Value; }
+  void onRemoved(const std::string &Key, removal_cause Cause) override {
+    Items.erase(Key);
+    Removals[Key] = Cause;
+  }
+  void onConfirmed(steady_time At) override {
+    CHECK(At >= ConfirmedAt);
+    ConfirmedAt = At;
+  }
+  void onReachable() override { ++Regained; }
+  void onUnreachable(const std::string &) override { ++Lost; }
+
+  std::map<std::string, std::string> Items;
+  std::map<std::string, removal_cause> Removals;
+  steady_time ConfirmedAt{};
+  int Regained = 0;
+  int Lost = 0;
+};
+
+struct mirror_fixture {
+  virtual_scheduler Scheduler;
+  scripted_store Store{Scheduler};
+  recorder Recorder;
+  store_mirror Mirror{Store, Scheduler, Recorder, ""};
+
+  milliseconds confirmationAge() const {
+    return std::chrono::duration_cast<milliseconds>(Scheduler.now() -
+                                                    Recorder.ConfirmedAt);
+  }
+};
+
+} // namespace
+
+TEST_CASE("Everything in the store is told, then every change") {
+  mirror_fixture Fixture;
+  Fixture.Store.put("a", "1");
+  Fixture.Mirror.start();
+  Fixture.Scheduler.advance(milliseconds(10));
+  CHECK(Fixture.Recorder.Items["a"] == "1");
+  Fixture.Store.put("a", "2");
+  CHECK(Fixture.Recorder.Items["a"] == "2");
+  Fixture.Store.remove("a");
+  CHECK(Fixture.Recorder.Items.empty());
+  CHECK(Fixture.Recorder.Removals["a"] == removal_cause::Removed);
+}
+
+TEST_CASE("The confirmation stays young while nothing changes, by few calls") {
+  mirror_fixture Fixture;
+  Fixture.Mirror.start();
+  milliseconds Oldest{0};
+  for (int Step = 0; Step < 600; ++Step) {
+    Fixture.Scheduler.advance(milliseconds(100));
+    Oldest = std::max(Oldest, Fixture.confirmationAge());
+  }
+  // Keyed requests are refused from 3,000 ms on.
+  CHECK(Oldest < milliseconds(2800));
+  CHECK(Fixture.Store.Watches <= 60);
+}
+
+TEST_CASE("The confirmation stays young while changes come at any pace") {
+  for (const auto Pause : {milliseconds(80), milliseconds(1900)}) {
+    mirror_fixture Fixture;
+    Fixture.Mirror.start();
+    Fixture.Scheduler.advance(milliseconds(10));
+    for (int Step = 0; Step < 30; ++Step) {
+      Fixture.Scheduler.advance(Pause);
+      Fixture.Store.put("a", std::to_string(Step));
+      CHECK(Fixture.confirmationAge() < milliseconds(2800));
+    }
+  }
+}
+
+TEST_CASE("An outage is told once, and nothing is confirmed in it") {
+  mirror_fixture Fixture;
+  Fixture.Mirror.start();
+  Fixture.Scheduler.advance(milliseconds(10));
+  Fixture.Store.IsDown = true;
+  Fixture.Scheduler.advance(milliseconds(10000));
+  CHECK(Fixture.Recorder.Lost == 1);
+  CHECK(Fixture.confirmationAge() > milliseconds(7000));
+  const auto Reads = Fixture.Store.Reads;
+  CHECK(Reads < 30);
+  Fixture.Store.IsDown = false;
+  Fixture.Scheduler.advance(milliseconds(1000));
+  CHECK(Fixture.Recorder.Regained == 2);
+  CHECK(Fixture.confirmationAge() < milliseconds(1100));
+}
+
+TEST_CASE("A key that lapsed during an outage is told as such") {
+  mirror_fixture Fixture;
+  Fixture.Store.put("a", "1");
+  Fixture.Mirror.start();
+  Fixture.Scheduler.advance(milliseconds(10));
+  Fixture.Store.IsDown = true;
+  Fixture.Scheduler.advance(milliseconds(5000));
+  Fixture.Store.removeSilently("a");
+  Fixture.Store.IsDown = false;
+  Fixture.Scheduler.advance(milliseconds(1000));
+  CHECK(Fixture.Recorder.Removals["a"] == removal_cause::MissingAfterOutage);
+}
+
+TEST_CASE("Lost history means reading everything again") {
+  mirror_fixture Fixture;
+  Fixture.Store.put("a", "1");
+  Fixture.Mirror.start();
+  Fixture.Scheduler.advance(milliseconds(10));
+  Fixture.Store.removeSilently("a");
+  Fixture.Store.loseHistory();
+  Fixture.Scheduler.advance(milliseconds(10));
+  CHECK(Fixture.Recorder.Items.empty());
+  CHECK(Fixture.Recorder.Removals["a"] == removal_cause::Removed);
+  CHECK(Fixture.Recorder.Lost == 0);
+}
+
+TEST_CASE("A cut watch loses no change") {
+  mirror_fixture Fixture;
+  Fixture.Mirror.start();
+  Fixture.Scheduler.advance(milliseconds(10));
+  Fixture.Store.breakWatch();
+  Fixture.Store.put("a", "1");
+  Fixture.Scheduler.advance(milliseconds(1000));
+  CHECK(Fixture.Recorder.Items["a"] == "1");
+}
--- /dev/null
+++ b/Tests/LibRelay/fleet_exchange_test.cpp
@@ -0,0 +1,108 @@
+#include "LibRelay/fleet_exchange.h"
+
+#include <doctest/doctest.h>
+
+using namespace azurehaven;
+
+namespace {
+
+const steady_time Start{std::chrono::hours(1)};
+
+class test_clock : public clock_source {
+public:
+  steady_time now() const override { return Now; }
+  unix_millis wallNow() const override { return unix_millis(0); }
+  steady_time Now = Start;
+};
+
+class recording_network : public peer_network {
+public:
+  void setPeers(const std::map<vm_id, network_address> &NewPeers) override {
+    Peers = NewPeers;
+  }
+  void send(const vm_id &To, peer_message Message) override {
+    Sent.emplace_back(To, std::get<fleet_notice>(std::move(Message)));
+  }
+  peer_traffic traffic() const override { return {}; }
+
+  std::map<vm_id, network_address> Peers;
+  std::vector<std::pair<vm_id, fleet_notice>> Sent;
+};
+
+struct exchange_vm {
+  explicit exchange_vm(const char *Name)
+      : Fleet{vm_id(Name),
+              failure_domain_id("a"),
+              nullptr,
+              {},
+              {},
+              configuration_confirmation(std::nullopt),
+              retry_allowance({}),
+              session_pins(milliseconds(5000)),
+              rollout_control(0.1)} {
+    for (const char *Vm : {"vm-1", "vm-2"})
+      Fleet.Members.put({vm_id(Vm),
+                         failure_domain_id("a"),
+                         {"127.0.0.1", 80},
+                         {"127.0.0.1", 81},
+                         1});
+    endpoint_facts Facts;
+    Facts.Id = endpoint_id("e");
+    Facts.Service = service_id("s");
+    Fleet.Endpoints.put(Facts, Start);
+  }
+
+  test_clock Clock;
+  recording_network Network;
+  fleet_state Fleet;
+  fleet_exchange Exchange{Fleet, Clock, Network};
+};
+
+void deliver(exchange_vm &From, exchange_vm &To) {
+  From.Exchange.tell();
+  REQUIRE(From.Network.Sent.size() == 1);
+  To.Exchange.onFrame({From.Fleet.Self, 1, From.Network.Sent.back().second});
+  From.Network.Sent.clear();
+}
+
+} // namespace
+
+TEST_CASE("Work, outcomes, sessions and breakdowns reach the other VM") {
+  exchange_vm First("vm-1");
+  exchange_vm Second("vm-2");
+  First.Fleet.Endpoints.find(endpoint_id("e"))->InFlight = 3;
+  First.Fleet.Endpoints.find(endpoint_id("e"))->PromptWork = 500;
+  First.Fleet.Evidence.add({service_id("s"), "v2", "r"}, {4, 1, 0});
+  First.Fleet.Pins.note(9, "v2", Start);
+  for (const char *Endpoint : {"a", "b", "c"})
+    First.Fleet.Quarantine.add(7, endpoint_id(Endpoint), Start);
+  deliver(First, Second);
+  const auto Endpoint = Second.Fleet.Endpoints.find(endpoint_id("e"));
+  CHECK(Endpoint->PeersInFlight == 3);
+  CHECK(Endpoint->PeersPromptWork == doctest::Approx(500));
+  CHECK(Second.Fleet.Evidence.ofRelease(service_id("s"), "v2").Requests == 4);
+  CHECK(Second.Fleet.Pins.releaseOf(9, Start) == "v2");
+  CHECK(Second.Fleet.Quarantine.isRefused(7));
+}
+
+TEST_CASE("A later notice replaces what is under way, outcomes count once") {
+  exchange_vm First("vm-1");
+  exchange_vm Second("vm-2");
+  First.Fleet.Endpoints.find(endpoint_id("e"))->InFlight = 3;
+  First.Fleet.Evidence.add({service_id("s"), "v2", "r"}, {4, 1, 0});
+  deliver(First, Second);
+  First.Fleet.Endpoints.find(endpoint_id("e"))->InFlight = 1;
+  deliver(First, Second);
+  CHECK(Second.Fleet.Endpoints.find(endpoint_id("e"))->PeersInFlight == 1);
+  CHECK(Second.Fleet.Evidence.ofRelease(service_id("s"), "v2").Requests == 4);
+}
+
+TEST_CASE("The work of a VM that has gone silent is forgotten") {
+  exchange_vm First("vm-1");
+  exchange_vm Second("vm-2");
+  First.Fleet.Endpoints.find(endpoint_id("e"))->InFlight = 3;
+  deliver(First, Second);
+  Second.Clock.Now += milliseconds(3000);
+  Second.Exchange.expire();
+  CHECK(Second.Fleet.Endpoints.find(endpoint_id("e"))->PeersInFlight == 0);
+}
--- /dev/null
+++ b/Tests/LibRelay/plain_dialect.h
@@ -0,0 +1,69 @@
+#pragma once
+
+#include "LibRelay/wire_dialect.h"
+
+namespace azurehaven {
+
+/// A dialect of short field names for tests of the relay.
+class plain_dialect : public wire_dialect {
+public:
+  result<dispatch_request>
+  decodeRequest(const request_head &Head) const override {
+    dispatch_request Request;
+    Request.Id = request_id(headerValue(Head.Headers, "Id"));
+    if (Request.Id.empty())
+      return error{error_code::InvalidInput, "no id"};
+    Request.Method = Head.Method;
+    Request.Host = headerValue(Head.Headers, "Host");
+    Request.Path = Head.Target;
+    Request.ApiKey = headerValue(Head.Headers, "Key");
+    Request.AskedModel = headerValue(Head.Headers, "Model");
+    const std::string Deadline = headerValue(Head.Headers, "Deadline");
+    if (!Deadline.empty())
+      Request.Deadline = milliseconds(std::stoi(Deadline));
+    return Request;
+  }
+  std::string encodeSend(const request_head &Head,
+                         const dispatch_request &Request,
+                         const endpoint_send &Send) const override {
+    std::string Text = Head.Method + " " + Head.Target +
+                       " HTTP/1.1\r\nHost: " + Request.Host +
+                       "\r\nId: " + Request.Id.text() +
+                       "\r\nEndpoint: " + Send.Endpoint.text() +
+                       "\r\nContent-Length: " + std::to_string(Send.BodySize);
+    if (Send.ResumeAfter)
+      Text += "\r\nAfter: " + std::to_string(*Send.ResumeAfter);
+    if (Send.Model)
+      Text += "\r\nModel: " + Send.Model->text();
+    return Text + "\r\n\r\n";
+  }
+  endpoint_answer decodeAnswer(const response_head &Head,
+                               steady_time) const override {
+    endpoint_answer Answer;
+    Answer.Status = Head.Status;
+    if (auto Id = headerValue(Head.Headers, "Id"); !Id.empty())
+      Answer.Answers = request_id(Id);
+    Answer.IsSigned = !headerValue(Head.Headers, "Signed").empty();
+    Answer.WasNotExecuted = !headerValue(Head.Headers, "Not-Run").empty();
+    if (auto Text = headerValue(Head.Headers, "Confidence"); !Text.empty())
+      Answer.Confidence = std::stoi(Text);
+    return Answer;
+  }
+  http_headers passedOnFields(const response_head &Head) const override {
+    http_headers Passed;
+    for (const auto &Field : Head.Headers)
+      if (!isConnectionField(Field.first, Head.Headers))
+        Passed.push_back(Field);
+    return Passed;
+  }
+  http_headers
+  ownAnswerFields(const request_id &,
+                  std::optional<milliseconds> RetryAfter) const override {
+    http_headers Fields{{"Own", "1"}};
+    if (RetryAfter)
+      Fields.emplace_back("Retry-After", std::to_string(RetryAfter->count()));
+    return Fields;
+  }
+};
+
+} // namespace azurehaven
--- /dev/null
+++ b/Tests/LibRelay/relay_fixture.cpp
@@ -0,0 +1,197 @@
+#include "relay_fixture.h"
+
+#include <asio/write.hpp>
+
+#include <doctest/doctest.h>
+
+namespace azurehaven {
+
+/// Accepts connections, reads whole requests and answers by the script.
+class relay_fixture::scripted_endpoint {
+public:
+  scripted_endpoint(relay_fixture &Fixture, std::string Name)
+      : Fixture(Fixture), Name(std::move(Name)),
+        Acceptor(Fixture.Loop, {asio::ip::make_address("127.0.0.1"), 0}) {
+    accept();
+  }
+  network_address address() const {
+    return {"127.0.0.1", Acceptor.local_endpoint().port()};
+  }
+
+private:
+  struct session {
+    session(asio::ip::tcp::socket Socket) : Socket(std::move(Socket)) {}
+    asio::ip::tcp::socket Socket;
+    request_parser Parser{caller_limits()};
+    std::string Unparsed;
+    std::array<char, 4096> Buffer{};
+  };
+
+  void accept() {
+    Acceptor.async_accept(
+        [this](const asio::error_code &Code, asio::ip::tcp::socket Socket) {
+          if (Code)
+            return;
+          read(std::make_shared<session>(std::move(Socket)));
+          accept();
+        });
+  }
+
+  void read(const std::shared_ptr<session> &Session) {
+    Session->Socket.async_read_some(
+        asio::buffer(Session->Buffer),
+        [this, Session](const asio::error_code &Code, std::size_t Size) {
+          if (Code) {
+            ++Fixture.ClosedByRelay;
+            return;
+          }
+          Session->Unparsed.append(Session->Buffer.data(), Size);
+          const std::size_t Used = Session->Parser.consume(Session->Unparsed);
+          Session->Unparsed.erase(0, Used);
+          if (Session->Parser.isComplete())
+            answer(Session);
+          if (Session->Socket.is_open())
+            read(Session);
+        });
+  }
+
+  void answer(const std::shared_ptr<session> &Session) {
+    Fixture.Received.push_back(
+        {Name, Session->Parser.head(), Session->Parser.body()});
+    Session->Parser.reset();
+    const scripted_response Response =
+        Fixture.Script(Fixture.Received.size() - 1, Fixture.Received.back());
+    asio::error_code Ignored;
+    asio::write(Session->Socket, asio::buffer(Response.Bytes), Ignored);
+    if (Response.After == after_response::Close)
+      Session->Socket.shutdown(asio::socket_base::shutdown_both, Ignored);
+    if (Response.After == after_response::Reset)
+      Session->Socket.set_option(asio::socket_base::linger(true, 0), Ignored);
+    if (Response.After == after_response::Close ||
+        Response.After == after_response::Reset)
+      Session->Socket.close(Ignored);
+  }
+
+  relay_fixture &Fixture;
+  const std::string Name;
+  asio::ip::tcp::acceptor Acceptor;
+};
+
+relay_fixture::relay_fixture(std::size_t EndpointCount)
+    : Fleet{vm_id("vm-1"),
+            failure_domain_id("a"),
+            nullptr,
+            {},
+            {},
+            configuration_confirmation(milliseconds(60000)),
+            retry_allowance({0.9, milliseconds(10000), 100}),
+            session_pins(milliseconds(5000)),
+            rollout_control(0.15)},
+      Connections(Loop.get_executor(), connection_timing{}),
+      Context{Loop.get_executor(), Clock,  Dialect, Log, Metrics, Fleet,
+              Connections,         nullptr},
+      Relay(Context) {
+  for (std::uint16_t Port = 43000; Port < 44000 && !Listener; ++Port) {
+    CallerAddress = {"127.0.0.1", Port};
+    auto Result = connection_listener::listen(Loop, CallerAddress, Relay, 100);
+    if (!isError(Result))
+      Listener = std::move(valueOf(Result));
+  }
+  REQUIRE(Listener);
+  for (std::size_t Index = 0; Index < EndpointCount; ++Index) {
+    const std::string Name = "e" + std::to_string(Index);
+    Endpoints.push_back(std::make_unique<scripted_endpoint>(*this, Name));
+    endpoint_facts Facts;
+    Facts.Id = endpoint_id(Name);
+    Facts.Service = service_id("s");
+    Facts.Address = Endpoints.back()->address();
+    Facts.Domain = failure_domain_id("a");
+    Fleet.Endpoints.put(Facts, Clock.now());
+  }
+  Content.Version = 1;
+  Content.Pools.push_back({service_id("s"), 64, std::nullopt});
+}
+
+relay_fixture::~relay_fixture() {
+  // Requests and connections end while everything that they refer to is there.
+  for (active_request *Request : std::set(Context.ActiveRequests))
+    Request->endNow();
+  Listener.reset();
+  Loop.restart();
+  Loop.poll();
+}
+
+route &relay_fixture::addRoute(const std::string &Prefix, work_kind Kind) {
+  route Route;
+  Route.Name = Prefix;
+  Route.Host = "h";
+  Route.PathPrefix = Prefix;
+  Route.Kind = Kind;
+  Route.Timeout = milliseconds(20000);
+  Route.MaxAttempts = 3;
+  Route.IsResumable = Kind == work_kind::Stream;
+  Route.Shares = {{service_id("s"), 1}};
+  Content.Routes.push_back(Route);
+  return Content.Routes.back();
+}
+
+void relay_fixture::applyRoutes() {
+  Fleet.Routes = std::make_shared<const route_table>(Content);
+  Fleet.Confirmation.confirm(Clock.now());
+}
+
+std::shared_ptr<endpoint_connection>
+relay_fixture::startAsking(const std::string &Path, call_handler Handler) {
+  auto Connection = std::make_shared<endpoint_connection>(
+      Loop.get_executor(), CallerAddress, connection_timing{});
+  outgoing_request Request;
+  Request.Head = "GET " + Path + " HTTP/1.1\r\nHost: h\r\nId: r1\r\n\r\n";
+  startCall(Connection, Request, std::chrono::seconds(30), std::move(Handler));
+  return Connection;
+}
+
+call_result relay_fixture::ask(const std::string &Path,
+                               const std::string &Fields,
+                               const std::string &Body) {
+  auto Connection = std::make_shared<endpoint_connection>(
+      Loop.get_executor(), CallerAddress, connection_timing{});
+  outgoing_request Request;
+  Request.Head = "POST " + Path + " HTTP/1.1\r\nHost: h\r\nId: r1\r\n" +
+                 Fields + "Content-Length: " + std::to_string(Body.size()) +
+                 "\r\n\r\n";
+  Request.Body = std::make_shared<const std::string>(Body);
+  std::optional<call_result> Answer;
+  startCall(Connection, Request, std::chrono::seconds(30),
+            [&](call_result Result) { Answer = std::move(Result); });
+  runUntil([&] { return Answer.has_value(); });
+  Connection->abort();
+  return *Answer;
+}
+
+void relay_fixture::runUntil(const std::function<bool()> &IsDone) {
+  while (!IsDone())
+    Loop.run_one();
+}
+
+std::string wholeResponse(int Status, const std::string &Fields,
+                          const std::string &Body) {
+  return "HTTP/1.1 " + std::to_string(Status) + " X\r\n" + Fields +
+         "Content-Length: " + std::to_string(Body.size()) + "\r\n\r\n" + Body;
+}
+
+int statusOf(const call_result &Result) {
+  const auto *Response = std::get_if<http_response>(&Result);
+  return Response ? Response->Status : 0;
+}
+
+std::string bodyOf(const call_result &Result) {
+  const auto *Response = std::get_if<http_response>(&Result);
+  return Response ? Response->Body : "";
+}
+
+std::string fieldOf(const call_result &Result, const std::string &Name) {
+  const auto *Response = std::get_if<http_response>(&Result);
+  return Response ? headerValue(Response->Headers, Name) : "";
+}
+
+} // namespace azurehaven
--- /dev/null
+++ b/Tests/LibRelay/rollout_driver_test.cpp
@@ -0,0 +1,116 @@
+#include "LibRelay/rollout_driver.h"
+
+#include <doctest/doctest.h>
+
+using namespace azurehaven;
+
+namespace {
+
+class test_clock : public clock_source {
+public:
+  steady_time now() const override { return Now; }
+  unix_millis wallNow() const override { return unix_millis(500000); }
+  steady_time Now{std::chrono::hours(1)};
+};
+
+class recording_publisher : public rollout_publisher {
+public:
+  void publish(const rollout_order &, rollout_outcome Outcome,
+               std::uint64_t Revision, std::vector<store_put> Further,
+               store_handler<std::uint64_t> NewHandler) override {
+    Outcomes.push_back(Outcome);
+    Revisions.push_back(Revision);
+    Records = std::move(Further);
+    Handler = std::move(NewHandler);
+  }
+  std::vector<rollout_outcome> Outcomes;
+  std::vector<std::uint64_t> Revisions;
+  std::vector<store_put> Records;
+  store_handler<std::uint64_t> Handler;
+};
+
+struct driver_vm {
+  explicit driver_vm(const std::string &Name)
+      : Fleet{vm_id(Name),
+              failure_domain_id("a"),
+              nullptr,
+              {},
+              {},
+              configuration_confirmation(std::nullopt),
+              retry_allowance({}),
+              session_pins(milliseconds(5000)),
+              rollout_control(0.1)} {
+    for (const char *Vm : {"vm-1", "vm-2", "vm-3"})
+      Fleet.Members.put({vm_id(Vm),
+                         failure_domain_id("a"),
+                         {"127.0.0.1", 80},
+                         {"127.0.0.1", 81},
+                         1});
+    Fleet.Rollouts.onOrder({service_id("s"), "v2", milliseconds(10000), 7},
+                           milliseconds(0), Clock.Now);
+  }
+  void pass(milliseconds Time) {
+    Clock.Now += Time;
+    Driver.advance();
+  }
+
+  test_clock Clock;
+  silent_event_log Log;
+  recording_publisher Publisher;
+  fleet_state Fleet;
+  rollout_driver Driver{Fleet, Clock, Log, Publisher};
+};
+
+} // namespace
+
+TEST_CASE("One VM publishes; the others only if it does not") {
+  int AtOnce = 0;
+  for (const char *Name : {"vm-1", "vm-2", "vm-3"}) {
+    driver_vm Vm(Name);
+    Vm.pass(milliseconds(0));
+    AtOnce += static_cast<int>(Vm.Publisher.Outcomes.size());
+    Vm.pass(milliseconds(2000));
+    CHECK(Vm.Publisher.Outcomes.size() == 1);
+  }
+  CHECK(AtOnce == 1);
+}
+
+TEST_CASE("A lost write is tried again, one at a time") {
+  driver_vm Vm("vm-1");
+  Vm.pass(milliseconds(1000));
+  Vm.pass(milliseconds(1000));
+  Vm.pass(milliseconds(1000));
+  CHECK(Vm.Publisher.Outcomes.size() == 1);
+  Vm.Publisher.Handler(error{error_code::OutcomeUnknown, "lost"});
+  Vm.pass(milliseconds(1000));
+  CHECK(Vm.Publisher.Outcomes.size() == 2);
+}
+
+TEST_CASE("What another VM has published is not published again") {
+  driver_vm Vm("vm-1");
+  Vm.Fleet.Rollouts.onOutcome(service_id("s"), "v2",
+                              rollout_outcome::InProgress, 8);
+  Vm.pass(milliseconds(3000));
+  CHECK(Vm.Publisher.Outcomes.empty());
+}
+
+TEST_CASE("The end replaces what was published before, with a record") {
+  driver_vm Vm("vm-1");
+  Vm.Fleet.Rollouts.onOutcome(service_id("s"), "v2",
+                              rollout_outcome::InProgress, 8);
+  Vm.pass(milliseconds(9000));
+  Vm.pass(milliseconds(1000));
+  REQUIRE(Vm.Publisher.Outcomes.size() == 1);
+  CHECK(Vm.Publisher.Outcomes.front() == rollout_outcome::Completed);
+  CHECK(Vm.Publisher.Revisions.front() == 8);
+  auto Record = decodeRolloutRecord(Vm.Publisher.Records.front().Value);
+  REQUIRE_FALSE(isError(Record));
+  CHECK(valueOf(Record).Target == "v2");
+}
+
+TEST_CASE("A stopping VM publishes nothing") {
+  driver_vm Vm("vm-1");
+  Vm.Fleet.IsStopping = true;
+  Vm.pass(milliseconds(3000));
+  CHECK(Vm.Publisher.Outcomes.empty());
+}
--- /dev/null
+++ b/Tests/platform/documents_test.cpp
@@ -0,0 +1,122 @@
+#include "platform/base64.h"
+#include "platform/configuration_document.h"
+#include "platform/endpoint_document.h"
+#include "platform/engine_calls.h"
+#include "platform/rollout_documents.h"
+
+#include <doctest/doctest.h>
+
+using namespace azurehaven;
+using namespace azurehaven::platform;
+
+namespace {
+
+const std::string Configuration = R"({"version":7,"routes":[
+{"name":"r","host":"h","path_prefix":"/p/","kind":"streaming","timeout_ms":8000,
+"slo_ms":2000,"priority":1,"sizes":["a","b"],"split":[{"service":"s","weight":90},
+{"service":"t","weight":10}],"max_attempts":3,"public":false,"resumable":true,
+"gap_aim_ms":1500},
+{"name":"q","host":"h","path_prefix":"/q/","kind":"non_idempotent","service":"t"}],
+"services":[{"name":"s","max_conns":360,"engine":{"slots":64,"kv_capacity":1000,
+"models":[{"name":"a","cost":0.008}]}},{"name":"t","max_conns":96}],
+"limits":{"max_header_bytes":1000,"idle_timeout_ms":15000},
+"tenants":[{"name":"n","api_keys":["k1","k2"],"priority":1}]})";
+
+std::string endpointWith(const std::string &Change) {
+  return R"({"service":"s","address":"10.0.0.1:80","zone":"a","version":"v1",)"
+         R"("slots":64,"state":"ready","cold_left_ms":0,"call_seq":4)" +
+         Change + "}";
+}
+
+} // namespace
+
+TEST_CASE("A configuration is decoded as a whole") {
+  auto Decoded = decodeConfiguration(Configuration);
+  REQUIRE_FALSE(isError(Decoded));
+  const auto &Content = valueOf(Decoded);
+  CHECK(Content.Version == 7);
+  REQUIRE(Content.Routes.size() == 2);
+  const route &Route = Content.Routes.front();
+  CHECK(Route.Kind == work_kind::Stream);
+  CHECK(Route.Timeout == milliseconds(8000));
+  CHECK(Route.Objective == milliseconds(2000));
+  CHECK(Route.Shares.size() == 2);
+  CHECK(Route.mayRepeat());
+  CHECK_FALSE(Content.Routes.back().mayRepeat());
+  CHECK(Content.Routes.back().Shares.front().Service == service_id("t"));
+  CHECK(Content.Pools.front().Engine->BatchSlots == 64);
+  CHECK(Content.Pools.front().costOf(model_id("a")) == doctest::Approx(0.008));
+  CHECK(Content.NeedsKeys);
+  CHECK(Content.AccountsByKey.at("k2").Account == client_account_id("n"));
+  CHECK(Content.Bounds.HeaderBytes == 1000);
+}
+
+TEST_CASE("Half a configuration is none") {
+  for (const char *Text :
+       {"", "{}", "[]", R"({"version":1,"routes":{},"services":[]})",
+        R"({"version":1,"routes":[{"host":"h"}],"services":[]})",
+        R"({"version":-1,"routes":[],"services":[]})",
+        R"({"version":1,"routes":[{"host":"h","path_prefix":"/","kind":"x"}],)"
+        R"("services":[]})"}) {
+    CAPTURE(Text);
+    CHECK(isError(decodeConfiguration(Text)));
+  }
+}
+
+TEST_CASE("An endpoint's entry is decoded") {
+  auto Decoded = decodeEndpoint("i", endpointWith(R"(,"born":1700000000000)"));
+  REQUIRE_FALSE(isError(Decoded));
+  CHECK(valueOf(Decoded).Id == endpoint_id("i"));
+  CHECK(valueOf(Decoded).Address.text() == "10.0.0.1:80");
+  CHECK(valueOf(Decoded).Incarnation == 1700000000000);
+  CHECK_FALSE(valueOf(Decoded).IsLeaving);
+}
+
+TEST_CASE("An entry by another writer names no endpoint") {
+  for (const char *Change :
+       {R"(,"state":"resting")", R"(,"slots":"many")", R"(,"slots":0)",
+        R"(,"address":"here")", R"(,"born":"yesterday")", R"(,"born":1.5)",
+        R"(,"service":"")", R"(,"zone":7)", R"(,"version":2)",
+        R"(,"cold_left_ms":"long")", R"(,"call_seq":null)"}) {
+    CAPTURE(Change);
+    CHECK(isError(decodeEndpoint("i", endpointWith(Change))));
+  }
+  CHECK(isError(decodeEndpoint("i", "\xff\xfe")));
+}
+
+TEST_CASE("Orders and outcomes of roll-outs are decoded and encoded") {
+  auto Order = decodeRolloutOrder(
+      "s", R"({"service":"s","target":"v2","duration_s":12.5})", 9);
+  REQUIRE_FALSE(isError(Order));
+  CHECK(valueOf(Order).TimeLimit == milliseconds(12500));
+  for (const auto Outcome :
+       {rollout_outcome::InProgress, rollout_outcome::Completed,
+        rollout_outcome::RolledBack}) {
+    auto Status =
+        decodeRolloutStatus(encodeRolloutStatus(valueOf(Order), Outcome));
+    REQUIRE_FALSE(isError(Status));
+    CHECK(valueOf(Status).Outcome == Outcome);
+    CHECK(valueOf(Status).Target == "v2");
+  }
+  CHECK(isError(decodeRolloutOrder("s", R"({"target":"v2"})", 9)));
+  CHECK(isError(decodeRolloutStatus(R"({"target":"v2","state":"odd"})")));
+}
+
+TEST_CASE("An engine's report is decoded") {
+  auto Report = decodeReport(R"({"queued":1,"running":2,"kv_used":10,)"
+                             R"("kv_total":20,"runs":[["id",5,3,5],["x"],7]})");
+  REQUIRE_FALSE(isError(Report));
+  CHECK(valueOf(Report).Running == 2);
+  CHECK(valueOf(Report).EventsByRun.size() == 1);
+  CHECK(valueOf(Report).EventsByRun.at(request_id("id")) == 3);
+  CHECK(isError(decodeReport("{}")));
+}
+
+TEST_CASE("Base64 goes both ways") {
+  for (const std::string &Bytes :
+       {std::string(), std::string("a"), std::string("ab"), std::string("abc"),
+        std::string("\0\xff", 2)})
+    CHECK(decodeBase64(encodeBase64(Bytes)) == Bytes);
+  CHECK_FALSE(decodeBase64("abc"));
+  CHECK_FALSE(decodeBase64("a!=="));
+}
--- /dev/null
+++ b/Tests/platform/header_dialect_test.cpp
@@ -0,0 +1,137 @@
+#include "platform/header_dialect.h"
+
+#include <doctest/doctest.h>
+
+using namespace azurehaven;
+using namespace azurehaven::platform;
+
+namespace {
+
+const steady_time Start{std::chrono::hours(1)};
+
+request_head callerHead() {
+  return {"POST",
+          "/p/x?q=1",
+          {{"Host", "H.example:80"},
+           {"Azurehaven-Attempt-Id", "id1"},
+           {"Azurehaven-Model", "*"},
+           {"Azurehaven-Token-Usage", "1460,80"},
+           {"Azurehaven-Prompt-Prefix", "5c:800,91:410,e4:250"},
+           {"Azurehaven-Deadline-Ms", "15000"},
+           {"Authorization", "Bearer key1"},
+           {"Session", "s1"},
+           {"X-Own", "kept"},
+           {"X-Hop", "dropped"},
+           {"Connection", "keep-alive, X-Hop"},
+           {"Azurehaven-Tenant", "forged"},
+           {"Azurehaven-Hold", "forged"},
+           {"Azurehaven-Pin-Ms", "1"},
+           {"Azurehaven-Kv-Backup", "forged"},
+           {"Azurehaven-Request-Urgency", "0"},
+           {"Kv-From", "forged"},
+           {"Last-Event-Id", "12"}},
+          true};
+}
+
+endpoint_send sendTo() {
+  endpoint_send Send;
+  Send.Endpoint = endpoint_id("i-7");
+  Send.Account = client_account_id("acc");
+  Send.TimeLeft = milliseconds(900);
+  Send.Model = model_id("m0");
+  Send.ResumeAfter = 15;
+  Send.BodySize = 3;
+  return Send;
+}
+
+bool has(const std::string &Text, const std::string &Line) {
+  return Text.find("\r\n" + Line + "\r\n") != std::string::npos;
+}
+
+} // namespace
+
+TEST_CASE("A caller's request is decoded once into typed fields") {
+  auto Decoded = header_dialect().decodeRequest(callerHead());
+  REQUIRE_FALSE(isError(Decoded));
+  const dispatch_request &Request = valueOf(Decoded);
+  CHECK(Request.Id == request_id("id1"));
+  CHECK(Request.Host == "h.example");
+  CHECK(Request.Path == "/p/x");
+  CHECK(Request.ApiKey == "key1");
+  CHECK(Request.Deadline == milliseconds(15000));
+  CHECK(Request.PromptTokens == 1460);
+  CHECK(Request.OutputTokens == 80);
+  REQUIRE(Request.Prompt.size() == 3);
+  CHECK(Request.Prompt[1].Tokens == 410);
+  CHECK(Request.Session == "s1");
+  CHECK(Request.LastEventId == 12);
+  CHECK(Request.leavesModelOpen());
+}
+
+TEST_CASE("An endpoint gets the caller's fields and the system's own") {
+  const header_dialect Dialect;
+  const auto Request = valueOf(Dialect.decodeRequest(callerHead()));
+  const std::string Text = Dialect.encodeSend(callerHead(), Request, sendTo());
+  CHECK(Text.starts_with("POST /p/x?q=1 HTTP/1.1\r\n"));
+  CHECK(Text.ends_with("\r\n\r\n"));
+  for (const char *Line :
+       {"Azurehaven-Attempt-Id: id1", "X-Own: kept", "Azurehaven-Model: m0",
+        "Azurehaven-Tenant: acc", "Azurehaven-Expect-Instance: i-7",
+        "Azurehaven-Deadline-Ms: 900", "Last-Event-Id: 15",
+        "Content-Length: 3"}) {
+    CAPTURE(Line);
+    CHECK(has(Text, Line));
+  }
+  for (const char *Forbidden :
+       {"Authorization", "forged", "key1", "X-Hop", "Pin-Ms", "Urgency",
+        "Model: *", "Last-Event-Id: 12", "Connection"}) {
+    CAPTURE(Forbidden);
+    CHECK(Text.find(Forbidden) == std::string::npos);
+  }
+}
+
+TEST_CASE("Requests that name two ids or keys are refused") {
+  for (const char *Name : {"Azurehaven-Attempt-Id", "Authorization"}) {
+    request_head Head = callerHead();
+    Head.Headers.emplace_back(Name, "other");
+    CHECK(isError(header_dialect().decodeRequest(Head)));
+  }
+}
+
+TEST_CASE("An endpoint's response head is decoded") {
+  const response_head Head{503,
+                           {{"azurehaven-attempt-id", "id1"},
+                            {"Azurehaven-Not-Executed", "1"},
+                            {"Azurehaven-Server-Load", "3,1,8"},
+                            {"Azurehaven-Confidence", "61"},
+                            {"Keep-Alive", "timeout=5, max=100"}}};
+  const auto Answer = header_dialect().decodeAnswer(Head, Start);
+  CHECK(Answer.Answers == request_id("id1"));
+  CHECK(Answer.WasNotExecuted);
+  CHECK_FALSE(Answer.IsSigned);
+  REQUIRE(Answer.Load);
+  CHECK(Answer.Load->Running == 3);
+  CHECK(Answer.Confidence == 61);
+  CHECK(Answer.IdleLimit == milliseconds(4000));
+  CHECK(header_dialect().decodeAnswer({421, {}}, Start).WasNotExecuted);
+  CHECK_FALSE(header_dialect().decodeAnswer({503, {}}, Start).WasNotExecuted);
+}
+
+TEST_CASE("The caller gets the endpoint's fields but those meant for us") {
+  const response_head Head{200,
+                           {{"Azurehaven-Response-Seal", "seal"},
+                            {"Azurehaven-Server-Load", "1,2,3"},
+                            {"Azurehaven-Instance-Id", "i"},
+                            {"Transfer-Encoding", "chunked"},
+                            {"Content-Type", "text/plain"}}};
+  const auto Passed = header_dialect().passedOnFields(Head);
+  CHECK(Passed.size() == 2);
+  CHECK(headerValue(Passed, "Azurehaven-Response-Seal") == "seal");
+}
+
+TEST_CASE("A refusal says when to come back, in seconds") {
+  const auto Fields =
+      header_dialect().ownAnswerFields(request_id("id1"), milliseconds(250));
+  CHECK(headerValue(Fields, "Retry-After") == "0.250");
+  CHECK(headerValue(Fields, "Azurehaven-Response-Seal").empty());
+}
--- /dev/null
+++ b/Tests/platform/node_file_test.cpp
@@ -0,0 +1,76 @@
+#include "platform/node_file.h"
+
+#include <doctest/doctest.h>
+
+using namespace azurehaven;
+using namespace azurehaven::platform;
+
+namespace {
+
+const std::string Good = R"(
+node: "front-a-1"
+zone: "a"
+listen:
+  front: "10.1.0.40:8227"
+  ready: "10.1.0.40:8220"
+  directory: "10.1.0.40:8224"
+port_range: [7340, 7355]
+limits: { max_fds: 4100 }
+bounds:
+  grace_s: 8
+  fail_closed: true
+  revoke_ms: 5000
+  retry_budget_ratio: 0.9
+  budget_window_s: 10
+  budget_slack: 52
+  expose_share: 0.15
+provider: { address: "10.200.1.7:8223" }
+some_new_field: [1, 2]
+)";
+
+} // namespace
+
+TEST_CASE("The platform's settings become the product's") {
+  std::vector<std::string> Faults;
+  const node_settings Settings = decodeNodeFile(Good, Faults);
+  CHECK(Faults.empty());
+  CHECK(Settings.Relay.Vm == vm_id("front-a-1"));
+  CHECK(Settings.Relay.Domain == failure_domain_id("a"));
+  CHECK(Settings.Relay.PeerAddress.text() == "10.1.0.40:7340");
+  CHECK(Settings.Relay.StopGrace == milliseconds(8000));
+  CHECK(Settings.Relay.RevokeBound == milliseconds(5000));
+  CHECK(Settings.Relay.Retries.Window == milliseconds(10000));
+  CHECK(Settings.Relay.Exposure.Share == doctest::Approx(0.15));
+  CHECK(Settings.StoreAddress.text() == "10.200.1.7:8223");
+}
+
+TEST_CASE("Every fault is named with its field and value") {
+  std::vector<std::string> Faults;
+  decodeNodeFile(R"(
+listen: { front: "nowhere", ready: 5 }
+port_range: 7
+bounds: { grace_s: soon, fail_closed: 12 }
+)",
+                 Faults);
+  const auto Names = [&](const std::string &Field) {
+    return std::any_of(Faults.begin(), Faults.end(), [&](const auto &Fault) {
+      return Fault.starts_with(Field + ": ");
+    });
+  };
+  for (const char *Field :
+       {"node", "zone", "listen.front", "listen.ready", "listen.directory",
+        "provider.address", "port_range", "bounds.grace_s",
+        "bounds.fail_closed"}) {
+    CAPTURE(Field);
+    CHECK(Names(Field));
+  }
+}
+
+TEST_CASE("What is no YAML table is one fault") {
+  for (const char *Text : {"", "[1, 2]", "{", "just text"}) {
+    CAPTURE(Text);
+    std::vector<std::string> Faults;
+    decodeNodeFile(Text, Faults);
+    CHECK(Faults.size() == 1);
+  }
+}
