LibRelay: Keep a request on a silent engine that it can't leave

Ruled out: the planned stop itself (four seconds of grace were left). The new test got an empty answer before, 'late' after.

--- a/Libraries/LibDispatch/endpoint_roster.h
+++ b/Libraries/LibDispatch/endpoint_roster.h
@@ -74,6 +74,7 @@
   std::shared_ptr<const engine_report> Report;
   steady_time ReportAt;
   bool IsBeingAsked = false;
+  unsigned FailedInspections = 0;
   /// Set where the entry has vanished while the store was away.
   std::optional<steady_time> RemoveAt;
 
--- a/Libraries/LibRelay/liveness_watch.cpp
+++ b/Libraries/LibRelay/liveness_watch.cpp
@@ -10,6 +10,10 @@
 /// long prompt keeps an engine silent for a second.
 constexpr milliseconds EngineSilence{700};
 constexpr milliseconds AskEvery{700};
+constexpr milliseconds AskAgainAfterFailure{100};
+/// An engine with a long queue turns connections away: one failed question
+/// says little.
+constexpr unsigned InspectionsToGiveUp = 2;
 constexpr milliseconds CheckEvery{150};
 /// An engine's report is this old when it arrives, at most.
 constexpr milliseconds ReportLag{600};
@@ -56,7 +60,9 @@
     judgeReport(Now);
     if (!Handler)
       return;
-    if (!Endpoint->IsBeingAsked && Now - Endpoint->ReportAt >= AskEvery)
+    const milliseconds Pause =
+        Endpoint->FailedInspections > 0 ? AskAgainAfterFailure : AskEvery;
+    if (!Endpoint->IsBeingAsked && Now - Endpoint->ReportAt >= Pause)
       ask();
   }
   waitAgain();
@@ -94,17 +100,26 @@
         Endpoint->IsBeingAsked = false;
         Endpoint->ReportAt = Clock.now();
         if (!isError(Report)) {
+          Endpoint->FailedInspections = 0;
           Endpoint->Report =
               std::make_shared<const engine_report>(std::move(valueOf(Report)));
           return;
         }
         Endpoint->Report = nullptr;
-        auto Self = Weak.lock();
-        if (Self && Self->Handler)
-          Self->giveUp("the engine does not respond");
+        ++Endpoint->FailedInspections;
+        if (auto Self = Weak.lock())
+          Self->judgeFailedInspection();
       });
 }
 
+void liveness_watch::judgeFailedInspection() {
+  if (!Handler || Endpoint->FailedInspections < InspectionsToGiveUp)
+    return;
+  // Another request may have heard of the engine meanwhile.
+  if (Context.Clock.now() - Endpoint->LastHeard >= EngineSilence)
+    giveUp("the engine does not respond");
+}
+
 void liveness_watch::giveUp(const std::string &Reason) {
   if (auto Told = std::exchange(Handler, nullptr))
     Told(Reason);
--- a/Libraries/LibRelay/liveness_watch.h
+++ b/Libraries/LibRelay/liveness_watch.h
@@ -30,6 +30,7 @@
   void check();
   void ask();
   void judgeReport(steady_time Now);
+  void judgeFailedInspection();
   void giveUp(const std::string &Reason);
 
   relay_context &Context;
--- a/Libraries/LibRelay/request_run.cpp
+++ b/Libraries/LibRelay/request_run.cpp
@@ -230,9 +230,11 @@
       Context, Endpoint, Request.Id, Pool && Pool->Engine,
       [Weak = weak_from_this()](const std::string &Reason) {
         auto Self = Weak.lock();
-        // Silence alone is no reason to end a request that can't go elsewhere.
-        if (Self && Self->maySendAgainAfter(attempt_failure::Broken,
-                                            Self->Context.Clock.now()))
+        // Silence alone is no reason to end a request that can't go elsewhere;
+        // the present run counts as one then.
+        if (Self && Self->Runs + 1 < Self->Route.MaxAttempts &&
+            Self->maySendAgainAfter(attempt_failure::Broken,
+                                    Self->Context.Clock.now()))
           Self->onAttemptFailed(attempt_failure::Broken, Reason);
       });
   Liveness->start();
--- a/Tests/LibRelay/relay_fixture.cpp
+++ b/Tests/LibRelay/relay_fixture.cpp
@@ -61,6 +61,20 @@
     Session->Parser.reset();
     const scripted_response Response =
         Fixture.Script(Fixture.Received.size() - 1, Fixture.Received.back());
+    if (Response.Delay.count() == 0)
+      return send(Session, Response);
+    auto Timer =
+        std::make_shared<asio::steady_timer>(Fixture.Loop, Response.Delay);
+    Timer->async_wait([=, this](const asio::error_code &Code) {
+      // Keeps the timer until it has run out.
+      const auto Held = Timer;
+      if (!Code && Session->Socket.is_open())
+        send(Session, Response);
+    });
+  }
+
+  void send(const std::shared_ptr<session> &Session,
+            const scripted_response &Response) {
     asio::error_code Ignored;
     asio::write(Session->Socket, asio::buffer(Response.Bytes), Ignored);
     if (Response.After == after_response::Close)
--- a/Tests/LibRelay/relay_fixture.h
+++ b/Tests/LibRelay/relay_fixture.h
@@ -19,6 +19,7 @@
 struct scripted_response {
   std::string Bytes;
   after_response After = after_response::Keep;
+  milliseconds Delay{0};
 };
 
 /// One request as an endpoint has received it.
--- a/Tests/LibRelay/request_run_test.cpp
+++ b/Tests/LibRelay/request_run_test.cpp
@@ -247,3 +247,26 @@
   Fixture.runUntil([&] { return Answer.has_value(); });
   CHECK(statusOf(*Answer) == 502);
 }
+
+TEST_CASE("Silence is no reason to end a request that can't go elsewhere") {
+  relay_fixture Fixture;
+  Fixture.addRoute("/p/", work_kind::Idempotent).MaxAttempts = 1;
+  Fixture.applyRoutes();
+  Fixture.setScript([](std::size_t, const received_request &) {
+    return scripted_response{wholeResponse(200, Good, "late"),
+                             after_response::Keep, milliseconds(800)};
+  });
+  CHECK(bodyOf(Fixture.ask("/p/")) == "late");
+}
+
+TEST_CASE("A request on a silent endpoint goes elsewhere while it can") {
+  relay_fixture Fixture;
+  Fixture.addRoute("/p/", work_kind::Idempotent);
+  Fixture.applyRoutes();
+  Fixture.setScript([](std::size_t Number, const received_request &) {
+    if (Number == 0)
+      return scripted_response{"", after_response::Silence};
+    return scripted_response{wholeResponse(200, Good, "other")};
+  });
+  CHECK(bodyOf(Fixture.ask("/p/")) == "other");
+}
