LibDispatch: Accept more doubt as work waits on the engines

The bound on confidence now falls with the backlog (75 x e^(-backlog / 1 s)), whose time is learned from first events; subjects move to a new release bit by bit, together.

--- a/Libraries/LibDispatch/model_choice.cpp
+++ b/Libraries/LibDispatch/model_choice.cpp
@@ -6,8 +6,10 @@
 
 namespace {
 
-/// Confidence below which a smaller model's answer is dropped.
-constexpr int AcceptedConfidence = 50;
+/// Confidence below which an answer is dropped while the engines are idle, and
+/// the backlog at which a third of that is left.
+constexpr double WantedConfidence = 75;
+constexpr double BacklogScaleMs = 1000;
 /// How much more work a token is for the largest model than for the smallest.
 constexpr double LargestToSmallest = 10;
 
@@ -29,9 +31,13 @@
 std::optional<std::size_t> model_choice::escalate(const route &Route,
                                                   const dispatch_request &,
                                                   std::size_t Model,
-                                                  int Confidence) const {
+                                                  int Confidence,
+                                                  milliseconds Backlog) const {
   const std::size_t Largest = Route.ModelsBySize.size() - 1;
-  if (Model >= Largest || Confidence >= AcceptedConfidence)
+  const double Accepted =
+      WantedConfidence *
+      std::exp(-static_cast<double>(Backlog.count()) / BacklogScaleMs);
+  if (Model >= Largest || Confidence >= Accepted)
     return std::nullopt;
   return Largest;
 }
--- a/Libraries/LibDispatch/placement.cpp
+++ b/Libraries/LibDispatch/placement.cpp
@@ -43,6 +43,22 @@
   return Tokens;
 }
 
+double waitingWork(const endpoint_record &Endpoint) {
+  return std::max(Endpoint.PromptWork + Endpoint.PeersPromptWork, 0.0);
+}
+
+double meanWaitingWork(const endpoint_list &Endpoints, steady_time Now) {
+  double Sum = 0;
+  std::size_t Count = 0;
+  for (const auto &Endpoint : Endpoints) {
+    if (!Endpoint->isUsable(Now))
+      continue;
+    Sum += waitingWork(*Endpoint);
+    ++Count;
+  }
+  return Count == 0 ? 0 : Sum / static_cast<double>(Count);
+}
+
 double estimatedLoad(const endpoint_record &Endpoint, steady_time Now) {
   const double Known = Endpoint.InFlight + Endpoint.PeersInFlight;
   if (!Endpoint.Load || Now - Endpoint.Load->At > ReportLife)
@@ -79,7 +95,7 @@
     const bool IsCached =
         Endpoint == First || (Sent != Endpoint->SentBeginnings.end() &&
                               Now - Sent->second < CacheLife);
-    const double Work = Endpoint->PromptWork + Endpoint->PeersPromptWork +
+    const double Work = waitingWork(*Endpoint) +
                         RunningWork * estimatedLoad(*Endpoint, Now) +
                         (IsCached ? 0 : RereadWeight * UncachedWork);
     if (Best && Work >= BestWork)
--- a/Libraries/LibDispatch/placement.h
+++ b/Libraries/LibDispatch/placement.h
@@ -44,6 +44,11 @@
 /// Tokens of the shared beginning.
 std::uint32_t sharedTokens(const dispatch_request &Request);
 
+/// Prompt work that waits on an endpoint, of all VMs.
+double waitingWork(const endpoint_record &Endpoint);
+/// The mean of it over the endpoints that take work; 0 if none does.
+double meanWaitingWork(const endpoint_list &Endpoints, steady_time Now);
+
 /// Requests that an endpoint probably has: this VM's own are exact, those of
 /// the other VMs come from their notices or its last report.
 double estimatedLoad(const endpoint_record &Endpoint, steady_time Now);
--- a/Libraries/LibDispatch/rollout_control.cpp
+++ b/Libraries/LibDispatch/rollout_control.cpp
@@ -10,11 +10,12 @@
 /// shift, in which a release that fails only under load shows it.
 constexpr double TrialPart = 0.6;
 /// Parts of the roll-out's time. Sessions keep their release in its first
-/// half; the shift begins after it, and completion leaves time for the streams
-/// that still run on the old release.
+/// half; the shift begins after it and moves a growing share, and completion
+/// leaves time for the streams that still run on the old release.
 constexpr double SessionsMoveAt = 0.52;
 constexpr double ShiftAt = 0.55;
-constexpr double CompleteAt = 0.85;
+constexpr double ShiftedAt = 0.72;
+constexpr double CompleteAt = 0.87;
 
 } // namespace
 
@@ -38,11 +39,11 @@
   case rollout_phase::None:
     return release_choice::Any;
   case rollout_phase::Completed:
-  case rollout_phase::Shift:
     return release_choice::Target;
   case rollout_phase::RolledBack:
     return release_choice::NotTarget;
   case rollout_phase::Trial:
+  case rollout_phase::Shift:
     break;
   }
   if (IsOnTarget)
@@ -112,7 +113,12 @@
     Rule.Phase = rollout_phase::Shift;
   else
     Rule.Phase = rollout_phase::Trial;
-  Rule.TargetShare = ExposureShare * TrialPart;
+  // The target's engines read the prompts anew: moving them bit by bit leaves
+  // the old ones to serve meanwhile.
+  const double Shifted =
+      std::clamp((Progress - ShiftAt) / (ShiftedAt - ShiftAt), 0.0, 1.0);
+  const double Trial = ExposureShare * TrialPart;
+  Rule.TargetShare = Trial + Shifted * (1 - Trial);
   Rule.KeepsSessions = Progress < SessionsMoveAt;
   return Rule;
 }
--- a/Libraries/LibRelay/fleet_state.h
+++ b/Libraries/LibRelay/fleet_state.h
@@ -5,6 +5,7 @@
 #include "LibDispatch/endpoint_roster.h"
 #include "LibDispatch/model_choice.h"
 #include "LibDispatch/pace_baseline.h"
+#include "LibDispatch/prompt_pace.h"
 #include "LibDispatch/release_evidence.h"
 #include "LibDispatch/retry_allowance.h"
 #include "LibDispatch/rollout_control.h"
@@ -33,6 +34,7 @@
   model_choice Models{};
   release_evidence Evidence{};
   pace_baseline Paces{};
+  prompt_pace PromptPace{};
   bool IsStopping = false;
   steady_time StoppingSince{};
   /// From the request to stop until the process is killed.
--- a/Libraries/LibRelay/request_run.cpp
+++ b/Libraries/LibRelay/request_run.cpp
@@ -3,6 +3,7 @@
 #include "LibTypes/fingerprint.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace azurehaven {
 
@@ -141,8 +142,7 @@
     Terms.TokenWork = Fleet.Models.tokenWork(Route, *ModelIndex);
   const release_rule Rule = Fleet.Rollouts.ruleFor(Service, Now);
   const release_choice Choice =
-      chooseRelease(Rule, Fleet.Pins.releaseOf(Session, Now),
-                    static_cast<double>(Session % DrawSteps) / DrawSteps);
+      chooseRelease(Rule, Fleet.Pins.releaseOf(Session, Now), subjectDraw());
   const endpoint_list Candidates =
       candidatesFor(Fleet.Endpoints.ofService(Service), Rule, Choice, Now);
   const endpoint_pool *Pool = Routes->pool(Service);
@@ -150,6 +150,15 @@
                               : placeOnLeastLoaded(Candidates, Terms, Now);
 }
 
+double request_run::subjectDraw() const {
+  // Requests about one thing go together, so that their prompts stay cached.
+  const std::uint64_t Subject =
+      Request.Prompt.size() < 2
+          ? Session
+          : fingerprintOf(Request.Prompt[Request.Prompt.size() - 2].Id);
+  return static_cast<double>(Subject % DrawSteps) / DrawSteps;
+}
+
 double request_run::promptWorkOn(const endpoint_record &Target,
                                  steady_time Now) const {
   if (!ModelIndex)
@@ -204,8 +213,10 @@
                      {"send", std::to_string(Sends)},
                      {"in_flight", std::to_string(Target->InFlight)},
                      {"time_left_ms", std::to_string(Send.TimeLeft.count())}});
+  const double OwnWork = promptWorkOn(*Target, Now);
+  WorkAhead = waitingWork(*Target) + OwnWork;
   Attempt = std::make_shared<endpoint_attempt>(
-      Context, Target, Request.Id, promptWorkOn(*Target, Now),
+      Context, Target, Request.Id, OwnWork,
       std::weak_ptr<attempt_owner>(shared_from_this()));
   if (ModelIndex)
     Target->SentBeginnings[sharedBeginning(Request, Model)] = Now;
@@ -272,6 +283,11 @@
                         (NewAnswer.IsSigned && !NewAnswer.HasContentEncoding);
   if (!Belongs || !IsProper)
     return head_verdict::Reject;
+  if (ModelIndex && isSuccess(NewAnswer.Status))
+    Context.Fleet.PromptPace.add(
+        WorkAhead, std::chrono::duration<double, std::milli>(
+                       Context.Clock.now() - SentAt)
+                       .count());
   if (escalates(NewAnswer))
     return head_verdict::Reject;
   AnswerHead = NewHead;
@@ -284,14 +300,18 @@
   if (!ModelIndex || !NewAnswer.Confidence || !isSuccess(NewAnswer.Status) ||
       AnswerStarted || Runs + 1 >= Route.MaxAttempts)
     return false;
-  const auto Larger = Context.Fleet.Models.escalate(Route, Request, *ModelIndex,
-                                                    *NewAnswer.Confidence);
+  fleet_state &Fleet = Context.Fleet;
+  const steady_time Now = Context.Clock.now();
+  const milliseconds Backlog(std::llround(Fleet.PromptPace.msFor(
+      meanWaitingWork(Fleet.Endpoints.ofService(Service), Now))));
+  const auto Larger = Fleet.Models.escalate(Route, Request, *ModelIndex,
+                                            *NewAnswer.Confidence, Backlog);
   Context.Log.write(log_level::Info, "answer_judged",
                     {{"request", Request.Id.text()},
                      {"route", Route.Name},
                      {"model", Model.text()},
                      {"confidence", std::to_string(*NewAnswer.Confidence)},
-                     {"beginning", sharedBeginning(Request, Model)},
+                     {"backlog_ms", std::to_string(Backlog.count())},
                      {"outcome", Larger ? "escalated" : "accepted"}});
   if (!Larger)
     return false;
--- a/Libraries/LibRelay/request_run.h
+++ b/Libraries/LibRelay/request_run.h
@@ -58,6 +58,7 @@
   milliseconds timeLeft(steady_time Now) const;
   service_id chooseService() const;
   std::shared_ptr<endpoint_record> place(steady_time Now);
+  double subjectDraw() const;
   double promptWorkOn(const endpoint_record &Target, steady_time Now) const;
   void watchLiveness();
   void record(bool Failed);
@@ -100,6 +101,8 @@
   endpoint_answer Answer;
   std::string AnswerBody;
   steady_time SentAt;
+  /// Prompt work on the endpoint when this request was sent, its own included.
+  double WorkAhead = 0;
   std::optional<steady_time> FirstEventAt;
   steady_time LastEventAt;
   std::uint64_t EventsBefore = 0;
