--- a/Libraries/LibDispatch/configuration_confirmation.cpp
+++ b/Libraries/LibDispatch/configuration_confirmation.cpp
@@ -14,6 +14,12 @@
 
 configuration_confirmation::configuration_confirmation(
     std::optional<milliseconds> RevokeBound) {
+  setRevokeBound(RevokeBound);
+}
+
+void configuration_confirmation::setRevokeBound(
+    std::optional<milliseconds> RevokeBound) {
+  Limit.reset();
   if (RevokeBound)
     Limit = milliseconds(static_cast<std::int64_t>(
         static_cast<double>(RevokeBound->count()) * UsablePart));
--- a/Libraries/LibDispatch/configuration_confirmation.h
+++ b/Libraries/LibDispatch/configuration_confirmation.h
@@ -14,6 +14,7 @@
   /// Nullopt where serving on an old configuration is allowed.
   explicit configuration_confirmation(std::optional<milliseconds> RevokeBound);
 
+  void setRevokeBound(std::optional<milliseconds> RevokeBound);
   /// The configuration was the newest one at this time. Older news than the
   /// latest changes nothing.
   void confirm(steady_time At);
--- a/Libraries/LibDispatch/retry_allowance.h
+++ b/Libraries/LibDispatch/retry_allowance.h
@@ -23,6 +23,7 @@
 public:
   explicit retry_allowance(retry_terms Terms) : Terms(Terms) {}
 
+  void setTerms(const retry_terms &NewTerms) { Terms = NewTerms; }
   void requestArrived(const service_id &Service, steady_time Now);
   /// Takes one repeated send; false when this VM's part is used up.
   bool tryTake(const service_id &Service, std::size_t VmCount, steady_time Now);
--- a/Libraries/LibDispatch/rollout_control.h
+++ b/Libraries/LibDispatch/rollout_control.h
@@ -63,6 +63,7 @@
   explicit rollout_control(double ExposureShare)
       : ExposureShare(ExposureShare) {}
 
+  void setExposureShare(double Share) { ExposureShare = Share; }
   /// Elapsed: how long ago the roll-out began, where that is known.
   void onOrder(const rollout_order &Order, milliseconds Elapsed,
                steady_time Now);
--- a/Libraries/LibRelay/relay_node.cpp
+++ b/Libraries/LibRelay/relay_node.cpp
@@ -52,6 +52,21 @@
   Fleet.StopGrace = Settings.StopGrace;
 }
 
+void relay_node::applySettings(const relay_settings &Changed) {
+  Settings.StopGrace = Changed.StopGrace;
+  Fleet.StopGrace = Changed.StopGrace;
+  Fleet.Confirmation.setRevokeBound(Changed.RevokeBound);
+  Fleet.Retries.setTerms(Changed.Retries);
+  Fleet.Rollouts.setExposureShare(Changed.Exposure.Share);
+  Log.write(log_level::Info, "settings_applied",
+            {{"stop_grace_ms", std::to_string(Changed.StopGrace.count())},
+             {"revoke_bound_ms",
+              Changed.RevokeBound ? std::to_string(Changed.RevokeBound->count())
+                                  : "none"},
+             {"retry_ratio", std::to_string(Changed.Retries.Ratio)},
+             {"exposure_share", std::to_string(Changed.Exposure.Share)}});
+}
+
 member_entry relay_node::selfEntry() const {
   return {Settings.Vm, Settings.Domain, Settings.CallerAddress,
           Settings.PeerAddress, Incarnation};
--- a/Libraries/LibRelay/relay_node.h
+++ b/Libraries/LibRelay/relay_node.h
@@ -28,6 +28,8 @@
   fleet_updates &updates() { return Updates; }
   event_scheduler &scheduler() { return Scheduler; }
   const fleet_state &fleet() const { return Fleet; }
+  /// Puts changed settings in force; addresses stay as they were at the start.
+  void applySettings(const relay_settings &Changed);
   bool isReady() const;
   directory_answer directory() const;
 
@@ -45,7 +47,7 @@
   void finishStop();
 
   asio::io_context &Loop;
-  const relay_settings Settings;
+  relay_settings Settings;
   const clock_source &Clock;
   const event_log &Log;
   fleet_state Fleet;
