--- a/Libraries/LibClient/ctl_command.cpp
+++ b/Libraries/LibClient/ctl_command.cpp
@@ -1,6 +1,7 @@
 #include "LibClient/ctl_command.h"
 
 #include "LibClient/command_line.h"
+#include "LibClient/log_story.h"
 #include "LibClient/operator_client.h"
 #include "LibClient/operator_report.h"
 #include "LibHttp/percent_encoding.h"
@@ -36,7 +37,7 @@
   azurehaven ctl [options] apply FILE
   azurehaven ctl [options] (status | config | audit)
   azurehaven ctl [options] bills [--account=NAME]
-  azurehaven ctl [options] explain REQUEST
+  azurehaven ctl [options] explain [--log=FILE] REQUEST
   azurehaven ctl (-h | --help)
 
 A version is written model@version. Prices are for 1,000 tokens or one call.
@@ -68,6 +69,8 @@
   --idempotent=YN        Whether calls may be sent again, yes or no
   --reason=TEXT          For the audit trail
   --account=NAME         Only this account's bills
+  --log=FILE             Explain from the JSON lines of this file instead of
+                         asking the VMs; - reads standard input
   --json                 Print for programs
   -h --help              Show this text
 )";
@@ -142,6 +145,25 @@
   return Text;
 }
 
+int explainFromLog(const std::string &Path, const request_id &Request) {
+  std::ifstream File;
+  if (Path != "-") {
+    File.open(Path);
+    if (!File) {
+      std::cerr << "azurehaven ctl: can't read " << Path << "\n";
+      return ExitFailure;
+    }
+  }
+  const auto Story = storyOf(Path == "-" ? std::cin : File, Request);
+  if (Story.empty()) {
+    std::cerr << "azurehaven ctl: the log has no line of request "
+              << Request.text() << "\n";
+    return ExitFailure;
+  }
+  std::cout << formatStory(Story);
+  return ExitSuccess;
+}
+
 /// One run of the command.
 class ctl_run {
 public:
@@ -341,6 +363,8 @@
   command_line Line;
   if (auto Status = Line.parse(CtlUsage, "ctl", Arguments))
     return *Status;
+  if (const auto Log = Line.text("--log"); Log && Line.flag("explain"))
+    return explainFromLog(*Log, request_id(*Line.text("REQUEST")));
   std::vector<network_address> Addresses;
   const std::string Text =
       Line.text("--operator", "AZUREHAVEN_OPERATOR").value_or("");
--- a/Libraries/LibRelay/relay.h
+++ b/Libraries/LibRelay/relay.h
@@ -4,6 +4,7 @@
 #include "LibConnection/connection_pool.h"
 #include "LibLog/event_log.h"
 #include "LibMetrics/metrics.h"
+#include "LibRelay/bill_journal.h"
 #include "LibRelay/engine_inspector.h"
 #include "LibRelay/fleet_state.h"
 #include "LibRelay/wire_dialect.h"
@@ -31,6 +32,7 @@
   fleet_state &Fleet;
   connection_pool &Connections;
   engine_inspector *Inspector = nullptr;
+  bill_journal *Bills = nullptr;
   std::set<active_request *> ActiveRequests{};
 };
 
--- a/Libraries/LibRelay/relay_node.cpp
+++ b/Libraries/LibRelay/relay_node.cpp
@@ -44,8 +44,8 @@
                       session_pins(Settings.SessionGap),
                       rollout_control(Settings.Exposure.Share)},
       Connections(Loop.get_executor(), EndpointTiming),
-      Context{Loop.get_executor(), Clock,  Dialect, Log, Metrics, Fleet,
-              Connections,         nullptr},
+      Context{Loop.get_executor(), Clock,   Dialect, Log, Metrics, Fleet,
+              Connections,         nullptr, nullptr},
       Relay(Context), Updates(Fleet, Clock, Log, Metrics),
       Scheduler(Loop.get_executor(), Clock), Signals(Loop, SIGTERM, SIGINT),
       Incarnation(static_cast<std::uint64_t>(Clock.wallNow().count())) {
@@ -82,7 +82,9 @@
 
 status relay_node::start(member_registration &NewRegistration,
                          engine_inspector &Inspector,
-                         rollout_publisher &Publisher) {
+                         rollout_publisher &Publisher, bill_journal &Bills) {
+  Context.Bills = &Bills;
+  Bills.start();
   Registration = &NewRegistration;
   Context.Inspector = &Inspector;
   // The network receives on a thread of its own; beliefs change on the loop.
@@ -147,6 +149,7 @@
   if (Since < std::min(AcceptDuringStop, Settings.StopGrace / 2))
     return;
   Listener->closeIdle();
+  Context.Bills->flush();
   const bool IsLast = Since > Settings.StopGrace - AnswersBeforeEnd;
   if (IsLast) {
     const auto Remaining = Context.ActiveRequests;
@@ -154,7 +157,9 @@
       Request->endNow();
   }
   const bool IsOver = Since > Settings.StopGrace - StopMargin;
-  if (Listener->servingCount() > 0 && !IsOver)
+  const bool HasWork =
+      Listener->servingCount() > 0 || Context.Bills->waitingCount() > 0;
+  if (HasWork && !IsOver)
     return;
   Log.write(
       log_level::Info, "stopped",
--- a/Libraries/LibRelay/relay_node.h
+++ b/Libraries/LibRelay/relay_node.h
@@ -36,7 +36,7 @@
   /// Starts to serve; the registration announces this VM in the store. Returns
   /// Unavailable when the callers' address can't be bound.
   status start(member_registration &Registration, engine_inspector &Inspector,
-               rollout_publisher &Publisher);
+               rollout_publisher &Publisher, bill_journal &Bills);
   member_entry selfEntry() const;
 
 private:
--- a/Libraries/LibRelay/request_run.cpp
+++ b/Libraries/LibRelay/request_run.cpp
@@ -20,6 +20,9 @@
 constexpr std::size_t CallerBacklog = 256 << 10;
 /// Answers that are kept whole before they are passed on.
 constexpr std::size_t WholeAnswerLimit = 8 << 20;
+/// What a prompt token costs of a generated one.
+constexpr double PromptTokenPart = 0.25;
+constexpr double MicroEuros = 1e6;
 /// Failures of one endpoint within this time have one cause.
 constexpr milliseconds BreakdownSpan{1000};
 /// Prompts of small models take a tenth of the time: letting them pass holds
@@ -236,6 +239,7 @@
   SentAt = Now;
   FirstEventAt.reset();
   EventsBefore = Splicer.eventCount();
+  Cost += runCost();
   noteSession(Now);
   Attempt->start(std::move(Outgoing), Route.mayRepeat()
                                           ? connection_trust::AnyIdle
@@ -546,6 +550,36 @@
   finish("caller_gone");
 }
 
+void request_run::addBill() {
+  if (!Context.Bills || Account.Account.empty())
+    return;
+  bill Bill;
+  Bill.Account = Account.Account;
+  Bill.Request = Request.Id;
+  Bill.BodyFingerprint = Fingerprint;
+  Bill.Class = class_id(Route.Name);
+  Bill.Version = version_id(
+      Model.empty() ? "" : Model.text() + "@" + Endpoint->Facts.Release);
+  Bill.Service = Service;
+  Bill.PromptTokens = token_count(Request.PromptTokens);
+  Bill.CompletionTokens = token_count(Request.OutputTokens);
+  // Callers pay for the run that answered them, not for dropped ones.
+  Bill.Price = micro_euros(std::llround(runCost()));
+  Bill.Cost = micro_euros(std::llround(Cost));
+  Bill.At = Context.Clock.wallNow();
+  Bill.Vm = Context.Fleet.Self;
+  Context.Bills->add(Bill);
+}
+
+double request_run::runCost() const {
+  const endpoint_pool *Pool = Routes->pool(Service);
+  if (!Pool || Model.empty())
+    return 0;
+  const double Tokens =
+      Request.OutputTokens + Request.PromptTokens * PromptTokenPart;
+  return Pool->costOf(Model) * Tokens / 1000 * MicroEuros;
+}
+
 void request_run::finish(const char *Outcome) {
   Over = true;
   Deadline.cancel();
@@ -558,6 +592,8 @@
   Context.Metrics.count("azurehaven_requests_total", Labels);
   Context.Metrics.observe("azurehaven_request_ms", Labels, Took);
   const bool IsAnswered = std::string_view(Outcome) == "answered";
+  if (IsAnswered)
+    addBill();
   Context.Log.write(
       IsAnswered ? log_level::Info : log_level::Warning, "request_finished",
       {{"request", Request.Id.text()},
--- a/Libraries/LibRelay/request_run.h
+++ b/Libraries/LibRelay/request_run.h
@@ -53,6 +53,8 @@
   void retryOrRefuse(attempt_failure Failure, const std::string &Reason);
   void refuse(const final_refusal &Refusal);
   void breakOff(const char *Reason);
+  void addBill();
+  double runCost() const;
   void finish(const char *Outcome);
   bool maySendAgainAfter(attempt_failure Failure, steady_time Now) const;
   milliseconds timeLeft(steady_time Now) const;
@@ -101,6 +103,8 @@
   endpoint_answer Answer;
   std::string AnswerBody;
   steady_time SentAt;
+  /// What all attempts used of the models, in micro-euros.
+  double Cost = 0;
   /// Prompt work on the endpoint when this request was sent, its own included.
   double WorkAhead = 0;
   std::optional<steady_time> FirstEventAt;
--- /dev/null
+++ b/Tests/LibRelay/bill_journal_test.cpp
@@ -0,0 +1,97 @@
+#include "LibRelay/bill_journal.h"
+
+#include "LibFleet/scripted_store.h"
+#include "LibFleet/virtual_scheduler.h"
+
+#include <doctest/doctest.h>
+
+using namespace azurehaven;
+
+namespace {
+
+bill billOf(const std::string &Request) {
+  bill Bill;
+  Bill.Account = client_account_id("a");
+  Bill.Request = request_id(Request);
+  Bill.Price = micro_euros(5);
+  return Bill;
+}
+
+/// A store that loses the answers of its writes on demand.
+class losing_store : public scripted_store {
+public:
+  using scripted_store::scripted_store;
+  void commit(store_transaction Transaction,
+              store_handler<std::uint64_t> Handler) override {
+    for (const auto &Condition : Transaction.Conditions)
+      if (Items.contains(Condition.Key) && Condition.Revision == 0)
+        return Handler(error{error_code::Conflict, "exists"});
+    if (!LosesAnswers)
+      return scripted_store::commit(std::move(Transaction), std::move(Handler));
+    scripted_store::commit(std::move(Transaction),
+                           [](result<std::uint64_t>) {});
+    Handler(error{error_code::OutcomeUnknown, "lost"});
+  }
+  bool LosesAnswers = false;
+};
+
+struct journal_fixture {
+  virtual_scheduler Scheduler;
+  losing_store Store{Scheduler};
+  silent_event_log Log;
+  metrics Metrics;
+  bill_journal Journal{Store, Scheduler, Log, Metrics, vm_id("vm-1"), 7};
+
+  std::map<std::string, bill> ledger() const {
+    std::vector<store_item> Items;
+    for (const auto &[Key, Item] : Store.Items)
+      Items.push_back(Item);
+    return joinBillSegments(Items);
+  }
+};
+
+} // namespace
+
+TEST_CASE("Bills reach the store in segments, by few writes") {
+  journal_fixture Fixture;
+  Fixture.Journal.start();
+  for (int Index = 0; Index < 500; ++Index) {
+    Fixture.Journal.add(billOf(std::to_string(Index)));
+    Fixture.Scheduler.advance(milliseconds(100));
+  }
+  Fixture.Journal.flush();
+  CHECK(Fixture.ledger().size() == 500);
+  CHECK(Fixture.Store.Commits.size() <= 6);
+  CHECK(Fixture.Journal.waitingCount() == 0);
+}
+
+TEST_CASE("A lost answer of the store bills nobody twice and loses no bill") {
+  journal_fixture Fixture;
+  Fixture.Journal.start();
+  Fixture.Journal.add(billOf("1"));
+  Fixture.Store.LosesAnswers = true;
+  Fixture.Journal.flush();
+  Fixture.Journal.add(billOf("2"));
+  Fixture.Store.LosesAnswers = false;
+  Fixture.Scheduler.advance(milliseconds(20000));
+  const auto Ledger = Fixture.ledger();
+  CHECK(Ledger.size() == 2);
+  CHECK(Fixture.Journal.waitingCount() == 0);
+}
+
+TEST_CASE("Bills wait while the store is away") {
+  journal_fixture Fixture;
+  Fixture.Journal.start();
+  Fixture.Store.IsDown = true;
+  Fixture.Journal.add(billOf("1"));
+  Fixture.Scheduler.advance(milliseconds(60000));
+  CHECK(Fixture.Journal.waitingCount() == 1);
+  Fixture.Store.IsDown = false;
+  Fixture.Scheduler.advance(milliseconds(5000));
+  CHECK(Fixture.ledger().size() == 1);
+}
+
+TEST_CASE("What is no segment names no bill") {
+  for (const char *Text : {"", "{}", "[1]", R"(["no bill"])"})
+    CHECK(isError(decodeBillSegment(Text)));
+}
--- a/Tests/LibRelay/relay_fixture.cpp
+++ b/Tests/LibRelay/relay_fixture.cpp
@@ -102,8 +102,8 @@
             session_pins(milliseconds(5000)),
             rollout_control(0.15)},
       Connections(Loop.get_executor(), connection_timing{}),
-      Context{Loop.get_executor(), Clock,  Dialect, Log, Metrics, Fleet,
-              Connections,         nullptr},
+      Context{Loop.get_executor(), Clock,   Dialect, Log, Metrics, Fleet,
+              Connections,         nullptr, nullptr},
       Relay(Context) {
   for (std::uint16_t Port = 43000; Port < 44000 && !Listener; ++Port) {
     CallerAddress = {"127.0.0.1", Port};
