LibRelay: Split the way of a request by what its parts decide

request_subject (what is fixed), request_placement (decisions applied to it), request_bill, endpoint_health; request_run keeps the order of things. Prompts remembered for an engine are bounded now.

--- a/Libraries/LibDispatch/placement.cpp
+++ b/Libraries/LibDispatch/placement.cpp
@@ -18,6 +18,8 @@
 constexpr double RereadWeight = 4;
 /// How long an engine is expected to keep a prompt that was sent there.
 constexpr std::chrono::seconds CacheLife{15};
+/// Beginnings remembered for one engine before old ones are looked for.
+constexpr std::size_t BeginningLimit = 2000;
 /// Requests by which a nearer endpoint may be more loaded than a farther one.
 constexpr double NearBonus = 0.5;
 
@@ -43,6 +45,23 @@
   return Tokens;
 }
 
+bool isProbablyCached(const endpoint_record &Endpoint,
+                      const std::string &Beginning, steady_time Now) {
+  auto Sent = Endpoint.SentBeginnings.find(Beginning);
+  return Sent != Endpoint.SentBeginnings.end() &&
+         Now - Sent->second < CacheLife;
+}
+
+void rememberBeginning(endpoint_record &Endpoint, const std::string &Beginning,
+                       steady_time Now) {
+  auto &Sent = Endpoint.SentBeginnings;
+  Sent[Beginning] = Now;
+  if (Sent.size() > BeginningLimit)
+    std::erase_if(Sent, [&](const auto &Entry) {
+      return Now - Entry.second >= CacheLife;
+    });
+}
+
 double waitingWork(const endpoint_record &Endpoint) {
   return std::max(Endpoint.PromptWork + Endpoint.PeersPromptWork, 0.0);
 }
@@ -91,10 +110,8 @@
   for (const auto &Endpoint : Candidates) {
     if (!isCandidate(*Endpoint, Terms, Now))
       continue;
-    auto Sent = Endpoint->SentBeginnings.find(Beginning);
     const bool IsCached =
-        Endpoint == First || (Sent != Endpoint->SentBeginnings.end() &&
-                              Now - Sent->second < CacheLife);
+        Endpoint == First || isProbablyCached(*Endpoint, Beginning, Now);
     const double Work = waitingWork(*Endpoint) +
                         RunningWork * estimatedLoad(*Endpoint, Now) +
                         (IsCached ? 0 : RereadWeight * UncachedWork);
--- a/Libraries/LibDispatch/placement.h
+++ b/Libraries/LibDispatch/placement.h
@@ -15,8 +15,6 @@
   failure_domain_id OwnDomain;
   /// Endpoints that have been tried for this request.
   std::set<endpoint_id> Tried;
-  /// VMs that place requests on the same endpoints.
-  std::size_t VmCount = 1;
   model_id Model;
   /// Work of one prompt token on this model; 1 for the smallest one.
   double TokenWork = 1;
@@ -44,6 +42,13 @@
 /// Tokens of the shared beginning.
 std::uint32_t sharedTokens(const dispatch_request &Request);
 
+/// Whether the endpoint probably still holds this beginning of a prompt.
+bool isProbablyCached(const endpoint_record &Endpoint,
+                      const std::string &Beginning, steady_time Now);
+/// A prompt with this beginning was sent to the endpoint.
+void rememberBeginning(endpoint_record &Endpoint, const std::string &Beginning,
+                       steady_time Now);
+
 /// Prompt work that waits on an endpoint, of all VMs.
 double waitingWork(const endpoint_record &Endpoint);
 /// The mean of it over the endpoints that take work; 0 if none does.
--- a/Libraries/LibRelay/request_run.cpp
+++ b/Libraries/LibRelay/request_run.cpp
@@ -1,9 +1,10 @@
 #include "LibRelay/request_run.h"
 
-#include "LibTypes/fingerprint.h"
+#include "LibDispatch/endpoint_health.h"
+#include "LibRelay/request_bill.h"
+#include "LibRelay/request_placement.h"
 
 #include <algorithm>
-#include <cmath>
 
 namespace azurehaven {
 
@@ -20,11 +21,6 @@
 constexpr std::size_t CallerBacklog = 256 << 10;
 /// Answers that are kept whole before they are passed on.
 constexpr std::size_t WholeAnswerLimit = 8 << 20;
-/// What a prompt token costs of a generated one.
-constexpr double PromptTokenPart = 0.25;
-constexpr double MicroEuros = 1e6;
-/// Failures of one endpoint within this time have one cause.
-constexpr milliseconds BreakdownSpan{1000};
 /// Prompts of small models take a tenth of the time: letting them pass holds
 /// the others up little. The usual urgency is 5.
 constexpr int SmallModelUrgency = 3;
@@ -32,29 +28,8 @@
 constexpr int ContinuationUrgency = 2;
 /// Events of a stream from which its pace can be told.
 constexpr std::uint64_t LeastEventsForPace = 4;
-/// Sessions are dealt to shares in steps of this part.
-constexpr std::uint64_t DrawSteps = 100003;
-/// How long an endpoint gets no new work after a failure; doubles with each
-/// further one in a row.
-constexpr milliseconds FirstAvoidance{250};
-constexpr milliseconds LongestAvoidance{4000};
-constexpr double FailureSmoothing = 0.15;
-
 bool isSuccess(int Status) { return Status >= 200 && Status < 300; }
 
-void noteFailure(endpoint_record &Endpoint, steady_time Now) {
-  Endpoint.FailuresInRow = std::min(Endpoint.FailuresInRow + 1, 8u);
-  const milliseconds Pause = std::min(
-      FirstAvoidance * (1 << (Endpoint.FailuresInRow - 1)), LongestAvoidance);
-  Endpoint.AvoidUntil = std::max(Endpoint.AvoidUntil, Now + Pause);
-  Endpoint.FailureShare += FailureSmoothing * (1 - Endpoint.FailureShare);
-}
-
-void noteSuccess(endpoint_record &Endpoint) {
-  Endpoint.FailuresInRow = 0;
-  Endpoint.FailureShare -= FailureSmoothing * Endpoint.FailureShare;
-}
-
 const char *nameOf(work_kind Kind) {
   switch (Kind) {
   case work_kind::Idempotent:
@@ -78,20 +53,18 @@
 } // namespace
 
 request_run::request_run(relay_context &Context, incoming_request Incoming,
-                         dispatch_request Request, const route &Route,
+                         dispatch_request NewRequest, const route &NewRoute,
                          const caller_account &Account,
                          std::uint64_t Fingerprint,
                          std::shared_ptr<caller_connection> Caller)
     : Context(Context), Head(std::move(Incoming.Head)),
       Body(std::make_shared<const std::string>(std::move(Incoming.Body))),
-      Request(std::move(Request)), Routes(Context.Fleet.Routes), Route(Route),
-      Account(Account), Fingerprint(Fingerprint), Caller(std::move(Caller)),
-      ArrivedAt(Context.Clock.now()), TimeLimit(limitOf(this->Request, Route)),
-      Deadline(Context.Executor),
-      Session(fingerprintOf(this->Request.Session.empty()
-                                ? this->Request.Id.text()
-                                : this->Request.Session)),
-      Service(chooseService()), Splicer(this->Request.LastEventId) {
+      Subject(describeRequest(std::move(NewRequest), Context.Fleet.Routes,
+                              NewRoute, Account, Fingerprint)),
+      Request(Subject.Request), Route(*Subject.Route),
+      Caller(std::move(Caller)), ArrivedAt(Context.Clock.now()),
+      TimeLimit(limitOf(Request, Route)), Deadline(Context.Executor),
+      Splicer(Request.LastEventId) {
   Context.ActiveRequests.insert(this);
 }
 
@@ -116,7 +89,7 @@
         if (!Code)
           Self->onDeadline();
       });
-  Context.Fleet.Retries.requestArrived(Service, ArrivedAt);
+  Context.Fleet.Retries.requestArrived(Subject.Service, ArrivedAt);
   sendNext();
 }
 
@@ -124,63 +97,6 @@
   return TimeLimit - std::chrono::duration_cast<milliseconds>(Now - ArrivedAt);
 }
 
-service_id request_run::chooseService() const {
-  double Total = 0;
-  for (const auto &Share : Route.Shares)
-    Total += Share.Weight;
-  // A request and its resends draw the same share.
-  double Drawn =
-      static_cast<double>(Fingerprint % DrawSteps) / DrawSteps * Total;
-  for (const auto &Share : Route.Shares) {
-    Drawn -= Share.Weight;
-    if (Drawn < 0)
-      return Share.Service;
-  }
-  return Route.Shares.empty() ? service_id() : Route.Shares.back().Service;
-}
-
-std::shared_ptr<endpoint_record> request_run::place(steady_time Now) {
-  fleet_state &Fleet = Context.Fleet;
-  placement_terms Terms;
-  Terms.OwnDomain = Fleet.Domain;
-  Terms.Tried = Tried;
-  Terms.VmCount = Fleet.Members.size();
-  Terms.Model = Model;
-  if (ModelIndex)
-    Terms.TokenWork = Fleet.Models.tokenWork(Route, *ModelIndex);
-  const release_rule Rule = Fleet.Rollouts.ruleFor(Service, Now);
-  const release_choice Choice =
-      chooseRelease(Rule, Fleet.Pins.releaseOf(Session, Now), subjectDraw());
-  const endpoint_list Candidates =
-      candidatesFor(Fleet.Endpoints.ofService(Service), Rule, Choice, Now);
-  const endpoint_pool *Pool = Routes->pool(Service);
-  return Pool && Pool->Engine ? placeOnEngine(Request, Candidates, Terms, Now)
-                              : placeOnLeastLoaded(Candidates, Terms, Now);
-}
-
-double request_run::subjectDraw() const {
-  // Requests about one thing go together, so that their prompts stay cached.
-  const std::uint64_t Subject =
-      Request.Prompt.size() < 2
-          ? Session
-          : fingerprintOf(Request.Prompt[Request.Prompt.size() - 2].Id);
-  return static_cast<double>(Subject % DrawSteps) / DrawSteps;
-}
-
-double request_run::promptWorkOn(const endpoint_record &Target,
-                                 steady_time Now) const {
-  if (!ModelIndex)
-    return 0;
-  const std::uint32_t Shared = sharedTokens(Request);
-  auto Sent = Target.SentBeginnings.find(sharedBeginning(Request, Model));
-  const bool IsCached = Sent != Target.SentBeginnings.end() &&
-                        Now - Sent->second < std::chrono::seconds(15);
-  const std::uint32_t Own =
-      Request.PromptTokens > Shared ? Request.PromptTokens - Shared : 0;
-  return (Own + (IsCached ? 0 : Shared)) *
-         Context.Fleet.Models.tokenWork(Route, *ModelIndex);
-}
-
 void request_run::sendNext() {
   const steady_time Now = Context.Clock.now();
   if (Request.leavesModelOpen() && !Route.ModelsBySize.empty()) {
@@ -188,11 +104,12 @@
       ModelIndex = Context.Fleet.Models.firstModel(Route, Request);
     Model = Route.ModelsBySize[*ModelIndex];
   }
-  const auto Target = place(Now);
+  const auto Target =
+      placeRequest(Context.Fleet, Subject, Tried, ModelIndex, Now);
   if (!Target)
     return refuse(refusalAfter(Runs > 0, "no_endpoint"));
   // A freeze may lie between the arrival of the request and this moment.
-  const bool NeedsKey = Routes->needsKeys() && !Route.IsPublic;
+  const bool NeedsKey = Subject.Routes->needsKeys() && !Route.IsPublic;
   if (NeedsKey && !Context.Fleet.Confirmation.isCurrent(Now))
     return refuse(refusalAfter(Runs > 0, "configuration_not_confirmed"));
   sendTo(Target);
@@ -206,7 +123,7 @@
   endpoint_send Send;
   Send.Endpoint = Target->Facts.Id;
   Send.Address = Target->Facts.Address;
-  Send.Account = Account.Account;
+  Send.Account = Subject.Account.Account;
   Send.TimeLeft = timeLeft(Now);
   if (Request.leavesModelOpen() && !Model.empty())
     Send.Model = Model;
@@ -225,13 +142,12 @@
                      {"send", std::to_string(Sends)},
                      {"in_flight", std::to_string(Target->InFlight)},
                      {"time_left_ms", std::to_string(Send.TimeLeft.count())}});
-  const double OwnWork = promptWorkOn(*Target, Now);
+  const double OwnWork =
+      promptWorkOn(Context.Fleet, Subject, ModelIndex, *Target, Now);
   WorkAhead = waitingWork(*Target) + OwnWork;
   Attempt = std::make_shared<endpoint_attempt>(
       Context, Target, Request.Id, OwnWork,
       std::weak_ptr<attempt_owner>(shared_from_this()));
-  if (ModelIndex)
-    Target->SentBeginnings[sharedBeginning(Request, Model)] = Now;
   outgoing_request Outgoing;
   Outgoing.Head = Context.Dialect.encodeSend(Head, Request, Send);
   Outgoing.Body = Body;
@@ -239,8 +155,8 @@
   SentAt = Now;
   FirstEventAt.reset();
   EventsBefore = Splicer.eventCount();
-  Cost += runCost();
-  noteSession(Now);
+  Cost += costOfRun(Subject, ModelIndex);
+  noteSent(Context.Fleet, Subject, ModelIndex, *Target, Now);
   Attempt->start(std::move(Outgoing), Route.mayRepeat()
                                           ? connection_trust::AnyIdle
                                           : connection_trust::SurelyOpen);
@@ -249,9 +165,8 @@
 }
 
 void request_run::watchLiveness() {
-  const endpoint_pool *Pool = Routes->pool(Service);
   Liveness = std::make_shared<liveness_watch>(
-      Context, Endpoint, Request.Id, Pool && Pool->Engine,
+      Context, Endpoint, Request.Id, Subject.isForEngines(),
       [Weak = weak_from_this()](const std::string &Reason) {
         auto Self = Weak.lock();
         // Silence alone is no reason to end a request that can't go elsewhere;
@@ -264,11 +179,6 @@
   Liveness->start();
 }
 
-void request_run::noteSession(steady_time Now) {
-  if (!Request.Session.empty())
-    Context.Fleet.Pins.note(Session, Endpoint->Facts.Release, Now);
-}
-
 void request_run::record(bool Failed) {
   const steady_time Now = Context.Clock.now();
   run_outcome Outcome;
@@ -315,8 +225,7 @@
     return false;
   fleet_state &Fleet = Context.Fleet;
   const steady_time Now = Context.Clock.now();
-  const milliseconds Backlog(std::llround(Fleet.PromptPace.msFor(
-      meanWaitingWork(Fleet.Endpoints.ofService(Service), Now))));
+  const milliseconds Backlog = backlogOf(Fleet, Subject.Service, Now);
   const auto Larger = Fleet.Models.escalate(Route, Request, *ModelIndex,
                                             *NewAnswer.Confidence, Backlog);
   Context.Log.write(log_level::Info, "answer_judged",
@@ -398,7 +307,7 @@
     return;
   if (Answer.WasNotExecuted || Answer.IsMisdirected) {
     if (Answer.IsMisdirected)
-      Endpoint->AvoidUntil = Context.Clock.now() + LongestAvoidance;
+      noteMisdirected(*Endpoint, Context.Clock.now());
     return retryOrRefuse(attempt_failure::NotExecuted,
                          "status " + std::to_string(Answer.Status));
   }
@@ -411,7 +320,7 @@
   }
   noteSuccess(*Endpoint);
   record(false);
-  noteSession(Context.Clock.now());
+  noteSession(Context.Fleet, Subject, *Endpoint, Context.Clock.now());
   if (Route.Kind == work_kind::Stream)
     return passOnWhole();
   Caller->sendAnswer(AnswerHead.Status,
@@ -428,11 +337,8 @@
 }
 
 void request_run::passOnFailure() {
-  noteFailure(*Endpoint, Context.Clock.now());
+  noteAnsweredFailure(*Endpoint, Context.Clock.now());
   record(true);
-  // A failure of one endpoint among several is no reason to avoid it at once.
-  if (Endpoint->FailuresInRow < 2)
-    Endpoint->AvoidUntil = {};
   const bool MaySend = maySendAgain(Route, attempt_failure::AnsweredFailure) &&
                        Runs < Route.MaxAttempts && !AnswerStarted;
   if (MaySend)
@@ -460,14 +366,10 @@
   noteFailure(*Endpoint, Now);
   if (Failure == attempt_failure::Broken) {
     ++Runs;
-    // All requests on an endpoint that breaks down fail with it: they count
-    // as one.
-    const bool IsFirst = Now - Endpoint->LastBreakdown > BreakdownSpan;
-    Endpoint->LastBreakdown = Now;
-    if (IsFirst)
+    if (isFirstBreakdown(*Endpoint, Now))
       record(true);
     Context.Fleet.Quarantine.add(
-        Fingerprint,
+        Subject.Fingerprint,
         endpoint_id(Endpoint->Facts.Id.text() + "/" +
                     std::to_string(Endpoint->Facts.Incarnation)),
         Now);
@@ -479,7 +381,7 @@
                                     steady_time Now) const {
   return maySendAgain(Route, Failure) && Runs < Route.MaxAttempts &&
          Sends < Route.MaxAttempts + ExtraSends &&
-         !Context.Fleet.Quarantine.isRefused(Fingerprint) &&
+         !Context.Fleet.Quarantine.isRefused(Subject.Fingerprint) &&
          timeLeft(Now).count() > 0;
 }
 
@@ -550,34 +452,11 @@
   finish("caller_gone");
 }
 
-void request_run::addBill() {
-  if (!Context.Bills || Account.Account.empty())
+void request_run::bill() {
+  if (!Context.Bills || Subject.Account.Account.empty())
     return;
-  bill Bill;
-  Bill.Account = Account.Account;
-  Bill.Request = Request.Id;
-  Bill.BodyFingerprint = Fingerprint;
-  Bill.Class = class_id(Route.Name);
-  Bill.Version = version_id(
-      Model.empty() ? "" : Model.text() + "@" + Endpoint->Facts.Release);
-  Bill.Service = Service;
-  Bill.PromptTokens = token_count(Request.PromptTokens);
-  Bill.CompletionTokens = token_count(Request.OutputTokens);
-  // Callers pay for the run that answered them, not for dropped ones.
-  Bill.Price = micro_euros(std::llround(runCost()));
-  Bill.Cost = micro_euros(std::llround(Cost));
-  Bill.At = Context.Clock.wallNow();
-  Bill.Vm = Context.Fleet.Self;
-  Context.Bills->add(Bill);
-}
-
-double request_run::runCost() const {
-  const endpoint_pool *Pool = Routes->pool(Service);
-  if (!Pool || Model.empty())
-    return 0;
-  const double Tokens =
-      Request.OutputTokens + Request.PromptTokens * PromptTokenPart;
-  return Pool->costOf(Model) * Tokens / 1000 * MicroEuros;
+  Context.Bills->add(billFor(Subject, ModelIndex, Endpoint->Facts.Release, Cost,
+                             Context.Clock.wallNow(), Context.Fleet.Self));
 }
 
 void request_run::finish(const char *Outcome) {
@@ -593,16 +472,16 @@
   Context.Metrics.observe("azurehaven_request_ms", Labels, Took);
   const bool IsAnswered = std::string_view(Outcome) == "answered";
   if (IsAnswered)
-    addBill();
+    bill();
   Context.Log.write(
       IsAnswered ? log_level::Info : log_level::Warning, "request_finished",
       {{"request", Request.Id.text()},
        {"route", Route.Name},
-       {"account", Account.Account.text()},
+       {"account", Subject.Account.Account.text()},
        {"outcome", Outcome},
        {"endpoint", Endpoint ? Endpoint->Facts.Id.text() : "none"},
        {"model", Model.text()},
-       {"config_version", std::to_string(Routes->version())},
+       {"config_version", std::to_string(Subject.Routes->version())},
        {"sends", std::to_string(Sends)},
        {"first_event_ms",
         FirstEventAfter ? std::to_string(FirstEventAfter->count()) : "none"},
--- a/Libraries/LibRelay/request_run.h
+++ b/Libraries/LibRelay/request_run.h
@@ -1,12 +1,12 @@
 #pragma once
 
 #include "LibDispatch/attempt_policy.h"
-#include "LibDispatch/candidate_filter.h"
 #include "LibDispatch/event_splicer.h"
 #include "LibDispatch/placement.h"
 #include "LibRelay/endpoint_attempt.h"
 #include "LibRelay/liveness_watch.h"
 #include "LibRelay/relay.h"
+#include "LibRelay/request_subject.h"
 #include "LibRelay/run_outcome.h"
 
 #include <asio/steady_timer.hpp>
@@ -39,7 +39,7 @@
 
 private:
   request_run(relay_context &Context, incoming_request Incoming,
-              dispatch_request Request, const route &Route,
+              dispatch_request NewRequest, const route &NewRoute,
               const caller_account &Account, std::uint64_t Fingerprint,
               std::shared_ptr<caller_connection> Caller);
 
@@ -53,38 +53,27 @@
   void retryOrRefuse(attempt_failure Failure, const std::string &Reason);
   void refuse(const final_refusal &Refusal);
   void breakOff(const char *Reason);
-  void addBill();
-  double runCost() const;
+  void bill();
   void finish(const char *Outcome);
   bool maySendAgainAfter(attempt_failure Failure, steady_time Now) const;
   milliseconds timeLeft(steady_time Now) const;
-  service_id chooseService() const;
-  std::shared_ptr<endpoint_record> place(steady_time Now);
-  double subjectDraw() const;
-  double promptWorkOn(const endpoint_record &Target, steady_time Now) const;
   void watchLiveness();
   void record(bool Failed);
-  void noteSession(steady_time Now);
   bool escalates(const endpoint_answer &NewAnswer);
 
   relay_context &Context;
   const request_head Head;
   const std::shared_ptr<const std::string> Body;
-  const dispatch_request Request;
-  /// Keeps the route alive across configurations.
-  const std::shared_ptr<const route_table> Routes;
+  const request_subject Subject;
+  /// Both are parts of the subject.
+  const dispatch_request &Request;
   const route &Route;
-  const caller_account Account;
-  const std::uint64_t Fingerprint;
   std::shared_ptr<caller_connection> Caller;
   const steady_time ArrivedAt;
   const milliseconds TimeLimit;
   asio::steady_timer Deadline;
   std::shared_ptr<liveness_watch> Liveness;
 
-  /// What all requests of the session have in common.
-  const std::uint64_t Session;
-  const service_id Service;
   std::shared_ptr<endpoint_attempt> Attempt;
   std::shared_ptr<endpoint_record> Endpoint;
   /// The model of the present attempt, where the system chooses: its place
@@ -103,8 +92,8 @@
   endpoint_answer Answer;
   std::string AnswerBody;
   steady_time SentAt;
-  /// What all attempts used of the models, in micro-euros.
-  double Cost = 0;
+  /// What all attempts used of the models.
+  micro_euros Cost{0};
   /// Prompt work on the endpoint when this request was sent, its own included.
   double WorkAhead = 0;
   std::optional<steady_time> FirstEventAt;
--- a/Tests/LibRelay/relay_fixture.cpp
+++ b/Tests/LibRelay/relay_fixture.cpp
@@ -65,12 +65,12 @@
       return send(Session, Response);
     auto Timer =
         std::make_shared<asio::steady_timer>(Fixture.Loop, Response.Delay);
-    Timer->async_wait([=, this](const asio::error_code &Code) {
-      // Keeps the timer until it has run out.
-      const auto Held = Timer;
-      if (!Code && Session->Socket.is_open())
-        send(Session, Response);
-    });
+    // The handler keeps the timer until it has run out.
+    Timer->async_wait(
+        [Timer, Session, Response, this](const asio::error_code &Code) {
+          if (!Code && Session->Socket.is_open())
+            send(Session, Response);
+        });
   }
 
   void send(const std::shared_ptr<session> &Session,
