--- a/Libraries/LibRelay/fleet_updates.cpp
+++ b/Libraries/LibRelay/fleet_updates.cpp
@@ -54,13 +54,12 @@
   const bool MayReturn =
       Cause == removal_cause::MissingAfterOutage && !Known->Facts.IsLeaving;
   if (MayReturn)
-    Fleet.Endpoints.removeAt(Id, Clock.now() + RenewalTime);
+    Fleet.Endpoints.removeAt(Id, renewalEnd());
   else
     Fleet.Endpoints.remove(Id);
   Log.write(
       log_level::Info, "endpoint_unlisted",
-      {{"endpoint", Id.text()},
-       {"kept_for_ms", std::to_string(MayReturn ? RenewalTime.count() : 0)}});
+      {{"endpoint", Id.text()}, {"may_return", MayReturn ? "yes" : "no"}});
 }
 
 void fleet_updates::onMember(const member_entry &Member) {
@@ -70,7 +69,7 @@
 
 void fleet_updates::onMemberGone(const vm_id &Vm, removal_cause Cause) {
   if (Cause == removal_cause::MissingAfterOutage)
-    Fleet.Members.removeAt(Vm, Clock.now() + RenewalTime);
+    Fleet.Members.removeAt(Vm, renewalEnd());
   else
     Fleet.Members.remove(Vm);
   Log.write(log_level::Info, "member_unlisted", {{"member", Vm.text()}});
@@ -116,7 +115,12 @@
   Fleet.Confirmation.confirm(At);
 }
 
+steady_time fleet_updates::renewalEnd() const {
+  return StoreRegainedAt + RenewalTime;
+}
+
 void fleet_updates::onStoreReachable() {
+  StoreRegainedAt = Clock.now();
   Log.write(log_level::Info, "store_regained", {});
 }
 
--- a/Libraries/LibRelay/fleet_updates.h
+++ b/Libraries/LibRelay/fleet_updates.h
@@ -37,7 +37,10 @@
 private:
   milliseconds elapsedOf(const rollout_order &Order) const;
 
+  steady_time renewalEnd() const;
+
   std::map<service_id, rollout_record> RolloutRecords;
+  steady_time StoreRegainedAt;
   fleet_state &Fleet;
   const clock_source &Clock;
   const event_log &Log;
--- a/Tests/LibRelay/fleet_updates_test.cpp
+++ b/Tests/LibRelay/fleet_updates_test.cpp
@@ -66,6 +66,7 @@
 TEST_CASE("An entry missing after an outage is gone two seconds later") {
   updates_fixture Fixture;
   Fixture.Updates.onEndpoint(factsOf(1));
+  Fixture.Updates.onStoreReachable();
   Fixture.Updates.onEndpointGone(endpoint_id("e"),
                                  removal_cause::MissingAfterOutage);
   Fixture.Updates.advance();
@@ -75,6 +76,19 @@
   CHECK_FALSE(Fixture.Fleet.Endpoints.find(endpoint_id("e")));
 }
 
+TEST_CASE("The two seconds run from the store's return, not from the removal") {
+  updates_fixture Fixture;
+  Fixture.Updates.onEndpoint(factsOf(1));
+  Fixture.Updates.onStoreReachable();
+  Fixture.Clock.Now += milliseconds(1600);
+  Fixture.Updates.onEndpointGone(endpoint_id("e"),
+                                 removal_cause::MissingAfterOutage);
+  CHECK(Fixture.Fleet.Endpoints.find(endpoint_id("e")));
+  Fixture.Clock.Now += milliseconds(400);
+  Fixture.Updates.advance();
+  CHECK_FALSE(Fixture.Fleet.Endpoints.find(endpoint_id("e")));
+}
+
 TEST_CASE("A leaving endpoint that vanishes is gone at once") {
   updates_fixture Fixture;
   Fixture.Updates.onEndpoint(factsOf(1, true));
