--- a/Libraries/LibDispatch/endpoint_roster.cpp
+++ b/Libraries/LibDispatch/endpoint_roster.cpp
@@ -2,7 +2,7 @@
 
 namespace azurehaven {
 
-void endpoint_roster::put(const endpoint_facts &Facts, steady_time) {
+void endpoint_roster::put(const endpoint_facts &Facts) {
   auto &Record = ById[Facts.Id];
   const bool IsSame = Record &&
                       Record->Facts.Incarnation == Facts.Incarnation &&
--- a/Libraries/LibDispatch/endpoint_roster.h
+++ b/Libraries/LibDispatch/endpoint_roster.h
@@ -86,7 +86,7 @@
 /// The endpoints that the store lists. Not thread-safe.
 class endpoint_roster {
 public:
-  void put(const endpoint_facts &Facts, steady_time Now);
+  void put(const endpoint_facts &Facts);
   void remove(const endpoint_id &Id);
   /// Takes the endpoint away at this time unless it is put again before.
   void removeAt(const endpoint_id &Id, steady_time At);
--- a/Libraries/LibRelay/fleet_updates.cpp
+++ b/Libraries/LibRelay/fleet_updates.cpp
@@ -37,7 +37,7 @@
     return;
   const bool IsNews = !Known || Known->Facts.IsLeaving != Facts.IsLeaving ||
                       Known->Facts.Incarnation != Facts.Incarnation;
-  Fleet.Endpoints.put(Facts, Clock.now());
+  Fleet.Endpoints.put(Facts);
   if (IsNews)
     Log.write(log_level::Info, "endpoint_listed",
               {{"endpoint", Facts.Id.text()},
--- a/Libraries/LibRelay/relay_node.cpp
+++ b/Libraries/LibRelay/relay_node.cpp
@@ -42,7 +42,7 @@
                       configuration_confirmation(Settings.RevokeBound),
                       retry_allowance(Settings.Retries),
                       session_pins(Settings.SessionGap),
-                      rollout_control(Settings.Exposure.Share)},
+                      rollout_control(Settings.ExposureShare)},
       Connections(Loop.get_executor(), EndpointTiming),
       Context{Loop.get_executor(), Clock,   Dialect, Log, Metrics, Fleet,
               Connections,         nullptr, nullptr},
@@ -57,14 +57,14 @@
   Fleet.StopGrace = Changed.StopGrace;
   Fleet.Confirmation.setRevokeBound(Changed.RevokeBound);
   Fleet.Retries.setTerms(Changed.Retries);
-  Fleet.Rollouts.setExposureShare(Changed.Exposure.Share);
+  Fleet.Rollouts.setExposureShare(Changed.ExposureShare);
   Log.write(log_level::Info, "settings_applied",
             {{"stop_grace_ms", std::to_string(Changed.StopGrace.count())},
              {"revoke_bound_ms",
               Changed.RevokeBound ? std::to_string(Changed.RevokeBound->count())
                                   : "none"},
              {"retry_ratio", std::to_string(Changed.Retries.Ratio)},
-             {"exposure_share", std::to_string(Changed.Exposure.Share)}});
+             {"exposure_share", std::to_string(Changed.ExposureShare)}});
 }
 
 member_entry relay_node::selfEntry() const {
--- a/Libraries/LibRelay/relay_settings.h
+++ b/Libraries/LibRelay/relay_settings.h
@@ -9,14 +9,6 @@
 
 namespace azurehaven {
 
-/// How much a version that is not yet trusted may get.
-struct exposure_terms {
-  /// Of all requests to its service while it is rolled out.
-  double Share = 0.1;
-  /// Requests beside that share.
-  double Slack = 10;
-};
-
 /// Everything that a relay process is told at its start.
 struct relay_settings {
   vm_id Vm;
@@ -32,7 +24,8 @@
   /// nullopt where serving on an old configuration is allowed.
   std::optional<milliseconds> RevokeBound;
   retry_terms Retries;
-  exposure_terms Exposure;
+  /// Part of a service's requests that an untrusted release may get in all.
+  double ExposureShare = 0.1;
 };
 
 } // namespace azurehaven
--- a/Tests/LibDispatch/endpoint_roster_test.cpp
+++ b/Tests/LibDispatch/endpoint_roster_test.cpp
@@ -21,17 +21,17 @@
 
 TEST_CASE("A new start under the same id knows nothing of the old one") {
   endpoint_roster Roster;
-  Roster.put(factsOf("e"), Start);
+  Roster.put(factsOf("e"));
   Roster.find(endpoint_id("e"))->InFlight = 7;
-  Roster.put(factsOf("e"), Start);
+  Roster.put(factsOf("e"));
   CHECK(Roster.find(endpoint_id("e"))->InFlight == 7);
-  Roster.put(factsOf("e", 2), Start);
+  Roster.put(factsOf("e", 2));
   CHECK(Roster.find(endpoint_id("e"))->InFlight == 0);
 }
 
 TEST_CASE("A removed endpoint is leaving for those that still hold it") {
   endpoint_roster Roster;
-  Roster.put(factsOf("e"), Start);
+  Roster.put(factsOf("e"));
   const auto Held = Roster.find(endpoint_id("e"));
   Roster.remove(endpoint_id("e"));
   CHECK_FALSE(Held->isUsable(Start));
@@ -40,12 +40,12 @@
 
 TEST_CASE("An entry that lapsed is kept until it is due, or written again") {
   endpoint_roster Roster;
-  Roster.put(factsOf("lapsed"), Start);
-  Roster.put(factsOf("renewed"), Start);
+  Roster.put(factsOf("lapsed"));
+  Roster.put(factsOf("renewed"));
   Roster.removeAt(endpoint_id("lapsed"), Start + milliseconds(2000));
   Roster.removeAt(endpoint_id("renewed"), Start + milliseconds(2000));
   CHECK(Roster.removeDue(Start + milliseconds(1999)).empty());
-  Roster.put(factsOf("renewed"), Start + milliseconds(1999));
+  Roster.put(factsOf("renewed"));
   CHECK(Roster.removeDue(Start + milliseconds(2000)) ==
         std::vector{endpoint_id("lapsed")});
   CHECK(Roster.find(endpoint_id("renewed")));
--- a/Tests/LibRelay/directory_service_test.cpp
+++ b/Tests/LibRelay/directory_service_test.cpp
@@ -1,5 +1,7 @@
 #include "LibRelay/directory_service.h"
 
+#include "test_fleet.h"
+
 #include <doctest/doctest.h>
 
 using namespace azurehaven;
@@ -10,27 +12,17 @@
 const network_address Own{"10.0.0.1", 80};
 
 fleet_state makeFleet() {
-  return {vm_id("vm-1"),
-          failure_domain_id("a"),
-          std::make_shared<const route_table>(route_table::content{}),
-          {},
-          {},
-          configuration_confirmation(milliseconds(5000)),
-          retry_allowance({}),
-          session_pins(milliseconds(5000)),
-          rollout_control(0.1)};
-}
-
-member_entry memberAt(const char *Vm, const char *Host) {
-  return {vm_id(Vm), failure_domain_id("a"), {Host, 80}, {Host, 81}, 1};
+  fleet_state Fleet = testFleet();
+  Fleet.Routes = std::make_shared<const route_table>(route_table::content{});
+  return Fleet;
 }
 
 } // namespace
 
 TEST_CASE("Callers get all members, this one while it serves") {
   fleet_state Fleet = makeFleet();
-  Fleet.Members.put(memberAt("vm-1", "10.0.0.1"));
-  Fleet.Members.put(memberAt("vm-2", "10.0.0.2"));
+  Fleet.Members.put(testMember("vm-1", "10.0.0.1"));
+  Fleet.Members.put(testMember("vm-2", "10.0.0.2"));
   Fleet.Confirmation.confirm(Start);
   CHECK(answerDirectory(Fleet, Own, Start).Addresses.size() == 2);
   Fleet.IsStopping = true;
--- a/Tests/LibRelay/fleet_exchange_test.cpp
+++ b/Tests/LibRelay/fleet_exchange_test.cpp
@@ -1,5 +1,7 @@
 #include "LibRelay/fleet_exchange.h"
 
+#include "test_fleet.h"
+
 #include <doctest/doctest.h>
 
 using namespace azurehaven;
@@ -8,13 +10,6 @@
 
 const steady_time Start{std::chrono::hours(1)};
 
-class test_clock : public clock_source {
-public:
-  steady_time now() const override { return Now; }
-  unix_millis wallNow() const override { return unix_millis(0); }
-  steady_time Now = Start;
-};
-
 class recording_network : public peer_network {
 public:
   void setPeers(const std::map<vm_id, network_address> &NewPeers) override {
@@ -31,25 +26,13 @@
 
 struct exchange_vm {
   explicit exchange_vm(const char *Name)
-      : Fleet{vm_id(Name),
-              failure_domain_id("a"),
-              nullptr,
-              {},
-              {},
-              configuration_confirmation(std::nullopt),
-              retry_allowance({}),
-              session_pins(milliseconds(5000)),
-              rollout_control(0.1)} {
+      : Fleet(testFleet(Name, std::nullopt)) {
     for (const char *Vm : {"vm-1", "vm-2"})
-      Fleet.Members.put({vm_id(Vm),
-                         failure_domain_id("a"),
-                         {"127.0.0.1", 80},
-                         {"127.0.0.1", 81},
-                         1});
+      Fleet.Members.put(testMember(Vm));
     endpoint_facts Facts;
     Facts.Id = endpoint_id("e");
     Facts.Service = service_id("s");
-    Fleet.Endpoints.put(Facts, Start);
+    Fleet.Endpoints.put(Facts);
   }
 
   test_clock Clock;
--- a/Tests/LibRelay/fleet_updates_test.cpp
+++ b/Tests/LibRelay/fleet_updates_test.cpp
@@ -1,32 +1,18 @@
 #include "LibRelay/fleet_updates.h"
 
+#include "test_fleet.h"
+
 #include <doctest/doctest.h>
 
 using namespace azurehaven;
 
 namespace {
 
-class test_clock : public clock_source {
-public:
-  steady_time now() const override { return Now; }
-  unix_millis wallNow() const override { return Wall; }
-  steady_time Now{std::chrono::hours(1)};
-  unix_millis Wall{1000000};
-};
-
 struct updates_fixture {
   test_clock Clock;
   silent_event_log Log;
   metrics Metrics;
-  fleet_state Fleet{vm_id("vm-1"),
-                    failure_domain_id("a"),
-                    nullptr,
-                    {},
-                    {},
-                    configuration_confirmation(milliseconds(5000)),
-                    retry_allowance({}),
-                    session_pins(milliseconds(5000)),
-                    rollout_control(0.1)};
+  fleet_state Fleet = testFleet();
   fleet_updates Updates{Fleet, Clock, Log, Metrics};
 
   void configure(std::uint64_t Version) {
--- a/Tests/LibRelay/relay_fixture.cpp
+++ b/Tests/LibRelay/relay_fixture.cpp
@@ -1,5 +1,7 @@
 #include "relay_fixture.h"
 
+#include "test_fleet.h"
+
 #include <asio/write.hpp>
 
 #include <doctest/doctest.h>
@@ -92,15 +94,7 @@
 };
 
 relay_fixture::relay_fixture(std::size_t EndpointCount)
-    : Fleet{vm_id("vm-1"),
-            failure_domain_id("a"),
-            nullptr,
-            {},
-            {},
-            configuration_confirmation(milliseconds(60000)),
-            retry_allowance({0.9, milliseconds(10000), 100}),
-            session_pins(milliseconds(5000)),
-            rollout_control(0.15)},
+    : Fleet(testFleet("vm-1", milliseconds(60000))),
       Connections(Loop.get_executor(), connection_timing{}),
       Context{Loop.get_executor(), Clock,   Dialect, Log, Metrics, Fleet,
               Connections,         nullptr, nullptr},
@@ -120,7 +114,7 @@
     Facts.Service = service_id("s");
     Facts.Address = Endpoints.back()->address();
     Facts.Domain = failure_domain_id("a");
-    Fleet.Endpoints.put(Facts, Clock.now());
+    Fleet.Endpoints.put(Facts);
   }
   Content.Version = 1;
   Content.Pools.push_back({service_id("s"), 64, std::nullopt});
--- a/Tests/LibRelay/rollout_driver_test.cpp
+++ b/Tests/LibRelay/rollout_driver_test.cpp
@@ -1,18 +1,13 @@
 #include "LibRelay/rollout_driver.h"
 
+#include "test_fleet.h"
+
 #include <doctest/doctest.h>
 
 using namespace azurehaven;
 
 namespace {
 
-class test_clock : public clock_source {
-public:
-  steady_time now() const override { return Now; }
-  unix_millis wallNow() const override { return unix_millis(500000); }
-  steady_time Now{std::chrono::hours(1)};
-};
-
 class recording_publisher : public rollout_publisher {
 public:
   void publish(const rollout_order &, rollout_outcome Outcome,
@@ -31,21 +26,9 @@
 
 struct driver_vm {
   explicit driver_vm(const std::string &Name)
-      : Fleet{vm_id(Name),
-              failure_domain_id("a"),
-              nullptr,
-              {},
-              {},
-              configuration_confirmation(std::nullopt),
-              retry_allowance({}),
-              session_pins(milliseconds(5000)),
-              rollout_control(0.1)} {
+      : Fleet(testFleet(Name, std::nullopt)) {
     for (const char *Vm : {"vm-1", "vm-2", "vm-3"})
-      Fleet.Members.put({vm_id(Vm),
-                         failure_domain_id("a"),
-                         {"127.0.0.1", 80},
-                         {"127.0.0.1", 81},
-                         1});
+      Fleet.Members.put(testMember(Vm));
     Fleet.Rollouts.onOrder({service_id("s"), "v2", milliseconds(10000), 7},
                            milliseconds(0), Clock.Now);
   }
--- a/Tests/platform/node_file_test.cpp
+++ b/Tests/platform/node_file_test.cpp
@@ -40,7 +40,7 @@
   CHECK(Settings.Relay.StopGrace == milliseconds(8000));
   CHECK(Settings.Relay.RevokeBound == milliseconds(5000));
   CHECK(Settings.Relay.Retries.Window == milliseconds(10000));
-  CHECK(Settings.Relay.Exposure.Share == doctest::Approx(0.15));
+  CHECK(Settings.Relay.ExposureShare == doctest::Approx(0.15));
   CHECK(Settings.StoreAddress.text() == "10.200.1.7:8223");
 }
 
