--- a/Libraries/LibMetrics/metrics.cpp
+++ b/Libraries/LibMetrics/metrics.cpp
@@ -6,6 +6,8 @@
 #include <boost/accumulators/statistics/stats.hpp>
 #include <boost/accumulators/statistics/sum.hpp>
 
+#include <boost/histogram.hpp>
+
 #include <array>
 #include <cstdio>
 
@@ -23,6 +25,20 @@
     accumulators::stats<accumulators::tag::count, accumulators::tag::sum,
                         accumulators::tag::extended_p_square>>;
 
+/// Upper bounds of the buckets in milliseconds: from a plain service's answer
+/// to the longest stream.
+constexpr std::array<double, 12> BucketBounds = {
+    5, 10, 25, 50, 100, 250, 500, 1000, 2000, 3000, 5000, 10000};
+
+using bucket_axis = boost::histogram::axis::variable<>;
+using buckets = decltype(boost::histogram::make_histogram(bucket_axis{0., 1.}));
+
+buckets makeBuckets() {
+  std::vector<double> Edges{0};
+  Edges.insert(Edges.end(), BucketBounds.begin(), BucketBounds.end());
+  return boost::histogram::make_histogram(bucket_axis(Edges));
+}
+
 std::string withLabel(const std::string &Labels, const std::string &Added) {
   return Labels.empty() ? Added : Labels + "," + Added;
 }
@@ -32,6 +48,7 @@
 class metrics::timing {
 public:
   summary Summary{accumulators::extended_p_square_probabilities = Quantiles};
+  buckets Buckets = makeBuckets();
 };
 
 metrics::metrics() = default;
@@ -57,6 +74,8 @@
   if (!Timing)
     Timing = std::make_unique<timing>();
   Timing->Summary(static_cast<double>(Value.count()));
+  // Prometheus counts a value on a bound into the lower bucket.
+  Timing->Buckets(std::max(static_cast<double>(Value.count()) - 0.5, 0.0));
 }
 
 std::uint64_t metrics::value(const std::string &Name,
@@ -81,6 +100,16 @@
                        withLabel(Labels, std::string("quantile=\"") +
                                              QuantileNames[Index] + "\""),
                        accumulators::extended_p_square(Timing->Summary)[Index]);
+    double Cumulative = 0;
+    for (std::size_t Index = 0; Index < BucketBounds.size(); ++Index) {
+      Cumulative += Timing->Buckets.at(static_cast<int>(Index));
+      char Bound[32];
+      std::snprintf(Bound, sizeof Bound, "le=\"%g\"", BucketBounds[Index]);
+      Text +=
+          renderSample(Name + "_bucket", withLabel(Labels, Bound), Cumulative);
+    }
+    Text += renderSample(Name + "_bucket", withLabel(Labels, "le=\"+Inf\""),
+                         static_cast<double>(Count));
     Text +=
         renderSample(Name + "_sum", Labels, accumulators::sum(Timing->Summary));
     Text += renderSample(Name + "_count", Labels, static_cast<double>(Count));
--- a/Libraries/LibRelay/relay_node.cpp
+++ b/Libraries/LibRelay/relay_node.cpp
@@ -80,6 +80,28 @@
   return answerDirectory(Fleet, Settings.CallerAddress, Clock.now());
 }
 
+std::string relay_node::renderGauges() const {
+  const auto Age = Fleet.Confirmation.age(Clock.now());
+  std::string Text;
+  const auto Add = [&](const char *Name, double Value) {
+    Text += renderSample(Name, {}, Value);
+  };
+  Add("azurehaven_active_requests",
+      static_cast<double>(Context.ActiveRequests.size()));
+  if (Age)
+    Add("azurehaven_configuration_age_ms", static_cast<double>(Age->count()));
+  Add("azurehaven_configuration_version",
+      Fleet.Routes ? static_cast<double>(Fleet.Routes->version()) : 0);
+  Add("azurehaven_members", static_cast<double>(Fleet.Members.size()));
+  Add("azurehaven_endpoints", static_cast<double>(Fleet.Endpoints.size()));
+  Add("azurehaven_idle_endpoint_connections",
+      static_cast<double>(Connections.idleCount()));
+  Add("azurehaven_opened_endpoint_connections",
+      static_cast<double>(Connections.opened()));
+  Add("azurehaven_ready", isReady() ? 1 : 0);
+  return Text;
+}
+
 status relay_node::start(member_registration &NewRegistration,
                          engine_inspector &Inspector,
                          rollout_publisher &Publisher, bill_journal &Bills) {
--- a/Libraries/LibRelay/relay_node.h
+++ b/Libraries/LibRelay/relay_node.h
@@ -32,6 +32,8 @@
   void applySettings(const relay_settings &Changed);
   bool isReady() const;
   directory_answer directory() const;
+  /// Present values in Prometheus text form, beside the counters.
+  std::string renderGauges() const;
 
   /// Starts to serve; the registration announces this VM in the store. Returns
   /// Unavailable when the callers' address can't be bound.
--- a/Libraries/LibRelay/request_run.cpp
+++ b/Libraries/LibRelay/request_run.cpp
@@ -235,6 +235,9 @@
                      {"confidence", std::to_string(*NewAnswer.Confidence)},
                      {"backlog_ms", std::to_string(Backlog.count())},
                      {"outcome", Larger ? "escalated" : "accepted"}});
+  Context.Metrics.count("azurehaven_judged_answers_total",
+                        Larger ? "outcome=\"escalated\""
+                               : "outcome=\"accepted\"");
   if (!Larger)
     return false;
   if (!Context.Fleet.Retries.tryTake(Endpoint->Facts.Service,
@@ -401,6 +404,9 @@
        Context.Fleet.Retries.tryTake(Endpoint->Facts.Service,
                                      Context.Fleet.Members.size(), Now));
   if (HasBudget) {
+    if (AnswerStarted)
+      Context.Metrics.count("azurehaven_resumed_streams_total");
+    Context.Metrics.count("azurehaven_repeated_sends_total");
     Splicer.startNextSource();
     return sendNext();
   }
--- a/Tests/LibMetrics/metrics_test.cpp
+++ b/Tests/LibMetrics/metrics_test.cpp
@@ -16,4 +16,8 @@
         std::string::npos);
   CHECK(Text.find("answer_ms_count{class=\"c\"} 100\n") != std::string::npos);
   CHECK(Text.find("answer_ms_sum{class=\"c\"} 5050\n") != std::string::npos);
+  CHECK(Text.find("answer_ms_bucket{class=\"c\",le=\"50\"} 50\n") !=
+        std::string::npos);
+  CHECK(Text.find("answer_ms_bucket{class=\"c\",le=\"+Inf\"} 100\n") !=
+        std::string::npos);
 }
