--- /dev/null
+++ b/Libraries/LibBench/simulation_upkeep.cpp
@@ -0,0 +1,93 @@
+#include "LibBench/policy_simulation.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace azurehaven::bench {
+
+void simulation::reportLoads() {
+  const auto Age =
+      Settings.Case == bench_case::LateReports && Now >= atSecond(FaultSeconds)
+          ? LateReportAge
+          : ReportInterval;
+  for (std::size_t Index = 0; Index < Engines.size(); ++Index)
+    reportOne(Index, Age);
+  Events.schedule(Now + ReportInterval, [this] { reportLoads(); });
+}
+
+void simulation::reportOne(std::size_t Index, milliseconds Age) {
+  const virtual_engine &Engine = Engines[Index];
+  endpoint_report Report;
+  Report.Versions = {Engine.truth().Version};
+  for (const auto &Version : Engine.truth().MoreVersions)
+    if (Settings.Case != bench_case::HalfRollOut || Index % 2 == 0)
+      Report.Versions.insert(Version);
+  Report.Slots = Engine.truth().Slots;
+  Report.Load = Engine.load();
+  const bool IsUp = Engine.isUp();
+  const steady_time AskedAt = Now;
+  Events.schedule(Now + Age, [this, Index, Report, IsUp, AskedAt] {
+    ReportedLoads[Index] = Report.Load;
+    for (auto &Router : Routers) {
+      const endpoint_id &Id = Engines[Index].truth().Id;
+      if (IsUp)
+        Router->endpointReport(Id, Report, AskedAt);
+      else
+        Router->endpointReportMissing(Id, Now);
+    }
+  });
+}
+
+void simulation::gossip() {
+  for (std::size_t From = 0; From < Routers.size(); ++From) {
+    const auto Ratings = Routers[From]->takeRatingNotices();
+    const auto Crashes = Routers[From]->takeCrashNotices();
+    const auto Usage = Routers[From]->usage();
+    for (std::size_t To = 0; To < Routers.size(); ++To) {
+      if (To == From)
+        continue;
+      if (Settings.ArePooled)
+        for (const auto &Notice : Ratings)
+          Routers[To]->mergeRating(Notice);
+      for (const auto &Notice : Crashes)
+        Routers[To]->addCrash(Notice, Now);
+      Routers[To]->setPeerUsage(vm_id("vm-" + std::to_string(From)), Usage,
+                                Now);
+    }
+  }
+  if (!Routers.empty())
+    Events.schedule(Now + GossipInterval, [this] { gossip(); });
+}
+
+void simulation::advanceQueues() {
+  for (std::size_t Vm = 0; Vm < Routers.size(); ++Vm)
+    for (const auto &[Version, Progress] : Routers[Vm]->advance(Now))
+      play(Vm, Version, Progress);
+  if (!Routers.empty())
+    Events.schedule(Now + QueueInterval, [this] { advanceQueues(); });
+}
+
+void simulation::automate() {
+  for (auto &Router : Routers) {
+    for (const auto &Alarm : Router->takeAlarms())
+      Events.schedule(
+          Now + ConfigurationDelay,
+          [this, Version = Alarm.Subject.Version] { withdraw(Version); });
+    for (const auto &Version : Router->provenRollOuts(Load.Configuration))
+      setState(Version, version_state::Active);
+  }
+  if (!Routers.empty())
+    Events.schedule(Now + AutomationInterval, [this] { automate(); });
+}
+
+void simulation::withdraw(const version_id &Version) {
+  if (Load.Configuration.Versions.at(Version).State == version_state::Withdrawn)
+    return;
+  if (BadVersions.contains(Version))
+    WasWithdrawn = true;
+  else
+    ++FalseAlarms;
+  setState(Version, version_state::Withdrawn);
+}
+
+} // namespace azurehaven::bench
