LibPeer: Give up connections to peers that went silent

Connections between VMs may go silent for good without a reset; a link then swallowed every notice (load, evidence, sessions) until the system's own time-out, minutes later. Sent frames and connects now stay unacknowledged for 2 s at most. LibSocket holds the options for both users.

--- a/Libraries/LibConnection/caller_connection.cpp
+++ b/Libraries/LibConnection/caller_connection.cpp
@@ -1,6 +1,6 @@
 #include "LibConnection/caller_connection.h"
 
-#include "LibConnection/socket_options.h"
+#include "LibSocket/socket_options.h"
 
 #include <http_parser.h>
 #include <strings.h>
--- a/Libraries/LibConnection/connection_listener.cpp
+++ b/Libraries/LibConnection/connection_listener.cpp
@@ -1,6 +1,6 @@
 #include "LibConnection/connection_listener.h"
 
-#include "LibConnection/socket_options.h"
+#include "LibSocket/socket_options.h"
 
 #include <algorithm>
 
--- a/Libraries/LibConnection/endpoint_connection.cpp
+++ b/Libraries/LibConnection/endpoint_connection.cpp
@@ -1,6 +1,6 @@
 #include "LibConnection/endpoint_connection.h"
 
-#include "LibConnection/socket_options.h"
+#include "LibSocket/socket_options.h"
 
 #include <asio/write.hpp>
 
--- a/Libraries/LibPeer/tcp_peer_network.cpp
+++ b/Libraries/LibPeer/tcp_peer_network.cpp
@@ -1,6 +1,7 @@
 #include "LibPeer/tcp_peer_network.h"
 
 #include "LibPeer/frame_codec.h"
+#include "LibSocket/socket_options.h"
 
 #include <array>
 #include <asio.hpp>
@@ -17,6 +18,9 @@
 constexpr std::size_t QueueLimitFrames = 256;
 constexpr std::size_t InboundConnectionLimit = 4096;
 constexpr milliseconds ReconnectDelay{200};
+/// Longest time that sent frames, or the wish to connect, may stay
+/// unacknowledged.
+constexpr milliseconds PeerSilence{2000};
 
 struct traffic_counters {
   std::atomic<std::uint64_t> FramesSent = 0;
@@ -140,6 +144,10 @@
     State = link_state::Connecting;
     std::error_code Ignored;
     Socket = tcp::socket(Socket.get_executor());
+    // A peer that went dark, or a connection that went silent, is given up and
+    // tried anew instead of swallowing frames.
+    Socket.open(tcp::v4(), Ignored);
+    setConnectionOptions(Socket, PeerSilence);
     tcp::endpoint Endpoint(asio::ip::make_address(Address.Host, Ignored),
                            Address.Port);
     auto Self = shared_from_this();
@@ -148,8 +156,6 @@
         return;
       if (Code)
         return Self->fail();
-      std::error_code Unset;
-      Self->Socket.set_option(tcp::no_delay(true), Unset);
       Self->State = link_state::Open;
       Self->awaitClose();
       Self->writeFirst();
--- a/Libraries/LibConnection/socket_options.cpp
+++ b/Libraries/LibSocket/socket_options.cpp
@@ -1,4 +1,4 @@
-#include "LibConnection/socket_options.h"
+#include "LibSocket/socket_options.h"
 
 #include <netinet/tcp.h>
 
