LibRelay: Pass an endpoint's own failure on when nothing may be repeated

An idempotent request whose endpoint had failed it got 502 of our own once the budget for repetitions was used up: the endpoint's signed answer was lost. Found by reading; the new test failed before.

--- a/Libraries/LibRelay/request_run.cpp
+++ b/Libraries/LibRelay/request_run.cpp
@@ -349,6 +349,10 @@
                          "status " + std::to_string(Answer.Status));
   if (AnswerStarted)
     return breakOff("endpoint_failed");
+  passOnOwnFailure();
+}
+
+void request_run::passOnOwnFailure() {
   const bool ClaimsNotRun = Answer.Status == 503 || Answer.Status == 429 ||
                             Answer.Status == 408 || Answer.Status == 421;
   if (ClaimsNotRun || !Answer.IsSigned)
@@ -410,6 +414,8 @@
     Splicer.startNextSource();
     return sendNext();
   }
+  if (Failure == attempt_failure::AnsweredFailure && !AnswerStarted)
+    return passOnOwnFailure();
   refuse(
       refusalAfter(Runs > 0, IsAllowed ? "retry_budget" : "attempts_failed"));
 }
@@ -451,8 +457,7 @@
 void request_run::onCallerGone() {
   if (Over)
     return;
-  // A request that may run only once is left to finish: breaking it off could
-  // leave the endpoint's work half done, and its answer can't be used.
+  // The endpoint sees its connection close: nobody waits for the work.
   if (Attempt)
     Attempt->cancel();
   finish("caller_gone");
--- a/Libraries/LibRelay/request_run.h
+++ b/Libraries/LibRelay/request_run.h
@@ -50,6 +50,9 @@
   void passOnStream(std::string Bytes);
   void passOnWhole();
   void passOnFailure();
+  /// Gives the caller the endpoint's own failure, unless that would promise
+  /// that the request has not run.
+  void passOnOwnFailure();
   void retryOrRefuse(attempt_failure Failure, const std::string &Reason);
   void refuse(const final_refusal &Refusal);
   void breakOff(const char *Reason);
--- a/Tests/LibRelay/request_run_test.cpp
+++ b/Tests/LibRelay/request_run_test.cpp
@@ -110,6 +110,20 @@
   CHECK(fieldOf(Answer, "Signed") == "x");
 }
 
+TEST_CASE("An endpoint's failure is passed on when nothing may be repeated") {
+  relay_fixture Fixture;
+  Fixture.addRoute("/p/", work_kind::Idempotent);
+  Fixture.applyRoutes();
+  Fixture.Fleet.Retries.setTerms({0, milliseconds(10000), 0});
+  Fixture.setScript([](std::size_t, const received_request &) {
+    return scripted_response{wholeResponse(500, Good, "why")};
+  });
+  const auto Answer = Fixture.ask("/p/");
+  CHECK(statusOf(Answer) == 500);
+  CHECK(bodyOf(Answer) == "why");
+  CHECK(fieldOf(Answer, "Signed") == "x");
+}
+
 TEST_CASE("A success without its signature or with an encoding is none") {
   relay_fixture Fixture;
   Fixture.addRoute("/p/", work_kind::NonIdempotent);
