LibConnection: Let answers that are still going out hold the end of a stop

Connections are now busy until their answer has gone out. The new test failed before. Ruled out: the grace time (4 s were left) and the endpoint (its run was whole).

--- a/Libraries/LibConnection/caller_connection.h
+++ b/Libraries/LibConnection/caller_connection.h
@@ -67,6 +67,11 @@
   void abort();
 
   bool hasRequest() const { return State == state::Serving; }
+  /// Whether a request is served or an answer is still going out.
+  bool isBusy() const {
+    return State == state::Serving || State == state::Closing ||
+           PendingBytes > 0;
+  }
   bool isClosed() const { return State == state::Closed; }
   /// Bytes that wait to be sent.
   std::size_t pendingBytes() const { return PendingBytes; }
--- a/Libraries/LibConnection/connection_listener.cpp
+++ b/Libraries/LibConnection/connection_listener.cpp
@@ -97,10 +97,10 @@
     Connection->closeIfIdle();
 }
 
-std::size_t connection_listener::servingCount() const {
+std::size_t connection_listener::busyCount() const {
   return static_cast<std::size_t>(
       std::count_if(Connections.begin(), Connections.end(),
-                    [](const auto &Entry) { return Entry->hasRequest(); }));
+                    [](const auto &Entry) { return Entry->isBusy(); }));
 }
 
 } // namespace azurehaven
--- a/Libraries/LibConnection/connection_listener.h
+++ b/Libraries/LibConnection/connection_listener.h
@@ -26,7 +26,8 @@
   /// Closes the connections that carry no request.
   void closeIdle();
   std::size_t connectionCount() const { return Connections.size(); }
-  std::size_t servingCount() const;
+  /// Connections with a request, or with an answer that has not gone out.
+  std::size_t busyCount() const;
   std::uint64_t acceptedCount() const { return Accepted; }
 
 private:
--- a/Libraries/LibRelay/relay_node.cpp
+++ b/Libraries/LibRelay/relay_node.cpp
@@ -180,7 +180,7 @@
   }
   const bool IsOver = Since > Settings.StopGrace - StopMargin;
   const bool HasWork =
-      Listener->servingCount() > 0 || Context.Bills->waitingCount() > 0;
+      Listener->busyCount() > 0 || Context.Bills->waitingCount() > 0;
   if (HasWork && !IsOver)
     return;
   Log.write(
--- a/Tests/LibConnection/connection_listener_test.cpp
+++ b/Tests/LibConnection/connection_listener_test.cpp
@@ -15,13 +15,17 @@
 public:
   void onRequest(incoming_request Request,
                  std::shared_ptr<caller_connection> Caller) override {
-    Caller->sendAnswer(200, {}, Request.Body);
+    ++Served;
+    Caller->sendAnswer(200, {}, Answer.empty() ? Request.Body : Answer);
   }
   void onRejected(request_fault) override { ++Rejected; }
   caller_limits limits() const override { return Limits; }
-  bool closesConnections() const override { return false; }
+  bool closesConnections() const override { return Closes; }
 
   caller_limits Limits;
+  std::string Answer;
+  bool Closes = false;
+  int Served = 0;
   int Rejected = 0;
 };
 
@@ -71,6 +75,24 @@
   CHECK(Listener->connectionCount() <= Limit);
 }
 
+TEST_CASE("A connection is busy until its last answer has gone out") {
+  asio::io_context Loop(1);
+  echo_handler Handler;
+  Handler.Closes = true;
+  Handler.Answer = std::string(32 << 20, 'x');
+  std::uint16_t Port = 0;
+  auto Listener = listenSomewhere(Loop, Handler, 10, Port);
+  REQUIRE(Listener);
+  asio::ip::tcp::socket Socket(Loop);
+  Socket.connect({asio::ip::make_address("127.0.0.1"), Port});
+  asio::write(Socket, asio::buffer(std::string("GET / HTTP/1.1\r\nHost: h\r\n"
+                                               "\r\n")));
+  while (Handler.Served == 0)
+    Loop.run_one();
+  // The answer is far larger than what the operating system takes.
+  CHECK(Listener->busyCount() == 1);
+}
+
 TEST_CASE("A half-sent head is closed after its limit") {
   asio::io_context Loop(1);
   echo_handler Handler;
