--- a/Libraries/LibDispatch/rollout_controller.cpp
+++ b/Libraries/LibDispatch/rollout_controller.cpp
@@ -54,19 +54,52 @@
                                    : release_choice::NotTarget;
 }
 
+bool rollout_controller::isRepeated(const rollout &Rollout,
+                                    const rollout_order &Order,
+                                    order_origin Origin) {
+  if (Rollout.Order.Revision.isAbsent())
+    return false;
+  switch (Origin) {
+  case order_origin::Written:
+    return false;
+  case order_origin::MaybeRepeated:
+    return Rollout.Order.Target == Order.Target;
+  case order_origin::MaybeCopied:
+    return true;
+  }
+  return false;
+}
+
 void rollout_controller::onOrder(const rollout_order &Order,
-                                 milliseconds Elapsed, steady_time Now) {
+                                 order_origin Origin, milliseconds Elapsed,
+                                 steady_time Now) {
   auto &Rollout = Rollouts[Order.Service];
   if (Rollout.Order.Revision >= Order.Revision)
     return;
-  Rollout = {Order, Now - Elapsed, false, std::nullopt, 0};
+  if (isRepeated(Rollout, Order, Origin)) {
+    // The copy may still hold the order before the one that is in force.
+    if (Rollout.Order.Target == Order.Target)
+      Rollout.Order.Revision = Order.Revision;
+  } else {
+    Rollout = {};
+    Rollout.Order = Order;
+    Rollout.BeganAt = Now - Elapsed;
+  }
   applyPublishedOutcome(Rollout);
 }
 
+void rollout_controller::onStoreRestored() {
+  LatestOutcomes.clear();
+  for (auto &[Service, Rollout] : Rollouts) {
+    Rollout.PublishedOutcome.reset();
+    Rollout.PublishedRevision = {};
+  }
+}
+
 void rollout_controller::onOutcome(const service_id &Service,
                                    const std::string &Target,
                                    rollout_outcome Outcome,
-                                   std::uint64_t Revision) {
+                                   store_revision Revision) {
   auto &Latest = LatestOutcomes[Service];
   if (Latest.Revision >= Revision)
     return;
@@ -86,6 +119,9 @@
   if (Latest.Target == Rollout.Order.Target &&
       Latest.Revision > Rollout.Order.Revision)
     Rollout.PublishedOutcome = Latest.Outcome;
+  if (!Rollout.FinalOutcome &&
+      Rollout.PublishedOutcome != rollout_outcome::InProgress)
+    Rollout.FinalOutcome = Rollout.PublishedOutcome;
 }
 
 double rollout_controller::progress(const rollout &Rollout,
@@ -105,9 +141,9 @@
   release_rule Rule;
   Rule.Target = Rollout.Order.Target;
   const double Progress = progress(Rollout, Now);
-  if (Rollout.PublishedOutcome == rollout_outcome::RolledBack || Rollout.IsBad)
+  if (Rollout.FinalOutcome == rollout_outcome::RolledBack || Rollout.IsBad)
     Rule.Phase = rollout_phase::RolledBack;
-  else if (Rollout.PublishedOutcome == rollout_outcome::Completed)
+  else if (Rollout.FinalOutcome == rollout_outcome::Completed)
     Rule.Phase = rollout_phase::Completed;
   else if (Progress >= ShiftStartProgress)
     Rule.Phase = rollout_phase::Shift;
@@ -128,10 +164,7 @@
 void rollout_controller::judge(const release_statistics &Statistics,
                                steady_time) {
   for (auto &[Service, Rollout] : Rollouts) {
-    const bool IsOpen =
-        !Rollout.PublishedOutcome ||
-        *Rollout.PublishedOutcome == rollout_outcome::InProgress;
-    if (IsOpen && !Rollout.IsBad)
+    if (!Rollout.FinalOutcome && !Rollout.IsBad)
       Rollout.IsBad = Statistics.isWorse(Service, Rollout.Order.Target);
   }
 }
@@ -140,11 +173,10 @@
 rollout_controller::outcomeUpdates(steady_time Now) const {
   std::vector<outcome_update> Updates;
   for (const auto &[Service, Rollout] : Rollouts) {
-    if (Rollout.PublishedOutcome == rollout_outcome::Completed ||
-        Rollout.PublishedOutcome == rollout_outcome::RolledBack)
-      continue;
     rollout_outcome Wanted = rollout_outcome::InProgress;
-    if (Rollout.IsBad)
+    if (Rollout.FinalOutcome)
+      Wanted = *Rollout.FinalOutcome;
+    else if (Rollout.IsBad)
       Wanted = rollout_outcome::RolledBack;
     else if (progress(Rollout, Now) >= CompletionProgress)
       Wanted = rollout_outcome::Completed;
--- a/Libraries/LibDispatch/rollout_controller.h
+++ b/Libraries/LibDispatch/rollout_controller.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "LibDispatch/release_statistics.h"
+#include "LibTypes/store_revision.h"
 
 #include <map>
 #include <optional>
@@ -19,7 +20,18 @@
   service_id Service;
   std::string Target;
   milliseconds TimeLimit{0};
-  std::uint64_t Revision = 0;
+  store_revision Revision;
+};
+
+/// Where an order was read from.
+enum class order_origin {
+  /// The operator has written it.
+  Written,
+  /// The operator may have written it again, just after the store was restored
+  /// from an older copy.
+  MaybeRepeated,
+  /// It may come from the copy from which the store was restored.
+  MaybeCopied,
 };
 
 enum class rollout_phase {
@@ -68,10 +80,13 @@
 
   void setExposureShare(double Share) { ExposureShare = Share; }
   /// Elapsed: time since the roll-out began, 0 if unknown.
-  void onOrder(const rollout_order &Order, milliseconds Elapsed,
-               steady_time Now);
+  void onOrder(const rollout_order &Order, order_origin Origin,
+               milliseconds Elapsed, steady_time Now);
   void onOutcome(const service_id &Service, const std::string &Target,
-                 rollout_outcome Outcome, std::uint64_t Revision);
+                 rollout_outcome Outcome, store_revision Revision);
+  /// Forgets what is published: the store was restored from an older copy. The
+  /// decisions stay, and are published again where the copy lacks them.
+  void onStoreRestored();
 
   release_rule ruleFor(const service_id &Service, steady_time Now) const;
   /// Evaluates the targets of open roll-outs. A target that was found to be
@@ -82,8 +97,9 @@
   struct outcome_update {
     rollout_order Order;
     rollout_outcome Outcome = rollout_outcome::InProgress;
-    /// Revision of the published outcome that it replaces; 0 if there is none.
-    std::uint64_t PublishedRevision = 0;
+    /// Revision of the published outcome that it replaces; absent if there is
+    /// none.
+    store_revision PublishedRevision;
     milliseconds Elapsed{0};
   };
   std::vector<outcome_update> outcomeUpdates(steady_time Now) const;
@@ -93,17 +109,24 @@
     rollout_order Order;
     steady_time BeganAt;
     bool IsBad = false;
-    /// The outcome published for this roll-out.
+    /// The final outcome, once a VM has published it. It outlasts a
+    /// restoration of the store.
+    std::optional<rollout_outcome> FinalOutcome;
+    /// The outcome that the store holds for this roll-out.
     std::optional<rollout_outcome> PublishedOutcome;
     /// Revision of the service's latest published outcome, which may belong to
     /// an earlier roll-out.
-    std::uint64_t PublishedRevision = 0;
+    store_revision PublishedRevision;
   };
   struct published_outcome {
     std::string Target;
     rollout_outcome Outcome = rollout_outcome::InProgress;
-    std::uint64_t Revision = 0;
+    store_revision Revision;
   };
+  /// Whether a restored store repeats the order of a known roll-out, or an
+  /// earlier one.
+  static bool isRepeated(const rollout &Rollout, const rollout_order &Order,
+                         order_origin Origin);
   void applyPublishedOutcome(rollout &Rollout) const;
   double progress(const rollout &Rollout, steady_time Now) const;
 
--- a/Libraries/LibFleet/member_registration.cpp
+++ b/Libraries/LibFleet/member_registration.cpp
@@ -23,24 +23,26 @@
 void member_registration::acquireLease() {
   if (Leaving)
     return;
-  Store.grantLease(LeaseTimeToLive, [this](result<lease_id> Granted) {
+  Store.grantLease(LeaseTimeToLive, [this](result<store_lease> Granted) {
     if (isError(Granted))
       return scheduleRetry(errorOf(Granted));
     publishEntry(valueOf(Granted));
   });
 }
 
-void member_registration::publishEntry(lease_id Granted) {
-  if (Leaving)
-    return;
+void member_registration::publishEntry(store_lease Granted) {
+  if (Leaving) {
+    Lease = Granted;
+    return leave();
+  }
   store_transaction Transaction;
   Transaction.Puts.push_back({memberKey(Self.Vm), encodeMember(Self), Granted});
-  Store.commit(Transaction, [this, Granted](result<std::uint64_t> Result) {
+  Store.commit(Transaction, [this, Granted](result<store_revision> Result) {
     if (isError(Result))
       return scheduleRetry(errorOf(Result));
     Lease = Granted;
     Log.write(log_level::Info, "member_registered",
-              {{"lease", std::to_string(Granted)}});
+              {{"lease", std::to_string(Granted.Id)}});
     if (Leaving)
       return leave();
     scheduleRenewal();
@@ -60,7 +62,7 @@
     if (errorOf(Result).Code != error_code::NotFound)
       return scheduleRenewal();
     Log.write(log_level::Warning, "member_lease_lapsed",
-              {{"lease", std::to_string(Lease)}});
+              {{"lease", std::to_string(Lease.Id)}});
     Lease = NoLease;
     acquireLease();
   });
@@ -74,7 +76,7 @@
 
 void member_registration::leave() {
   Leaving = true;
-  if (Lease == NoLease)
+  if (Lease.isNone())
     return;
   Store.endLease(Lease, [this](result<success> Result) {
     if (isError(Result))
--- a/Libraries/LibFleet/member_registration.h
+++ b/Libraries/LibFleet/member_registration.h
@@ -22,7 +22,7 @@
 
 private:
   void acquireLease();
-  void publishEntry(lease_id Granted);
+  void publishEntry(store_lease Granted);
   void scheduleRenewal();
   void renewLease();
   void scheduleRetry(const error &Error);
@@ -31,7 +31,7 @@
   event_scheduler &Scheduler;
   const event_log &Log;
   const member_entry Self;
-  lease_id Lease = NoLease;
+  store_lease Lease = NoLease;
   bool Leaving = false;
 };
 
--- a/Libraries/LibFleet/store_mirror.cpp
+++ b/Libraries/LibFleet/store_mirror.cpp
@@ -40,13 +40,25 @@
   if (Stopped)
     return;
   const steady_time SentAt = Scheduler.now();
-  Store.readRange(Keys, [this, SentAt](result<range_result> Result) {
+  const std::uint64_t Number = ++CallNumber;
+  Store.readRange(Keys, [=, this](result<range_result> Result) {
+    if (Number != CallNumber)
+      return;
     if (isError(Result))
       return retryAfterFailure(errorOf(Result).Message);
     applySnapshot(std::move(valueOf(Result)), SentAt);
   });
 }
 
+void store_mirror::onStoreRestored() { readSnapshot(); }
+
+void store_mirror::beginEra(store_revision CopyEnd) {
+  // Leases in the copy may have expired while their owners still renewed them,
+  // so the owners need the same time as after an outage to write again.
+  ReconnectedAt = Scheduler.now();
+  Listener.onRestored(CopyEnd);
+}
+
 void store_mirror::applySnapshot(range_result Range, steady_time SentAt) {
   ConsecutiveFailures = 0;
   if (!Reachable) {
@@ -55,9 +67,11 @@
       ReconnectedAt = Scheduler.now();
     Listener.onReachable();
   }
+  if (HasBeenReachable && Range.Revision.Era != Revision.Era)
+    beginEra(Range.Revision);
   const removal_cause Cause = removalCauseAt(Scheduler.now());
   HasBeenReachable = true;
-  std::map<std::string, std::uint64_t> Missing = KnownRevisions;
+  std::map<std::string, store_revision> Missing = KnownRevisions;
   for (const auto &Item : Range.Items) {
     Missing.erase(Item.Key);
     applyItem(Item);
@@ -80,7 +94,10 @@
     return;
   const steady_time SentAt = Scheduler.now();
   const milliseconds Wait = nextWatchWait(SentAt);
+  const std::uint64_t Number = ++CallNumber;
   Store.watch(Keys.Prefix, Revision, Wait, [=, this](watch_outcome Outcome) {
+    if (Number != CallNumber)
+      return;
     if (const auto *StoreChanges = std::get_if<store_changes>(&Outcome))
       return applyChanges(*StoreChanges, SentAt, Wait);
     if (std::holds_alternative<history_compacted>(Outcome))
@@ -106,11 +123,14 @@
     return watch();
   }
   confirm(SentAt);
-  Scheduler.runAfter(CoalescingDelay, [this] { watch(); });
+  Scheduler.runAfter(CoalescingDelay, [this, Number = CallNumber] {
+    if (Number == CallNumber)
+      watch();
+  });
 }
 
 void store_mirror::applyItem(const store_item &Item) {
-  std::uint64_t &KnownRevision = KnownRevisions[Item.Key];
+  store_revision &KnownRevision = KnownRevisions[Item.Key];
   if (Item.Revision <= KnownRevision)
     return;
   KnownRevision = Item.Revision;
@@ -118,7 +138,7 @@
 }
 
 void store_mirror::applyRemoval(const std::string &Key,
-                                std::uint64_t RemovalRevision,
+                                store_revision RemovalRevision,
                                 removal_cause Cause) {
   auto Found = KnownRevisions.find(Key);
   if (Found == KnownRevisions.end() || Found->second > RemovalRevision)
@@ -149,7 +169,10 @@
   }
   Scheduler.runAfter(
       std::min(InitialRetryDelay * ConsecutiveFailures, MaximumRetryDelay),
-      [this] { readSnapshot(); });
+      [this, Number = CallNumber] {
+        if (Number == CallNumber)
+          readSnapshot();
+      });
 }
 
 } // namespace azurehaven
--- a/Libraries/LibFleet/store_mirror.h
+++ b/Libraries/LibFleet/store_mirror.h
@@ -26,12 +26,16 @@
   virtual void onRemoved(const std::string &Key, removal_cause Cause) = 0;
   /// All changes up to this time have been reported.
   virtual void onConfirmed(steady_time At) = 0;
+  /// The store was restored from an older copy. Items up to this revision may
+  /// come from the copy; later ones were written since. Called before the items
+  /// of the copy are reported.
+  virtual void onRestored(store_revision CopyEnd) = 0;
   virtual void onReachable() = 0;
   virtual void onUnreachable(const std::string &Reason) = 0;
 };
 
 /// Mirrors a key range with one watch, and reads the whole range again after
-/// the watch fails. Used from one event loop.
+/// the watch fails or the store is restored. Used from one event loop.
 class store_mirror {
 public:
   store_mirror(async_store &Store, event_scheduler &Scheduler,
@@ -39,16 +43,20 @@
 
   void start();
   void stop() { Stopped = true; }
+  /// Reads the whole range at once and drops the pending watch, after another
+  /// call has shown that the store was restored from an older copy.
+  void onStoreRestored();
   bool isReachable() const { return Reachable; }
 
 private:
   void readSnapshot();
+  void beginEra(store_revision CopyEnd);
   void applySnapshot(range_result Range, steady_time SentAt);
   void watch();
   void applyChanges(const store_changes &StoreChanges, steady_time SentAt,
                     milliseconds Wait);
   void applyItem(const store_item &Item);
-  void applyRemoval(const std::string &Key, std::uint64_t RemovalRevision,
+  void applyRemoval(const std::string &Key, store_revision RemovalRevision,
                     removal_cause Cause);
   void confirm(steady_time At);
   void retryAfterFailure(const std::string &Reason);
@@ -60,12 +68,15 @@
   store_mirror_listener &Listener;
   const key_range Keys;
   /// Revision of the last reported write of each existing key.
-  std::map<std::string, std::uint64_t> KnownRevisions;
+  std::map<std::string, store_revision> KnownRevisions;
   /// Revision of the store up to which all changes have been reported.
-  std::uint64_t Revision = 0;
+  store_revision Revision;
+  /// Number of the call whose response is awaited; responses to earlier calls
+  /// are ignored.
+  std::uint64_t CallNumber = 0;
   /// Time up to which all changes have been reported.
   steady_time ConfirmedAt;
-  /// When the store became reachable again after an outage.
+  /// When the store became reachable again after an outage or a restoration.
   std::optional<steady_time> ReconnectedAt;
   unsigned ConsecutiveFailures = 0;
   bool Reachable = false;
--- a/Libraries/LibRelay/bill_journal.cpp
+++ b/Libraries/LibRelay/bill_journal.cpp
@@ -18,6 +18,11 @@
 /// At about 200 bytes per bill, a segment stays below the maximum size of a
 /// value in the store.
 constexpr std::size_t MaxBillsPerSegment = 2000;
+/// Time for which an acknowledged segment is kept for a restoration; a copy of
+/// the store is seconds old.
+constexpr std::chrono::seconds RetentionTime{60};
+/// Bills of acknowledged segments that are kept, about 200 bytes each.
+constexpr std::size_t MaxRetainedBills = 20000;
 /// Bills kept while the store is unavailable; further ones are dropped and
 /// logged.
 constexpr std::size_t MaxPendingBills = 50000;
@@ -53,46 +58,103 @@
 
 void bill_journal::flush() { write(); }
 
+bool bill_journal::takeSegment() {
+  if (CurrentSegment)
+    return true;
+  if (!Repeats.empty()) {
+    CurrentSegment = std::move(Repeats.front());
+    Repeats.pop_front();
+    return true;
+  }
+  const std::size_t Count = std::min(Pending.size(), MaxBillsPerSegment);
+  if (Count == 0)
+    return false;
+  const auto End = Pending.begin() + static_cast<std::ptrdiff_t>(Count);
+  CurrentSegment = segment{NextSegment++, {Pending.begin(), End}, {}};
+  Pending.erase(Pending.begin(), End);
+  return true;
+}
+
 void bill_journal::write() {
-  if (IsWriting)
+  if (IsWriting || !takeSegment())
     return;
-  if (CurrentSegment.empty()) {
-    const std::size_t Count = std::min(Pending.size(), MaxBillsPerSegment);
-    if (Count == 0)
-      return;
-    const auto End = Pending.begin() + static_cast<std::ptrdiff_t>(Count);
-    CurrentSegment.assign(Pending.begin(), End);
-    Pending.erase(Pending.begin(), End);
-  }
   IsWriting = true;
-  const std::string Key = KeyPrefix + std::to_string(NextSegment);
+  const std::string Key = KeyPrefix + std::to_string(CurrentSegment->Number);
   store_transaction Transaction;
-  Transaction.Conditions.push_back({Key, 0});
-  Transaction.Puts.push_back({Key, encodeBillSegment(CurrentSegment), NoLease});
-  Store.commit(std::move(Transaction), [this](result<std::uint64_t> Result) {
+  Transaction.Conditions.push_back({Key, {}});
+  Transaction.Puts.push_back(
+      {Key, encodeBillSegment(CurrentSegment->Bills), NoLease});
+  Store.commit(std::move(Transaction), [this](result<store_revision> Result) {
     IsWriting = false;
     onWritten(Result);
   });
 }
 
-void bill_journal::onWritten(const result<std::uint64_t> &Result) {
+void bill_journal::onWritten(const result<store_revision> &Result) {
   // Only this process writes the key. If it exists, an earlier write whose
   // response was lost has succeeded.
   const bool IsWritten =
       !isError(Result) || errorOf(Result).Code == error_code::Conflict;
   if (!IsWritten) {
     Log.write(log_level::Warning, "bills_not_written",
-              {{"bills", std::to_string(CurrentSegment.size())},
+              {{"bills", std::to_string(CurrentSegment->Bills.size())},
                {"reason", errorOf(Result).Message}});
     Scheduler.runAfter(RetryDelay, [this] { write(); });
     return;
   }
-  ++NextSegment;
-  CurrentSegment.clear();
-  if (Pending.size() >= MaxBillsPerSegment)
+  retain(std::move(*CurrentSegment));
+  CurrentSegment.reset();
+  // The store may have acknowledged the segment just before its restoration.
+  if (std::exchange(WasRestored, false))
+    return onStoreRestored();
+  if (!Repeats.empty() || Pending.size() >= MaxBillsPerSegment)
     write();
 }
 
+void bill_journal::retain(segment Written) {
+  const steady_time Now = Scheduler.now();
+  Written.WrittenAt = Now;
+  Retained.push_back(std::move(Written));
+  std::size_t Bills = 0;
+  for (const auto &Segment : Retained)
+    Bills += Segment.Bills.size();
+  while (Bills > MaxRetainedBills ||
+         Now - Retained.front().WrittenAt > RetentionTime) {
+    Bills -= Retained.front().Bills.size();
+    Retained.pop_front();
+  }
+}
+
+void bill_journal::onStoreRestored() {
+  if (IsWriting) {
+    WasRestored = true;
+    return;
+  }
+  const steady_time Now = Scheduler.now();
+  std::size_t Bills = 0;
+  for (auto &Segment : Retained) {
+    if (Now - Segment.WrittenAt > RetentionTime)
+      continue;
+    Bills += Segment.Bills.size();
+    Repeats.push_back(std::move(Segment));
+  }
+  Retained.clear();
+  if (Bills == 0)
+    return;
+  Log.write(log_level::Warning, "bills_written_again",
+            {{"bills", std::to_string(Bills)}});
+  write();
+}
+
+std::size_t bill_journal::pendingBillCount() const {
+  std::size_t Count = Pending.size();
+  if (CurrentSegment)
+    Count += CurrentSegment->Bills.size();
+  for (const auto &Segment : Repeats)
+    Count += Segment.Bills.size();
+  return Count;
+}
+
 std::string encodeBillSegment(const std::vector<bill> &Bills) {
   json Segment = json::array();
   for (const auto &Bill : Bills)
--- a/Libraries/LibRelay/bill_journal.h
+++ b/Libraries/LibRelay/bill_journal.h
@@ -6,6 +6,7 @@
 #include "LibMetrics/metrics.h"
 #include "LibStore/async_store.h"
 
+#include <deque>
 #include <map>
 #include <optional>
 #include <vector>
@@ -19,8 +20,10 @@
 
 /// Writes the bills of answered requests to the store in segments, without
 /// delaying the responses. The ledger holds each bill once by its key, so a
-/// segment that is written twice counts once. A crash of the process loses the
-/// bills added since the last written segment. Used on one event loop only.
+/// segment that is written twice counts once. Written segments are kept for a
+/// while and written again if the store is restored from an older copy. A crash
+/// of the process loses the bills added since the last written segment. Used on
+/// one event loop only.
 class bill_journal {
 public:
   bill_journal(async_store &Store, event_scheduler &Scheduler,
@@ -32,14 +35,27 @@
   /// Starts to write a segment of the pending bills at once, for example before
   /// a planned stop.
   void flush();
-  std::size_t pendingBillCount() const {
-    return Pending.size() + CurrentSegment.size();
-  }
+  /// Writes the retained segments again: the store was restored from an older
+  /// copy, which may lack them.
+  void onStoreRestored();
+  /// Number of bills that the store has not acknowledged.
+  std::size_t pendingBillCount() const;
 
 private:
+  struct segment {
+    std::uint64_t Number = 0;
+    std::vector<bill> Bills;
+    /// When the store acknowledged it.
+    steady_time WrittenAt;
+  };
+
   void scheduleWrites();
   void write();
-  void onWritten(const result<std::uint64_t> &Result);
+  void onWritten(const result<store_revision> &Result);
+  void retain(segment Written);
+  /// Cuts the next segment from the pending bills; returns whether there is one
+  /// to write.
+  bool takeSegment();
 
   async_store &Store;
   event_scheduler &Scheduler;
@@ -50,8 +66,14 @@
   std::vector<bill> Pending;
   /// The segment that is being written. A failed write is retried under the
   /// same key, since its outcome may be unknown.
-  std::vector<bill> CurrentSegment;
+  std::optional<segment> CurrentSegment;
   bool IsWriting = false;
+  /// The store was restored while a segment was being written.
+  bool WasRestored = false;
+  /// Segments to write again after a restoration.
+  std::deque<segment> Repeats;
+  /// Recently acknowledged segments, oldest first.
+  std::deque<segment> Retained;
 };
 
 std::string encodeBillSegment(const std::vector<bill> &Bills);
--- a/Libraries/LibRelay/fleet_state_updater.cpp
+++ b/Libraries/LibRelay/fleet_state_updater.cpp
@@ -17,9 +17,12 @@
                                          const event_log &Log, metrics &Metrics)
     : Fleet(Fleet), Clock(Clock), Log(Log), Metrics(Metrics) {}
 
-void fleet_state_updater::onConfiguration(route_table::content Content) {
+void fleet_state_updater::onConfiguration(route_table::content Content,
+                                          store_revision Revision) {
   const std::uint64_t Version = Content.Version;
   const std::uint64_t Before = Fleet.Routes ? Fleet.Routes->version() : 0;
+  if (Version >= Before && !Restoration.mayComeFromCopy(Revision))
+    Restoration.onConfigurationWritten();
   // Versions only grow: an older configuration is a delayed update.
   if (Fleet.Routes && Version <= Before)
     return;
@@ -31,7 +34,27 @@
              {"routes", std::to_string(Fleet.Routes->routes().size())}});
 }
 
-void fleet_state_updater::onEndpoint(const endpoint_descriptor &Descriptor) {
+bool fleet_state_updater::isOutdatedCopy(const std::string &Id,
+                                         std::int64_t Incarnation,
+                                         store_revision Revision) const {
+  const bool HasDeparted = DepartedEndpoints.contains(Id, Incarnation) ||
+                           DepartedMembers.contains(Id, Incarnation);
+  return HasDeparted && Restoration.mayComeFromCopy(Revision) &&
+         !Restoration.isSettled(Clock.now());
+}
+
+void fleet_state_updater::onEndpoint(const endpoint_descriptor &Descriptor,
+                                     store_revision Revision) {
+  HeldEndpoints.erase(Descriptor.Id);
+  if (!isOutdatedCopy(Descriptor.Id.text(), Descriptor.Incarnation, Revision))
+    return applyEndpoint(Descriptor);
+  HeldEndpoints[Descriptor.Id] = Descriptor;
+  Log.write(log_level::Info, "endpoint_held",
+            {{"endpoint", Descriptor.Id.text()},
+             {"reason", "left before the store was restored"}});
+}
+
+void fleet_state_updater::applyEndpoint(const endpoint_descriptor &Descriptor) {
   const auto Known = Fleet.Endpoints.find(Descriptor.Id);
   // Ignore a delayed entry of an earlier incarnation.
   if (Known && Known->Descriptor.Incarnation > Descriptor.Incarnation)
@@ -51,9 +74,11 @@
 
 void fleet_state_updater::onEndpointGone(const endpoint_id &Id,
                                          removal_cause Cause) {
+  HeldEndpoints.erase(Id);
   const auto Known = Fleet.Endpoints.find(Id);
   if (!Known)
     return;
+  DepartedEndpoints.add(Id.text(), Known->Descriptor.Incarnation, Clock.now());
   const bool MayReturn = Cause == removal_cause::MissingAfterOutage &&
                          !Known->Descriptor.IsLeaving;
   if (MayReturn)
@@ -65,12 +90,28 @@
       {{"endpoint", Id.text()}, {"may_return", MayReturn ? "yes" : "no"}});
 }
 
-void fleet_state_updater::onMember(const member_entry &Member) {
+void fleet_state_updater::onMember(const member_entry &Member,
+                                   store_revision Revision) {
+  HeldMembers.erase(Member.Vm);
+  if (!isOutdatedCopy(Member.Vm.text(),
+                      static_cast<std::int64_t>(Member.Incarnation), Revision))
+    return applyMember(Member);
+  HeldMembers[Member.Vm] = Member;
+  Log.write(log_level::Info, "member_held",
+            {{"member", Member.Vm.text()},
+             {"reason", "left before the store was restored"}});
+}
+
+void fleet_state_updater::applyMember(const member_entry &Member) {
   Fleet.Members.put(Member);
   Log.write(log_level::Info, "member_listed", {{"member", Member.Vm.text()}});
 }
 
 void fleet_state_updater::onMemberGone(const vm_id &Vm, removal_cause Cause) {
+  HeldMembers.erase(Vm);
+  if (const auto Known = Fleet.Members.find(Vm))
+    DepartedMembers.add(
+        Vm.text(), static_cast<std::int64_t>(Known->Incarnation), Clock.now());
   if (Cause == removal_cause::MissingAfterOutage)
     Fleet.Members.scheduleRemoval(Vm, renewalDeadline());
   else
@@ -89,9 +130,16 @@
                     2 * Order.TimeLimit);
 }
 
+order_origin fleet_state_updater::originOf(store_revision Revision) const {
+  if (Restoration.mayComeFromCopy(Revision))
+    return order_origin::MaybeCopied;
+  return Restoration.isSettled(Clock.now()) ? order_origin::Written
+                                            : order_origin::MaybeRepeated;
+}
+
 void fleet_state_updater::onRolloutOrder(const rollout_order &Order) {
   const milliseconds Elapsed = elapsedTimeOf(Order);
-  Fleet.Rollouts.onOrder(Order, Elapsed, Clock.now());
+  Fleet.Rollouts.onOrder(Order, originOf(Order.Revision), Elapsed, Clock.now());
   Log.write(log_level::Info, "rollout_ordered",
             {{"service", Order.Service.text()},
              {"target", Order.Target},
@@ -102,7 +150,7 @@
 void fleet_state_updater::onRolloutOutcome(const service_id &Service,
                                            const std::string &Target,
                                            rollout_outcome Outcome,
-                                           std::uint64_t Revision) {
+                                           store_revision Revision) {
   Fleet.Rollouts.onOutcome(Service, Target, Outcome, Revision);
   Log.write(log_level::Info, "rollout_published",
             {{"service", Service.text()},
@@ -116,7 +164,18 @@
 }
 
 void fleet_state_updater::onConfirmed(steady_time At) {
-  Fleet.Confirmation.confirm(At);
+  // A copy may lack a revocation that the operators have not repeated yet.
+  if (Restoration.isConfigurationCurrent(At))
+    Fleet.Confirmation.confirm(At);
+}
+
+void fleet_state_updater::onStoreRestored(store_revision CopyEnd) {
+  const steady_time Now = Clock.now();
+  StoreRegainedAt = Now;
+  Restoration.onRestored(CopyEnd, Now);
+  Fleet.Rollouts.onStoreRestored();
+  Log.write(log_level::Warning, "store_copy_read",
+            {{"copy_end", std::to_string(CopyEnd.Number)}});
 }
 
 steady_time fleet_state_updater::renewalDeadline() const {
@@ -134,12 +193,12 @@
 }
 
 void fleet_state_updater::onUnreadable(const std::string &Key,
-                                       std::uint64_t Revision,
+                                       store_revision Revision,
                                        const std::string &Reason) {
   Metrics.increment("azurehaven_unreadable_entries_total");
   Log.write(log_level::Warning, "entry_unreadable",
             {{"key", Key},
-             {"revision", std::to_string(Revision)},
+             {"revision", std::to_string(Revision.Number)},
              {"reason", Reason}});
 }
 
@@ -149,6 +208,17 @@
     Log.write(log_level::Info, "endpoint_gone", {{"endpoint", Id.text()}});
   Fleet.Members.removeExpired(Now);
   Fleet.Quarantine.expire(Now);
+  DepartedEndpoints.expire(Now);
+  DepartedMembers.expire(Now);
+  if (Restoration.isSettled(Now))
+    applyHeldEntries();
+}
+
+void fleet_state_updater::applyHeldEntries() {
+  for (const auto &[Id, Descriptor] : std::exchange(HeldEndpoints, {}))
+    applyEndpoint(Descriptor);
+  for (const auto &[Vm, Member] : std::exchange(HeldMembers, {}))
+    applyMember(Member);
 }
 
 } // namespace azurehaven
--- a/Libraries/LibRelay/fleet_state_updater.h
+++ b/Libraries/LibRelay/fleet_state_updater.h
@@ -1,6 +1,8 @@
 #pragma once
 
+#include "LibFleet/departed_entries.h"
 #include "LibFleet/store_mirror.h"
+#include "LibFleet/store_restoration.h"
 #include "LibLog/event_log.h"
 #include "LibMetrics/metrics.h"
 #include "LibRelay/fleet_state.h"
@@ -16,32 +18,53 @@
   fleet_state_updater(fleet_state &Fleet, const clock_source &Clock,
                       const event_log &Log, metrics &Metrics);
 
-  void onConfiguration(route_table::content Content);
-  void onEndpoint(const endpoint_descriptor &Descriptor);
+  void onConfiguration(route_table::content Content, store_revision Revision);
+  void onEndpoint(const endpoint_descriptor &Descriptor,
+                  store_revision Revision);
   void onEndpointGone(const endpoint_id &Id, removal_cause Cause);
-  void onMember(const member_entry &Member);
+  void onMember(const member_entry &Member, store_revision Revision);
   void onRolloutOrder(const rollout_order &Order);
   void onRolloutOutcome(const service_id &Service, const std::string &Target,
-                        rollout_outcome Outcome, std::uint64_t Revision);
+                        rollout_outcome Outcome, store_revision Revision);
   void onRolloutRecord(const service_id &Service, const rollout_record &Record);
   void onMemberGone(const vm_id &Vm, removal_cause Cause);
   void onConfirmed(steady_time At);
   void onStoreReachable();
+  /// The store was restored from an older copy; items up to CopyEnd may come
+  /// from it. Configuration, withdrawn releases and departures that are newer
+  /// than the copy stay in force.
+  void onStoreRestored(store_revision CopyEnd);
   void onStoreUnreachable(const std::string &Reason);
   /// Reports an entry that can't be decoded; its previous value stays in force.
-  void onUnreadable(const std::string &Key, std::uint64_t Revision,
+  void onUnreadable(const std::string &Key, store_revision Revision,
                     const std::string &Reason);
   /// Removes endpoints and members whose removal time has passed, and expired
   /// crash histories.
   void advance();
 
 private:
+  /// Whether the entry comes from a copy that is older than the removal of this
+  /// process start.
+  bool isOutdatedCopy(const std::string &Id, std::int64_t Incarnation,
+                      store_revision Revision) const;
+  order_origin originOf(store_revision Revision) const;
+  void applyEndpoint(const endpoint_descriptor &Descriptor);
+  void applyMember(const member_entry &Member);
+  /// Applies the entries that were held back and that nobody has removed since.
+  void applyHeldEntries();
+
   milliseconds elapsedTimeOf(const rollout_order &Order) const;
   /// Until when entries whose leases expired during an outage may be renewed.
   steady_time renewalDeadline() const;
 
   std::map<service_id, rollout_record> RolloutRecords;
-  /// When the store last became reachable.
+  store_restoration Restoration;
+  departed_entries DepartedEndpoints;
+  departed_entries DepartedMembers;
+  /// Entries of the copy whose process had left before the restoration.
+  std::map<endpoint_id, endpoint_descriptor> HeldEndpoints;
+  std::map<vm_id, member_entry> HeldMembers;
+  /// When the store last became reachable or was restored.
   steady_time StoreRegainedAt;
   fleet_state &Fleet;
   const clock_source &Clock;
--- a/Libraries/LibRelay/rollout_driver.cpp
+++ b/Libraries/LibRelay/rollout_driver.cpp
@@ -76,7 +76,7 @@
   Publisher.publish(
       Due.Order, Due.Outcome, Due.PublishedRevision,
       {{RolloutPrefix + Service.text(), encodeRolloutRecord(Record), NoLease}},
-      [this, Service, Outcome = Due.Outcome](result<std::uint64_t> Result) {
+      [this, Service, Outcome = Due.Outcome](result<store_revision> Result) {
         Pending[Service].IsPublishing = false;
         if (isError(Result))
           Log.write(log_level::Warning, "rollout_not_published",
--- a/Libraries/LibRelay/rollout_driver.h
+++ b/Libraries/LibRelay/rollout_driver.h
@@ -15,11 +15,12 @@
 public:
   virtual ~rollout_publisher() = default;
   /// Writes the outcome and the extra entries in one transaction, if the
-  /// published outcome still has this revision (0: none was published).
+  /// published outcome still has this revision (absent: none was published).
   /// Conflict means that another VM published first.
   virtual void publish(const rollout_order &Order, rollout_outcome Outcome,
-                       std::uint64_t Revision, std::vector<store_put> ExtraPuts,
-                       store_handler<std::uint64_t> Handler) = 0;
+                       store_revision Revision,
+                       std::vector<store_put> ExtraPuts,
+                       store_handler<store_revision> Handler) = 0;
 };
 
 /// Prefix of the roll-out records in the store, from which a VM that has just
--- a/Libraries/LibStore/async_store.h
+++ b/Libraries/LibStore/async_store.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "LibTypes/result.h"
+#include "LibTypes/store_revision.h"
 #include "LibTypes/units.h"
 
 #include <cstdint>
@@ -22,27 +23,24 @@
   }
 };
 
-using lease_id = std::uint64_t;
-constexpr lease_id NoLease = 0;
-
 struct store_item {
   std::string Key;
   std::string Value;
   /// Of the last write to the key; increases with each write in the store.
-  std::uint64_t Revision = 0;
-  lease_id Lease = NoLease;
+  store_revision Revision;
+  store_lease Lease;
 };
 
 struct range_result {
   std::vector<store_item> Items;
   /// The store's revision when the first page was read. Later pages may contain
   /// newer writes, which a watch from this revision reports again.
-  std::uint64_t Revision = 0;
+  store_revision Revision;
 };
 
 struct store_change {
   std::string Key;
-  std::uint64_t Revision = 0;
+  store_revision Revision;
   /// Nullopt if the key was removed.
   std::optional<store_item> Item;
 };
@@ -50,24 +48,25 @@
 struct store_changes {
   std::vector<store_change> Changes;
   /// The revision from which the next watch continues.
-  std::uint64_t Revision = 0;
+  store_revision Revision;
 };
 
-/// The store no longer has the changes after the requested revision.
+/// The store no longer has the changes after the requested revision, or was
+/// restored from an older copy since.
 struct history_compacted {};
 
 using watch_outcome = std::variant<store_changes, history_compacted, error>;
 
 struct store_condition {
   std::string Key;
-  /// Required revision of the key; AbsentRevision if it must not exist.
-  std::uint64_t Revision = 0;
+  /// Required revision of the key; an absent one if it must not exist.
+  store_revision Revision;
 };
 
 struct store_put {
   std::string Key;
   std::string Value;
-  lease_id Lease = NoLease;
+  store_lease Lease;
 };
 
 /// Atomic: takes effect if all conditions hold.
@@ -80,9 +79,11 @@
 template <typename T> using store_handler = std::function<void(result<T>)>;
 
 /// The platform's key-value service for event-driven code. Each handler is
-/// called once, on the event loop. Errors: Conflict (a condition failed),
-/// NotFound (no such lease), Unavailable (the call took no effect),
-/// OutcomeUnknown (it may have taken effect, or may still).
+/// called once, on the event loop. Errors: Conflict (a condition failed, or
+/// names a revision of an earlier era), NotFound (no such lease in this era),
+/// Unavailable (the call took no effect), OutcomeUnknown (it may have taken
+/// effect, or may still, or took effect just before the store was restored from
+/// an older copy).
 class async_store {
 public:
   virtual ~async_store() = default;
@@ -92,15 +93,19 @@
                          store_handler<range_result> Handler) = 0;
   /// Reports the changes after a revision, or no changes if none occurs within
   /// Wait.
-  virtual void watch(const std::string &Prefix, std::uint64_t AfterRevision,
+  virtual void watch(const std::string &Prefix, store_revision After,
                      milliseconds Wait,
                      std::function<void(watch_outcome)> Handler) = 0;
   virtual void commit(store_transaction Transaction,
-                      store_handler<std::uint64_t> Handler) = 0;
+                      store_handler<store_revision> Handler) = 0;
   virtual void grantLease(milliseconds TimeToLive,
-                          store_handler<lease_id> Handler) = 0;
-  virtual void renewLease(lease_id Lease, store_handler<success> Handler) = 0;
-  virtual void endLease(lease_id Lease, store_handler<success> Handler) = 0;
+                          store_handler<store_lease> Handler) = 0;
+  virtual void renewLease(store_lease Lease,
+                          store_handler<success> Handler) = 0;
+  virtual void endLease(store_lease Lease, store_handler<success> Handler) = 0;
+  /// Sets the function to call when a response shows that the store was
+  /// restored from an older copy. It is called before that response's handler.
+  virtual void setRestorationHandler(std::function<void()> Handler) = 0;
 };
 
 } // namespace azurehaven
--- a/Tests/LibDispatch/rollout_controller_test.cpp
+++ b/Tests/LibDispatch/rollout_controller_test.cpp
@@ -11,9 +11,13 @@
 const service_id Service("s");
 constexpr milliseconds TimeLimit{20000};
 
+/// A revision of the store's first era.
+store_revision at(std::uint64_t Number) { return {{}, Number}; }
+
 rollout_controller controllerWithOrder() {
   rollout_controller Controller(0.15);
-  Controller.onOrder({Service, "v2", TimeLimit, 10}, milliseconds(0), Start);
+  Controller.onOrder({Service, "v2", TimeLimit, at(10)}, order_origin::Written,
+                     milliseconds(0), Start);
   return Controller;
 }
 
@@ -31,7 +35,7 @@
   rollout_controller Controller = controllerWithOrder();
   CHECK(dueOutcomeAt(Controller, milliseconds(0)) ==
         rollout_outcome::InProgress);
-  Controller.onOutcome(Service, "v2", rollout_outcome::InProgress, 11);
+  Controller.onOutcome(Service, "v2", rollout_outcome::InProgress, at(11));
   CHECK_FALSE(dueOutcomeAt(Controller, milliseconds(100)));
   const auto PhaseAt = [&](milliseconds After) {
     return Controller.ruleFor(Service, Start + After).Phase;
@@ -41,7 +45,7 @@
   CHECK(PhaseAt(TimeLimit * 6 / 10) == rollout_phase::Shift);
   CHECK(dueOutcomeAt(Controller, TimeLimit - milliseconds(1000)) ==
         rollout_outcome::Completed);
-  Controller.onOutcome(Service, "v2", rollout_outcome::Completed, 12);
+  Controller.onOutcome(Service, "v2", rollout_outcome::Completed, at(12));
   CHECK(PhaseAt(TimeLimit) == rollout_phase::Completed);
 }
 
@@ -81,16 +85,18 @@
 
 TEST_CASE("An outcome published before the order is not applied to it") {
   rollout_controller Controller(0.15);
-  Controller.onOutcome(Service, "v2", rollout_outcome::RolledBack, 5);
-  Controller.onOrder({Service, "v2", TimeLimit, 10}, milliseconds(0), Start);
+  Controller.onOutcome(Service, "v2", rollout_outcome::RolledBack, at(5));
+  Controller.onOrder({Service, "v2", TimeLimit, at(10)}, order_origin::Written,
+                     milliseconds(0), Start);
   CHECK(Controller.ruleFor(Service, Start).Phase == rollout_phase::Trial);
-  CHECK(Controller.outcomeUpdates(Start).front().PublishedRevision == 5);
+  CHECK(Controller.outcomeUpdates(Start).front().PublishedRevision == at(5));
 }
 
 TEST_CASE("A VM that starts during a roll-out joins its current phase") {
   rollout_controller Controller(0.15);
-  Controller.onOrder({Service, "v2", TimeLimit, 10}, TimeLimit * 7 / 10, Start);
-  Controller.onOutcome(Service, "v2", rollout_outcome::InProgress, 11);
+  Controller.onOrder({Service, "v2", TimeLimit, at(10)}, order_origin::Written,
+                     TimeLimit * 7 / 10, Start);
+  Controller.onOutcome(Service, "v2", rollout_outcome::InProgress, at(11));
   CHECK(Controller.ruleFor(Service, Start).Phase == rollout_phase::Shift);
 }
 
@@ -133,3 +139,80 @@
   CHECK(candidatesFor(Endpoints, Rule, release_choice::Target, Start).size() ==
         2);
 }
+
+namespace {
+
+/// A revision of the era after the store's restoration.
+store_revision afterRestoration(std::uint64_t Number) {
+  return {store_era{1}, Number};
+}
+
+} // namespace
+
+TEST_CASE("A rolled-back release stays so when the store forgets it") {
+  rollout_controller Controller = controllerWithOrder();
+  Controller.onOutcome(Service, "v2", rollout_outcome::InProgress, at(11));
+  Controller.onOutcome(Service, "v2", rollout_outcome::RolledBack, at(12));
+  Controller.onStoreRestored();
+  CHECK(Controller.ruleFor(Service, Start).Phase == rollout_phase::RolledBack);
+  // The copy holds the order and an earlier outcome.
+  Controller.onOrder({Service, "v2", TimeLimit, afterRestoration(10)},
+                     order_origin::MaybeCopied, milliseconds(0), Start);
+  Controller.onOutcome(Service, "v2", rollout_outcome::InProgress,
+                       afterRestoration(11));
+  CHECK(Controller.ruleFor(Service, Start).Phase == rollout_phase::RolledBack);
+  const auto Due = Controller.outcomeUpdates(Start);
+  REQUIRE(Due.size() == 1);
+  CHECK(Due.front().Outcome == rollout_outcome::RolledBack);
+  CHECK(Due.front().PublishedRevision == afterRestoration(11));
+  CHECK(Due.front().Order.Revision == afterRestoration(10));
+  Controller.onOutcome(Service, "v2", rollout_outcome::RolledBack,
+                       afterRestoration(12));
+  CHECK(Controller.outcomeUpdates(Start).empty());
+}
+
+TEST_CASE("A bad release stays so when the store is restored before its "
+          "roll-back is published") {
+  rollout_controller Controller = controllerWithOrder();
+  release_statistics Statistics;
+  Statistics.addLocal({Service, "v1", "r"}, {100, 1, 0});
+  Statistics.addLocal({Service, "v2", "r"}, {10, 6, 0});
+  Controller.judge(Statistics, Start);
+  Controller.onStoreRestored();
+  Controller.onOrder({Service, "v2", TimeLimit, afterRestoration(9)},
+                     order_origin::MaybeRepeated, milliseconds(0), Start);
+  CHECK(Controller.ruleFor(Service, Start).Phase == rollout_phase::RolledBack);
+  CHECK(dueOutcomeAt(Controller, milliseconds(0)) ==
+        rollout_outcome::RolledBack);
+}
+
+TEST_CASE("A repeated order does not begin its roll-out again") {
+  rollout_controller Controller = controllerWithOrder();
+  Controller.onStoreRestored();
+  Controller.onOrder({Service, "v2", TimeLimit, afterRestoration(9)},
+                     order_origin::MaybeRepeated, milliseconds(0),
+                     Start + TimeLimit * 6 / 10);
+  CHECK(Controller.ruleFor(Service, Start + TimeLimit * 6 / 10).Phase ==
+        rollout_phase::Shift);
+}
+
+TEST_CASE("The copy's earlier order does not replace the one in force") {
+  rollout_controller Controller = controllerWithOrder();
+  Controller.onStoreRestored();
+  Controller.onOrder({Service, "v1", TimeLimit, afterRestoration(5)},
+                     order_origin::MaybeCopied, milliseconds(0), Start);
+  CHECK(Controller.ruleFor(Service, Start).Target == "v2");
+  // The operator's next order counts.
+  Controller.onOrder({Service, "v3", TimeLimit, afterRestoration(8)},
+                     order_origin::MaybeRepeated, milliseconds(0), Start);
+  CHECK(Controller.ruleFor(Service, Start).Target == "v3");
+}
+
+TEST_CASE("A later order to a rolled-back release begins a new roll-out") {
+  rollout_controller Controller = controllerWithOrder();
+  Controller.onOutcome(Service, "v2", rollout_outcome::RolledBack, at(12));
+  Controller.onStoreRestored();
+  Controller.onOrder({Service, "v2", TimeLimit, afterRestoration(20)},
+                     order_origin::Written, milliseconds(0), Start);
+  CHECK(Controller.ruleFor(Service, Start).Phase == rollout_phase::Trial);
+}
--- a/Tests/LibFleet/member_registration_test.cpp
+++ b/Tests/LibFleet/member_registration_test.cpp
@@ -61,7 +61,7 @@
 TEST_CASE("A planned stop ends the lease and acquires no other") {
   registration_fixture Fixture;
   Fixture.Registration.start();
-  const lease_id Lease = Fixture.Store.LiveLease;
+  const store_lease Lease = Fixture.Store.LiveLease;
   Fixture.Registration.leave();
   CHECK(Fixture.Store.EndedLease == Lease);
   Fixture.Scheduler.advance(milliseconds(5000));
@@ -77,3 +77,32 @@
     CHECK(isError(decodeMember(Text)));
   }
 }
+
+TEST_CASE("A VM registers again in a store that was restored") {
+  registration_fixture Fixture;
+  Fixture.Store.makeCopy();
+  Fixture.Registration.start();
+  Fixture.Scheduler.advance(milliseconds(3000));
+  const store_lease Before = Fixture.Store.LiveLease;
+  Fixture.Store.restore();
+  // Another VM gets a lease with the same number.
+  Fixture.Store.NextLease = Before.Id - 1;
+  Fixture.Store.grantLease(milliseconds(2500), [](result<store_lease>) {});
+  const store_lease Other = Fixture.Store.LiveLease;
+  REQUIRE(Other.Id == Before.Id);
+  Fixture.Scheduler.advance(milliseconds(2000));
+  REQUIRE(Fixture.Store.Items.contains(memberKey(vm_id("vm-1"))));
+  const auto Item = Fixture.Store.Items.at(memberKey(vm_id("vm-1")));
+  CHECK_FALSE(Item.Lease == Other);
+  CHECK(Item.Lease == Fixture.Store.LiveLease);
+}
+
+TEST_CASE("A lease that is granted during a planned stop is ended") {
+  registration_fixture Fixture;
+  Fixture.Store.DelaysGrants = true;
+  Fixture.Registration.start();
+  Fixture.Registration.leave();
+  Fixture.Scheduler.advance(milliseconds(1000));
+  CHECK(Fixture.Store.EndedLease == Fixture.Store.LiveLease);
+  CHECK(Fixture.Store.Items.empty());
+}
--- a/Tests/LibFleet/scripted_store.h
+++ b/Tests/LibFleet/scripted_store.h
@@ -9,23 +9,24 @@
 
 namespace azurehaven {
 
-/// An in-memory store whose outages and expired leases are set by a test.
+/// An in-memory store whose outages, expired leases and restorations are set by
+/// a test.
 class scripted_store : public async_store {
 public:
   explicit scripted_store(event_scheduler &Scheduler) : Scheduler(Scheduler) {}
 
   void put(const std::string &Key, const std::string &Value) {
-    Items[Key] = {Key, Value, ++Revision, NoLease};
+    Items[Key] = {Key, Value, nextRevision(), NoLease};
     notifyWatch({Key, Revision, Items[Key]});
   }
   void remove(const std::string &Key) {
     Items.erase(Key);
-    notifyWatch({Key, ++Revision, std::nullopt});
+    notifyWatch({Key, nextRevision(), std::nullopt});
   }
   /// Removes a key without notifying the watch.
   void removeSilently(const std::string &Key) {
     Items.erase(Key);
-    ++Revision;
+    nextRevision();
   }
   void breakWatch() {
     if (auto Handler = std::exchange(Watch, nullptr))
@@ -36,6 +37,26 @@
       Handler(history_compacted{});
   }
 
+  /// Keeps the present contents as the copy for restore().
+  void makeCopy() { Copy = {Items, Revision.Number}; }
+  /// Goes back to the copy in a new era. Leases end, and revision numbers after
+  /// the copy's are given out again. Cuts the pending watch, and reports the
+  /// restoration like the first response of the new era if asked to.
+  void restore(bool IsReported = false) {
+    Items = Copy.Items;
+    Revision = {{Revision.Era.Number + 1}, Copy.RevisionNumber};
+    for (auto &[Key, Item] : Items)
+      Item.Revision.Era = Revision.Era;
+    History.clear();
+    LiveLease = NoLease;
+    if (IsReported && RestorationHandler)
+      RestorationHandler();
+    breakWatch();
+  }
+  void setRestorationHandler(std::function<void()> Handler) override {
+    RestorationHandler = std::move(Handler);
+  }
+
   void readRange(const key_range &Keys,
                  store_handler<range_result> Handler) override {
     ++Reads;
@@ -51,10 +72,11 @@
       Handler(Range);
     });
   }
-  void watch(const std::string &, std::uint64_t After, milliseconds Wait,
+  void watch(const std::string &, store_revision After, milliseconds Wait,
              std::function<void(watch_outcome)> Handler) override {
-    WatchedAfter = After;
     ++Watches;
+    if (After.Era != Revision.Era)
+      return Handler(history_compacted{});
     const auto Missed =
         std::find_if(History.begin(), History.end(), [&](const auto &Change) {
           return Change.Revision > After;
@@ -74,22 +96,25 @@
     });
   }
   void commit(store_transaction Transaction,
-              store_handler<std::uint64_t> Handler) override {
+              store_handler<store_revision> Handler) override {
     if (IsDown)
       return Handler(error{error_code::Unavailable, "down"});
     for (const auto &Put : Transaction.Puts) {
-      Items[Put.Key] = {Put.Key, Put.Value, ++Revision, Put.Lease};
+      Items[Put.Key] = {Put.Key, Put.Value, nextRevision(), Put.Lease};
       Commits.push_back(Put);
     }
     Handler(Revision);
   }
-  void grantLease(milliseconds, store_handler<lease_id> Handler) override {
+  void grantLease(milliseconds, store_handler<store_lease> Handler) override {
     if (IsDown)
       return Handler(error{error_code::Unavailable, "down"});
-    LiveLease = ++NextLease;
+    LiveLease = {Revision.Era, ++NextLease};
+    if (DelaysGrants)
+      return Scheduler.runAfter(Delay,
+                                [=, Granted = LiveLease] { Handler(Granted); });
     Handler(LiveLease);
   }
-  void renewLease(lease_id Lease, store_handler<success> Handler) override {
+  void renewLease(store_lease Lease, store_handler<success> Handler) override {
     ++Renewals;
     if (IsDown)
       return Handler(error{error_code::OutcomeUnknown, "down"});
@@ -97,27 +122,36 @@
       return Handler(error{error_code::NotFound, "no lease"});
     Handler(success{});
   }
-  void endLease(lease_id Lease, store_handler<success> Handler) override {
+  void endLease(store_lease Lease, store_handler<success> Handler) override {
     EndedLease = Lease;
     Handler(success{});
   }
 
   event_scheduler &Scheduler;
   std::map<std::string, store_item> Items;
-  std::uint64_t Revision = 1;
+  store_revision Revision{{}, 1};
   milliseconds Delay{4};
   bool IsDown = false;
+  bool DelaysGrants = false;
   std::uint64_t Reads = 0;
   std::size_t ItemsRead = 0;
   std::uint64_t Watches = 0;
-  std::uint64_t WatchedAfter = 0;
   std::uint64_t Renewals = 0;
-  lease_id NextLease = 100;
-  lease_id LiveLease = NoLease;
-  lease_id EndedLease = NoLease;
+  std::uint64_t NextLease = 100;
+  store_lease LiveLease;
+  store_lease EndedLease;
   std::vector<store_put> Commits;
 
 private:
+  struct copy {
+    std::map<std::string, store_item> Items;
+    std::uint64_t RevisionNumber = 0;
+  };
+
+  store_revision nextRevision() {
+    ++Revision.Number;
+    return Revision;
+  }
   void notifyWatch(store_change Change) {
     History.push_back(Change);
     if (IsDown)
@@ -127,7 +161,8 @@
   }
 
   std::vector<store_change> History;
-
+  copy Copy;
+  std::function<void()> RestorationHandler;
   std::function<void(watch_outcome)> Watch;
 };
 
--- a/Tests/LibFleet/store_mirror_test.cpp
+++ b/Tests/LibFleet/store_mirror_test.cpp
@@ -20,12 +20,18 @@
     CHECK(At >= ConfirmedAt);
     ConfirmedAt = At;
   }
+  void onRestored(store_revision NewCopyEnd) override {
+    ++Restored;
+    CopyEnd = NewCopyEnd;
+  }
   void onReachable() override { ++Regained; }
   void onUnreachable(const std::string &) override { ++Lost; }
 
   std::map<std::string, std::string> Items;
   std::map<std::string, removal_cause> Removals;
   steady_time ConfirmedAt{};
+  store_revision CopyEnd;
+  int Restored = 0;
   int Regained = 0;
   int Lost = 0;
 };
@@ -167,3 +173,65 @@
   Fixture.Scheduler.advance(milliseconds(1000));
   CHECK(Fixture.Recorder.Items["k"] == "1");
 }
+
+TEST_CASE("A restored store is read again, in spite of its lower revisions") {
+  mirror_fixture Fixture;
+  Fixture.Store.put("c", "old");
+  Fixture.Store.put("d", "1");
+  Fixture.Store.makeCopy();
+  Fixture.Mirror.start();
+  Fixture.Scheduler.advance(milliseconds(10));
+  for (const char *Value : {"a", "b", "new"}) {
+    Fixture.Store.put("c", Value);
+    Fixture.Scheduler.advance(milliseconds(500));
+  }
+  Fixture.Store.put("e", "1");
+  Fixture.Scheduler.advance(milliseconds(500));
+  Fixture.Store.restore();
+  Fixture.Scheduler.advance(milliseconds(1000));
+  CHECK(Fixture.Recorder.Items["c"] == "old");
+  CHECK(Fixture.Recorder.Restored == 1);
+  // The lease or the write of the missing key may be repeated.
+  CHECK(Fixture.Recorder.Removals["e"] == removal_cause::MissingAfterOutage);
+  // The number of this revision was given out before.
+  Fixture.Store.put("c", "repeated");
+  Fixture.Scheduler.advance(milliseconds(1000));
+  CHECK(Fixture.Recorder.Items["c"] == "repeated");
+  CHECK(Fixture.Recorder.CopyEnd < Fixture.Store.Items["c"].Revision);
+}
+
+TEST_CASE("A restoration seen by another call is applied at once") {
+  mirror_fixture Fixture;
+  Fixture.Store.put("c", "old");
+  Fixture.Store.makeCopy();
+  Fixture.Store.setRestorationHandler(
+      [&] { Fixture.Mirror.onStoreRestored(); });
+  Fixture.Mirror.start();
+  Fixture.Scheduler.advance(milliseconds(10));
+  Fixture.Store.put("c", "new");
+  Fixture.Scheduler.advance(milliseconds(500));
+  const auto Reads = Fixture.Store.Reads;
+  Fixture.Store.restore(true);
+  Fixture.Scheduler.advance(milliseconds(10));
+  CHECK(Fixture.Recorder.Items["c"] == "old");
+  // The watch that was cut starts no second read.
+  Fixture.Scheduler.advance(milliseconds(3000));
+  CHECK(Fixture.Store.Reads == Reads + 1);
+  CHECK(Fixture.Recorder.Lost == 0);
+}
+
+TEST_CASE("A second restoration is detected like the first one") {
+  mirror_fixture Fixture;
+  Fixture.Store.put("c", "old");
+  Fixture.Store.makeCopy();
+  Fixture.Mirror.start();
+  for (int Round = 1; Round <= 2; ++Round) {
+    Fixture.Store.put("c", "new");
+    Fixture.Scheduler.advance(milliseconds(1000));
+    CHECK(Fixture.Recorder.Items["c"] == "new");
+    Fixture.Store.restore();
+    Fixture.Scheduler.advance(milliseconds(1000));
+    CHECK(Fixture.Recorder.Items["c"] == "old");
+    CHECK(Fixture.Recorder.Restored == Round);
+  }
+}
--- a/Tests/LibRelay/bill_journal_test.cpp
+++ b/Tests/LibRelay/bill_journal_test.cpp
@@ -22,14 +22,14 @@
 public:
   using scripted_store::scripted_store;
   void commit(store_transaction Transaction,
-              store_handler<std::uint64_t> Handler) override {
+              store_handler<store_revision> Handler) override {
     for (const auto &Condition : Transaction.Conditions)
-      if (Items.contains(Condition.Key) && Condition.Revision == 0)
+      if (Items.contains(Condition.Key) && Condition.Revision.isAbsent())
         return Handler(error{error_code::Conflict, "exists"});
     if (!LosesResponses)
       return scripted_store::commit(std::move(Transaction), std::move(Handler));
     scripted_store::commit(std::move(Transaction),
-                           [](result<std::uint64_t>) {});
+                           [](result<store_revision>) {});
     Handler(error{error_code::OutcomeUnknown, "lost"});
   }
   bool LosesResponses = false;
@@ -95,3 +95,54 @@
   for (const char *Text : {"", "{}", "[1]", R"(["no bill"])"})
     CHECK(isError(decodeBillSegment(Text)));
 }
+
+TEST_CASE("Bills that a restored store has lost are written again, once each") {
+  journal_fixture Fixture;
+  Fixture.Journal.start();
+  Fixture.Journal.add(testBill("in the copy"));
+  Fixture.Scheduler.advance(milliseconds(12000));
+  Fixture.Store.makeCopy();
+  for (const char *Request : {"lost 1", "lost 2"}) {
+    Fixture.Journal.add(testBill(Request));
+    Fixture.Scheduler.advance(milliseconds(12000));
+  }
+  REQUIRE(Fixture.ledger().size() == 3);
+  Fixture.Journal.add(testBill("pending"));
+  Fixture.Store.restore();
+  CHECK(Fixture.ledger().size() == 1);
+  Fixture.Journal.onStoreRestored();
+  CHECK(Fixture.ledger().size() == 3);
+  Fixture.Scheduler.advance(milliseconds(12000));
+  CHECK(Fixture.ledger().size() == 4);
+  CHECK(Fixture.Journal.pendingBillCount() == 0);
+  // Once for the copy's own, twice for the lost ones, once for the new one.
+  CHECK(Fixture.Store.Commits.size() == 6);
+}
+
+TEST_CASE("A segment that is being written during a restoration is not lost") {
+  journal_fixture Fixture;
+  Fixture.Journal.start();
+  Fixture.Store.makeCopy();
+  Fixture.Store.LosesResponses = true;
+  Fixture.Journal.add(testBill("1"));
+  Fixture.Scheduler.advance(milliseconds(12500));
+  REQUIRE(Fixture.ledger().size() == 1);
+  Fixture.Store.restore();
+  Fixture.Journal.onStoreRestored();
+  Fixture.Store.LosesResponses = false;
+  Fixture.Scheduler.advance(milliseconds(5000));
+  CHECK(Fixture.ledger().size() == 1);
+  CHECK(Fixture.Journal.pendingBillCount() == 0);
+}
+
+TEST_CASE("Bills are retained for a minute") {
+  journal_fixture Fixture;
+  Fixture.Journal.start();
+  Fixture.Store.makeCopy();
+  Fixture.Journal.add(testBill("1"));
+  Fixture.Scheduler.advance(milliseconds(12000));
+  Fixture.Scheduler.advance(milliseconds(61000));
+  Fixture.Store.restore();
+  Fixture.Journal.onStoreRestored();
+  CHECK(Fixture.ledger().empty());
+}
--- a/Tests/LibRelay/fleet_state_updater_test.cpp
+++ b/Tests/LibRelay/fleet_state_updater_test.cpp
@@ -15,10 +15,10 @@
   fleet_state Fleet = testFleet();
   fleet_state_updater StateUpdater{Fleet, Clock, Log, Metrics};
 
-  void configure(std::uint64_t Version) {
+  void configure(std::uint64_t Version, store_revision Revision = {}) {
     route_table::content Content;
     Content.Version = Version;
-    StateUpdater.onConfiguration(std::move(Content));
+    StateUpdater.onConfiguration(std::move(Content), Revision);
   }
 };
 
@@ -45,14 +45,14 @@
 
 TEST_CASE("A delayed entry of an earlier incarnation is ignored") {
   updater_fixture Fixture;
-  Fixture.StateUpdater.onEndpoint(descriptorOf(2, true));
-  Fixture.StateUpdater.onEndpoint(descriptorOf(1));
+  Fixture.StateUpdater.onEndpoint(descriptorOf(2, true), {});
+  Fixture.StateUpdater.onEndpoint(descriptorOf(1), {});
   CHECK(Fixture.Fleet.Endpoints.find(endpoint_id("e"))->Descriptor.IsLeaving);
 }
 
 TEST_CASE("An entry missing after an outage is removed two seconds later") {
   updater_fixture Fixture;
-  Fixture.StateUpdater.onEndpoint(descriptorOf(1));
+  Fixture.StateUpdater.onEndpoint(descriptorOf(1), {});
   Fixture.StateUpdater.onStoreReachable();
   Fixture.StateUpdater.onEndpointGone(endpoint_id("e"),
                                       removal_cause::MissingAfterOutage);
@@ -65,7 +65,7 @@
 
 TEST_CASE("The two seconds start at the store's return, not at the removal") {
   updater_fixture Fixture;
-  Fixture.StateUpdater.onEndpoint(descriptorOf(1));
+  Fixture.StateUpdater.onEndpoint(descriptorOf(1), {});
   Fixture.StateUpdater.onStoreReachable();
   Fixture.Clock.Now += milliseconds(1600);
   Fixture.StateUpdater.onEndpointGone(endpoint_id("e"),
@@ -78,7 +78,7 @@
 
 TEST_CASE("A leaving endpoint missing after an outage is removed at once") {
   updater_fixture Fixture;
-  Fixture.StateUpdater.onEndpoint(descriptorOf(1, true));
+  Fixture.StateUpdater.onEndpoint(descriptorOf(1, true), {});
   Fixture.StateUpdater.onEndpointGone(endpoint_id("e"),
                                       removal_cause::MissingAfterOutage);
   CHECK_FALSE(Fixture.Fleet.Endpoints.find(endpoint_id("e")));
@@ -89,7 +89,122 @@
   const service_id Service("s");
   Fixture.StateUpdater.onRolloutRecord(Service,
                                        {"v2", unix_millis(1000000 - 8000)});
-  Fixture.StateUpdater.onRolloutOrder({Service, "v2", milliseconds(10000), 5});
+  Fixture.StateUpdater.onRolloutOrder(
+      {Service, "v2", milliseconds(10000), {{}, 5}});
   CHECK(Fixture.Fleet.Rollouts.ruleFor(Service, Fixture.Clock.Now).Phase ==
         rollout_phase::Shift);
 }
+
+namespace {
+
+constexpr store_era NewEra{1};
+
+struct restored_fixture : updater_fixture {
+  /// Restores the store; its copy ends at revision 100.
+  void restore() { StateUpdater.onStoreRestored({NewEra, 100}); }
+  bool isCurrent() { return Fleet.Confirmation.isCurrent(Clock.Now); }
+};
+
+const store_revision Copied{NewEra, 90};
+const store_revision Repeated{NewEra, 101};
+
+} // namespace
+
+TEST_CASE("A restored store confirms nothing until writes could be repeated") {
+  restored_fixture Fixture;
+  Fixture.configure(5);
+  Fixture.StateUpdater.onConfirmed(Fixture.Clock.Now);
+  Fixture.restore();
+  // No confirmation extends the one from before the restoration.
+  for (int Step = 0; Step < 19; ++Step) {
+    Fixture.Clock.Now += milliseconds(100);
+    Fixture.StateUpdater.onConfirmed(Fixture.Clock.Now);
+  }
+  CHECK(Fixture.Fleet.Confirmation.age(Fixture.Clock.Now) ==
+        milliseconds(1900));
+  Fixture.Clock.Now += milliseconds(100);
+  Fixture.StateUpdater.onConfirmed(Fixture.Clock.Now);
+  CHECK(Fixture.Fleet.Confirmation.age(Fixture.Clock.Now) == milliseconds(0));
+}
+
+TEST_CASE("A revoked key stays revoked although the copy still has it") {
+  restored_fixture Fixture;
+  Fixture.configure(5);
+  Fixture.restore();
+  Fixture.configure(4, Copied);
+  CHECK(Fixture.Fleet.Routes->version() == 5);
+  Fixture.StateUpdater.onConfirmed(Fixture.Clock.Now);
+  CHECK_FALSE(Fixture.isCurrent());
+  // An older configuration that the operators write on their way to the newest
+  // one proves nothing.
+  Fixture.configure(4, Repeated);
+  Fixture.StateUpdater.onConfirmed(Fixture.Clock.Now);
+  CHECK_FALSE(Fixture.isCurrent());
+  Fixture.configure(5, {NewEra, 102});
+  Fixture.StateUpdater.onConfirmed(Fixture.Clock.Now);
+  CHECK(Fixture.isCurrent());
+}
+
+TEST_CASE("An endpoint that had left does not return from the copy") {
+  restored_fixture Fixture;
+  const auto Find = [&] {
+    return Fixture.Fleet.Endpoints.find(endpoint_id("e"));
+  };
+  Fixture.StateUpdater.onEndpoint(descriptorOf(1), {});
+  Fixture.StateUpdater.onEndpointGone(endpoint_id("e"), removal_cause::Removed);
+  Fixture.restore();
+  Fixture.StateUpdater.onEndpoint(descriptorOf(1), Copied);
+  CHECK_FALSE(Find());
+  SUBCASE("unless it writes its entry again") {
+    Fixture.StateUpdater.onEndpoint(descriptorOf(1), Repeated);
+    CHECK(Find());
+  }
+  SUBCASE("unless nobody has removed its entry in time") {
+    Fixture.Clock.Now += milliseconds(1900);
+    Fixture.StateUpdater.advance();
+    CHECK_FALSE(Find());
+    Fixture.Clock.Now += milliseconds(100);
+    Fixture.StateUpdater.advance();
+    CHECK(Find());
+  }
+  SUBCASE("and its removal is final") {
+    Fixture.StateUpdater.onEndpointGone(endpoint_id("e"),
+                                        removal_cause::MissingAfterOutage);
+    Fixture.Clock.Now += milliseconds(3000);
+    Fixture.StateUpdater.advance();
+    CHECK_FALSE(Find());
+  }
+  SUBCASE("but a later start of it does") {
+    Fixture.StateUpdater.onEndpoint(descriptorOf(2), Copied);
+    CHECK(Find());
+  }
+}
+
+TEST_CASE("An entry that the copy lacks has two seconds to be repeated") {
+  restored_fixture Fixture;
+  Fixture.StateUpdater.onEndpoint(descriptorOf(1), {});
+  Fixture.restore();
+  Fixture.StateUpdater.onEndpointGone(endpoint_id("e"),
+                                      removal_cause::MissingAfterOutage);
+  Fixture.Clock.Now += milliseconds(1900);
+  Fixture.StateUpdater.advance();
+  CHECK(Fixture.Fleet.Endpoints.find(endpoint_id("e")));
+  Fixture.StateUpdater.onEndpoint(descriptorOf(1), Repeated);
+  Fixture.Clock.Now += milliseconds(1000);
+  Fixture.StateUpdater.advance();
+  CHECK(Fixture.Fleet.Endpoints.find(endpoint_id("e")));
+}
+
+TEST_CASE("A VM that had stopped is not listed again from the copy") {
+  restored_fixture Fixture;
+  const member_entry Member = testMember("vm-2");
+  Fixture.StateUpdater.onMember(Member, {});
+  Fixture.StateUpdater.onMemberGone(Member.Vm, removal_cause::Removed);
+  Fixture.restore();
+  Fixture.StateUpdater.onMember(Member, Copied);
+  CHECK_FALSE(Fixture.Fleet.Members.find(Member.Vm));
+  member_entry Restarted = Member;
+  ++Restarted.Incarnation;
+  Fixture.StateUpdater.onMember(Restarted, Repeated);
+  CHECK(Fixture.Fleet.Members.find(Member.Vm));
+}
--- a/Tests/LibRelay/rollout_driver_test.cpp
+++ b/Tests/LibRelay/rollout_driver_test.cpp
@@ -11,17 +11,17 @@
 class recording_publisher : public rollout_publisher {
 public:
   void publish(const rollout_order &, rollout_outcome Outcome,
-               std::uint64_t Revision, std::vector<store_put> ExtraPuts,
-               store_handler<std::uint64_t> NewHandler) override {
+               store_revision Revision, std::vector<store_put> ExtraPuts,
+               store_handler<store_revision> NewHandler) override {
     Outcomes.push_back(Outcome);
     Revisions.push_back(Revision);
     Records = std::move(ExtraPuts);
     Handler = std::move(NewHandler);
   }
   std::vector<rollout_outcome> Outcomes;
-  std::vector<std::uint64_t> Revisions;
+  std::vector<store_revision> Revisions;
   std::vector<store_put> Records;
-  store_handler<std::uint64_t> Handler;
+  store_handler<store_revision> Handler;
 };
 
 struct driver_vm {
@@ -29,8 +29,9 @@
       : Fleet(testFleet(Name, std::nullopt)) {
     for (const char *Vm : {"vm-1", "vm-2", "vm-3"})
       Fleet.Members.put(testMember(Vm));
-    Fleet.Rollouts.onOrder({service_id("s"), "v2", milliseconds(10000), 7},
-                           milliseconds(0), Clock.Now);
+    Fleet.Rollouts.onOrder(
+        {service_id("s"), "v2", milliseconds(10000), {{}, 7}},
+        order_origin::Written, milliseconds(0), Clock.Now);
   }
   void advanceBy(milliseconds Time) {
     Clock.Now += Time;
@@ -72,7 +73,7 @@
 TEST_CASE("An outcome that another VM has published is not published again") {
   driver_vm Vm("vm-1");
   Vm.Fleet.Rollouts.onOutcome(service_id("s"), "v2",
-                              rollout_outcome::InProgress, 8);
+                              rollout_outcome::InProgress, {{}, 8});
   Vm.advanceBy(milliseconds(3000));
   CHECK(Vm.Publisher.Outcomes.empty());
 }
@@ -80,12 +81,12 @@
 TEST_CASE("The final outcome replaces the published one, with a record") {
   driver_vm Vm("vm-1");
   Vm.Fleet.Rollouts.onOutcome(service_id("s"), "v2",
-                              rollout_outcome::InProgress, 8);
+                              rollout_outcome::InProgress, {{}, 8});
   Vm.advanceBy(milliseconds(9000));
   Vm.advanceBy(milliseconds(1000));
   REQUIRE(Vm.Publisher.Outcomes.size() == 1);
   CHECK(Vm.Publisher.Outcomes.front() == rollout_outcome::Completed);
-  CHECK(Vm.Publisher.Revisions.front() == 8);
+  CHECK(Vm.Publisher.Revisions.front() == store_revision{{}, 8});
   auto Record = decodeRolloutRecord(Vm.Publisher.Records.front().Value);
   REQUIRE_FALSE(isError(Record));
   CHECK(valueOf(Record).Target == "v2");
--- a/Tests/platform/Soak/fault_schedule.cpp
+++ b/Tests/platform/Soak/fault_schedule.cpp
@@ -19,6 +19,14 @@
 /// receives requests again.
 constexpr milliseconds RestartInterval{2500};
 
+/// Of this many faults, one is preceded by a restoration of the store and half
+/// by a copy of it.
+constexpr std::uint64_t FaultsPerRestoration = 6;
+/// Time for which a store that is being restored does not respond, and the time
+/// until operators and endpoints have repeated their writes.
+constexpr milliseconds RestorationTime{300};
+constexpr milliseconds RepeatTime{500};
+
 /// The end of a fault that leaves nothing to undo: a reload, or a fault skipped
 /// because its target has one already.
 status doNothing() { return success{}; }
@@ -77,7 +85,8 @@
 } // namespace
 
 fault_schedule::fault_schedule(soak_cluster &Cluster, std::uint64_t Seed)
-    : Cluster(Cluster), Random(Seed), StartedAt(now()) {}
+    : Cluster(Cluster), Random(Seed), RestorationRandom(~Seed),
+      StartedAt(now()) {}
 
 void fault_schedule::print(const std::string &Text) const {
   const auto At =
@@ -108,7 +117,9 @@
       &fault_schedule::crashEndpoint,
       &fault_schedule::drainEndpoint,
       &fault_schedule::revokeKey};
+  Cluster.Store.makeCopy();
   for (std::size_t Count = 0; Count < Faults; ++Count) {
+    TRY_STATUS(copyOrRestoreStore());
     TRY(fault_end End, (this->*Kinds[Random() % Kinds.size()])());
     const milliseconds Length(ShortestFaultMs +
                               Random() % (LongestFaultMs - ShortestFaultMs));
@@ -206,6 +217,31 @@
                      valueSetter(Cluster.Store.DropsResponses, false));
 }
 
+status fault_schedule::copyOrRestoreStore() {
+  const std::uint64_t Drawn = RestorationRandom() % FaultsPerRestoration;
+  if (Drawn == 0)
+    return restoreStore();
+  if (Drawn <= FaultsPerRestoration / 2)
+    Cluster.Store.makeCopy();
+  return success{};
+}
+
+status fault_schedule::restoreStore() {
+  if (ActiveTargets.contains("store"))
+    return success{};
+  print("store restored from an older copy");
+  const auto IntervalIndex =
+      Cluster.FaultLog.startInterval(fault_kind::Store, "");
+  Cluster.Store.IsDown = true;
+  std::this_thread::sleep_for(RestorationTime);
+  Cluster.Store.restore();
+  Cluster.Store.IsDown = false;
+  std::this_thread::sleep_for(RepeatTime);
+  Cluster.Store.repeatOutsideWrites();
+  Cluster.FaultLog.endInterval(IntervalIndex);
+  return success{};
+}
+
 result<fault_schedule::fault_end> fault_schedule::injectStoreLinkFault() {
   const std::size_t Entry = randomEntry();
   const link_fault Fault = randomLinkFault();
--- a/Tests/platform/Soak/fault_schedule.h
+++ b/Tests/platform/Soak/fault_schedule.h
@@ -39,6 +39,11 @@
   result<fault_end> reloadEntry();
   result<fault_end> takeStoreDown();
   result<fault_end> dropStoreResponses();
+  /// Copies the store, restores it, or does neither.
+  status copyOrRestoreStore();
+  /// Restores the store from the copy of an earlier moment, then repeats what
+  /// operators and endpoints have written since.
+  status restoreStore();
   result<fault_end> injectStoreLinkFault();
   result<fault_end> injectEndpointLinkFault();
   result<fault_end> degradeEndpoint();
@@ -64,6 +69,9 @@
 
   soak_cluster &Cluster;
   std::mt19937_64 Random;
+  /// Separate, so that the other faults of a seed stay as they were before
+  /// restorations were added.
+  std::mt19937_64 RestorationRandom;
   const steady_time StartedAt;
   std::multimap<steady_time, fault_end> PendingEnds;
   /// Targets of active faults; a target has at most one at a time.
--- a/Tests/platform/Soak/store_double.cpp
+++ b/Tests/platform/Soak/store_double.cpp
@@ -42,6 +42,13 @@
 } // namespace
 
 served_response store_double::serve(const served_request &Request) {
+  served_response Response = respondTo(Request);
+  std::lock_guard Lock(Mutex);
+  Response.Headers.emplace_back("Store-Era", std::to_string(Era));
+  return Response;
+}
+
+served_response store_double::respondTo(const served_request &Request) {
   if (IsDown)
     return respondEmpty(503);
   const std::string Keep = "/v1/kv-keep/";
@@ -91,6 +98,9 @@
   const milliseconds Wait(numberOf(query(Request, "wait_ms")));
   const std::string Prefix = query(Request, "path_prefix");
   std::unique_lock Lock(Mutex);
+  const std::uint64_t EraAtStart = Era;
+  if (After > Revision)
+    return respondEmpty(410);
   json Events = json::array();
   const auto Gather = [&] {
     expireLeases();
@@ -104,7 +114,7 @@
                           {"revision", Change.Revision},
                           {"tombstone", true}});
     }
-    return !Events.empty() || IsDown;
+    return !Events.empty() || IsDown || Era != EraAtStart;
   };
   // Wakes up every 100 ms to expire leases.
   const auto End = std::chrono::steady_clock::now() + Wait;
@@ -114,6 +124,8 @@
                                             std::chrono::milliseconds(100)));
   if (IsDown)
     return respondEmpty(503);
+  if (Era != EraAtStart)
+    return respondEmpty(410);
   return respond({{"events", Events}, {"current_rev", Revision}});
 }
 
@@ -174,15 +186,48 @@
 std::uint64_t store_double::put(const std::string &Key,
                                 const std::string &Value) {
   std::lock_guard Lock(Mutex);
+  OutsideWrites.push_back({Key, Value});
   write(Key, {Value, 0, 0});
   return Revision;
 }
 
 void store_double::remove(const std::string &Key) {
   std::lock_guard Lock(Mutex);
+  OutsideWrites.push_back({Key, std::nullopt});
   erase(Key);
 }
 
+void store_double::makeCopy() {
+  std::lock_guard Lock(Mutex);
+  expireLeases();
+  Copy = {Revision, NextLease, Items, Leases};
+  OutsideWrites.clear();
+}
+
+void store_double::restore() {
+  std::lock_guard Lock(Mutex);
+  ++Era;
+  Revision = Copy.Revision;
+  NextLease = Copy.NextLease;
+  Items = Copy.Items;
+  Leases = Copy.Leases;
+  History.clear();
+  // The leases of the copy run on for their full time.
+  for (auto &[Id, Lease] : Leases)
+    Lease.EndsAt = std::chrono::steady_clock::now() + Lease.TimeToLive;
+  HasChanged.notify_all();
+}
+
+void store_double::repeatOutsideWrites() {
+  std::lock_guard Lock(Mutex);
+  for (const auto &Write : OutsideWrites) {
+    if (Write.Value)
+      write(Write.Key, {*Write.Value, 0, 0});
+    else
+      erase(Write.Key);
+  }
+}
+
 std::map<std::string, std::string>
 store_double::values(const std::string &Prefix) {
   std::lock_guard Lock(Mutex);
--- a/Tests/platform/Soak/store_double.h
+++ b/Tests/platform/Soak/store_double.h
@@ -24,6 +24,14 @@
   /// The values of all keys under a prefix, by key.
   std::map<std::string, std::string> values(const std::string &Prefix);
 
+  /// Keeps the present contents as the copy for restore().
+  void makeCopy();
+  /// Goes back to the copy in a new era: writes since then and all leases
+  /// granted since are gone, and revision numbers are given out again.
+  void restore();
+  /// Writes again what put() and remove() have changed since the copy.
+  void repeatOutsideWrites();
+
   /// Responds with 503 to every call; leases continue to expire.
   std::atomic<bool> IsDown = false;
   /// Applies writes but closes the connection instead of responding.
@@ -46,6 +54,19 @@
     steady_time EndsAt;
   };
 
+  struct copy {
+    std::uint64_t Revision = 1;
+    std::uint64_t NextLease = 1;
+    std::map<std::string, item> Items;
+    std::map<std::uint64_t, lease> Leases;
+  };
+  struct outside_write {
+    std::string Key;
+    /// Absent for a removal.
+    std::optional<std::string> Value;
+  };
+
+  served_response respondTo(const served_request &Request);
   served_response range(const served_request &Request);
   served_response watch(const served_request &Request);
   served_response commit(const served_request &Request);
@@ -65,6 +86,9 @@
   std::map<std::string, item> Items;
   std::vector<change> History;
   std::map<std::uint64_t, lease> Leases;
+  std::uint64_t Era = 1;
+  copy Copy;
+  std::vector<outside_write> OutsideWrites;
 };
 
 } // namespace azurehaven::platform
--- a/Tests/platform/documents_test.cpp
+++ b/Tests/platform/documents_test.cpp
@@ -88,7 +88,7 @@
 
 TEST_CASE("Roll-out orders and statuses are decoded and encoded") {
   auto Order = decodeRolloutOrder(
-      "s", R"({"service":"s","target":"v2","duration_s":12.5})", 9);
+      "s", R"({"service":"s","target":"v2","duration_s":12.5})", {{}, 9});
   REQUIRE_FALSE(isError(Order));
   CHECK(valueOf(Order).TimeLimit == milliseconds(12500));
   for (const auto Outcome :
@@ -100,7 +100,7 @@
     CHECK(valueOf(Status).Outcome == Outcome);
     CHECK(valueOf(Status).Target == "v2");
   }
-  CHECK(isError(decodeRolloutOrder("s", R"({"target":"v2"})", 9)));
+  CHECK(isError(decodeRolloutOrder("s", R"({"target":"v2"})", {{}, 9})));
   CHECK(isError(decodeRolloutStatus(R"({"target":"v2","state":"odd"})")));
 }
 
--- a/Tests/platform/mutation_test.cpp
+++ b/Tests/platform/mutation_test.cpp
@@ -74,7 +74,7 @@
       2, [](const std::string &Text) { decodeEndpoint("i", Text); });
   forEachMutation(R"({"target":"v2","duration_s":12,"state":"completed"})", 3,
                   [](const std::string &Text) {
-                    decodeRolloutOrder("s", Text, 1);
+                    decodeRolloutOrder("s", Text, {{}, 1});
                     decodeRolloutStatus(Text);
                     decodeRolloutRecord(Text);
                   });
@@ -87,7 +87,7 @@
   forEachMutation(
       R"({"key":"a","value":"bm9kZS0x","revision":412,"lease":77120})", 6,
       [](const std::string &Text) {
-        decodeStoreItem(nlohmann::json::parse(Text, nullptr, false));
+        decodeStoreItem(nlohmann::json::parse(Text, nullptr, false), {});
       });
   forEachMutation(
       "node: a\nzone: b\nlisten: { front: \"10.0.0.1:1\" }\n"
