LibConnection, LibRelay: Bound responses that never end

Any byte counted as progress, so that an engine which trickled parts of an event or comments held its request to the deadline. A plain service was cut off after 300 ms whatever its objective and usual latency are, also in a stream within its objective. Buffered bodies of many requests together had no limit.

Only an event is progress of a stream. The idle limit of a plain service is the largest of 300 ms, the route's objectives and four times the usual latency.

--- a/Libraries/LibConnection/endpoint_connection.cpp
+++ b/Libraries/LibConnection/endpoint_connection.cpp
@@ -6,6 +6,14 @@
 
 namespace azurehaven {
 
+namespace {
+
+/// Limit on the bodies of late responses that are skipped before the expected
+/// one.
+constexpr std::size_t SkipLimitBytes = 1 << 20;
+
+} // namespace
+
 endpoint_connection::endpoint_connection(asio::any_io_executor Executor,
                                          network_address Address,
                                          connection_timeouts Timeouts)
@@ -19,6 +27,7 @@
   Observer = std::move(NewObserver);
   HeadDelivered = false;
   SkippingResponse = false;
+  SkippedBytes = 0;
   Paused = false;
   Parser.reset();
   if (State == state::Unconnected)
@@ -139,6 +148,13 @@
     if (State == state::Closed || !Observer)
       return false;
   }
+  if (SkippingResponse) {
+    SkippedBytes += Body.size();
+    if (SkippedBytes > SkipLimitBytes) {
+      fail(delivery::MayHaveRun, "a late response has no end");
+      return false;
+    }
+  }
   if (Parser.isComplete() && SkippingResponse) {
     const bool IsKeptAlive = Parser.isKeptAlive();
     SkippingResponse = false;
--- a/Libraries/LibConnection/endpoint_connection.h
+++ b/Libraries/LibConnection/endpoint_connection.h
@@ -109,6 +109,7 @@
   std::array<char, 8192> Buffer;
   bool HeadDelivered = false;
   bool SkippingResponse = false;
+  std::size_t SkippedBytes = 0;
   bool IsWritePending = false;
   bool IsReadPending = false;
   bool Paused = false;
--- a/Libraries/LibConnection/response_parser.cpp
+++ b/Libraries/LibConnection/response_parser.cpp
@@ -4,8 +4,10 @@
 
 namespace {
 
-/// Limit on a response head; an endpoint's head takes a few hundred bytes.
-constexpr std::size_t HeadLimitBytes = 65536;
+/// Limit on a response head with the interim responses before it, and on the
+/// bytes between two parts of a body: extensions of a chunk, and trailers. An
+/// endpoint's head takes a few hundred bytes.
+constexpr std::size_t OverheadLimitBytes = 65536;
 
 constexpr bool isInterim(int Status) { return Status >= 100 && Status < 200; }
 
@@ -24,22 +26,20 @@
       response_parser &Self = self(Parser);
       if (Self.HeadComplete)
         return 0;
-      Self.HeadBytes += Size;
       if (Self.Head.Headers.empty() || Self.FieldValueStarted)
         Self.Head.Headers.emplace_back();
       Self.FieldValueStarted = false;
       Self.Head.Headers.back().first.append(At, Size);
-      return Self.HeadBytes > HeadLimitBytes ? 1 : 0;
+      return 0;
     };
     New.on_header_value = [](http_parser *Parser, const char *At,
                              std::size_t Size) {
       response_parser &Self = self(Parser);
       if (Self.HeadComplete)
         return 0;
-      Self.HeadBytes += Size;
       Self.FieldValueStarted = true;
       Self.Head.Headers.back().second.append(At, Size);
-      return Self.HeadBytes > HeadLimitBytes ? 1 : 0;
+      return 0;
     };
     New.on_headers_complete = [](http_parser *Parser) {
       self(Parser).finishHead();
@@ -79,6 +79,7 @@
     return 0;
   const std::size_t Consumed =
       http_parser_execute(&Parser, &callbacks(), Bytes.data(), Bytes.size());
+  countOverhead(Consumed);
   const http_errno Error = HTTP_PARSER_ERRNO(&Parser);
   const bool IsParsed = Error == HPE_OK || (Complete && Error == HPE_PAUSED);
   if (!IsParsed || (Parser.upgrade && !Complete))
@@ -86,6 +87,16 @@
   return Consumed;
 }
 
+void response_parser::countOverhead(std::size_t Consumed) {
+  if (!Body.empty()) {
+    OverheadBytes = 0;
+    return;
+  }
+  OverheadBytes += Consumed;
+  if (OverheadBytes > OverheadLimitBytes && !Complete)
+    Malformed = true;
+}
+
 void response_parser::finish() {
   if (Complete || Malformed)
     return;
@@ -99,7 +110,7 @@
   Parser.data = this;
   Head = {};
   Body.clear();
-  HeadBytes = 0;
+  OverheadBytes = 0;
   FieldValueStarted = false;
   HeadComplete = false;
   Complete = false;
--- a/Libraries/LibConnection/response_parser.h
+++ b/Libraries/LibConnection/response_parser.h
@@ -11,7 +11,8 @@
 namespace azurehaven {
 
 /// Parses the responses of one connection, one at a time. Interim (1xx)
-/// responses are skipped.
+/// responses are skipped. A response with too many bytes that are not part of
+/// its body is malformed.
 class response_parser {
 public:
   response_parser() { reset(); }
@@ -41,11 +42,14 @@
   static const http_parser_settings &callbacks();
   void finishHead();
   void finishMessage();
+  /// Counts bytes that brought no body closer to its end.
+  void countOverhead(std::size_t Consumed);
 
   http_parser Parser;
   response_head Head;
   std::string Body;
-  std::size_t HeadBytes = 0;
+  /// Bytes consumed since the response began or a part of its body arrived.
+  std::size_t OverheadBytes = 0;
   bool FieldValueStarted = false;
   bool HeadComplete = false;
   bool Complete = false;
--- a/Libraries/LibDispatch/attempt_policy.cpp
+++ b/Libraries/LibDispatch/attempt_policy.cpp
@@ -1,6 +1,7 @@
 #include "LibDispatch/attempt_policy.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace azurehaven {
 
@@ -9,9 +10,22 @@
 /// Long enough for an endpoint to free a slot, or for a replacement endpoint to
 /// be registered.
 constexpr milliseconds RetryAfterDelay{500};
+/// A plain service normally responds within tens of milliseconds.
+constexpr milliseconds MinimumIdleTimeout{300};
+/// Multiple of the usual latency that a sound but loaded endpoint may take.
+constexpr double UsualLatencyFactor = 4;
 
 } // namespace
 
+milliseconds plainIdleTimeout(const route &Route,
+                              std::optional<double> MeanLatencyMs) {
+  const milliseconds Usual(
+      std::llround(UsualLatencyFactor * MeanLatencyMs.value_or(0)));
+  const milliseconds Objective =
+      std::max(Route.LatencyObjective, Route.EventGapObjective);
+  return std::max({MinimumIdleTimeout, Objective, Usual});
+}
+
 bool isRetryAllowed(const route &Route, attempt_failure Failure) {
   return !mayHaveRun(Failure) || Route.allowsReexecution();
 }
--- a/Libraries/LibDispatch/attempt_policy.h
+++ b/Libraries/LibDispatch/attempt_policy.h
@@ -26,6 +26,11 @@
 /// Whether the request may be retried at another endpoint after this failure.
 bool isRetryAllowed(const route &Route, attempt_failure Failure);
 
+/// Time without progress after which an endpoint that is not an engine counts
+/// as unresponsive. MeanLatencyMs: usual latency of the route, if known.
+milliseconds plainIdleTimeout(const route &Route,
+                              std::optional<double> MeanLatencyMs);
+
 /// The error response that the caller gets when no further attempt is made.
 struct error_response {
   int Status = 503;
--- a/Libraries/LibDispatch/latency_baseline.cpp
+++ b/Libraries/LibDispatch/latency_baseline.cpp
@@ -24,12 +24,18 @@
   Average.MeanMs += Weight * (Ms - Average.MeanMs);
 }
 
-bool latency_baseline::isSlow(const std::string &Route, const model_id &Model,
-                              double Ms) const {
+std::optional<double> latency_baseline::meanMs(const std::string &Route,
+                                               const model_id &Model) const {
   auto Found = Averages.find({Route, Model});
   if (Found == Averages.end() || Found->second.Count < MinimumSamples)
-    return false;
-  return Ms > MinimumSlowMs && Ms > SlowFactor * Found->second.MeanMs;
+    return std::nullopt;
+  return Found->second.MeanMs;
+}
+
+bool latency_baseline::isSlow(const std::string &Route, const model_id &Model,
+                              double Ms) const {
+  const auto Mean = meanMs(Route, Model);
+  return Mean && Ms > MinimumSlowMs && Ms > SlowFactor * *Mean;
 }
 
 } // namespace azurehaven
--- a/Libraries/LibDispatch/latency_baseline.h
+++ b/Libraries/LibDispatch/latency_baseline.h
@@ -4,6 +4,7 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 #include <utility>
 
@@ -15,6 +16,9 @@
 class latency_baseline {
 public:
   void add(const std::string &Route, const model_id &Model, double Ms);
+  /// The average; nullopt until there are enough samples.
+  std::optional<double> meanMs(const std::string &Route,
+                               const model_id &Model) const;
   /// Whether this latency is several times the average.
   bool isSlow(const std::string &Route, const model_id &Model, double Ms) const;
 
--- a/Libraries/LibRelay/liveness_monitor.cpp
+++ b/Libraries/LibRelay/liveness_monitor.cpp
@@ -4,10 +4,8 @@
 
 namespace {
 
-/// A plain service normally responds within tens of milliseconds.
-constexpr milliseconds PlainServiceTimeout{300};
-/// An engine that sends nothing for this long is inspected, then once per
-/// interval. A long prompt delays the first byte by up to a second.
+/// An engine whose response makes no progress for this long is inspected, then
+/// once per interval. A long prompt delays the first byte by up to a second.
 constexpr milliseconds EngineIdleTimeout{700};
 constexpr milliseconds InspectionInterval{700};
 constexpr milliseconds InspectionRetryDelay{100};
@@ -22,11 +20,12 @@
 
 liveness_monitor::liveness_monitor(relay_context &Context,
                                    std::shared_ptr<endpoint_record> Endpoint,
-                                   request_id Id, bool IsEngine,
+                                   request_id Id,
+                                   std::optional<milliseconds> PlainIdleTimeout,
                                    unresponsive_handler Handler)
     : Context(Context), Endpoint(std::move(Endpoint)), Id(std::move(Id)),
-      IsEngine(IsEngine), Handler(std::move(Handler)), Timer(Context.Executor),
-      LastByteAt(Context.Clock.now()) {}
+      PlainIdleTimeout(PlainIdleTimeout), Handler(std::move(Handler)),
+      Timer(Context.Executor), LastProgressAt(Context.Clock.now()) {}
 
 void liveness_monitor::start() { scheduleCheck(); }
 
@@ -35,8 +34,8 @@
   Timer.cancel();
 }
 
-void liveness_monitor::onBytesReceived(steady_time Now) {
-  LastByteAt = Now;
+void liveness_monitor::onProgress(steady_time Now) {
+  LastProgressAt = Now;
   ReportedEvents.reset();
 }
 
@@ -50,10 +49,10 @@
 
 void liveness_monitor::check() {
   const steady_time Now = Context.Clock.now();
-  const auto IdleTime = Now - LastByteAt;
-  if (!IsEngine) {
-    if (IdleTime >= PlainServiceTimeout)
-      return reportUnresponsive("the endpoint sends no data");
+  const auto IdleTime = Now - LastProgressAt;
+  if (PlainIdleTimeout) {
+    if (IdleTime >= *PlainIdleTimeout)
+      return reportUnresponsive("the response makes no progress");
     return scheduleCheck();
   }
   if (IdleTime >= EngineIdleTimeout) {
@@ -71,10 +70,10 @@
 }
 
 void liveness_monitor::evaluateReport(steady_time Now) {
-  // A report counts only if the engine made it after the last byte arrived.
-  const bool IsConclusive = Endpoint->Report &&
-                            Endpoint->ReportAt > LastByteAt + MaxReportAge &&
-                            Now - Endpoint->ReportAt < InspectionInterval;
+  // A report counts only if the engine made it after the last progress.
+  const bool IsConclusive =
+      Endpoint->Report && Endpoint->ReportAt > LastProgressAt + MaxReportAge &&
+      Now - Endpoint->ReportAt < InspectionInterval;
   if (!IsConclusive)
     return;
   auto Run = Endpoint->Report->EventsByRequest.find(Id);
@@ -85,7 +84,8 @@
   const bool IsNewReport =
       std::exchange(EvaluatedReportAt, Endpoint->ReportAt) !=
       Endpoint->ReportAt;
-  // Two reports since the last byte show whether the request advanced or ended.
+  // Two reports since the last progress show whether the request advanced or
+  // ended.
   if (!IsNewReport || !Before)
     return;
   if (IsRunning && Run->second > *Before)
--- a/Libraries/LibRelay/liveness_monitor.h
+++ b/Libraries/LibRelay/liveness_monitor.h
@@ -6,6 +6,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 
 namespace azurehaven {
 
@@ -17,14 +18,18 @@
 public:
   using unresponsive_handler = std::function<void(const std::string &Reason)>;
 
+  /// PlainIdleTimeout: longest time without progress of an endpoint that is not
+  /// an engine; nullopt for an engine.
   liveness_monitor(relay_context &Context,
                    std::shared_ptr<endpoint_record> Endpoint, request_id Id,
-                   bool IsEngine, unresponsive_handler Handler);
+                   std::optional<milliseconds> PlainIdleTimeout,
+                   unresponsive_handler Handler);
 
   void start();
   void stop();
-  /// Call when bytes of this request's response arrive.
-  void onBytesReceived(steady_time Now);
+  /// Call when the response gets closer to its end, for example by an event.
+  /// Bytes alone are no progress: a stalled endpoint may still send some.
+  void onProgress(steady_time Now);
 
 private:
   void scheduleCheck();
@@ -37,12 +42,12 @@
   relay_context &Context;
   const std::shared_ptr<endpoint_record> Endpoint;
   const request_id Id;
-  const bool IsEngine;
+  const std::optional<milliseconds> PlainIdleTimeout;
   unresponsive_handler Handler;
   asio::steady_timer Timer;
-  steady_time LastByteAt;
-  /// Event count of this request in the latest report made since the last byte
-  /// arrived; nullopt if there is none or the request was not running.
+  steady_time LastProgressAt;
+  /// Event count of this request in the latest report made since the last
+  /// progress; nullopt if there is none or the request was not running.
   std::optional<std::uint64_t> ReportedEvents;
   steady_time EvaluatedReportAt;
 };
--- a/Libraries/LibRelay/relay.h
+++ b/Libraries/LibRelay/relay.h
@@ -35,6 +35,8 @@
   engine_inspector *Inspector = nullptr;
   bill_journal *Bills = nullptr;
   std::set<active_request *> ActiveRequests{};
+  /// Bytes of responses that are buffered until they are complete.
+  std::size_t BufferedResponseBytes = 0;
 };
 
 /// Sends nothing more to the endpoint's process start, which has said that it
--- a/Libraries/LibRelay/relayed_request.cpp
+++ b/Libraries/LibRelay/relayed_request.cpp
@@ -20,8 +20,6 @@
 /// With more bytes queued for a slow caller, reading from its endpoint is
 /// paused.
 constexpr std::size_t MaxCallerBacklogBytes = 256 << 10;
-/// Limit for responses that are buffered completely before forwarding.
-constexpr std::size_t MaxBufferedResponseBytes = 8 << 20;
 /// Prompts on small models take a tenth of the time, so admitting them first
 /// delays the others little. The default urgency is 5.
 constexpr int SmallModelUrgency = 3;
@@ -66,7 +64,8 @@
       Request(Admitted.Request), Route(*Admitted.Route),
       Caller(std::move(Caller)), ArrivedAt(Context.Clock.now()),
       TimeLimit(timeLimitOf(Request, Route)), Deadline(Context.Executor),
-      Splicer(Request.LastEventId) {
+      Splicer(Request.LastEventId),
+      ResponseBody(Context.BufferedResponseBytes) {
   Context.ActiveRequests.insert(this);
 }
 
@@ -172,8 +171,12 @@
 }
 
 void relayed_request::startLivenessMonitor() {
+  std::optional<milliseconds> PlainIdleTimeout;
+  if (!Admitted.isForEngines())
+    PlainIdleTimeout = plainIdleTimeout(
+        Route, Context.Fleet.LatencyBaseline.meanMs(Route.Name, Model));
   Liveness = std::make_shared<liveness_monitor>(
-      Context, Endpoint, Request.Id, Admitted.isForEngines(),
+      Context, Endpoint, Request.Id, PlainIdleTimeout,
       [Weak = weak_from_this()](const std::string &Reason) {
         auto Self = Weak.lock();
         // A request that can't be retried is not ended merely because its
@@ -266,9 +269,8 @@
     return;
   if (Route.Kind == route_kind::Stream && isSuccess(Response.Status))
     return forwardStreamBytes(std::move(Bytes));
-  ResponseBody += Bytes;
-  if (ResponseBody.size() > MaxBufferedResponseBytes) {
-    Attempt->cancel();
+  if (!ResponseBody.tryAppend(Bytes)) {
+    ResponseBody.clear();
     onAttemptFailed(attempt_failure::NoValidResponse,
                     "the response is too large to buffer");
   }
@@ -276,9 +278,10 @@
 
 void relayed_request::forwardStreamBytes(std::string Bytes) {
   const steady_time Now = Context.Clock.now();
+  const std::uint64_t EventsBefore = Splicer.eventCount();
   const std::string Events = Splicer.add(Bytes);
-  if (Liveness)
-    Liveness->onBytesReceived(Now);
+  if (Liveness && Splicer.eventCount() > EventsBefore)
+    Liveness->onProgress(Now);
   if (!Events.empty()) {
     Timing.onEvents(Now);
     if (!ResponseStarted) {
@@ -331,7 +334,7 @@
     return finishStream();
   Caller->sendResponse(ResponseHead.Status,
                        Context.Codec.forwardedHeaders(ResponseHead),
-                       ResponseBody);
+                       ResponseBody.text());
   finish("answered");
 }
 
@@ -363,7 +366,7 @@
     return refuse({502, std::nullopt, "endpoint_failed"});
   Caller->sendResponse(ResponseHead.Status,
                        Context.Codec.forwardedHeaders(ResponseHead),
-                       ResponseBody);
+                       ResponseBody.text());
   finish("endpoint_failed");
 }
 
@@ -505,6 +508,7 @@
         TimeToFirstEvent ? std::to_string(TimeToFirstEvent->count()) : "none"},
        {"took_ms", std::to_string(Took.count())}});
   Attempt.reset();
+  ResponseBody.clear();
 }
 
 } // namespace azurehaven
--- a/Libraries/LibRelay/relayed_request.h
+++ b/Libraries/LibRelay/relayed_request.h
@@ -5,6 +5,7 @@
 #include "LibDispatch/placement.h"
 #include "LibRelay/admitted_request.h"
 #include "LibRelay/attempt_result.h"
+#include "LibRelay/buffered_body.h"
 #include "LibRelay/endpoint_attempt.h"
 #include "LibRelay/liveness_monitor.h"
 #include "LibRelay/relay.h"
@@ -97,7 +98,7 @@
   /// The endpoint's response that is being received.
   response_head ResponseHead;
   decoded_response_head Response;
-  std::string ResponseBody;
+  buffered_body ResponseBody;
   response_timing Timing;
   /// Total model cost of all attempts.
   micro_euros Cost{0};
--- a/Tests/LibConnection/response_parser_test.cpp
+++ b/Tests/LibConnection/response_parser_test.cpp
@@ -51,3 +51,63 @@
   Parser.consume("\x01\x02\x03 garbage");
   CHECK(Parser.isMalformed());
 }
+
+namespace {
+
+/// Feeds the parser the bytes again and again; returns how many it has consumed
+/// when it rejects them, at most Limit.
+std::size_t consumeRepeatedly(response_parser &Parser, const std::string &Bytes,
+                              std::size_t Limit) {
+  std::size_t Consumed = 0;
+  while (!Parser.isMalformed() && !Parser.isComplete() && Consumed < Limit)
+    Consumed += Parser.consume(Bytes);
+  return Consumed;
+}
+
+constexpr std::size_t EndlessBytes = 4 << 20;
+const std::string ChunkedHead =
+    "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+
+} // namespace
+
+TEST_CASE("A head without end is rejected") {
+  const std::string Text(1000, 'x');
+  for (const auto &[Begin, Rest] :
+       std::vector<std::pair<std::string, std::string>>{
+           {"HTTP/1.1 200 ", Text},
+           {"HTTP/1.1 200 OK\r\nA: ", Text},
+           {"HTTP/1.1 200 OK\r\n", "A: b\r\n"},
+           {"HTTP/1.1 200 OK\r\n", Text},
+           {"", "HTTP/1.1 100 Continue\r\n\r\n"},
+           {"", "\r\n"}}) {
+    CAPTURE(Begin);
+    CAPTURE(Rest.substr(0, 30));
+    response_parser Parser;
+    Parser.consume(Begin);
+    CHECK(consumeRepeatedly(Parser, Rest, EndlessBytes) < EndlessBytes);
+    CHECK(Parser.isMalformed());
+  }
+}
+
+TEST_CASE("Bytes without end between the parts of a body are rejected") {
+  const std::string Text(1000, 'x');
+  for (const auto &[Begin, Rest] :
+       std::vector<std::pair<std::string, std::string>>{
+           {"1;", Text}, {"0\r\nA: ", Text}, {"0\r\n", "A: b\r\n"}}) {
+    CAPTURE(Begin);
+    response_parser Parser;
+    Parser.consume(ChunkedHead + Begin);
+    CHECK(consumeRepeatedly(Parser, Rest, EndlessBytes) < EndlessBytes);
+    CHECK(Parser.isMalformed());
+  }
+}
+
+TEST_CASE("A long body in small chunks is accepted") {
+  response_parser Parser;
+  Parser.consume(ChunkedHead);
+  for (int Index = 0; Index < 100000; ++Index)
+    Parser.consume("1\r\nx\r\n");
+  Parser.consume("0\r\n\r\n");
+  CHECK(Parser.isComplete());
+  CHECK(Parser.takeBody().size() == 100000);
+}
--- a/Tests/LibDispatch/attempt_policy_test.cpp
+++ b/Tests/LibDispatch/attempt_policy_test.cpp
@@ -39,3 +39,16 @@
   CHECK(deadlineErrorResponse(false).Status == 503);
   CHECK(deadlineErrorResponse(true).Status == 504);
 }
+
+TEST_CASE("A plain service may take as long as its objective and usual times") {
+  route Route;
+  CHECK(plainIdleTimeout(Route, std::nullopt) == milliseconds(300));
+  Route.LatencyObjective = milliseconds(150);
+  CHECK(plainIdleTimeout(Route, 40.0) == milliseconds(300));
+  CHECK(plainIdleTimeout(Route, 250.0) == milliseconds(1000));
+  Route.LatencyObjective = milliseconds(2000);
+  CHECK(plainIdleTimeout(Route, 40.0) == milliseconds(2000));
+  Route.Kind = route_kind::Stream;
+  Route.EventGapObjective = milliseconds(2500);
+  CHECK(plainIdleTimeout(Route, std::nullopt) == milliseconds(2500));
+}
--- a/Tests/LibRelay/relay_fixture.cpp
+++ b/Tests/LibRelay/relay_fixture.cpp
@@ -79,6 +79,8 @@
             const scripted_response &Response) {
     asio::error_code Ignored;
     asio::write(Session->Socket, asio::buffer(Response.Bytes), Ignored);
+    if (!Response.Endless.empty())
+      sendEndlessly(Session, Response);
     if (Response.After == after_response::Close)
       Session->Socket.shutdown(asio::socket_base::shutdown_both, Ignored);
     if (Response.After == after_response::Reset)
@@ -88,6 +90,25 @@
       Session->Socket.close(Ignored);
   }
 
+  void sendEndlessly(const std::shared_ptr<session> &Session,
+                     const scripted_response &Response) {
+    auto Bytes = std::make_shared<const std::string>(Response.Endless);
+    asio::async_write(
+        Session->Socket, asio::buffer(*Bytes),
+        [=, this](const asio::error_code &Code, std::size_t Size) {
+          if (Code)
+            return;
+          Fixture.EndlessBytesSent += Bytes->size();
+          auto Timer = std::make_shared<asio::steady_timer>(
+              Fixture.Loop, Response.EndlessInterval);
+          Timer->async_wait([=, this](const asio::error_code &) {
+            (void)Timer;
+            sendEndlessly(Session, Response);
+          });
+          (void)Size;
+        });
+  }
+
   relay_fixture &Fixture;
   const std::string Name;
   asio::ip::tcp::acceptor Acceptor;
--- a/Tests/LibRelay/relay_fixture.h
+++ b/Tests/LibRelay/relay_fixture.h
@@ -20,6 +20,10 @@
   std::string Bytes;
   after_response After = after_response::Keep;
   milliseconds Delay{0};
+  /// Sent after Bytes, again and again until the relay closes the connection;
+  /// nothing if empty.
+  std::string Endless{};
+  milliseconds EndlessInterval{0};
 };
 
 /// A request that a scripted endpoint received.
@@ -65,6 +69,8 @@
   relay_context Context;
   relay Relay;
   std::vector<received_request> Received;
+  /// Bytes that endpoints have sent by scripted_response::Endless.
+  std::size_t EndlessBytesSent = 0;
   /// Connections to endpoints that the relay has closed.
   std::size_t ClosedByRelay = 0;
   route_table::content Content;
