LibPeer, LibRelay: Shorten notices; write bill segments together

Every bill segment, one per VM in 12 s, ended the watch of every VM: 38 VMs at 38 moments.

Change: a load takes 16 bytes and names its endpoint by a hash; release counts are sent when they change, and all of them every tenth notice; a notice updates sums instead of adding up all VMs' reports again. VMs write their bill segments at the same wall-clock times, spread over 200 ms, so that they end each watch once per interval.

--- a/Libraries/LibDispatch/endpoint_registry.cpp
+++ b/Libraries/LibDispatch/endpoint_registry.cpp
@@ -1,6 +1,7 @@
 #include "LibDispatch/endpoint_registry.h"
 
 #include "LibDispatch/endpoint_health.h"
+#include "LibTypes/fingerprint.h"
 
 namespace azurehaven {
 
@@ -17,6 +18,10 @@
          isAdmittedAfterShedding(*this, Now);
 }
 
+std::uint64_t endpointHash(const endpoint_id &Id) {
+  return fingerprintOf(Id.text());
+}
+
 void endpoint_registry::put(const endpoint_descriptor &Descriptor) {
   auto &Record = ById[Descriptor.Id];
   const bool IsSameStart =
@@ -27,6 +32,7 @@
   if (!IsSameStart)
     Record = std::make_shared<endpoint_record>();
   Record->Descriptor = Descriptor;
+  Record->Hash = endpointHash(Descriptor.Id);
   // A process start never stops leaving: an entry that says otherwise is older.
   if (WasLeaving || isMarkedLeaving(Descriptor))
     Record->Descriptor.IsLeaving = true;
@@ -97,13 +103,6 @@
   return Found == ByService.end() ? None : Found->second;
 }
 
-std::vector<endpoint_id> endpoint_registry::ids() const {
-  std::vector<endpoint_id> Ids;
-  for (const auto &[Id, Record] : ById)
-    Ids.push_back(Id);
-  return Ids;
-}
-
 void endpoint_registry::rebuildServiceIndex() {
   ByService.clear();
   for (const auto &[Id, Record] : ById)
--- a/Libraries/LibDispatch/endpoint_registry.h
+++ b/Libraries/LibDispatch/endpoint_registry.h
@@ -54,6 +54,8 @@
 /// An endpoint with its load and health as seen by this VM.
 struct endpoint_record {
   endpoint_descriptor Descriptor;
+  /// The endpoint's name in the notices between VMs.
+  std::uint64_t Hash = 0;
   /// Requests of this VM that run or queue on the endpoint.
   std::uint32_t InFlight = 0;
   /// Prompt work of this VM's requests that are still waiting for their first
@@ -102,6 +104,9 @@
   std::int64_t Incarnation = 0;
 };
 
+/// A short name for an endpoint, the same on every VM.
+std::uint64_t endpointHash(const endpoint_id &Id);
+
 /// The endpoints that are registered in the store. Not thread-safe.
 class endpoint_registry {
 public:
@@ -119,7 +124,9 @@
   /// removed endpoint.
   std::shared_ptr<endpoint_record> find(const endpoint_id &Id) const;
   const endpoint_list &endpointsOf(const service_id &Service) const;
-  std::vector<endpoint_id> ids() const;
+  const std::map<endpoint_id, std::shared_ptr<endpoint_record>> &all() const {
+    return ById;
+  }
   std::size_t size() const { return ById.size(); }
 
 private:
--- a/Libraries/LibDispatch/release_statistics.h
+++ b/Libraries/LibDispatch/release_statistics.h
@@ -20,6 +20,7 @@
   std::uint32_t Slow = 0;
 
   release_counts &operator+=(const release_counts &Other);
+  bool operator==(const release_counts &) const = default;
 };
 
 struct release_key {
--- a/Libraries/LibPeer/frame_codec.cpp
+++ b/Libraries/LibPeer/frame_codec.cpp
@@ -98,11 +98,9 @@
 
   Offset<void> operator()(const fleet_notice &Message) {
     Type = wire::Body_FleetNotice;
-    std::vector<Offset<wire::EndpointUse>> Uses;
+    std::vector<wire::EndpointLoad> Loads;
     for (const auto &Load : Message.EndpointLoads)
-      Uses.push_back(
-          wire::CreateEndpointUseDirect(Builder, Load.Endpoint.text().c_str(),
-                                        Load.InFlight, Load.PromptWork));
+      Loads.emplace_back(Load.Endpoint, Load.InFlight, Load.PromptWork);
     std::vector<Offset<wire::ReleaseCounts>> Releases;
     for (const auto &Release : Message.Releases)
       Releases.push_back(wire::CreateReleaseCountsDirect(
@@ -121,8 +119,8 @@
     for (const auto &Notice : Message.LeavingEndpoints)
       Leaving.push_back(wire::CreateLeavingEndpointDirect(
           Builder, Notice.Endpoint.text().c_str(), Notice.Incarnation));
-    return wire::CreateFleetNoticeDirect(Builder, &Uses, &Releases,
-                                         &SessionReleases, &Crashes, &Leaving)
+    return wire::CreateFleetNoticeDirect(Builder, &Releases, &SessionReleases,
+                                         &Crashes, &Leaving, &Loads)
         .Union();
   }
 
@@ -196,11 +194,10 @@
 
 fleet_notice decodeFleetNotice(const wire::FleetNotice &Source) {
   fleet_notice Message;
-  Message.EndpointLoads =
-      decodeAll(Source.uses(), [](const wire::EndpointUse &Item) {
-        return endpoint_load_notice{endpoint_id(Item.endpoint()->str()),
-                                    Item.in_flight(), Item.prompt_work()};
-      });
+  if (Source.loads())
+    for (const wire::EndpointLoad *Item : *Source.loads())
+      Message.EndpointLoads.push_back(
+          {Item->endpoint(), Item->in_flight(), Item->prompt_work()});
   Message.Releases =
       decodeAll(Source.releases(), [](const wire::ReleaseCounts &Item) {
         return release_counts_notice{service_id(Item.service()->str()),
--- a/Libraries/LibPeer/peer_message.h
+++ b/Libraries/LibPeer/peer_message.h
@@ -100,10 +100,11 @@
 
 /// The sender's own load on an endpoint.
 struct endpoint_load_notice {
-  endpoint_id Endpoint;
+  /// Hash of the endpoint's id; see endpointHash().
+  std::uint64_t Endpoint = 0;
   std::uint32_t InFlight = 0;
   /// Outstanding prompt work, in prompt_work units.
-  std::uint64_t PromptWork = 0;
+  std::uint32_t PromptWork = 0;
 };
 
 /// Cumulative outcome counts of one release on one route since the sender
--- a/Libraries/LibRelay/bill_journal.cpp
+++ b/Libraries/LibRelay/bill_journal.cpp
@@ -1,5 +1,7 @@
 #include "LibRelay/bill_journal.h"
 
+#include "LibTypes/fingerprint.h"
+
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
@@ -14,6 +16,9 @@
 /// costs more: each segment takes a store call and triggers the watch of every
 /// VM.
 constexpr milliseconds SegmentInterval{12000};
+/// VMs write at the same wall-clock times, spread over this window, so that
+/// their segments trigger each watch once instead of once per VM.
+constexpr milliseconds WriteWindow{200};
 constexpr milliseconds RetryDelay{1000};
 /// At about 200 bytes per bill, a segment stays below the maximum size of a
 /// value in the store.
@@ -30,19 +35,29 @@
 } // namespace
 
 bill_journal::bill_journal(async_store &Store, event_scheduler &Scheduler,
-                           const event_log &Log, metrics &Metrics,
-                           const vm_id &Vm, std::uint64_t Incarnation)
-    : Store(Store), Scheduler(Scheduler), Log(Log), Metrics(Metrics),
-      KeyPrefix(BillSegmentPrefix + Vm.text() + "/" +
-                std::to_string(Incarnation) + "/") {}
+                           const clock_source &Clock, const event_log &Log,
+                           metrics &Metrics, const vm_id &Vm,
+                           std::uint64_t Incarnation)
+    : Store(Store), Scheduler(Scheduler), Clock(Clock), Log(Log),
+      Metrics(Metrics), Vm(Vm), KeyPrefix(BillSegmentPrefix + Vm.text() + "/" +
+                                          std::to_string(Incarnation) + "/") {}
 
 void bill_journal::start() { scheduleWrites(); }
 
 void bill_journal::scheduleWrites() {
-  Scheduler.runAfter(SegmentInterval, [this] {
-    write();
-    scheduleWrites();
-  });
+  Scheduler.runAfter(
+      timeUntilSegment(Clock.wallNow(), rendezvousFraction("bills", Vm.text())),
+      [this] {
+        write();
+        scheduleWrites();
+      });
+}
+
+milliseconds timeUntilSegment(unix_millis WallNow, double SpreadFraction) {
+  const auto Spread =
+      std::chrono::duration_cast<milliseconds>(WriteWindow * SpreadFraction);
+  const milliseconds SinceEpoch(WallNow.count());
+  return SegmentInterval - (SinceEpoch - Spread) % SegmentInterval;
 }
 
 void bill_journal::add(const bill &Bill) {
--- a/Libraries/LibRelay/bill_journal.h
+++ b/Libraries/LibRelay/bill_journal.h
@@ -5,6 +5,7 @@
 #include "LibLog/event_log.h"
 #include "LibMetrics/metrics.h"
 #include "LibStore/async_store.h"
+#include "LibTypes/clock_source.h"
 
 #include <deque>
 #include <map>
@@ -27,8 +28,8 @@
 class bill_journal {
 public:
   bill_journal(async_store &Store, event_scheduler &Scheduler,
-               const event_log &Log, metrics &Metrics, const vm_id &Vm,
-               std::uint64_t Incarnation);
+               const clock_source &Clock, const event_log &Log,
+               metrics &Metrics, const vm_id &Vm, std::uint64_t Incarnation);
 
   void start();
   void add(const bill &Bill);
@@ -59,8 +60,10 @@
 
   async_store &Store;
   event_scheduler &Scheduler;
+  const clock_source &Clock;
   const event_log &Log;
   metrics &Metrics;
+  const vm_id Vm;
   const std::string KeyPrefix;
   std::uint64_t NextSegment = 1;
   std::vector<bill> Pending;
@@ -76,6 +79,10 @@
   std::deque<segment> Retained;
 };
 
+/// Time until a VM writes its next segment. SpreadFraction, in [0, 1), differs
+/// between VMs.
+milliseconds timeUntilSegment(unix_millis WallNow, double SpreadFraction);
+
 std::string encodeBillSegment(const std::vector<bill> &Bills);
 /// Returns InvalidInput if the text is not a complete segment.
 result<std::vector<bill>> decodeBillSegment(const std::string &Text);
--- a/Libraries/LibRelay/peer_state_sync.cpp
+++ b/Libraries/LibRelay/peer_state_sync.cpp
@@ -1,5 +1,7 @@
 #include "LibRelay/peer_state_sync.h"
 
+#include "LibTypes/verify.h"
+
 #include <algorithm>
 
 namespace azurehaven {
@@ -9,22 +11,33 @@
 /// The load that a VM reported is dropped after this time without a notice: its
 /// requests have finished, or the endpoints report them themselves.
 constexpr milliseconds PeerLoadTimeToLive{1500};
+/// One in this many notices has all release counts.
+constexpr std::uint64_t NoticesPerFullCounts = 10;
 
 } // namespace
 
+std::vector<release_counts_notice> peer_state_sync::releaseCounts() {
+  const bool SendsAll = NoticeCount++ % NoticesPerFullCounts == 0;
+  std::vector<release_counts_notice> Notices;
+  for (const auto &[Key, Counts] : Fleet.ReleaseStatistics.localReports()) {
+    const bool IsSent = SentCounts[Key] == Counts;
+    if (IsSent && !SendsAll)
+      continue;
+    SentCounts[Key] = Counts;
+    Notices.push_back({Key.Service, Key.Release, Key.Route, Counts.Requests,
+                       Counts.Failures, Counts.Slow});
+  }
+  return Notices;
+}
+
 fleet_notice peer_state_sync::buildNotice() {
   fleet_notice Notice;
-  for (const auto &Id : Fleet.Endpoints.ids()) {
-    const auto Endpoint = Fleet.Endpoints.find(Id);
+  for (const auto &[Id, Endpoint] : Fleet.Endpoints.all())
     if (Endpoint->InFlight > 0)
       Notice.EndpointLoads.push_back(
-          {Id, Endpoint->InFlight,
-           static_cast<std::uint64_t>(std::max(Endpoint->PromptWork, 0.0))});
-  }
-  for (const auto &Report : Fleet.ReleaseStatistics.localReports())
-    Notice.Releases.push_back({Report.Key.Service, Report.Key.Release,
-                               Report.Key.Route, Report.Counts.Requests,
-                               Report.Counts.Failures, Report.Counts.Slow});
+          {Endpoint->Hash, Endpoint->InFlight,
+           static_cast<std::uint32_t>(std::max(Endpoint->PromptWork, 0.0))});
+  Notice.Releases = releaseCounts();
   for (const auto &Pin : Fleet.Pins.takeUnsent())
     Notice.SessionReleases.push_back({Pin.Session, Pin.Release});
   for (const auto &Crash : Fleet.Quarantine.takeUnsent())
@@ -54,10 +67,13 @@
   const steady_time Now = Clock.now();
   peer_loads &Reported = PeerLoads[Frame.Sender];
   Reported.At = Now;
-  Reported.ByEndpoint.clear();
-  for (const auto &Load : Notice->EndpointLoads)
-    Reported.ByEndpoint[Load.Endpoint] = Load;
-  applyPeerLoads();
+  removeFromTotals(Reported.Loads);
+  Reported.Loads = Notice->EndpointLoads;
+  // An endpoint without load has no total.
+  std::erase_if(Reported.Loads,
+                [](const auto &Load) { return Load.InFlight == 0; });
+  addToTotals(Reported.Loads);
+  applyTotals();
   for (const auto &Release : Notice->Releases)
     Fleet.ReleaseStatistics.merge(
         Frame.Sender, Frame.Incarnation,
@@ -71,29 +87,48 @@
     Fleet.Endpoints.markLeaving({Leaving.Endpoint, Leaving.Incarnation}, Now);
 }
 
-void peer_state_sync::applyPeerLoads() {
-  for (const auto &Id : Fleet.Endpoints.ids()) {
-    const auto Endpoint = Fleet.Endpoints.find(Id);
-    Endpoint->PeersInFlight = 0;
-    Endpoint->PeersPromptWork = 0;
-    for (const auto &[Vm, Reported] : PeerLoads) {
-      auto Found = Reported.ByEndpoint.find(Id);
-      if (Found == Reported.ByEndpoint.end())
-        continue;
-      Endpoint->PeersInFlight += Found->second.InFlight;
-      Endpoint->PeersPromptWork +=
-          static_cast<double>(Found->second.PromptWork);
-    }
+void peer_state_sync::addToTotals(
+    const std::vector<endpoint_load_notice> &Loads) {
+  for (const auto &Load : Loads) {
+    total_load &Total = Totals[Load.Endpoint];
+    Total.InFlight += Load.InFlight;
+    Total.PromptWork += Load.PromptWork;
+  }
+}
+
+void peer_state_sync::removeFromTotals(
+    const std::vector<endpoint_load_notice> &Loads) {
+  for (const auto &Load : Loads) {
+    auto Found = Totals.find(Load.Endpoint);
+    VERIFY(Found != Totals.end());
+    total_load &Total = Found->second;
+    Total.InFlight -= Load.InFlight;
+    Total.PromptWork -= Load.PromptWork;
+    if (Total.InFlight == 0)
+      Totals.erase(Found);
+  }
+}
+
+void peer_state_sync::applyTotals() {
+  for (const auto &[Id, Endpoint] : Fleet.Endpoints.all()) {
+    auto Found = Totals.find(Endpoint->Hash);
+    const total_load Total =
+        Found == Totals.end() ? total_load{} : Found->second;
+    Endpoint->PeersInFlight = static_cast<std::uint32_t>(Total.InFlight);
+    Endpoint->PeersPromptWork = static_cast<double>(Total.PromptWork);
   }
 }
 
 void peer_state_sync::expire() {
   const steady_time Now = Clock.now();
   const auto Removed = std::erase_if(PeerLoads, [&](const auto &Entry) {
-    return Now - Entry.second.At > PeerLoadTimeToLive;
+    const bool IsExpired = Now - Entry.second.At > PeerLoadTimeToLive;
+    if (IsExpired)
+      removeFromTotals(Entry.second.Loads);
+    return IsExpired;
   });
   if (Removed > 0)
-    applyPeerLoads();
+    applyTotals();
 }
 
 } // namespace azurehaven
--- a/Libraries/LibRelay/peer_state_sync.h
+++ b/Libraries/LibRelay/peer_state_sync.h
@@ -5,6 +5,8 @@
 #include "LibRelay/fleet_state.h"
 #include "LibTypes/clock_source.h"
 
+#include <unordered_map>
+
 namespace azurehaven {
 
 /// Sends this VM's endpoint load, release statistics, session pins and crash
@@ -22,18 +24,31 @@
   void expire();
 
 private:
-  fleet_notice buildNotice();
-  void applyPeerLoads();
-
+  /// The sum of what the other VMs have reported for one endpoint.
+  struct total_load {
+    std::uint64_t InFlight = 0;
+    std::uint64_t PromptWork = 0;
+  };
   struct peer_loads {
-    std::map<endpoint_id, endpoint_load_notice> ByEndpoint;
+    std::vector<endpoint_load_notice> Loads;
     steady_time At;
   };
 
+  fleet_notice buildNotice();
+  /// The release counts that have changed since the last notice; at times all
+  /// of them, since a notice may be lost.
+  std::vector<release_counts_notice> releaseCounts();
+  void addToTotals(const std::vector<endpoint_load_notice> &Loads);
+  void removeFromTotals(const std::vector<endpoint_load_notice> &Loads);
+  void applyTotals();
+
   fleet_state &Fleet;
   const clock_source &Clock;
   peer_network &Peers;
   std::map<vm_id, peer_loads> PeerLoads;
+  std::unordered_map<std::uint64_t, total_load> Totals;
+  std::map<release_key, release_counts> SentCounts;
+  std::uint64_t NoticeCount = 0;
 };
 
 } // namespace azurehaven
--- a/Tests/LibRelay/bill_journal_test.cpp
+++ b/Tests/LibRelay/bill_journal_test.cpp
@@ -2,9 +2,12 @@
 
 #include "LibFleet/scripted_store.h"
 #include "LibFleet/virtual_scheduler.h"
+#include "LibTypes/fingerprint.h"
 
 #include <doctest/doctest.h>
 
+#include <algorithm>
+
 using namespace azurehaven;
 
 namespace {
@@ -35,12 +38,29 @@
   bool LosesResponses = false;
 };
 
+/// A clock that shows the virtual time of a scheduler.
+class scheduler_clock : public clock_source {
+public:
+  explicit scheduler_clock(const event_scheduler &Scheduler)
+      : Scheduler(Scheduler) {}
+  steady_time now() const override { return Scheduler.now(); }
+  unix_millis wallNow() const override {
+    return unix_millis(std::chrono::duration_cast<milliseconds>(
+                           Scheduler.now().time_since_epoch())
+                           .count());
+  }
+
+private:
+  const event_scheduler &Scheduler;
+};
+
 struct journal_fixture {
   virtual_scheduler Scheduler;
   response_losing_store Store{Scheduler};
   null_event_log Log;
   metrics Metrics;
-  bill_journal Journal{Store, Scheduler, Log, Metrics, vm_id("vm-1"), 7};
+  scheduler_clock Clock{Scheduler};
+  bill_journal Journal{Store, Scheduler, Clock, Log, Metrics, vm_id("vm-1"), 7};
 
   std::map<std::string, bill> ledger() const {
     std::vector<store_item> Items;
@@ -146,3 +166,29 @@
   Fixture.Journal.onStoreRestored();
   CHECK(Fixture.ledger().empty());
 }
+
+TEST_CASE("The segments of all VMs trigger a watch once per interval") {
+  // 38 VMs that started at different times, with clocks up to 50 ms apart.
+  constexpr int Vms = 38;
+  std::vector<milliseconds> WriteTimes;
+  for (int Vm = 0; Vm < Vms; ++Vm) {
+    const milliseconds StartedAt(1000000 + Vm * 317);
+    const milliseconds ClockError(Vm % 50);
+    const double Spread =
+        rendezvousFraction("bills", "vm-" + std::to_string(Vm));
+    milliseconds Now = StartedAt;
+    for (int Segment = 0; Segment < 3; ++Segment) {
+      const milliseconds Wait =
+          timeUntilSegment(unix_millis((Now + ClockError).count()), Spread);
+      CHECK(Wait > milliseconds(0));
+      CHECK(Wait <= milliseconds(12000));
+      Now += Wait;
+    }
+    // Shifted, so that a clock error does not wrap around.
+    WriteTimes.push_back((Now + milliseconds(6000)) % milliseconds(12000));
+  }
+  const auto [First, Last] =
+      std::minmax_element(WriteTimes.begin(), WriteTimes.end());
+  // The mirror collects the changes of 400 ms.
+  CHECK(*Last - *First <= milliseconds(400));
+}
--- a/Tests/LibRelay/peer_state_sync_test.cpp
+++ b/Tests/LibRelay/peer_state_sync_test.cpp
@@ -106,3 +106,51 @@
   First.PeerSync.broadcast();
   CHECK(First.Network.Sent.back().second.LeavingEndpoints.empty());
 }
+
+TEST_CASE(
+    "Release counts are sent when they change, and all of them at times") {
+  peer_vm Vm("vm-1");
+  const auto CountsSentNext = [&] {
+    Vm.Network.Sent.clear();
+    Vm.PeerSync.broadcast();
+    return Vm.Network.Sent.back().second.Releases.size();
+  };
+  for (const char *Route : {"r1", "r2"})
+    Vm.Fleet.ReleaseStatistics.addLocal({service_id("s"), "v2", Route},
+                                        {4, 1, 0});
+  CHECK(CountsSentNext() == 2);
+  CHECK(CountsSentNext() == 0);
+  Vm.Fleet.ReleaseStatistics.addLocal({service_id("s"), "v2", "r1"}, {1, 0, 0});
+  CHECK(CountsSentNext() == 1);
+  // A notice may be lost: within two seconds, ten notices, all are sent again.
+  std::size_t Most = 0;
+  for (int Notice = 0; Notice < 10; ++Notice)
+    Most = std::max(Most, CountsSentNext());
+  CHECK(Most == 2);
+}
+
+TEST_CASE("The loads of several VMs add up, and each is withdrawn alone") {
+  peer_vm Vm("vm-1");
+  const auto Endpoint = Vm.Fleet.Endpoints.find(endpoint_id("e"));
+  const auto Report = [&](const char *Sender, std::uint32_t InFlight) {
+    fleet_notice Notice;
+    Notice.EndpointLoads = {{Endpoint->Hash, InFlight, 10 * InFlight},
+                            {12345, InFlight, 7}};
+    Vm.PeerSync.onFrame({vm_id(Sender), 1, Notice});
+  };
+  Report("vm-2", 3);
+  Report("vm-3", 4);
+  CHECK(Endpoint->PeersInFlight == 7);
+  CHECK(Endpoint->PeersPromptWork == doctest::Approx(70));
+  Report("vm-2", 1);
+  CHECK(Endpoint->PeersInFlight == 5);
+  // A load of zero or an absurd one ends nothing but itself.
+  Report("vm-2", 0);
+  Report("vm-4", 0);
+  Report("vm-4", ~0u);
+  Report("vm-4", 0);
+  CHECK(Endpoint->PeersInFlight == 4);
+  Vm.Clock.Now += milliseconds(3000);
+  Vm.PeerSync.expire();
+  CHECK(Endpoint->PeersInFlight == 0);
+}
