LibDispatch, LibFleet, LibRelay: Pass on confirmations between VMs

Cause: every VM asked the store for a confirmation of its configuration at least each 1.5 s, so that calls grew with the fleet.

Change: three VMs, or one of eight, ask the store as before and pass on what it confirms. VMs exchange clock readings in their notices; a confirmation names the latest reading that the confirming VM had received from the receiver before the store's word, with the version. Only a VM with just that version takes it, as of its own reading, so that no delay of a message makes it look recent. The others watch with waits of 6 s and ask the store themselves once the passed confirmations are 2.2 s old, for 10 s. A lost, cut-off or frozen asking VM costs nothing else; a VM without the latest version gains nothing.

--- a/Libraries/LibConnection/endpoint_connection.cpp
+++ b/Libraries/LibConnection/endpoint_connection.cpp
@@ -143,18 +143,17 @@
       return false;
   }
   std::string Body = Parser.takeBody();
+  if (SkippingResponse)
+    SkippedBytes += Body.size();
+  if (SkippedBytes > SkipLimitBytes) {
+    fail(delivery::MayHaveRun, "a late response has no end");
+    return false;
+  }
   if (HeadDelivered && !Body.empty()) {
     Observer->onResponseBody(std::move(Body));
     if (State == state::Closed || !Observer)
       return false;
   }
-  if (SkippingResponse) {
-    SkippedBytes += Body.size();
-    if (SkippedBytes > SkipLimitBytes) {
-      fail(delivery::MayHaveRun, "a late response has no end");
-      return false;
-    }
-  }
   if (Parser.isComplete() && SkippingResponse) {
     const bool IsKeptAlive = Parser.isKeptAlive();
     SkippingResponse = false;
--- a/Libraries/LibDispatch/configuration_confirmation.h
+++ b/Libraries/LibDispatch/configuration_confirmation.h
@@ -19,6 +19,8 @@
   /// Records that the configuration was the latest one at this time. A time
   /// before the last recorded one has no effect.
   void confirm(steady_time At);
+  /// When the configuration was last known to be the latest.
+  std::optional<steady_time> confirmedAt() const { return ConfirmedAt; }
   std::optional<milliseconds> age(steady_time Now) const;
   /// Whether requests that require an API key may be served.
   bool isCurrent(steady_time Now) const;
--- a/Libraries/LibFleet/fleet_members.cpp
+++ b/Libraries/LibFleet/fleet_members.cpp
@@ -38,11 +38,17 @@
 
 bool fleet_members::isPreferredFor(const std::string &Task,
                                    const vm_id &Self) const {
+  return isAmongPreferred(Task, Self, 1);
+}
+
+bool fleet_members::isAmongPreferred(const std::string &Task, const vm_id &Self,
+                                     std::size_t Count) const {
   const std::uint64_t OwnScore = rendezvousScore(Task, Self.text());
+  std::size_t Higher = 0;
   for (const auto &[Vm, Member] : Members)
     if (Vm != Self && rendezvousScore(Task, Vm.text()) > OwnScore)
-      return false;
-  return true;
+      ++Higher;
+  return Higher < Count;
 }
 
 } // namespace azurehaven
--- a/Libraries/LibFleet/fleet_members.h
+++ b/Libraries/LibFleet/fleet_members.h
@@ -26,6 +26,11 @@
   /// the members may each get true.
   bool isPreferredFor(const std::string &Task, const vm_id &Self) const;
 
+  /// Whether this VM is among the Count that rendezvous hashing selects for a
+  /// task, under the same reservation.
+  bool isAmongPreferred(const std::string &Task, const vm_id &Self,
+                        std::size_t Count) const;
+
 private:
   struct known_member {
     member_entry Entry;
--- a/Libraries/LibFleet/store_mirror.cpp
+++ b/Libraries/LibFleet/store_mirror.cpp
@@ -13,6 +13,13 @@
 /// a revoked key must be refused.
 constexpr milliseconds MaximumWatchWait{1500};
 constexpr milliseconds MinimumWatchWait{100};
+/// Longest wait of one watch while other VMs pass on confirmations. A
+/// connection that was silenced is noticed after it.
+constexpr milliseconds LongWatchWait{6000};
+/// Age of the passed confirmations from which on the VM asks the store itself,
+/// and for how long.
+constexpr milliseconds MaximumPassedAge{2200};
+constexpr std::chrono::seconds PeerDistrust{10};
 /// Age that a confirmation should not exceed while the store is reachable.
 constexpr milliseconds TargetConfirmationAge{1800};
 /// Delay of the next watch after changes, so that it returns further changes
@@ -41,6 +48,7 @@
     return;
   const steady_time SentAt = Scheduler.now();
   const std::uint64_t Number = ++CallNumber;
+  IsWatchLong = false;
   Store.readRange(Keys, [=, this](result<range_result> Result) {
     if (Number != CallNumber)
       return;
@@ -83,7 +91,22 @@
   watch();
 }
 
+bool store_mirror::reliesOnPeers(steady_time Now) const {
+  return Source == confirmation_source::Peers && Now >= DistrustsPeersUntil;
+}
+
+void store_mirror::onConfirmationAge(steady_time At) {
+  const steady_time Now = Scheduler.now();
+  ConfirmedAt = std::max(ConfirmedAt, At);
+  if (!IsWatchLong || Now - ConfirmedAt <= MaximumPassedAge)
+    return;
+  DistrustsPeersUntil = Now + PeerDistrust;
+  watch();
+}
+
 milliseconds store_mirror::nextWatchWait(steady_time Now) const {
+  if (reliesOnPeers(Now))
+    return LongWatchWait;
   const auto Age = std::chrono::duration_cast<milliseconds>(Now - ConfirmedAt);
   return std::clamp(TargetConfirmationAge - Age, MinimumWatchWait,
                     MaximumWatchWait);
@@ -94,10 +117,12 @@
     return;
   const steady_time SentAt = Scheduler.now();
   const milliseconds Wait = nextWatchWait(SentAt);
+  IsWatchLong = Wait > MaximumWatchWait;
   const std::uint64_t Number = ++CallNumber;
   Store.watch(Keys.Prefix, Revision, Wait, [=, this](watch_outcome Outcome) {
     if (Number != CallNumber)
       return;
+    IsWatchLong = false;
     if (const auto *StoreChanges = std::get_if<store_changes>(&Outcome))
       return applyChanges(*StoreChanges, SentAt, Wait);
     if (std::holds_alternative<history_compacted>(Outcome))
--- a/Libraries/LibFleet/store_mirror.h
+++ b/Libraries/LibFleet/store_mirror.h
@@ -17,6 +17,15 @@
   MissingAfterOutage,
 };
 
+/// How a VM learns that it has the latest configuration.
+enum class confirmation_source {
+  /// It asks the store often.
+  Store,
+  /// Other VMs pass on what the store confirmed to them. The VM still watches
+  /// the store for changes, with long waits.
+  Peers,
+};
+
 /// Receives the contents of the store and their changes. Called on the event
 /// loop.
 class store_mirror_listener {
@@ -43,6 +52,13 @@
 
   void start();
   void stop() { Stopped = true; }
+  void setConfirmationSource(confirmation_source NewSource) {
+    Source = NewSource;
+  }
+  /// Must be called several times per second with the time at which the
+  /// configuration was last confirmed, by the store or by another VM. Asks the
+  /// store if that is long ago.
+  void onConfirmationAge(steady_time ConfirmedAt);
   /// Reads the whole range at once and drops the pending watch, after another
   /// call has shown that the store was restored from an older copy.
   void onStoreRestored();
@@ -62,6 +78,7 @@
   void retryAfterFailure(const std::string &Reason);
   removal_cause removalCauseAt(steady_time Now) const;
   milliseconds nextWatchWait(steady_time Now) const;
+  bool reliesOnPeers(steady_time Now) const;
 
   async_store &Store;
   event_scheduler &Scheduler;
@@ -79,6 +96,12 @@
   /// When the store became reachable again after an outage or a restoration.
   std::optional<steady_time> ReconnectedAt;
   unsigned ConsecutiveFailures = 0;
+  confirmation_source Source = confirmation_source::Store;
+  /// Until when the other VMs' confirmations are not relied on, since they
+  /// stopped.
+  steady_time DistrustsPeersUntil;
+  /// Whether the pending watch waits longer than confirmations may age.
+  bool IsWatchLong = false;
   bool Reachable = false;
   bool HasBeenReachable = false;
   bool Stopped = false;
--- a/Libraries/LibPeer/frame_codec.cpp
+++ b/Libraries/LibPeer/frame_codec.cpp
@@ -119,8 +119,16 @@
     for (const auto &Notice : Message.LeavingEndpoints)
       Leaving.push_back(wire::CreateLeavingEndpointDirect(
           Builder, Notice.Endpoint.text().c_str(), Notice.Incarnation));
-    return wire::CreateFleetNoticeDirect(Builder, &Releases, &SessionReleases,
-                                         &Crashes, &Leaving, &Loads)
+    std::optional<wire::PassedConfirmation> Confirmation;
+    if (Message.Confirmation)
+      Confirmation.emplace(Message.Confirmation->Version,
+                           Message.Confirmation->Incarnation,
+                           static_cast<std::uint64_t>(
+                               Message.Confirmation->ClockReading.count()));
+    return wire::CreateFleetNoticeDirect(
+               Builder, &Releases, &SessionReleases, &Crashes, &Leaving, &Loads,
+               static_cast<std::uint64_t>(Message.ClockReading.count()),
+               Confirmation ? &*Confirmation : nullptr)
         .Union();
   }
 
@@ -194,6 +202,11 @@
 
 fleet_notice decodeFleetNotice(const wire::FleetNotice &Source) {
   fleet_notice Message;
+  Message.ClockReading = milliseconds(Source.clock_ms());
+  if (const auto *Confirmation = Source.confirmation())
+    Message.Confirmation = {Confirmation->version(),
+                            Confirmation->incarnation(),
+                            milliseconds(Confirmation->clock_ms())};
   if (Source.loads())
     for (const wire::EndpointLoad *Item : *Source.loads())
       Message.EndpointLoads.push_back(
--- a/Libraries/LibPeer/peer_message.h
+++ b/Libraries/LibPeer/peer_message.h
@@ -130,6 +130,15 @@
   std::int64_t Incarnation = 0;
 };
 
+/// The store has confirmed to the sender that this configuration version is the
+/// latest, after the sender had received this clock reading of the receiver.
+struct confirmation_notice {
+  std::uint64_t Version = 0;
+  /// The receiver's process start that sent the reading.
+  std::uint64_t Incarnation = 0;
+  milliseconds ClockReading{0};
+};
+
 /// Endpoint load and outcomes of the sender's requests, sent several times a
 /// second.
 struct fleet_notice {
@@ -138,6 +147,9 @@
   std::vector<session_release_notice> SessionReleases;
   std::vector<crash_notice> Crashes;
   std::vector<leaving_notice> LeavingEndpoints;
+  /// The sender's clock reading.
+  milliseconds ClockReading{0};
+  std::optional<confirmation_notice> Confirmation;
 };
 
 using peer_message =
--- a/Libraries/LibRelay/fleet_state.h
+++ b/Libraries/LibRelay/fleet_state.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "LibDispatch/configuration_confirmation.h"
+#include "LibDispatch/confirmation_exchange.h"
 #include "LibDispatch/crash_quarantine.h"
 #include "LibDispatch/endpoint_registry.h"
 #include "LibDispatch/fleet_retry_budget.h"
@@ -30,6 +31,7 @@
   fleet_retry_budget Retries;
   session_pins Pins;
   rollout_controller Rollouts;
+  confirmation_exchange PassedConfirmations{};
   crash_quarantine Quarantine{};
   model_cascade Models{};
   release_statistics ReleaseStatistics{};
--- a/Libraries/LibRelay/fleet_state_updater.cpp
+++ b/Libraries/LibRelay/fleet_state_updater.cpp
@@ -165,8 +165,11 @@
 
 void fleet_state_updater::onConfirmed(steady_time At) {
   // A copy may lack a revocation that the operators have not repeated yet.
-  if (Restoration.isConfigurationCurrent(At))
-    Fleet.Confirmation.confirm(At);
+  if (!Restoration.isConfigurationCurrent(At))
+    return;
+  Fleet.Confirmation.confirm(At);
+  if (Fleet.Routes)
+    Fleet.PassedConfirmations.onConfirmed(Fleet.Routes->version(), At);
 }
 
 void fleet_state_updater::onStoreRestored(store_revision CopyEnd) {
--- a/Libraries/LibRelay/peer_state_sync.cpp
+++ b/Libraries/LibRelay/peer_state_sync.cpp
@@ -55,9 +55,15 @@
   Peers.setPeers(Addresses);
   if (Addresses.empty())
     return;
-  const fleet_notice Notice = buildNotice();
-  for (const auto &[Vm, Address] : Addresses)
+  fleet_notice Notice = buildNotice();
+  Notice.ClockReading = clockReadingAt(Clock.now());
+  for (const auto &[Vm, Address] : Addresses) {
+    Notice.Confirmation.reset();
+    if (const auto Passed = Fleet.PassedConfirmations.confirmationFor(Vm))
+      Notice.Confirmation = {Passed->Version, Passed->Incarnation,
+                             Passed->ClockReading};
     Peers.send(Vm, Notice);
+  }
 }
 
 void peer_state_sync::onFrame(const peer_frame &Frame) {
@@ -74,6 +80,7 @@
                 [](const auto &Load) { return Load.InFlight == 0; });
   addToTotals(Reported.Loads);
   applyTotals();
+  exchangeConfirmations(Frame, *Notice, Now);
   for (const auto &Release : Notice->Releases)
     Fleet.ReleaseStatistics.merge(
         Frame.Sender, Frame.Incarnation,
@@ -87,6 +94,21 @@
     Fleet.Endpoints.markLeaving({Leaving.Endpoint, Leaving.Incarnation}, Now);
 }
 
+void peer_state_sync::exchangeConfirmations(const peer_frame &Frame,
+                                            const fleet_notice &Notice,
+                                            steady_time Now) {
+  Fleet.PassedConfirmations.onClockReading(Frame.Sender, Frame.Incarnation,
+                                           Notice.ClockReading, Now);
+  if (!Notice.Confirmation || !Fleet.Routes)
+    return;
+  const passed_confirmation Passed{Notice.Confirmation->Version,
+                                   Notice.Confirmation->Incarnation,
+                                   Notice.Confirmation->ClockReading};
+  if (const auto At =
+          provenTimeOf(Passed, Fleet.Routes->version(), Incarnation, Now))
+    Fleet.Confirmation.confirm(*At);
+}
+
 void peer_state_sync::addToTotals(
     const std::vector<endpoint_load_notice> &Loads) {
   for (const auto &Load : Loads) {
@@ -121,6 +143,7 @@
 
 void peer_state_sync::expire() {
   const steady_time Now = Clock.now();
+  Fleet.PassedConfirmations.expire(Now);
   const auto Removed = std::erase_if(PeerLoads, [&](const auto &Entry) {
     const bool IsExpired = Now - Entry.second.At > PeerLoadTimeToLive;
     if (IsExpired)
--- a/Libraries/LibRelay/peer_state_sync.h
+++ b/Libraries/LibRelay/peer_state_sync.h
@@ -9,13 +9,14 @@
 
 namespace azurehaven {
 
-/// Sends this VM's endpoint load, release statistics, session pins and crash
-/// reports to the other VMs and applies theirs. Called on the event loop.
+/// Sends this VM's endpoint load, release statistics, session pins, crash
+/// reports and confirmations of the configuration to the other VMs and applies
+/// theirs. Called on the event loop.
 class peer_state_sync {
 public:
   peer_state_sync(fleet_state &Fleet, const clock_source &Clock,
-                  peer_network &Peers)
-      : Fleet(Fleet), Clock(Clock), Peers(Peers) {}
+                  peer_network &Peers, std::uint64_t Incarnation)
+      : Fleet(Fleet), Clock(Clock), Peers(Peers), Incarnation(Incarnation) {}
 
   /// Sends one notice to each other member.
   void broadcast();
@@ -38,6 +39,10 @@
   /// The release counts that have changed since the last notice; at times all
   /// of them, since a notice may be lost.
   std::vector<release_counts_notice> releaseCounts();
+  /// Takes the sender's clock reading, and its confirmation of the
+  /// configuration if it proves something here.
+  void exchangeConfirmations(const peer_frame &Frame,
+                             const fleet_notice &Notice, steady_time Now);
   void addToTotals(const std::vector<endpoint_load_notice> &Loads);
   void removeFromTotals(const std::vector<endpoint_load_notice> &Loads);
   void applyTotals();
@@ -45,6 +50,8 @@
   fleet_state &Fleet;
   const clock_source &Clock;
   peer_network &Peers;
+  /// Of this process start.
+  const std::uint64_t Incarnation;
   std::map<vm_id, peer_loads> PeerLoads;
   std::unordered_map<std::uint64_t, total_load> Totals;
   std::map<release_key, release_counts> SentCounts;
--- a/Libraries/LibRelay/relay_node.cpp
+++ b/Libraries/LibRelay/relay_node.cpp
@@ -107,9 +107,11 @@
   return Text;
 }
 
-status relay_node::start(member_registration &NewRegistration,
+status relay_node::start(store_mirror &NewMirror,
+                         member_registration &NewRegistration,
                          engine_inspector &Inspector,
                          rollout_publisher &Publisher, bill_journal &Bills) {
+  Mirror = &NewMirror;
   Context.Bills = &Bills;
   Bills.start();
   Registration = &NewRegistration;
@@ -123,7 +125,8 @@
                                    PeerSync->onFrame(Frame);
                                  });
                                }));
-  PeerSync = std::make_unique<peer_state_sync>(Fleet, Clock, *Peers);
+  PeerSync =
+      std::make_unique<peer_state_sync>(Fleet, Clock, *Peers, Incarnation);
   Rollouts = std::make_unique<rollout_driver>(Fleet, Clock, Log, Publisher);
   TRY(Listener, connection_listener::listen(Loop, Settings.CallerAddress, Relay,
                                             maxCallerConnections(Settings)));
@@ -137,7 +140,17 @@
   return success{};
 }
 
+void relay_node::updateConfirmationSource() {
+  const bool AsksStore = Fleet.Members.isAmongPreferred(
+      "confirmations", Fleet.Self, askingVmCount(Fleet.Members.size()));
+  Mirror->setConfirmationSource(AsksStore ? confirmation_source::Store
+                                          : confirmation_source::Peers);
+  if (const auto At = Fleet.Confirmation.confirmedAt())
+    Mirror->onConfirmationAge(*At);
+}
+
 void relay_node::runPeriodicTasks() {
+  updateConfirmationSource();
   StateUpdater.advance();
   Connections.closeExpired(Clock.now());
   Rollouts->advance();
--- a/Libraries/LibRelay/relay_node.h
+++ b/Libraries/LibRelay/relay_node.h
@@ -38,12 +38,16 @@
 
   /// Starts serving; the registration announces this VM in the store. Returns
   /// Unavailable if the caller address can't be bound.
-  status start(member_registration &Registration, engine_inspector &Inspector,
-               rollout_publisher &Publisher, bill_journal &Bills);
+  status start(store_mirror &Mirror, member_registration &Registration,
+               engine_inspector &Inspector, rollout_publisher &Publisher,
+               bill_journal &Bills);
   member_entry selfEntry() const;
 
 private:
   void runPeriodicTasks();
+  /// Decides whether this VM asks the store for confirmations of the
+  /// configuration or relies on the other VMs.
+  void updateConfirmationSource();
   void syncPeers();
   void waitForSignal();
   void beginStop();
@@ -62,6 +66,7 @@
   asio::signal_set Signals;
   std::unique_ptr<connection_listener> Listener;
   member_registration *Registration = nullptr;
+  store_mirror *Mirror = nullptr;
   std::unique_ptr<peer_network> Peers;
   std::unique_ptr<peer_state_sync> PeerSync;
   std::unique_ptr<rollout_driver> Rollouts;
--- a/Libraries/LibTypes/store_revision.h
+++ b/Libraries/LibTypes/store_revision.h
@@ -11,7 +11,8 @@
 struct store_era {
   std::uint64_t Number = 0;
 
-  auto operator<=>(const store_era &) const = default;
+  auto operator<=>(const store_era &) const =
+      default; // NOLINT(readability-identifier-naming)
 };
 
 /// A position in the store's history. Ordered by era first: a restored store
@@ -22,7 +23,8 @@
   /// The store's own number; 0 before the first write.
   std::uint64_t Number = 0;
 
-  auto operator<=>(const store_revision &) const = default;
+  auto operator<=>(const store_revision &) const =
+      default; // NOLINT(readability-identifier-naming)
   bool isAbsent() const { return Number == 0; }
 };
 
--- a/Tests/LibFleet/store_mirror_test.cpp
+++ b/Tests/LibFleet/store_mirror_test.cpp
@@ -235,3 +235,35 @@
     CHECK(Fixture.Recorder.Restored == Round);
   }
 }
+
+TEST_CASE("A VM that relies on others asks the store itself when they stop") {
+  mirror_fixture Fixture;
+  Fixture.Mirror.setConfirmationSource(confirmation_source::Peers);
+  Fixture.Mirror.start();
+  const auto Run = [&](int Seconds, bool HearsPeers) {
+    milliseconds Oldest{0};
+    for (int Step = 0; Step < 10 * Seconds; ++Step) {
+      Fixture.Scheduler.advance(milliseconds(100));
+      const steady_time Heard = Fixture.Scheduler.now() - milliseconds(500);
+      Fixture.Mirror.onConfirmationAge(
+          HearsPeers ? Heard : Fixture.Recorder.ConfirmedAt);
+      Oldest = std::max(Oldest, Fixture.confirmationAge());
+    }
+    return Oldest;
+  };
+  Run(30, true);
+  CHECK(Fixture.Store.Watches <= 6);
+  CHECK(Run(20, false) < milliseconds(7000));
+  Fixture.Recorder.ConfirmedAt = Fixture.Scheduler.now();
+  // From now on its own confirmations replace those of the others.
+  CHECK(Run(20, false) < milliseconds(2600));
+}
+
+TEST_CASE("A change ends a long watch at once") {
+  mirror_fixture Fixture;
+  Fixture.Mirror.setConfirmationSource(confirmation_source::Peers);
+  Fixture.Mirror.start();
+  Fixture.Scheduler.advance(milliseconds(100));
+  Fixture.Store.put("c", "1");
+  CHECK(Fixture.Recorder.Items["c"] == "1");
+}
