LibDispatch: Retry at the endpoint that fails least

Change: for a request that has failed once, the failure rate of an endpoint weighs as much as 20 requests under way instead of 4.

Result: a test that fails with the former weight.

--- a/Libraries/LibDispatch/placement.cpp
+++ b/Libraries/LibDispatch/placement.cpp
@@ -23,6 +23,11 @@
 /// Number of requests by which an endpoint of the VM's own failure domain may
 /// be more loaded and still be preferred.
 constexpr double LocalDomainBonus = 0.5;
+/// Number of requests by which an endpoint that fails every request counts as
+/// more loaded than one that fails none. More for a request that has failed
+/// once: its next attempt may be its last.
+constexpr double FailurePenalty = 4;
+constexpr double RetryFailurePenalty = 20;
 
 bool isCandidate(const endpoint_record &Endpoint,
                  const placement_parameters &Parameters, steady_time Now) {
@@ -128,13 +133,15 @@
 std::shared_ptr<endpoint_record>
 selectLeastLoaded(const endpoint_list &Candidates,
                   const placement_parameters &Parameters, steady_time Now) {
+  const double Penalty =
+      Parameters.Tried.empty() ? FailurePenalty : RetryFailurePenalty;
   std::shared_ptr<endpoint_record> Best;
   double BestLoad = 0;
   for (const auto &Endpoint : Candidates) {
     if (!isCandidate(*Endpoint, Parameters, Now))
       continue;
-    double Load = estimatedLoad(*Endpoint, Now) +
-                  static_cast<double>(Endpoint->FailureRate) * 4;
+    double Load =
+        estimatedLoad(*Endpoint, Now) + Penalty * Endpoint->FailureRate;
     if (Endpoint->Descriptor.Domain == Parameters.OwnDomain)
       Load -= LocalDomainBonus;
     if (Best && Load >= BestLoad)
--- a/Tests/LibConnection/response_parser_test.cpp
+++ b/Tests/LibConnection/response_parser_test.cpp
@@ -64,6 +64,12 @@
   return Consumed;
 }
 
+/// A response that begins well and then goes on without end.
+struct endless_response {
+  std::string Begin;
+  std::string Rest;
+};
+
 constexpr std::size_t EndlessBytes = 4 << 20;
 const std::string ChunkedHead =
     "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
@@ -72,32 +78,32 @@
 
 TEST_CASE("A head without end is rejected") {
   const std::string Text(1000, 'x');
-  for (const auto &[Begin, Rest] :
-       std::vector<std::pair<std::string, std::string>>{
-           {"HTTP/1.1 200 ", Text},
-           {"HTTP/1.1 200 OK\r\nA: ", Text},
-           {"HTTP/1.1 200 OK\r\n", "A: b\r\n"},
-           {"HTTP/1.1 200 OK\r\n", Text},
-           {"", "HTTP/1.1 100 Continue\r\n\r\n"},
-           {"", "\r\n"}}) {
-    CAPTURE(Begin);
-    CAPTURE(Rest.substr(0, 30));
+  for (const auto &Response :
+       std::vector<endless_response>{{"HTTP/1.1 200 ", Text},
+                                     {"HTTP/1.1 200 OK\r\nA: ", Text},
+                                     {"HTTP/1.1 200 OK\r\n", "A: b\r\n"},
+                                     {"HTTP/1.1 200 OK\r\n", Text},
+                                     {"", "HTTP/1.1 100 Continue\r\n\r\n"},
+                                     {"", "\r\n"}}) {
+    CAPTURE(Response.Begin);
+    CAPTURE(Response.Rest.substr(0, 30));
     response_parser Parser;
-    Parser.consume(Begin);
-    CHECK(consumeRepeatedly(Parser, Rest, EndlessBytes) < EndlessBytes);
+    Parser.consume(Response.Begin);
+    CHECK(consumeRepeatedly(Parser, Response.Rest, EndlessBytes) <
+          EndlessBytes);
     CHECK(Parser.isMalformed());
   }
 }
 
 TEST_CASE("Bytes without end between the parts of a body are rejected") {
   const std::string Text(1000, 'x');
-  for (const auto &[Begin, Rest] :
-       std::vector<std::pair<std::string, std::string>>{
+  for (const auto &Response : std::vector<endless_response>{
            {"1;", Text}, {"0\r\nA: ", Text}, {"0\r\n", "A: b\r\n"}}) {
-    CAPTURE(Begin);
+    CAPTURE(Response.Begin);
     response_parser Parser;
-    Parser.consume(ChunkedHead + Begin);
-    CHECK(consumeRepeatedly(Parser, Rest, EndlessBytes) < EndlessBytes);
+    Parser.consume(ChunkedHead + Response.Begin);
+    CHECK(consumeRepeatedly(Parser, Response.Rest, EndlessBytes) <
+          EndlessBytes);
     CHECK(Parser.isMalformed());
   }
 }
--- a/Tests/LibDispatch/placement_test.cpp
+++ b/Tests/LibDispatch/placement_test.cpp
@@ -1,5 +1,7 @@
 #include "LibDispatch/placement.h"
 
+#include "LibDispatch/endpoint_health.h"
+
 #include <doctest/doctest.h>
 
 #include <algorithm>
@@ -105,3 +107,21 @@
     Endpoint->PeersInFlight = Endpoint == Endpoints[2] ? 0 : 4;
   CHECK(selectLeastLoaded(Endpoints, Parameters, Start) == Endpoints[2]);
 }
+
+TEST_CASE("A request that has failed goes to the endpoint that fails least") {
+  // Two of four endpoints fail half of their requests, and have less load than
+  // the sound ones.
+  const auto Endpoints = makeEndpoints(4);
+  for (const int Sound : {2, 3})
+    Endpoints[Sound]->InFlight = 5;
+  for (const int Failing : {0, 1})
+    for (int Index = 0; Index < 20; ++Index)
+      recordErrorResponse(*Endpoints[Failing], Start);
+  for (const auto &Endpoint : Endpoints)
+    Endpoint->EjectedUntil = {};
+  placement_parameters Parameters;
+  const auto First = selectLeastLoaded(Endpoints, Parameters, Start);
+  CHECK(First->FailureRate > 0.4);
+  Parameters.Tried = {First->Descriptor.Id};
+  CHECK(selectLeastLoaded(Endpoints, Parameters, Start)->FailureRate == 0);
+}
