LibFleet: Trust passed confirmations again after two seconds

Cause: a VM that found the passed confirmations too old asked the store itself for ten seconds, although changes that reach all VMs at once, such as the bill segments, delay the confirmations of all for a moment only.

Change: two seconds.

--- a/Libraries/LibFleet/store_mirror.cpp
+++ b/Libraries/LibFleet/store_mirror.cpp
@@ -17,9 +17,10 @@
 /// connection that was silenced is noticed after it.
 constexpr milliseconds LongWatchWait{6000};
 /// Age of the passed confirmations from which on the VM asks the store itself,
-/// and for how long.
+/// and for how long. Changes that reach all VMs at once delay the confirmations
+/// of all, for a moment only.
 constexpr milliseconds MaximumPassedAge{2200};
-constexpr std::chrono::seconds PeerDistrust{10};
+constexpr std::chrono::seconds PeerDistrust{2};
 /// Age that a confirmation should not exceed while the store is reachable.
 constexpr milliseconds TargetConfirmationAge{1800};
 /// Delay of the next watch after changes, so that it returns further changes
--- a/Tests/LibRelay/passed_confirmation_test.cpp
+++ b/Tests/LibRelay/passed_confirmation_test.cpp
@@ -170,6 +170,23 @@
   CHECK(Network.GreatestAge < milliseconds(2600));
 }
 
+TEST_CASE("Changes that reach all VMs at once cost few further calls") {
+  fleet_network Network;
+  Network.run(milliseconds(10000));
+  const std::uint64_t Before = Network.watchCount();
+  Network.GreatestAge = milliseconds(0);
+  // As the bill segments of all VMs do.
+  for (int Interval = 0; Interval < 5; ++Interval) {
+    for (auto &Vm : Network.Vms)
+      Vm->Store.put("k", std::to_string(Interval));
+    Network.run(milliseconds(12000));
+  }
+  const double CallsPerSecondAndVm =
+      static_cast<double>(Network.watchCount() - Before) / 60 / VmCount;
+  CHECK(CallsPerSecondAndVm < 0.3);
+  CHECK(Network.GreatestAge < milliseconds(2600));
+}
+
 TEST_CASE("All VMs stay current when those that ask the store are lost") {
   fleet_network Network;
   Network.run(milliseconds(10000));
