LibDispatch: Name the time to return only if all endpoints shed load

With one endpoint shedding load for 30 s and another one ejected for 250 ms, callers were told to return after 30 s. An absurd clock reading in a notice overflowed the conversion to a time point.

Change: a time that follows from shedding is named only if all endpoints that are not leaving shed load. Readings are compared before the conversion.

Result: new cases in endpoint_health_test and confirmation_exchange_test.

--- a/Libraries/LibDispatch/confirmation_exchange.cpp
+++ b/Libraries/LibDispatch/confirmation_exchange.cpp
@@ -60,12 +60,13 @@
                                         std::uint64_t OwnVersion,
                                         std::uint64_t OwnIncarnation,
                                         steady_time Now) {
-  const steady_time At{Confirmation.ClockReading};
-  const bool IsOwnReading =
-      Confirmation.Incarnation == OwnIncarnation && At <= Now;
+  // Compared before the conversion, which an absurd reading would overflow.
+  const bool IsOwnReading = Confirmation.Incarnation == OwnIncarnation &&
+                            Confirmation.ClockReading >= milliseconds(0) &&
+                            Confirmation.ClockReading <= clockReadingAt(Now);
   if (!IsOwnReading || Confirmation.Version != OwnVersion)
     return std::nullopt;
-  return At;
+  return steady_time(Confirmation.ClockReading);
 }
 
 std::size_t askingVmCount(std::size_t Vms) {
--- a/Libraries/LibDispatch/endpoint_health.cpp
+++ b/Libraries/LibDispatch/endpoint_health.cpp
@@ -40,8 +40,10 @@
                                                steady_time Now) {
   std::optional<milliseconds> Shortest;
   for (const auto &Endpoint : Endpoints) {
-    if (Endpoint->Descriptor.IsLeaving || Now >= Endpoint->ShedUntil)
+    if (Endpoint->Descriptor.IsLeaving)
       continue;
+    if (Now >= Endpoint->ShedUntil)
+      return std::nullopt;
     const auto Left =
         std::chrono::ceil<milliseconds>(Endpoint->ShedUntil - Now);
     Shortest = std::min(Shortest.value_or(Left), Left);
--- a/Libraries/LibDispatch/endpoint_health.h
+++ b/Libraries/LibDispatch/endpoint_health.h
@@ -23,8 +23,8 @@
 /// Whether the endpoint takes another request of this VM after it has shed
 /// load: none before the end of that time, then a growing number at a time.
 bool isAdmittedAfterShedding(const endpoint_record &Endpoint, steady_time Now);
-/// Shortest time after which one of the endpoints that now shed load takes
-/// requests of this VM again; nullopt if none sheds load.
+/// Shortest time after which one of the endpoints takes requests of this VM
+/// again if all that are not leaving shed load; nullopt otherwise.
 std::optional<milliseconds> timeUntilAdmission(const endpoint_list &Endpoints,
                                                steady_time Now);
 /// Records a truncated or missing response. Returns whether it starts a new
--- a/Tests/LibDispatch/confirmation_exchange_test.cpp
+++ b/Tests/LibDispatch/confirmation_exchange_test.cpp
@@ -51,6 +51,8 @@
   // Of an earlier process start, or from a malformed notice.
   CHECK_FALSE(provenTimeOf({4, 6, Reading}, 4, 7, Now));
   CHECK_FALSE(provenTimeOf({4, 7, Reading + milliseconds(1000)}, 4, 7, Now));
+  for (const auto Absurd : {milliseconds::max(), milliseconds::min()})
+    CHECK_FALSE(provenTimeOf({4, 7, Absurd}, 4, 7, Now));
 }
 
 TEST_CASE("Few VMs ask the store, but always more than one fault can stop") {
--- a/Tests/LibDispatch/endpoint_health_test.cpp
+++ b/Tests/LibDispatch/endpoint_health_test.cpp
@@ -122,5 +122,9 @@
   const auto Second = std::make_shared<endpoint_record>(sheddingEndpoint(0.5));
   CHECK(timeUntilAdmission({Leaving, Second, First}, Start) == RetryAfter);
   CHECK_FALSE(timeUntilAdmission({Leaving}, Start));
+  // Another one is only ejected for a moment, or has been tried already.
+  const auto Ejected = std::make_shared<endpoint_record>();
+  recordFailure(*Ejected, Start);
+  CHECK_FALSE(timeUntilAdmission({First, Ejected}, Start));
   CHECK_FALSE(timeUntilAdmission({First}, Start + RetryAfter));
 }
