--- a/Tests/LibRelay/bill_journal_test.cpp
+++ b/Tests/LibRelay/bill_journal_test.cpp
@@ -3,6 +3,7 @@
 #include "LibFleet/scripted_store.h"
 #include "LibFleet/virtual_scheduler.h"
 #include "LibTypes/fingerprint.h"
+#include "scheduler_clock.h"
 
 #include <doctest/doctest.h>
 
@@ -38,22 +39,6 @@
   bool LosesResponses = false;
 };
 
-/// A clock that shows the virtual time of a scheduler.
-class scheduler_clock : public clock_source {
-public:
-  explicit scheduler_clock(const event_scheduler &Scheduler)
-      : Scheduler(Scheduler) {}
-  steady_time now() const override { return Scheduler.now(); }
-  unix_millis wallNow() const override {
-    return unix_millis(std::chrono::duration_cast<milliseconds>(
-                           Scheduler.now().time_since_epoch())
-                           .count());
-  }
-
-private:
-  const event_scheduler &Scheduler;
-};
-
 struct journal_fixture {
   virtual_scheduler Scheduler;
   response_losing_store Store{Scheduler};
--- a/Tests/LibRelay/endless_response_test.cpp
+++ b/Tests/LibRelay/endless_response_test.cpp
@@ -14,16 +14,6 @@
 /// Far more than any limit on a response.
 constexpr std::size_t EndlessLimit = 64 << 20;
 
-std::string chunk(const std::string &Bytes) {
-  char Size[20];
-  std::snprintf(Size, sizeof Size, "%zx\r\n", Bytes.size());
-  return Size + Bytes + "\r\n";
-}
-
-std::string event(int Id) {
-  return "id: " + std::to_string(Id) + "\ndata: x\n\n";
-}
-
 struct endless_case {
   const char *Name;
   std::string Begin;
--- a/Tests/LibRelay/passed_confirmation_test.cpp
+++ b/Tests/LibRelay/passed_confirmation_test.cpp
@@ -3,6 +3,7 @@
 
 #include "LibFleet/scripted_store.h"
 #include "LibFleet/virtual_scheduler.h"
+#include "scheduler_clock.h"
 #include "test_fleet.h"
 
 #include <doctest/doctest.h>
@@ -15,17 +16,6 @@
 constexpr milliseconds SyncInterval{200};
 constexpr milliseconds NoticeDelay{30};
 
-class scheduler_clock : public clock_source {
-public:
-  explicit scheduler_clock(const event_scheduler &Scheduler)
-      : Scheduler(Scheduler) {}
-  steady_time now() const override { return Scheduler.now(); }
-  unix_millis wallNow() const override { return unix_millis(1000000); }
-
-private:
-  const event_scheduler &Scheduler;
-};
-
 /// Ignores the store's items; the tests set the configuration themselves.
 class confirmation_listener : public store_mirror_listener {
 public:
--- a/Tests/LibRelay/relay_fixture.cpp
+++ b/Tests/LibRelay/relay_fixture.cpp
@@ -93,20 +93,19 @@
   void sendEndlessly(const std::shared_ptr<session> &Session,
                      const scripted_response &Response) {
     auto Bytes = std::make_shared<const std::string>(Response.Endless);
-    asio::async_write(
-        Session->Socket, asio::buffer(*Bytes),
-        [=, this](const asio::error_code &Code, std::size_t Size) {
-          if (Code)
-            return;
-          Fixture.EndlessBytesSent += Bytes->size();
-          auto Timer = std::make_shared<asio::steady_timer>(
-              Fixture.Loop, Response.EndlessInterval);
-          Timer->async_wait([=, this](const asio::error_code &) {
-            (void)Timer;
-            sendEndlessly(Session, Response);
-          });
-          (void)Size;
-        });
+    asio::async_write(Session->Socket, asio::buffer(*Bytes),
+                      [=, this](const asio::error_code &Code, std::size_t) {
+                        if (Code)
+                          return;
+                        Fixture.EndlessBytesSent += Bytes->size();
+                        auto Timer = std::make_shared<asio::steady_timer>(
+                            Fixture.Loop, Response.EndlessInterval);
+                        // The handler keeps the timer alive until it has fired.
+                        Timer->async_wait([Timer, Session, Response,
+                                           this](const asio::error_code &) {
+                          sendEndlessly(Session, Response);
+                        });
+                      });
   }
 
   relay_fixture &Fixture;
@@ -208,6 +207,16 @@
          "Content-Length: " + std::to_string(Body.size()) + "\r\n\r\n" + Body;
 }
 
+std::string chunk(const std::string &Bytes) {
+  char Size[20];
+  std::snprintf(Size, sizeof Size, "%zx\r\n", Bytes.size());
+  return Size + Bytes + "\r\n";
+}
+
+std::string event(int Id) {
+  return "id: " + std::to_string(Id) + "\ndata: x\n\n";
+}
+
 int statusOf(const call_result &Result) {
   const auto *Response = std::get_if<http_response>(&Result);
   return Response ? Response->Status : 0;
--- a/Tests/LibRelay/relay_fixture.h
+++ b/Tests/LibRelay/relay_fixture.h
@@ -86,6 +86,10 @@
 /// An endpoint's response with a Content-Length.
 std::string wholeResponse(int Status, const std::string &Fields,
                           const std::string &Body);
+/// One chunk of a body with Transfer-Encoding: chunked.
+std::string chunk(const std::string &Bytes);
+/// One event of a stream.
+std::string event(int Id);
 /// The status of a response; 0 if the connection was closed before its end.
 int statusOf(const call_result &Result);
 std::string bodyOf(const call_result &Result);
--- a/Tests/LibRelay/relayed_request_test.cpp
+++ b/Tests/LibRelay/relayed_request_test.cpp
@@ -11,16 +11,6 @@
     "HTTP/1.1 200 OK\r\nId: r1\r\nSigned: x\r\nTransfer-Encoding: chunked\r\n"
     "\r\n";
 
-std::string chunk(const std::string &Bytes) {
-  char Size[20];
-  std::snprintf(Size, sizeof Size, "%zx\r\n", Bytes.size());
-  return Size + Bytes + "\r\n";
-}
-
-std::string event(int Id) {
-  return "id: " + std::to_string(Id) + "\ndata: x\n\n";
-}
-
 } // namespace
 
 TEST_CASE("A complete signed response is forwarded unchanged") {
