LibSocket, platform: Probe idle connections to the store

Cause: read in the diff. With waits of 6 s, a watch whose connection was silenced is noticed after 7.2 s, later than a VM may miss the drain of an endpoint; with the waits of 1.5 s before it was 2.7 s.

--- a/Libraries/LibConnection/endpoint_connection.cpp
+++ b/Libraries/LibConnection/endpoint_connection.cpp
@@ -52,6 +52,8 @@
         if (Code)
           return Self->fail(delivery::NotSent, "connect: " + Code.message());
         setConnectionOptions(Self->Socket, Self->Timeouts.UnacknowledgedData);
+        if (Self->Timeouts.KeepAliveIdle)
+          setKeepAlive(Self->Socket, *Self->Timeouts.KeepAliveIdle);
         Self->State = state::Busy;
         Self->send();
       });
--- a/Libraries/LibConnection/endpoint_connection.h
+++ b/Libraries/LibConnection/endpoint_connection.h
@@ -10,6 +10,7 @@
 #include <array>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 
 namespace azurehaven {
@@ -50,6 +51,9 @@
   milliseconds Connect{500};
   /// Longest time that sent bytes may stay unacknowledged.
   milliseconds UnacknowledgedData{3000};
+  /// Time without bytes after which the connection is probed; nullopt for
+  /// connections that never wait long for the first byte of a response.
+  std::optional<std::chrono::seconds> KeepAliveIdle{};
 };
 
 /// One TCP connection to an endpoint, which carries one exchange at a time.
--- a/Libraries/LibFleet/store_mirror.cpp
+++ b/Libraries/LibFleet/store_mirror.cpp
@@ -13,8 +13,8 @@
 /// a revoked key must be refused.
 constexpr milliseconds MaximumWatchWait{1500};
 constexpr milliseconds MinimumWatchWait{100};
-/// Longest wait of one watch while other VMs pass on confirmations. A
-/// connection that was silenced is noticed after it.
+/// Longest wait of one watch while other VMs pass on confirmations. The store
+/// client has to notice a silenced connection sooner by itself.
 constexpr milliseconds LongWatchWait{6000};
 /// Age of the passed confirmations from which on the VM asks the store itself,
 /// and for how long. Changes that reach all VMs at once delay the confirmations
--- a/Libraries/LibSocket/socket_options.cpp
+++ b/Libraries/LibSocket/socket_options.cpp
@@ -4,6 +4,13 @@
 
 namespace azurehaven {
 
+namespace {
+
+/// Keep-alive probes without a response after which a connection is lost.
+constexpr int UnansweredProbes = 2;
+
+} // namespace
+
 void setConnectionOptions(asio::ip::tcp::socket &Socket,
                           milliseconds UserTimeout) {
   // Errors are ignored: without an option the connection works, but delays
@@ -16,6 +23,18 @@
                     Ignored);
 }
 
+void setKeepAlive(asio::ip::tcp::socket &Socket, std::chrono::seconds Idle) {
+  // As above, errors only delay the detection.
+  asio::error_code Ignored;
+  const int Seconds = static_cast<int>(Idle.count());
+  using asio::detail::socket_option::integer;
+  Socket.set_option(asio::socket_base::keep_alive(true), Ignored);
+  Socket.set_option(integer<IPPROTO_TCP, TCP_KEEPIDLE>(Seconds), Ignored);
+  Socket.set_option(integer<IPPROTO_TCP, TCP_KEEPINTVL>(Seconds), Ignored);
+  Socket.set_option(integer<IPPROTO_TCP, TCP_KEEPCNT>(UnansweredProbes),
+                    Ignored);
+}
+
 void resetConnection(asio::ip::tcp::socket &Socket) {
   asio::error_code Ignored;
   Socket.set_option(asio::socket_base::linger(true, 0), Ignored);
--- a/Libraries/LibSocket/socket_options.h
+++ b/Libraries/LibSocket/socket_options.h
@@ -5,6 +5,8 @@
 
 #include <asio/ip/tcp.hpp>
 
+#include <chrono>
+
 namespace azurehaven {
 
 /// Sets the options of a connection between VMs: TCP_NODELAY, and
@@ -13,6 +15,10 @@
 void setConnectionOptions(asio::ip::tcp::socket &Socket,
                           milliseconds UserTimeout);
 
+/// Probes the connection while it carries no bytes, so that the loss of the
+/// path is noticed although nothing is sent. Idle: time until the first probe
+/// and between probes.
+void setKeepAlive(asio::ip::tcp::socket &Socket, std::chrono::seconds Idle);
 /// Closes the connection with a TCP reset, so that the peer detects the close
 /// even if it hasn't read all bytes sent before.
 void resetConnection(asio::ip::tcp::socket &Socket);
