LibDispatch, LibRelay: Log the attempts of a release beside its outcomes

Cause: rollout_publishing told how many outcomes a verdict rested on, not how many requests the release had got; requests that never came into the counts could not be told from requests that were not sent.

Change: attempts are counted when they are sent, passed to the other VMs, and logged with the sums of the whole service. No decision uses them yet.

--- a/Libraries/LibDispatch/release_statistics.cpp
+++ b/Libraries/LibDispatch/release_statistics.cpp
@@ -29,6 +29,7 @@
   Requests += Other.Requests;
   Failures += Other.Failures;
   Slow += Other.Slow;
+  Attempts += Other.Attempts;
   return *this;
 }
 
@@ -50,7 +51,8 @@
 void release_statistics::merge(const vm_id &Origin, std::uint64_t Incarnation,
                                const release_report &Report) {
   release_counts &Known = Remote[{Origin, Incarnation, Report.Key}];
-  if (Report.Counts.Requests >= Known.Requests)
+  if (Report.Counts.Requests >= Known.Requests &&
+      Report.Counts.Attempts >= Known.Attempts)
     Known = Report.Counts;
 }
 
@@ -82,6 +84,13 @@
   return Sum;
 }
 
+release_counts release_statistics::countsOf(const service_id &Service) const {
+  release_counts Sum;
+  for (const auto &[Key, Counts] : totals(Service))
+    Sum += Counts;
+  return Sum;
+}
+
 bool release_statistics::isWorse(const service_id &Service,
                                  const std::string &Release) const {
   std::map<std::string, release_counts> Judged;
--- a/Libraries/LibDispatch/release_statistics.h
+++ b/Libraries/LibDispatch/release_statistics.h
@@ -14,10 +14,13 @@
 
 /// Request counts of one release on one route.
 struct release_counts {
+  /// Requests whose outcome is known.
   std::uint32_t Requests = 0;
   std::uint32_t Failures = 0;
   /// Requests several times slower than the route's latency baseline.
   std::uint32_t Slow = 0;
+  /// All attempts that were sent, whatever became of them.
+  std::uint32_t Attempts = 0;
 
   release_counts &operator+=(const release_counts &Other);
   bool operator==(const release_counts &) const = default;
@@ -44,7 +47,7 @@
 public:
   void addLocal(const release_key &Key, const release_counts &Counts);
   /// Replaces the counts of another VM since its start. Counts with fewer
-  /// requests than the known ones are older and have no effect.
+  /// requests or attempts than the known ones are older and have no effect.
   void merge(const vm_id &Origin, std::uint64_t Incarnation,
              const release_report &Report);
   std::vector<release_report> localReports() const;
@@ -52,6 +55,8 @@
   /// The counts of a release, summed over all routes and VMs.
   release_counts countsOf(const service_id &Service,
                           const std::string &Release) const;
+  /// The counts of a service, summed over all releases, routes and VMs.
+  release_counts countsOf(const service_id &Service) const;
   /// Whether the release fails or is slow significantly more often than the
   /// service's other releases, on any single route or over all routes.
   bool isWorse(const service_id &Service, const std::string &Release) const;
--- a/Libraries/LibPeer/frame_codec.cpp
+++ b/Libraries/LibPeer/frame_codec.cpp
@@ -106,7 +106,7 @@
       Releases.push_back(wire::CreateReleaseCountsDirect(
           Builder, Release.Service.text().c_str(), Release.Release.c_str(),
           Release.Route.c_str(), Release.Requests, Release.Failures,
-          Release.Slow));
+          Release.Slow, Release.Attempts));
     std::vector<Offset<wire::SessionSighting>> SessionReleases;
     for (const auto &SessionRelease : Message.SessionReleases)
       SessionReleases.push_back(wire::CreateSessionSightingDirect(
@@ -218,7 +218,8 @@
                                      Item.route()->str(),
                                      Item.requests(),
                                      Item.failures(),
-                                     Item.slow()};
+                                     Item.slow(),
+                                     Item.attempts()};
       });
   Message.SessionReleases =
       decodeAll(Source.sightings(), [](const wire::SessionSighting &Item) {
--- a/Libraries/LibPeer/peer_message.h
+++ b/Libraries/LibPeer/peer_message.h
@@ -116,6 +116,7 @@
   std::uint32_t Requests = 0;
   std::uint32_t Failures = 0;
   std::uint32_t Slow = 0;
+  std::uint32_t Attempts = 0;
 };
 
 /// The release that has just served a request of the session.
--- a/Libraries/LibRelay/peer_state_sync.cpp
+++ b/Libraries/LibRelay/peer_state_sync.cpp
@@ -25,7 +25,7 @@
       continue;
     SentCounts[Key] = Counts;
     Notices.push_back({Key.Service, Key.Release, Key.Route, Counts.Requests,
-                       Counts.Failures, Counts.Slow});
+                       Counts.Failures, Counts.Slow, Counts.Attempts});
   }
   return Notices;
 }
@@ -85,7 +85,7 @@
     Fleet.ReleaseStatistics.merge(
         Frame.Sender, Frame.Incarnation,
         {{Release.Service, Release.Release, Release.Route},
-         {Release.Requests, Release.Failures, Release.Slow}});
+         {Release.Requests, Release.Failures, Release.Slow, Release.Attempts}});
   for (const auto &SessionRelease : Notice->SessionReleases)
     Fleet.Pins.merge({SessionRelease.Session, SessionRelease.Release, Now});
   for (const auto &Crash : Notice->Crashes)
--- a/Libraries/LibRelay/request_placement.cpp
+++ b/Libraries/LibRelay/request_placement.cpp
@@ -83,6 +83,11 @@
         Endpoint,
         sharedPrefixKey(Admitted.Request, modelOf(Admitted, ModelIndex)), Now);
   refreshSessionPin(Fleet, Admitted, Endpoint, Now);
+  release_counts Counts;
+  Counts.Attempts = 1;
+  Fleet.ReleaseStatistics.addLocal(
+      {Admitted.Service, Endpoint.Descriptor.Release, Admitted.Route->Name},
+      Counts);
 }
 
 void refreshSessionPin(fleet_state &Fleet, const admitted_request &Admitted,
--- a/Libraries/LibRelay/rollout_driver.cpp
+++ b/Libraries/LibRelay/rollout_driver.cpp
@@ -63,16 +63,22 @@
   State.RetryAt = Now + RetryDelay;
   const rollout_record Record{
       Due.Order.Target, Clock.wallNow() - unix_millis(Due.Elapsed.count())};
-  const auto Counts =
+  const release_counts Counts =
       Fleet.ReleaseStatistics.countsOf(Service, Due.Order.Target);
+  const release_counts All = Fleet.ReleaseStatistics.countsOf(Service);
   Log.write(log_level::Info, "rollout_publishing",
             {{"service", Service.text()},
              {"target", Due.Order.Target},
              {"outcome", nameOf(Due.Outcome)},
              {"elapsed_ms", std::to_string(Due.Elapsed.count())},
+             {"attempts", std::to_string(Counts.Attempts)},
              {"requests", std::to_string(Counts.Requests)},
              {"failures", std::to_string(Counts.Failures)},
-             {"slow", std::to_string(Counts.Slow)}});
+             {"slow", std::to_string(Counts.Slow)},
+             {"service_attempts", std::to_string(All.Attempts)},
+             {"service_requests", std::to_string(All.Requests)},
+             {"service_failures", std::to_string(All.Failures)},
+             {"service_slow", std::to_string(All.Slow)}});
   Publisher.publish(
       Due.Order, Due.Outcome, Due.PublishedRevision,
       {{RolloutPrefix + Service.text(), encodeRolloutRecord(Record), NoLease}},
--- a/Tests/LibRelay/peer_state_sync_test.cpp
+++ b/Tests/LibRelay/peer_state_sync_test.cpp
@@ -154,3 +154,15 @@
   Vm.PeerSync.expire();
   CHECK(Endpoint->PeersInFlight == 0);
 }
+
+TEST_CASE("The other VM learns of attempts whose outcome is not known yet") {
+  peer_vm First("vm-1");
+  peer_vm Second("vm-2");
+  First.Fleet.ReleaseStatistics.addLocal({service_id("s"), "v2", "r"},
+                                         {2, 1, 0, 5});
+  deliver(First, Second);
+  const release_counts Counts =
+      Second.Fleet.ReleaseStatistics.countsOf(service_id("s"), "v2");
+  CHECK(Counts.Requests == 2);
+  CHECK(Counts.Attempts == 5);
+}
