--- /dev/null
+++ b/Tests/LibDispatch/rollout_evidence_test.cpp
@@ -0,0 +1,52 @@
+#include "LibDispatch/rollout_controller.h"
+
+#include <doctest/doctest.h>
+
+using namespace azurehaven;
+
+namespace {
+
+const steady_time Start{std::chrono::hours(1)};
+const service_id Service("s");
+constexpr double ExposureShare = 0.15;
+
+} // namespace
+
+TEST_CASE("A release that fails more often than the old one on routes of very "
+          "different failure rates is not completed") {
+  rollout_controller Controller(ExposureShare);
+  Controller.onOrder({Service, "v2", milliseconds(15000), {{}, 10}},
+                     order_origin::Written, milliseconds(0), Start);
+  Controller.onOutcome(Service, "v2", rollout_outcome::InProgress, {{}, 11});
+  release_statistics Statistics;
+  // One route fails always, on either release.
+  Statistics.addLocal({Service, "v1", "doomed"}, {46, 46, 0, 46});
+  Statistics.addLocal({Service, "v1", "fragile"}, {150, 22, 0, 150});
+  Statistics.addLocal({Service, "v1", "sound"}, {230, 1, 0, 230});
+  Controller.judge(Statistics, Start);
+  Statistics.addLocal({Service, "v2", "doomed"}, {2, 2, 0, 2});
+  Statistics.addLocal({Service, "v2", "fragile"}, {30, 11, 0, 30});
+  Statistics.addLocal({Service, "v2", "sound"}, {55, 4, 0, 55});
+  const steady_time End = Start + milliseconds(14999);
+  Controller.judge(Statistics, End);
+  const auto Due = Controller.outcomeUpdates(End);
+  REQUIRE(Due.size() == 1);
+  CHECK(Due.front().Outcome == rollout_outcome::RolledBack);
+}
+
+TEST_CASE("A release without a known outcome of its requests is not "
+          "completed") {
+  rollout_controller Controller(ExposureShare);
+  Controller.onOrder({Service, "v2", milliseconds(15000), {{}, 10}},
+                     order_origin::Written, milliseconds(0), Start);
+  Controller.onOutcome(Service, "v2", rollout_outcome::InProgress, {{}, 11});
+  release_statistics Statistics;
+  Controller.judge(Statistics, Start);
+  Statistics.addLocal({Service, "v1", "r"}, {500, 5, 0, 510});
+  Statistics.addLocal({Service, "v2", "r"}, {1, 0, 0, 40});
+  const steady_time End = Start + milliseconds(14999);
+  Controller.judge(Statistics, End);
+  const auto Due = Controller.outcomeUpdates(End);
+  REQUIRE(Due.size() == 1);
+  CHECK(Due.front().Outcome == rollout_outcome::RolledBack);
+}
--- /dev/null
+++ b/Tests/LibDispatch/rollout_exposure_test.cpp
@@ -0,0 +1,78 @@
+#include "LibDispatch/rollout_controller.h"
+
+#include <doctest/doctest.h>
+
+#include <random>
+
+using namespace azurehaven;
+
+namespace {
+
+const steady_time Start{std::chrono::hours(1)};
+const service_id Service("s");
+constexpr std::uint32_t ExposureSlack = 30;
+
+struct rollout_load {
+  double RequestsPerSecond = 0;
+  milliseconds TimeLimit{0};
+  double ExposureShare = 0;
+};
+
+struct rollout_result {
+  std::uint32_t TargetAttempts = 0;
+  std::uint32_t AllAttempts = 0;
+  std::optional<rollout_outcome> Published;
+};
+
+/// Plays one VM's requests from the order to its time limit. All requests
+/// succeed, on both releases.
+rollout_result playSoundRollout(const rollout_load &Load, unsigned Seed) {
+  std::mt19937 Random(Seed);
+  std::exponential_distribution<double> Gap(Load.RequestsPerSecond);
+  std::uniform_real_distribution<double> Sample;
+  rollout_controller Controller(Load.ExposureShare);
+  Controller.onOrder({Service, "v2", Load.TimeLimit, {{}, 10}},
+                     order_origin::Written, milliseconds(0), Start);
+  release_statistics Statistics;
+  rollout_result Result;
+  double NextRequestMs = Gap(Random) * 1000;
+  std::uint64_t Revision = 10;
+  for (milliseconds After{0}; After < Load.TimeLimit;
+       After += milliseconds(10)) {
+    const steady_time Now = Start + After;
+    Controller.judge(Statistics, Now);
+    for (const auto &Update : Controller.outcomeUpdates(Now)) {
+      Controller.onOutcome(Service, "v2", Update.Outcome, {{}, ++Revision});
+      Result.Published = Update.Outcome;
+    }
+    for (; NextRequestMs < static_cast<double>(After.count());
+         NextRequestMs += Gap(Random) * 1000) {
+      const release_choice Choice = chooseRelease(
+          Controller.ruleFor(Service, Now), std::nullopt, Sample(Random));
+      const bool IsTarget = Choice == release_choice::Target;
+      Statistics.addLocal({Service, IsTarget ? "v2" : "v1", "r"}, {1, 0, 0, 1});
+      Result.TargetAttempts += IsTarget;
+      ++Result.AllAttempts;
+    }
+  }
+  return Result;
+}
+
+} // namespace
+
+TEST_CASE("A release with faults that nobody has seen yet gets no more than "
+          "its exposure before the time limit") {
+  for (const rollout_load &Load :
+       {rollout_load{13, milliseconds(15000), 0.15},
+        rollout_load{44, milliseconds(15000), 0.15},
+        rollout_load{44, milliseconds(24000), 0.15},
+        rollout_load{300, milliseconds(16000), 0.12}})
+    for (unsigned Seed = 0; Seed < 20; ++Seed) {
+      const rollout_result Result = playSoundRollout(Load, Seed);
+      CAPTURE(Load.RequestsPerSecond);
+      CAPTURE(Seed);
+      CHECK(Result.TargetAttempts <=
+            Load.ExposureShare * Result.AllAttempts + ExposureSlack);
+      CHECK(Result.Published == rollout_outcome::Completed);
+    }
+}
--- a/Tests/LibRelay/relay_fixture.h
+++ b/Tests/LibRelay/relay_fixture.h
@@ -33,6 +33,20 @@
   std::string Body;
 };
 
+/// The system's clock, which a test can set forward.
+class skippable_clock : public clock_source {
+public:
+  steady_time now() const override { return Clock.now() + Skipped; }
+  unix_millis wallNow() const override {
+    return Clock.wallNow() + unix_millis(Skipped.count());
+  }
+  void skip(milliseconds Time) { Skipped += Time; }
+
+private:
+  boot_clock_source Clock;
+  milliseconds Skipped{0};
+};
+
 /// A relay on the loopback interface with scripted endpoints.
 class relay_fixture {
 public:
@@ -60,7 +74,7 @@
   void runUntil(const std::function<bool()> &IsDone);
 
   asio::io_context Loop{1};
-  boot_clock_source Clock;
+  skippable_clock Clock;
   plain_codec Codec;
   null_event_log Log;
   metrics Metrics;
