LibRelay: Count slow attempts that never end with a response

Cause: an attempt came into the statistics of its release only when its response was complete or failed. One that its caller gave up, or that was still running, told nothing: the slower a release, the less was known of it (survivorship).

Change: attempt_recorder, cut out of relayed_request, also counts an attempt as slow once the time that has passed makes it certain, at its end without a result and, while a roll-out is undecided, at each tick. The time to a stream's head is compared as well as the time between events.

--- a/Libraries/LibDispatch/latency_baseline.h
+++ b/Libraries/LibDispatch/latency_baseline.h
@@ -10,9 +10,8 @@
 
 namespace azurehaven {
 
-/// Moving average of response latency by route and model: the time between
-/// events of a stream, or the total time of a response that is not streamed.
-/// Not thread-safe.
+/// Moving average of one kind of response latency, by route and model. Not
+/// thread-safe.
 class latency_baseline {
 public:
   void add(const std::string &Route, const model_id &Model, double Ms);
--- a/Libraries/LibDispatch/rollout_controller.cpp
+++ b/Libraries/LibDispatch/rollout_controller.cpp
@@ -132,6 +132,12 @@
                        Rollout.Order.TimeLimit.count(), 1));
 }
 
+bool rollout_controller::isAnyUndecided() const {
+  return std::any_of(Rollouts.begin(), Rollouts.end(), [](const auto &Entry) {
+    return !Entry.second.FinalOutcome && !Entry.second.IsBad;
+  });
+}
+
 release_rule rollout_controller::ruleFor(const service_id &Service,
                                          steady_time Now) const {
   auto Found = Rollouts.find(Service);
--- a/Libraries/LibDispatch/rollout_controller.h
+++ b/Libraries/LibDispatch/rollout_controller.h
@@ -88,6 +88,9 @@
   /// decisions stay, and are published again where the copy lacks them.
   void onStoreRestored();
 
+  /// Whether a roll-out has no final outcome yet and its target is not found to
+  /// be worse.
+  bool isAnyUndecided() const;
   release_rule ruleFor(const service_id &Service, steady_time Now) const;
   /// Evaluates the targets of open roll-outs. A target that was found to be
   /// worse remains so.
--- /dev/null
+++ b/Libraries/LibRelay/attempt_recorder.h
@@ -0,0 +1,46 @@
+#pragma once
+
+#include "LibRelay/admitted_request.h"
+#include "LibRelay/fleet_state.h"
+#include "LibRelay/response_timing.h"
+
+namespace azurehaven {
+
+/// Measures the attempts of one request, one after the other, and counts each
+/// of them once in the statistics of its endpoint's release.
+class attempt_recorder {
+public:
+  attempt_recorder(fleet_state &Fleet, const admitted_request &Admitted)
+      : Fleet(Fleet), Admitted(Admitted) {}
+
+  /// Starts the next attempt. KnownEvents: events that earlier attempts have
+  /// delivered.
+  void onSent(const endpoint_descriptor &Endpoint, const model_id &Model,
+              std::uint64_t KnownEvents, steady_time Now);
+  void onHead(steady_time Now) { Timing.onHead(Now); }
+  void onEvents(std::uint64_t EventCount, steady_time Now);
+  double msSinceSent(steady_time Now) const { return Timing.msSinceSent(Now); }
+
+  /// Counts the attempt, which has succeeded or failed.
+  void record(bool HasFailed, steady_time Now);
+  /// Counts the attempt as slow if that is certain before it ends. An attempt
+  /// that ends without a result, for example because its caller has left, tells
+  /// nothing else.
+  void recordIfSlow(steady_time Now);
+
+private:
+  bool isSlow(const response_latency &Latency) const;
+  void add(const release_counts &Counts);
+
+  fleet_state &Fleet;
+  const admitted_request &Admitted;
+  endpoint_descriptor Endpoint;
+  model_id Model;
+  response_timing Timing;
+  std::uint64_t EventCount = 0;
+  bool IsRunning = false;
+  /// Whether the running attempt has been counted as slow.
+  bool IsCounted = false;
+};
+
+} // namespace azurehaven
--- a/Libraries/LibRelay/fleet_state.h
+++ b/Libraries/LibRelay/fleet_state.h
@@ -35,7 +35,10 @@
   crash_quarantine Quarantine{};
   model_cascade Models{};
   release_statistics ReleaseStatistics{};
+  /// Times between events of a stream, or total times of plain responses.
   latency_baseline LatencyBaseline{};
+  /// Times from the sent request to the head of a stream.
+  latency_baseline HeadLatencyBaseline{};
   prefill_time_estimator PrefillTimes{};
   /// Leaving endpoints that the other VMs have not been told of yet.
   std::vector<endpoint_start> UnsentLeavingEndpoints{};
--- a/Libraries/LibRelay/relay.h
+++ b/Libraries/LibRelay/relay.h
@@ -21,6 +21,9 @@
   /// Ends the request with a final response because the process is about to
   /// exit.
   virtual void endForShutdown() = 0;
+  /// Counts the running attempt as slow in the statistics of its release if
+  /// that is certain before it ends.
+  virtual void recordIfSlow(steady_time Now) = 0;
 };
 
 /// Dependencies and state shared by the requests of one event loop.
--- a/Libraries/LibRelay/relay_node.cpp
+++ b/Libraries/LibRelay/relay_node.cpp
@@ -153,12 +153,21 @@
   updateConfirmationSource();
   StateUpdater.advance();
   Connections.closeExpired(Clock.now());
+  recordSlowAttempts();
   Rollouts->advance();
   if (Fleet.IsStopping)
     advanceStop();
   Scheduler.runAfter(TickInterval, [this] { runPeriodicTasks(); });
 }
 
+void relay_node::recordSlowAttempts() {
+  if (!Fleet.Rollouts.isAnyUndecided())
+    return;
+  const steady_time Now = Clock.now();
+  for (active_request *Request : Context.ActiveRequests)
+    Request->recordIfSlow(Now);
+}
+
 void relay_node::syncPeers() {
   PeerSync->expire();
   PeerSync->broadcast();
--- a/Libraries/LibRelay/relay_node.h
+++ b/Libraries/LibRelay/relay_node.h
@@ -48,6 +48,8 @@
   /// Decides whether this VM asks the store for confirmations of the
   /// configuration or relies on the other VMs.
   void updateConfirmationSource();
+  /// While a roll-out is undecided, counts slow attempts before they end.
+  void recordSlowAttempts();
   void syncPeers();
   void waitForSignal();
   void beginStop();
--- a/Libraries/LibRelay/relayed_request.cpp
+++ b/Libraries/LibRelay/relayed_request.cpp
@@ -64,8 +64,8 @@
       Request(Admitted.Request), Route(*Admitted.Route),
       Caller(std::move(Caller)), ArrivedAt(Context.Clock.now()),
       TimeLimit(timeLimitOf(Request, Route)), Deadline(Context.Executor),
-      Splicer(Request.LastEventId),
-      ResponseBody(Context.BufferedResponseBytes) {
+      Splicer(Request.LastEventId), ResponseBody(Context.BufferedResponseBytes),
+      Recorder(Context.Fleet, Admitted) {
   Context.ActiveRequests.insert(this);
 }
 
@@ -160,7 +160,7 @@
   Outgoing.Head = Context.Codec.encodeRequestHead(Head, Request, Parameters);
   Outgoing.Body = Body;
   Outgoing.IsHead = Head.Method == "HEAD";
-  Timing.onSent(Now, Splicer.eventCount());
+  Recorder.onSent(Target->Descriptor, Model, Splicer.eventCount(), Now);
   Cost += attemptCost(Admitted, ModelIndex);
   recordSend(Context.Fleet, Admitted, ModelIndex, *Target, Now);
   Attempt->start(std::move(Outgoing), Route.allowsReexecution()
@@ -190,14 +190,8 @@
   Liveness->start();
 }
 
-void relayed_request::recordAttempt(bool Failed) {
-  const steady_time Now = Context.Clock.now();
-  attempt_result Result;
-  Result.Failed = Failed;
-  Result.LatencyMs =
-      Timing.latencyMs(Route.Kind, Failed, Splicer.eventCount(), Now);
-  recordAttemptResult(Context.Fleet, Endpoint->Descriptor, Route, Model, Result,
-                      Now);
+void relayed_request::recordIfSlow(steady_time Now) {
+  Recorder.recordIfSlow(Now);
 }
 
 head_verdict relayed_request::onAttemptResponseHead(
@@ -211,9 +205,10 @@
       (NewResponse.IsSigned && !NewResponse.HasContentEncoding);
   if (!IsAttributable || !IsForwardable)
     return head_verdict::Reject;
+  const steady_time Now = Context.Clock.now();
+  Recorder.onHead(Now);
   if (ModelIndex && isSuccess(NewResponse.Status))
-    Context.Fleet.PrefillTimes.add(PromptWorkAhead,
-                                   Timing.msSinceSent(Context.Clock.now()));
+    Context.Fleet.PrefillTimes.add(PromptWorkAhead, Recorder.msSinceSent(Now));
   if (tryEscalate(NewResponse))
     return head_verdict::Reject;
   ResponseHead = NewHead;
@@ -253,7 +248,7 @@
   recordSuccess(*Endpoint);
   if (Liveness)
     Liveness->stop();
-  recordAttempt(false);
+  Recorder.record(/*HasFailed=*/false, Now);
   Tried.erase(Endpoint->Descriptor.Id);
   // The next attempt starts from the event loop, after this one has ended.
   Attempt->cancel();
@@ -283,7 +278,7 @@
   if (Liveness && Splicer.eventCount() > EventsBefore)
     Liveness->onProgress(Now);
   if (!Events.empty()) {
-    Timing.onEvents(Now);
+    Recorder.onEvents(Splicer.eventCount(), Now);
     if (!ResponseStarted) {
       ResponseStarted = true;
       TimeToFirstEvent =
@@ -326,10 +321,11 @@
     return onAttemptFailed(attempt_failure::NoValidResponse,
                            "the stream ended in the middle of an event");
   }
+  const steady_time Now = Context.Clock.now();
   recordSuccess(*Endpoint);
   Context.Fleet.Quarantine.clear(Admitted.Fingerprint);
-  recordAttempt(false);
-  refreshSessionPin(Context.Fleet, Admitted, *Endpoint, Context.Clock.now());
+  Recorder.record(/*HasFailed=*/false, Now);
+  refreshSessionPin(Context.Fleet, Admitted, *Endpoint, Now);
   if (Route.Kind == route_kind::Stream)
     return finishStream();
   Caller->sendResponse(ResponseHead.Status,
@@ -347,8 +343,9 @@
 }
 
 void relayed_request::handleErrorStatus() {
-  recordErrorResponse(*Endpoint, Context.Clock.now());
-  recordAttempt(true);
+  const steady_time Now = Context.Clock.now();
+  recordErrorResponse(*Endpoint, Now);
+  Recorder.record(/*HasFailed=*/true, Now);
   const bool MayRetry = isRetryAllowed(Route, attempt_failure::ErrorResponse) &&
                         RunCount < Route.MaxAttempts && !ResponseStarted;
   if (MayRetry)
@@ -382,7 +379,7 @@
   if (Failure == attempt_failure::NoValidResponse) {
     ++RunCount;
     if (recordCrash(*Endpoint, Now))
-      recordAttempt(true);
+      Recorder.record(/*HasFailed=*/true, Now);
     Context.Fleet.Quarantine.addLocal(
         Admitted.Fingerprint,
         endpoint_id(Endpoint->Descriptor.Id.text() + "/" +
@@ -450,7 +447,7 @@
     // A response that has not started by the deadline counts as a failure of
     // the endpoint's release.
     if (!ResponseStarted)
-      recordAttempt(true);
+      Recorder.record(/*HasFailed=*/true, Context.Clock.now());
   }
   refuse(deadlineErrorResponse(SendCount > 0));
 }
@@ -486,6 +483,7 @@
   if (Liveness)
     Liveness->stop();
   const steady_time Now = Context.Clock.now();
+  Recorder.recordIfSlow(Now);
   const auto Took = std::chrono::duration_cast<milliseconds>(Now - ArrivedAt);
   const std::string Labels = std::string("kind=\"") + nameOf(Route.Kind) +
                              "\",outcome=\"" + Outcome + "\"";
--- a/Libraries/LibRelay/relayed_request.h
+++ b/Libraries/LibRelay/relayed_request.h
@@ -4,12 +4,11 @@
 #include "LibDispatch/event_splicer.h"
 #include "LibDispatch/placement.h"
 #include "LibRelay/admitted_request.h"
-#include "LibRelay/attempt_result.h"
+#include "LibRelay/attempt_recorder.h"
 #include "LibRelay/buffered_body.h"
 #include "LibRelay/endpoint_attempt.h"
 #include "LibRelay/liveness_monitor.h"
 #include "LibRelay/relay.h"
-#include "LibRelay/response_timing.h"
 
 #include <asio/steady_timer.hpp>
 
@@ -30,6 +29,7 @@
   ~relayed_request() override;
 
   void endForShutdown() override;
+  void recordIfSlow(steady_time Now) override;
   void onCallerDisconnected() override;
   void onSendBufferDrained() override;
 
@@ -65,7 +65,6 @@
   bool mayRetryAfter(attempt_failure Failure, steady_time Now) const;
   milliseconds timeLeft(steady_time Now) const;
   void startLivenessMonitor();
-  void recordAttempt(bool Failed);
   bool tryEscalate(const decoded_response_head &NewResponse);
 
   relay_context &Context;
@@ -99,7 +98,7 @@
   response_head ResponseHead;
   decoded_response_head Response;
   buffered_body ResponseBody;
-  response_timing Timing;
+  attempt_recorder Recorder;
   /// Total model cost of all attempts.
   micro_euros Cost{0};
   /// Prompt work queued on the endpoint when this request was sent, its own
--- a/Tests/LibRelay/response_timing_test.cpp
+++ b/Tests/LibRelay/response_timing_test.cpp
@@ -17,10 +17,10 @@
   for (int Event = 0; Event < 5; ++Event)
     Timing.onEvents(Start + milliseconds(1000 + 40 * Event));
   const auto Now = Start + milliseconds(2000);
-  CHECK(Timing.latencyMs(route_kind::Stream, true, 15, Now) ==
+  CHECK(Timing.latency(route_kind::Stream, true, 15, Now).BodyMs ==
         std::optional<double>(40));
   // Three events are too few; events of earlier attempts do not count.
-  CHECK_FALSE(Timing.latencyMs(route_kind::Stream, false, 13, Now));
+  CHECK_FALSE(Timing.latency(route_kind::Stream, false, 13, Now).BodyMs);
 }
 
 TEST_CASE(
@@ -28,9 +28,9 @@
   response_timing Timing;
   Timing.onSent(Start, 0);
   const auto Now = Start + milliseconds(70);
-  CHECK(Timing.latencyMs(route_kind::Idempotent, false, 0, Now) ==
+  CHECK(Timing.latency(route_kind::Idempotent, false, 0, Now).BodyMs ==
         std::optional<double>(70));
-  CHECK_FALSE(Timing.latencyMs(route_kind::Idempotent, true, 0, Now));
+  CHECK_FALSE(Timing.latency(route_kind::Idempotent, true, 0, Now).BodyMs);
 }
 
 TEST_CASE("A new attempt restarts the measurement") {
@@ -39,5 +39,26 @@
   Timing.onEvents(Start);
   Timing.onSent(Start + milliseconds(500), 1);
   CHECK_FALSE(
-      Timing.latencyMs(route_kind::Stream, true, 9, Start + milliseconds(900)));
+      Timing.latency(route_kind::Stream, true, 9, Start + milliseconds(900))
+          .BodyMs);
+}
+
+TEST_CASE(
+    "A running response is at least as slow as the time that has passed") {
+  response_timing Timing;
+  Timing.onSent(Start, 0);
+  const auto At = [&](int Ms, std::uint64_t Events) {
+    return Timing.latencySoFar(route_kind::Stream, Events,
+                               Start + milliseconds(Ms));
+  };
+  CHECK(At(300, 0).HeadMs == std::optional<double>(300));
+  CHECK_FALSE(At(300, 0).BodyMs);
+  Timing.onHead(Start + milliseconds(400));
+  Timing.onEvents(Start + milliseconds(400));
+  CHECK(At(700, 1).HeadMs == std::optional<double>(400));
+  // One event is out, and three gaps at least are needed for a mean.
+  CHECK(At(700, 1).BodyMs == std::optional<double>(100));
+  CHECK(At(900, 10).BodyMs == std::optional<double>(50));
+  CHECK(Timing.latencySoFar(route_kind::Idempotent, 0, Start + milliseconds(70))
+            .BodyMs == std::optional<double>(70));
 }
--- a/Tests/LibRelay/slow_release_test.cpp
+++ b/Tests/LibRelay/slow_release_test.cpp
@@ -75,3 +75,22 @@
   CHECK(Fixture.counts().Requests == 0);
   CHECK(Fixture.counts().Attempts == 1);
 }
+
+TEST_CASE("A running request that is slow already counts once, before it "
+          "ends") {
+  slow_release_fixture Fixture(route_kind::Idempotent);
+  Fixture.setScript([](std::size_t, const received_request &) {
+    return scripted_response{"", after_response::Hang};
+  });
+  auto Connection = Fixture.startRequest("/p/x", [](const call_result &) {});
+  Fixture.runUntil([&] { return !Fixture.Received.empty(); });
+  Fixture.Clock.skip(milliseconds(1000));
+  for (int Check = 0; Check < 2; ++Check)
+    for (active_request *Request : Fixture.Context.ActiveRequests)
+      Request->recordIfSlow(Fixture.Clock.now());
+  CHECK(Fixture.counts().Requests == 1);
+  CHECK(Fixture.counts().Slow == 1);
+  Connection->abort();
+  Fixture.runUntil([&] { return Fixture.Context.ActiveRequests.empty(); });
+  CHECK(Fixture.counts().Requests == 1);
+}
