LibDispatch: Complete a roll-out only if its release is found sound

What callers saw: depot-app's release was completed with 17 failures of 87, and engines' releases with an outcome known of every fifth request.

Cause: completion followed from elapsed time unless the release was found worse. The test over all routes compared sums: a route that fails on any release (one of depot-app's always ends at its deadline, another fails in 39 of 182) raised the rate that all routes were compared with, and the whole time since the VM's start was the baseline, whatever impairs the service now. Counts of an earlier roll-out of the same release counted again. A VM that had found the release worse kept to that after another had published its completion, when only its endpoints are left.

Change: release_verdict, cut out of release_statistics, compares route by route and adds up what each route lets expect, mainly since the roll-out began. At the time of completion a release that is suspect, or of which too few successes are known, is rolled back. A published completion binds every VM.

Two tests of the controller judge once before the release fails: what was counted before the roll-out no longer tells against it. isWorse() of the tests asks judgeRelease(), with the same bounds.

--- a/Libraries/LibDispatch/release_statistics.h
+++ b/Libraries/LibDispatch/release_statistics.h
@@ -40,6 +40,9 @@
   release_counts Counts;
 };
 
+/// The counts of one service by release and route.
+using service_totals = std::map<release_key, release_counts>;
+
 /// Counts request outcomes by release and route, for this VM and for the
 /// others. Each VM's counts are cumulative, so that duplicate and reordered
 /// reports are harmless. Not thread-safe.
@@ -57,21 +60,14 @@
                           const std::string &Release) const;
   /// The counts of a service, summed over all releases, routes and VMs.
   release_counts countsOf(const service_id &Service) const;
-  /// Whether the release fails or is slow significantly more often than the
-  /// service's other releases, on any single route or over all routes.
-  bool isWorse(const service_id &Service, const std::string &Release) const;
+  /// The counts of a service, summed over all VMs.
+  service_totals totals(const service_id &Service) const;
 
 private:
   using origin_key = std::tuple<vm_id, std::uint64_t, release_key>;
-  std::map<release_key, release_counts> totals(const service_id &Service) const;
 
   std::map<release_key, release_counts> Local;
   std::map<origin_key, release_counts> Remote;
 };
 
-/// Whether the rate of bad outcomes is significantly above the baseline rate.
-/// Source: one-sided test of a binomial proportion, normal approximation.
-bool isSignificantlyAbove(std::uint32_t Bad, std::uint32_t Total,
-                          double BaselineRate);
-
 } // namespace azurehaven
--- a/Libraries/LibDispatch/rollout_controller.cpp
+++ b/Libraries/LibDispatch/rollout_controller.cpp
@@ -134,7 +134,7 @@
 
 bool rollout_controller::isAnyUndecided() const {
   return std::any_of(Rollouts.begin(), Rollouts.end(), [](const auto &Entry) {
-    return !Entry.second.FinalOutcome && !Entry.second.IsBad;
+    return !Entry.second.FinalOutcome && !Entry.second.IsRejected;
   });
 }
 
@@ -147,10 +147,13 @@
   release_rule Rule;
   Rule.Target = Rollout.Order.Target;
   const double Progress = progress(Rollout, Now);
-  if (Rollout.FinalOutcome == rollout_outcome::RolledBack || Rollout.IsBad)
-    Rule.Phase = rollout_phase::RolledBack;
-  else if (Rollout.FinalOutcome == rollout_outcome::Completed)
+  // The endpoints of the old release are gone once completion is published,
+  // whatever this VM has found.
+  if (Rollout.FinalOutcome == rollout_outcome::Completed)
     Rule.Phase = rollout_phase::Completed;
+  else if (Rollout.FinalOutcome == rollout_outcome::RolledBack ||
+           Rollout.IsRejected)
+    Rule.Phase = rollout_phase::RolledBack;
   else if (Progress >= ShiftStartProgress)
     Rule.Phase = rollout_phase::Shift;
   else
@@ -168,10 +171,18 @@
 }
 
 void rollout_controller::judge(const release_statistics &Statistics,
-                               steady_time) {
+                               steady_time Now) {
   for (auto &[Service, Rollout] : Rollouts) {
-    if (!Rollout.FinalOutcome && !Rollout.IsBad)
-      Rollout.IsBad = Statistics.isWorse(Service, Rollout.Order.Target);
+    if (Rollout.FinalOutcome || Rollout.IsRejected)
+      continue;
+    const service_totals Totals = Statistics.totals(Service);
+    if (!Rollout.TotalsBefore)
+      Rollout.TotalsBefore = Totals;
+    Rollout.Verdict =
+        judgeRelease(Totals, *Rollout.TotalsBefore, Rollout.Order.Target);
+    const bool IsDue = progress(Rollout, Now) >= CompletionProgress;
+    Rollout.IsRejected = Rollout.Verdict == release_verdict::Worse ||
+                         (IsDue && Rollout.Verdict != release_verdict::Sound);
   }
 }
 
@@ -182,7 +193,7 @@
     rollout_outcome Wanted = rollout_outcome::InProgress;
     if (Rollout.FinalOutcome)
       Wanted = *Rollout.FinalOutcome;
-    else if (Rollout.IsBad)
+    else if (Rollout.IsRejected)
       Wanted = rollout_outcome::RolledBack;
     else if (progress(Rollout, Now) >= CompletionProgress)
       Wanted = rollout_outcome::Completed;
@@ -190,7 +201,8 @@
       continue;
     Updates.push_back(
         {Rollout.Order, Wanted, Rollout.PublishedRevision,
-         std::chrono::duration_cast<milliseconds>(Now - Rollout.BeganAt)});
+         std::chrono::duration_cast<milliseconds>(Now - Rollout.BeganAt),
+         Rollout.Verdict});
   }
   return Updates;
 }
--- a/Libraries/LibDispatch/rollout_controller.h
+++ b/Libraries/LibDispatch/rollout_controller.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "LibDispatch/release_statistics.h"
+#include "LibDispatch/release_verdict.h"
 #include "LibTypes/store_revision.h"
 
 #include <map>
@@ -88,12 +88,12 @@
   /// decisions stay, and are published again where the copy lacks them.
   void onStoreRestored();
 
-  /// Whether a roll-out has no final outcome yet and its target is not found to
-  /// be worse.
+  /// Whether a roll-out has no final outcome yet and its target is not
+  /// rejected.
   bool isAnyUndecided() const;
   release_rule ruleFor(const service_id &Service, steady_time Now) const;
-  /// Evaluates the targets of open roll-outs. A target that was found to be
-  /// worse remains so.
+  /// Evaluates the targets of open roll-outs. A target is rejected if it is
+  /// found to be worse, or is not found to be sound in time; it remains so.
   void judge(const release_statistics &Statistics, steady_time Now);
 
   /// A change of the published outcome that has to be written to the store.
@@ -104,6 +104,7 @@
     /// none.
     store_revision PublishedRevision;
     milliseconds Elapsed{0};
+    release_verdict Verdict = release_verdict::Sound;
   };
   std::vector<outcome_update> outcomeUpdates(steady_time Now) const;
 
@@ -111,7 +112,10 @@
   struct rollout {
     rollout_order Order;
     steady_time BeganAt;
-    bool IsBad = false;
+    /// The service's totals when the roll-out was first evaluated.
+    std::optional<service_totals> TotalsBefore;
+    release_verdict Verdict = release_verdict::Sound;
+    bool IsRejected = false;
     /// The final outcome, once a VM has published it. It outlasts a
     /// restoration of the store.
     std::optional<rollout_outcome> FinalOutcome;
--- a/Tests/LibDispatch/release_statistics_test.cpp
+++ b/Tests/LibDispatch/release_statistics_test.cpp
@@ -1,4 +1,4 @@
-#include "LibDispatch/release_statistics.h"
+#include "LibDispatch/release_verdict.h"
 
 #include <doctest/doctest.h>
 
@@ -14,6 +14,11 @@
   return {Service, Release, Route};
 }
 
+bool isWorse(const release_statistics &Statistics) {
+  return judgeRelease(Statistics.totals(Service), {}, "v2") ==
+         release_verdict::Worse;
+}
+
 /// Simulates requests until the release is judged worse; returns their number,
 /// or the limit if that does not happen.
 int requestsUntilJudged(double OldFailures, double NewFailures, unsigned Seed,
@@ -26,7 +31,7 @@
     for (int Index = 0; Index < 10; ++Index)
       Statistics.addLocal(keyOf("v1"), {1, Old(Random), 0});
     Statistics.addLocal(keyOf("v2"), {1, New(Random), 0});
-    if (Statistics.isWorse(Service, "v2"))
+    if (isWorse(Statistics))
       return Count;
   }
   return Limit;
@@ -53,14 +58,14 @@
   Statistics.addLocal(keyOf("v1", "b"), {500, 5, 0});
   Statistics.addLocal(keyOf("v2", "a"), {200, 2, 0});
   Statistics.addLocal(keyOf("v2", "b"), {10, 5, 0});
-  CHECK(Statistics.isWorse(Service, "v2"));
+  CHECK(isWorse(Statistics));
 }
 
 TEST_CASE("A slow release is judged worse") {
   release_statistics Statistics;
   Statistics.addLocal(keyOf("v1"), {500, 0, 10});
   Statistics.addLocal(keyOf("v2"), {20, 0, 10});
-  CHECK(Statistics.isWorse(Service, "v2"));
+  CHECK(isWorse(Statistics));
 }
 
 TEST_CASE("Duplicate and reordered reports of other VMs count once") {
--- a/Tests/LibDispatch/rollout_controller_test.cpp
+++ b/Tests/LibDispatch/rollout_controller_test.cpp
@@ -73,6 +73,7 @@
   rollout_controller Controller = controllerWithOrder();
   release_statistics Statistics;
   Statistics.addLocal({Service, "v1", "r"}, {100, 1, 0});
+  Controller.judge(Statistics, Start);
   Statistics.addLocal({Service, "v2", "r"}, {10, 6, 0});
   Controller.judge(Statistics, Start);
   CHECK(Controller.ruleFor(Service, Start).Phase == rollout_phase::RolledBack);
@@ -176,6 +177,7 @@
   rollout_controller Controller = controllerWithOrder();
   release_statistics Statistics;
   Statistics.addLocal({Service, "v1", "r"}, {100, 1, 0});
+  Controller.judge(Statistics, Start);
   Statistics.addLocal({Service, "v2", "r"}, {10, 6, 0});
   Controller.judge(Statistics, Start);
   Controller.onStoreRestored();
--- a/Tests/LibDispatch/rollout_evidence_test.cpp
+++ b/Tests/LibDispatch/rollout_evidence_test.cpp
@@ -50,3 +50,40 @@
   REQUIRE(Due.size() == 1);
   CHECK(Due.front().Outcome == rollout_outcome::RolledBack);
 }
+
+TEST_CASE("A release that failed in an earlier roll-out is judged anew") {
+  rollout_controller Controller(ExposureShare);
+  release_statistics Statistics;
+  Statistics.addLocal({Service, "v1", "r"}, {500, 5, 0, 500});
+  Statistics.addLocal({Service, "v2", "r"}, {20, 15, 0, 20});
+  Controller.onOrder({Service, "v2", milliseconds(15000), {{}, 10}},
+                     order_origin::Written, milliseconds(0), Start);
+  Controller.judge(Statistics, Start);
+  CHECK(Controller.ruleFor(Service, Start).Phase == rollout_phase::Trial);
+}
+
+TEST_CASE("A release is not worse for what impairs all releases since its "
+          "roll-out began") {
+  release_statistics Statistics;
+  Statistics.addLocal({Service, "v1", "r"}, {5000, 10, 0, 5000});
+  const service_totals Before = Statistics.totals(Service);
+  Statistics.addLocal({Service, "v1", "r"}, {200, 60, 0, 200});
+  Statistics.addLocal({Service, "v2", "r"}, {20, 6, 0, 20});
+  CHECK(judgeRelease(Statistics.totals(Service), Before, "v2") ==
+        release_verdict::Sound);
+}
+
+TEST_CASE(
+    "A VM that rejects a release follows a completion that another VM has "
+    "published") {
+  rollout_controller Controller(ExposureShare);
+  Controller.onOrder({Service, "v2", milliseconds(15000), {{}, 10}},
+                     order_origin::Written, milliseconds(0), Start);
+  release_statistics Statistics;
+  Controller.judge(Statistics, Start);
+  Statistics.addLocal({Service, "v2", "r"}, {10, 9, 0, 10});
+  Controller.judge(Statistics, Start);
+  CHECK(Controller.ruleFor(Service, Start).Phase == rollout_phase::RolledBack);
+  Controller.onOutcome(Service, "v2", rollout_outcome::Completed, {{}, 12});
+  CHECK(Controller.ruleFor(Service, Start).Phase == rollout_phase::Completed);
+}
