LibDispatch: Take no usual latency for a slow one

Cause: a response was slow beyond three times the average.

Change: a slow latency is also more than four mean deviations above the average, as in the retransmission timeout of TCP.

--- a/Libraries/LibDispatch/latency_baseline.h
+++ b/Libraries/LibDispatch/latency_baseline.h
@@ -18,14 +18,20 @@
   /// The average; nullopt until there are enough samples.
   std::optional<double> meanMs(const std::string &Route,
                                const model_id &Model) const;
-  /// Whether this latency is several times the average.
+  /// Whether this latency is several times the average, and unusual.
   bool isSlow(const std::string &Route, const model_id &Model, double Ms) const;
 
 private:
   struct average {
     double MeanMs = 0;
+    /// Moving average of the distance from the mean.
+    double DeviationMs = 0;
     std::uint32_t Count = 0;
   };
+  /// Null until there are enough samples.
+  const average *averageOf(const std::string &Route,
+                           const model_id &Model) const;
+
   std::map<std::pair<std::string, model_id>, average> Averages;
 };
 
