LibRelay: Log slow attempts with their usual latency

The counts of a release told how many attempts were slow, not which and by what. attempt_slow names the request, its endpoint, release and model, and the times beside their averages; one line an attempt at most.

--- a/Libraries/LibRelay/attempt_recorder.cpp
+++ b/Libraries/LibRelay/attempt_recorder.cpp
@@ -1,7 +1,17 @@
 #include "LibRelay/attempt_recorder.h"
 
+#include <cmath>
+
 namespace azurehaven {
 
+namespace {
+
+std::string textOf(std::optional<double> Ms) {
+  return Ms ? std::to_string(std::llround(*Ms)) : "unknown";
+}
+
+} // namespace
+
 void attempt_recorder::onSent(const endpoint_descriptor &NewEndpoint,
                               const model_id &NewModel,
                               std::uint64_t KnownEvents, steady_time Now) {
@@ -26,6 +36,22 @@
           Fleet.LatencyBaseline.isSlow(Route, Model, *Latency.BodyMs));
 }
 
+void attempt_recorder::logSlow(const response_latency &Latency) const {
+  const std::string &Route = Admitted.Route->Name;
+  Log.write(
+      log_level::Info, "attempt_slow",
+      {{"request", Admitted.Request.Id.text()},
+       {"route", Route},
+       {"endpoint", Endpoint.Id.text()},
+       {"release", Endpoint.Release},
+       {"model", Model.text()},
+       {"head_ms", textOf(Latency.HeadMs)},
+       {"usual_head_ms",
+        textOf(Fleet.HeadLatencyBaseline.meanMs(Route, Model))},
+       {"body_ms", textOf(Latency.BodyMs)},
+       {"usual_body_ms", textOf(Fleet.LatencyBaseline.meanMs(Route, Model))}});
+}
+
 void attempt_recorder::add(const release_counts &Counts) {
   Fleet.ReleaseStatistics.addLocal(
       {Endpoint.Service, Endpoint.Release, Admitted.Route->Name}, Counts);
@@ -42,6 +68,8 @@
   if (!IsCounted) {
     Counts.Requests = 1;
     Counts.Slow = isSlow(Latency);
+    if (Counts.Slow > 0)
+      logSlow(Latency);
   }
   add(Counts);
   // A release that is being rolled out does not change the baseline.
@@ -58,8 +86,11 @@
 void attempt_recorder::recordIfSlow(steady_time Now) {
   if (!IsRunning || IsCounted)
     return;
-  if (!isSlow(Timing.latencySoFar(Admitted.Route->Kind, EventCount, Now)))
+  const response_latency Latency =
+      Timing.latencySoFar(Admitted.Route->Kind, EventCount, Now);
+  if (!isSlow(Latency))
     return;
+  logSlow(Latency);
   IsCounted = true;
   release_counts Counts;
   Counts.Requests = 1;
--- a/Libraries/LibRelay/attempt_recorder.h
+++ b/Libraries/LibRelay/attempt_recorder.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "LibLog/event_log.h"
 #include "LibRelay/admitted_request.h"
 #include "LibRelay/fleet_state.h"
 #include "LibRelay/response_timing.h"
@@ -10,8 +11,9 @@
 /// of them once in the statistics of its endpoint's release.
 class attempt_recorder {
 public:
-  attempt_recorder(fleet_state &Fleet, const admitted_request &Admitted)
-      : Fleet(Fleet), Admitted(Admitted) {}
+  attempt_recorder(fleet_state &Fleet, const event_log &Log,
+                   const admitted_request &Admitted)
+      : Fleet(Fleet), Log(Log), Admitted(Admitted) {}
 
   /// Starts the next attempt. KnownEvents: events that earlier attempts have
   /// delivered.
@@ -30,9 +32,11 @@
 
 private:
   bool isSlow(const response_latency &Latency) const;
+  void logSlow(const response_latency &Latency) const;
   void add(const release_counts &Counts);
 
   fleet_state &Fleet;
+  const event_log &Log;
   const admitted_request &Admitted;
   endpoint_descriptor Endpoint;
   model_id Model;
--- a/Libraries/LibRelay/relayed_request.cpp
+++ b/Libraries/LibRelay/relayed_request.cpp
@@ -65,7 +65,7 @@
       Caller(std::move(Caller)), ArrivedAt(Context.Clock.now()),
       TimeLimit(timeLimitOf(Request, Route)), Deadline(Context.Executor),
       Splicer(Request.LastEventId), ResponseBody(Context.BufferedResponseBytes),
-      Recorder(Context.Fleet, Admitted) {
+      Recorder(Context.Fleet, Context.Log, Admitted) {
   Context.ActiveRequests.insert(this);
 }
 
