LibDispatch: Keep a roll-out within its exposure until the time limit

Cause: the share of an unproven release was bounded in the trial only, as a share of the sessions; the shift followed the clock. A release that fails under load, late or on a route that rarely comes shows nothing until then.

Change: each VM keeps an account of its own attempts (exposure_budget): the limit is the share of the service's traffic up to the time limit, forecast from the rate so far, plus its part of the slack (expose_slack, now read), less what the shift and the time after completion take and a margin for the forecast. Times of a roll-out are in one place.

--- /dev/null
+++ b/Libraries/LibDispatch/exposure_budget.cpp
@@ -0,0 +1,55 @@
+#include "LibDispatch/exposure_budget.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace azurehaven {
+
+namespace {
+
+/// Standard deviations of the number of requests in the time in which the
+/// target gets all of them; more may come than the rate so far lets expect.
+constexpr double ForecastDeviations = 2.5;
+constexpr milliseconds MinimumObservation{1000};
+
+double asDouble(milliseconds Time) { return static_cast<double>(Time.count()); }
+
+} // namespace
+
+exposure_budget::exposure_budget(const exposure_limits &Limits,
+                                 std::size_t VmCount,
+                                 const exposure_counts &Counts,
+                                 milliseconds Observed,
+                                 milliseconds UntilTimeLimit)
+    : Limits(Limits), VmCount(std::max<std::size_t>(VmCount, 1)),
+      Counts(Counts), Observed(Observed),
+      UntilTimeLimit(std::max(UntilTimeLimit, milliseconds(0))) {
+  if (hasRate())
+    RatePerMs = Counts.All / asDouble(Observed);
+}
+
+bool exposure_budget::hasRate() const {
+  return Observed >= MinimumObservation && Counts.All > 0;
+}
+
+double exposure_budget::allowanceBefore(milliseconds FullTime) const {
+  const double Expected = Counts.All + RatePerMs * asDouble(UntilTimeLimit);
+  const double Vms = static_cast<double>(VmCount);
+  const double FullRequests = RatePerMs * asDouble(FullTime);
+  // Errors of all VMs' forecasts partly cancel out.
+  const double Margin = ForecastDeviations * std::sqrt(FullRequests / Vms);
+  return Limits.Share * Expected + Limits.Slack / Vms - Counts.Target -
+         FullRequests - Margin;
+}
+
+bool exposure_budget::allowsAll(milliseconds FullTime) const {
+  return allowanceBefore(FullTime) >= 0;
+}
+
+double exposure_budget::shareBefore(milliseconds FullTime,
+                                    milliseconds TrialTime) const {
+  const double TrialRequests = RatePerMs * asDouble(TrialTime);
+  return TrialRequests > 0 ? allowanceBefore(FullTime) / TrialRequests : 0;
+}
+
+} // namespace azurehaven
--- /dev/null
+++ b/Libraries/LibDispatch/exposure_budget.h
@@ -0,0 +1,56 @@
+#pragma once
+
+#include "LibTypes/units.h"
+
+#include <cstddef>
+#include <cstdint>
+
+namespace azurehaven {
+
+/// How much of a service's traffic an unproven release may get until the time
+/// limit of its roll-out.
+struct exposure_limits {
+  /// Fraction of the service's requests.
+  double Share = 0.1;
+  /// Further requests, for all VMs together.
+  double Slack = 0;
+};
+
+/// Attempts that this VM has sent since it began to observe a roll-out.
+struct exposure_counts {
+  std::uint32_t Target = 0;
+  /// To all releases of the service.
+  std::uint32_t All = 0;
+};
+
+/// This VM's part of a roll-out's exposure. The VMs need no common counter:
+/// each allows the share of its own requests plus an equal part of the slack.
+class exposure_budget {
+public:
+  exposure_budget(const exposure_limits &Limits, std::size_t VmCount,
+                  const exposure_counts &Counts, milliseconds Observed,
+                  milliseconds UntilTimeLimit);
+
+  /// Whether the rate of requests is known.
+  bool hasRate() const;
+  /// Whether the target may get all requests for this long, which is a part of
+  /// the time until the limit.
+  bool allowsAll(milliseconds FullTime) const;
+  /// The share of the requests that the target may get for TrialTime, if it
+  /// gets all of them for FullTime after it. Not limited to [0, 1].
+  double shareBefore(milliseconds FullTime, milliseconds TrialTime) const;
+
+private:
+  /// Attempts that the target may still get until the time limit, less those of
+  /// the time in which it gets all of them.
+  double allowanceBefore(milliseconds FullTime) const;
+
+  const exposure_limits Limits;
+  const std::size_t VmCount;
+  const exposure_counts Counts;
+  const milliseconds Observed;
+  const milliseconds UntilTimeLimit;
+  double RatePerMs = 0;
+};
+
+} // namespace azurehaven
--- a/Libraries/LibDispatch/release_statistics.cpp
+++ b/Libraries/LibDispatch/release_statistics.cpp
@@ -30,6 +30,20 @@
   return Reports;
 }
 
+exposure_counts
+release_statistics::localAttempts(const service_id &Service,
+                                  const std::string &Release) const {
+  exposure_counts Sum;
+  for (const auto &[Key, Counts] : Local) {
+    if (Key.Service != Service)
+      continue;
+    Sum.All += Counts.Attempts;
+    if (Key.Release == Release)
+      Sum.Target += Counts.Attempts;
+  }
+  return Sum;
+}
+
 service_totals release_statistics::totals(const service_id &Service) const {
   service_totals Totals;
   for (const auto &[Key, Counts] : Local)
--- a/Libraries/LibDispatch/release_statistics.h
+++ b/Libraries/LibDispatch/release_statistics.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "LibDispatch/exposure_budget.h"
 #include "LibTypes/ids.h"
 #include "LibTypes/units.h"
 
@@ -60,6 +61,9 @@
                           const std::string &Release) const;
   /// The counts of a service, summed over all releases, routes and VMs.
   release_counts countsOf(const service_id &Service) const;
+  /// Attempts that this VM has sent to the release and to all releases.
+  exposure_counts localAttempts(const service_id &Service,
+                                const std::string &Release) const;
   /// The counts of a service, summed over all VMs.
   service_totals totals(const service_id &Service) const;
 
--- a/Libraries/LibDispatch/release_verdict.cpp
+++ b/Libraries/LibDispatch/release_verdict.cpp
@@ -23,10 +23,10 @@
 /// Largest weight of the time before the roll-out in the baseline, in requests:
 /// what impairs the service now impairs all its releases.
 constexpr double MaximumEarlierRequests = 50;
-/// A service with this many attempts since the order should have shown this
-/// many successes of the release.
+/// A service with this many attempts since the order should have shown a
+/// success of the release, and half of its attempts up to this many.
 constexpr std::uint32_t MinimumServiceAttempts = 20;
-constexpr std::uint32_t MinimumSuccesses = 5;
+constexpr std::uint32_t SufficientSuccesses = 5;
 
 release_counts countsSince(const release_counts &Now,
                            const release_counts &Before) {
@@ -138,7 +138,8 @@
   const std::uint32_t Successes =
       OfRelease.Requests - std::min(OfRelease.Requests, Bad);
   const bool IsUnproven =
-      ServiceAttempts >= MinimumServiceAttempts && Successes < MinimumSuccesses;
+      ServiceAttempts >= MinimumServiceAttempts &&
+      Successes < std::clamp(OfRelease.Attempts / 2, 1u, SufficientSuccesses);
   return IsUnproven ? release_verdict::Unproven : Verdict;
 }
 
--- a/Libraries/LibDispatch/rollout_controller.cpp
+++ b/Libraries/LibDispatch/rollout_controller.cpp
@@ -6,16 +6,11 @@
 
 namespace {
 
-/// Fraction of the allowed exposure that a trial uses. The rest remains for the
-/// shift, which reveals a release that fails only under load.
-constexpr double TrialExposureFraction = 0.6;
-/// Fractions of the roll-out's time limit. Sessions keep their release in the
-/// first half. The shift then moves a growing share of the requests. Completion
-/// comes early enough for streams on the old release to finish.
-constexpr double SessionMoveProgress = 0.52;
-constexpr double ShiftStartProgress = 0.55;
-constexpr double ShiftEndProgress = 0.72;
-constexpr double CompletionProgress = 0.87;
+/// Fractions of the exposure share that a trial uses: at first, at least and at
+/// most. A larger trial finds faults sooner; the shift needs its part as well.
+constexpr double InitialTrialFraction = 0.3;
+constexpr double MinimumTrialFraction = 0.15;
+constexpr double MaximumTrialFraction = 0.6;
 
 } // namespace
 
@@ -124,12 +119,13 @@
     Rollout.FinalOutcome = Rollout.PublishedOutcome;
 }
 
-double rollout_controller::progress(const rollout &Rollout,
-                                    steady_time Now) const {
-  const auto Elapsed =
-      std::chrono::duration<double, std::milli>(Now - Rollout.BeganAt).count();
-  return Elapsed / static_cast<double>(std::max<std::int64_t>(
-                       Rollout.Order.TimeLimit.count(), 1));
+milliseconds rollout_controller::elapsed(const rollout &Rollout,
+                                         steady_time Now) {
+  return std::chrono::duration_cast<milliseconds>(Now - Rollout.BeganAt);
+}
+
+double rollout_controller::trialShare(const rollout &Rollout) const {
+  return Rollout.TrialShare.value_or(Exposure.Share * InitialTrialFraction);
 }
 
 bool rollout_controller::isAnyUndecided() const {
@@ -146,7 +142,8 @@
   const rollout &Rollout = Found->second;
   release_rule Rule;
   Rule.Target = Rollout.Order.Target;
-  const double Progress = progress(Rollout, Now);
+  const rollout_schedule Schedule = scheduleFor(Rollout.Order.TimeLimit);
+  const milliseconds Elapsed = elapsed(Rollout, Now);
   // The endpoints of the old release are gone once completion is published,
   // whatever this VM has found.
   if (Rollout.FinalOutcome == rollout_outcome::Completed)
@@ -154,33 +151,79 @@
   else if (Rollout.FinalOutcome == rollout_outcome::RolledBack ||
            Rollout.IsRejected)
     Rule.Phase = rollout_phase::RolledBack;
-  else if (Progress >= ShiftStartProgress)
+  else if (Elapsed >= Schedule.ShiftStart && !Rollout.IsShiftHeld)
     Rule.Phase = rollout_phase::Shift;
   else
     Rule.Phase = rollout_phase::Trial;
-  // The target's engines start without cached prompts. A gradual shift lets the
-  // engines of the old release serve requests while the new ones fill their
-  // caches.
-  const double ShiftFraction = std::clamp(
-      (Progress - ShiftStartProgress) / (ShiftEndProgress - ShiftStartProgress),
-      0.0, 1.0);
-  const double Trial = ExposureShare * TrialExposureFraction;
-  Rule.TargetShare = Trial + ShiftFraction * (1 - Trial);
-  Rule.PinsSessions = Progress < SessionMoveProgress;
+  Rule.TargetShare = trialShare(Rollout);
+  if (Rule.Phase == rollout_phase::Shift) {
+    const std::chrono::duration<double> SinceStart =
+        Elapsed - Schedule.ShiftStart;
+    const double Fraction =
+        std::min(1.0, SinceStart / (Schedule.ShiftEnd - Schedule.ShiftStart));
+    Rule.TargetShare += Fraction * (1 - Rule.TargetShare);
+  }
+  Rule.PinsSessions = Elapsed < Schedule.SessionMove;
   return Rule;
 }
 
+void rollout_controller::observe(rollout &Rollout,
+                                 const release_statistics &Statistics,
+                                 steady_time Now) const {
+  const service_id &Service = Rollout.Order.Service;
+  const service_totals Totals = Statistics.totals(Service);
+  if (!Rollout.TotalsBefore) {
+    Rollout.TotalsBefore = Totals;
+    Rollout.ObservedSince = Now;
+    Rollout.AttemptsBefore =
+        Statistics.localAttempts(Service, Rollout.Order.Target);
+  }
+  Rollout.Verdict =
+      judgeRelease(Totals, *Rollout.TotalsBefore, Rollout.Order.Target);
+}
+
+void rollout_controller::limitExposure(rollout &Rollout,
+                                       const release_statistics &Statistics,
+                                       std::size_t VmCount,
+                                       steady_time Now) const {
+  const rollout_schedule Schedule = scheduleFor(Rollout.Order.TimeLimit);
+  const milliseconds Elapsed = elapsed(Rollout, Now);
+  const exposure_counts Sent =
+      Statistics.localAttempts(Rollout.Order.Service, Rollout.Order.Target);
+  const exposure_budget Budget(
+      Exposure, VmCount,
+      {Sent.Target - Rollout.AttemptsBefore.Target,
+       Sent.All - Rollout.AttemptsBefore.All},
+      std::chrono::duration_cast<milliseconds>(Now - Rollout.ObservedSince),
+      Schedule.TimeLimit - Elapsed);
+  if (Elapsed < Schedule.ShiftStart) {
+    if (Budget.hasRate())
+      Rollout.TrialShare =
+          std::clamp(Budget.shareBefore(Schedule.fullExposure(),
+                                        Schedule.ShiftStart - Elapsed),
+                     Exposure.Share * MinimumTrialFraction,
+                     Exposure.Share * MaximumTrialFraction);
+    return;
+  }
+  // Once begun, the shift goes on: sessions must not move back and forth.
+  if (Rollout.HasShifted)
+    return;
+  const milliseconds FullTime =
+      std::min(Schedule.fullExposure(), Schedule.TimeLimit - Elapsed);
+  const bool IsAllowed = !Budget.hasRate() || Budget.allowsAll(FullTime);
+  Rollout.HasShifted = IsAllowed && Rollout.Verdict != release_verdict::Suspect;
+  Rollout.IsShiftHeld = !Rollout.HasShifted;
+}
+
 void rollout_controller::judge(const release_statistics &Statistics,
-                               steady_time Now) {
+                               std::size_t VmCount, steady_time Now) {
   for (auto &[Service, Rollout] : Rollouts) {
     if (Rollout.FinalOutcome || Rollout.IsRejected)
       continue;
-    const service_totals Totals = Statistics.totals(Service);
-    if (!Rollout.TotalsBefore)
-      Rollout.TotalsBefore = Totals;
-    Rollout.Verdict =
-        judgeRelease(Totals, *Rollout.TotalsBefore, Rollout.Order.Target);
-    const bool IsDue = progress(Rollout, Now) >= CompletionProgress;
+    observe(Rollout, Statistics, Now);
+    limitExposure(Rollout, Statistics, VmCount, Now);
+    const bool IsDue = elapsed(Rollout, Now) >=
+                       scheduleFor(Rollout.Order.TimeLimit).Completion;
     Rollout.IsRejected = Rollout.Verdict == release_verdict::Worse ||
                          (IsDue && Rollout.Verdict != release_verdict::Sound);
   }
@@ -195,14 +238,13 @@
       Wanted = *Rollout.FinalOutcome;
     else if (Rollout.IsRejected)
       Wanted = rollout_outcome::RolledBack;
-    else if (progress(Rollout, Now) >= CompletionProgress)
+    else if (elapsed(Rollout, Now) >=
+             scheduleFor(Rollout.Order.TimeLimit).Completion)
       Wanted = rollout_outcome::Completed;
     if (Rollout.PublishedOutcome == Wanted)
       continue;
-    Updates.push_back(
-        {Rollout.Order, Wanted, Rollout.PublishedRevision,
-         std::chrono::duration_cast<milliseconds>(Now - Rollout.BeganAt),
-         Rollout.Verdict});
+    Updates.push_back({Rollout.Order, Wanted, Rollout.PublishedRevision,
+                       elapsed(Rollout, Now), Rollout.Verdict});
   }
   return Updates;
 }
--- a/Libraries/LibDispatch/rollout_controller.h
+++ b/Libraries/LibDispatch/rollout_controller.h
@@ -1,6 +1,8 @@
 #pragma once
 
+#include "LibDispatch/exposure_budget.h"
 #include "LibDispatch/release_verdict.h"
+#include "LibDispatch/rollout_schedule.h"
 #include "LibTypes/store_revision.h"
 
 #include <map>
@@ -67,18 +69,17 @@
                              double Sample);
 
 /// Rolls out new releases: a trial with a small share of the requests, a
-/// gradual shift of all requests after half of the time limit, then completion.
+/// gradual shift of all requests shortly before the time limit, then
+/// completion. What a target gets until then stays within the limits of its
+/// exposure, whatever is known of it: faults may show under a later load only.
 /// Rolls back as soon as the target is significantly worse than the old
-/// release. Deterministic, so that all VMs reach the same phase. Not
-/// thread-safe.
+/// release. Not thread-safe.
 class rollout_controller {
 public:
-  /// ExposureShare: largest fraction of a service's requests that an unproven
-  /// release may get.
-  explicit rollout_controller(double ExposureShare)
-      : ExposureShare(ExposureShare) {}
+  explicit rollout_controller(const exposure_limits &Exposure)
+      : Exposure(Exposure) {}
 
-  void setExposureShare(double Share) { ExposureShare = Share; }
+  void setExposureLimits(const exposure_limits &Limits) { Exposure = Limits; }
   /// Elapsed: time since the roll-out began, 0 if unknown.
   void onOrder(const rollout_order &Order, order_origin Origin,
                milliseconds Elapsed, steady_time Now);
@@ -94,7 +95,8 @@
   release_rule ruleFor(const service_id &Service, steady_time Now) const;
   /// Evaluates the targets of open roll-outs. A target is rejected if it is
   /// found to be worse, or is not found to be sound in time; it remains so.
-  void judge(const release_statistics &Statistics, steady_time Now);
+  void judge(const release_statistics &Statistics, std::size_t VmCount,
+             steady_time Now);
 
   /// A change of the published outcome that has to be written to the store.
   struct outcome_update {
@@ -116,6 +118,13 @@
     std::optional<service_totals> TotalsBefore;
     release_verdict Verdict = release_verdict::Sound;
     bool IsRejected = false;
+    steady_time ObservedSince;
+    exposure_counts AttemptsBefore;
+    /// Share of the trial; unset until the rate of requests is known.
+    std::optional<double> TrialShare;
+    /// Whether the shift has to wait, and whether it has begun.
+    bool IsShiftHeld = false;
+    bool HasShifted = false;
     /// The final outcome, once a VM has published it. It outlasts a
     /// restoration of the store.
     std::optional<rollout_outcome> FinalOutcome;
@@ -135,9 +144,15 @@
   static bool isRepeated(const rollout &Rollout, const rollout_order &Order,
                          order_origin Origin);
   void applyPublishedOutcome(rollout &Rollout) const;
-  double progress(const rollout &Rollout, steady_time Now) const;
-
-  double ExposureShare;
+  static milliseconds elapsed(const rollout &Rollout, steady_time Now);
+  void observe(rollout &Rollout, const release_statistics &Statistics,
+               steady_time Now) const;
+  /// Sets the share of the trial and whether the shift has to wait.
+  void limitExposure(rollout &Rollout, const release_statistics &Statistics,
+                     std::size_t VmCount, steady_time Now) const;
+  double trialShare(const rollout &Rollout) const;
+
+  exposure_limits Exposure;
   std::map<service_id, rollout> Rollouts;
   std::map<service_id, published_outcome> LatestOutcomes;
 };
--- a/Libraries/LibRelay/relay_node.cpp
+++ b/Libraries/LibRelay/relay_node.cpp
@@ -47,7 +47,7 @@
                       configuration_confirmation(Settings.RevokeBound),
                       fleet_retry_budget(Settings.Retries),
                       session_pins(Settings.SessionGap),
-                      rollout_controller(Settings.ExposureShare)},
+                      rollout_controller(Settings.Exposure)},
       Connections(Loop.get_executor(), EndpointTiming),
       Context{Loop.get_executor(), Clock,   Codec,  Log, Metrics, Fleet,
               Connections,         nullptr, nullptr},
@@ -62,14 +62,15 @@
   Fleet.StopGrace = Changed.StopGrace;
   Fleet.Confirmation.setRevokeBound(Changed.RevokeBound);
   Fleet.Retries.setLimits(Changed.Retries);
-  Fleet.Rollouts.setExposureShare(Changed.ExposureShare);
+  Fleet.Rollouts.setExposureLimits(Changed.Exposure);
   Log.write(log_level::Info, "settings_applied",
             {{"stop_grace_ms", std::to_string(Changed.StopGrace.count())},
              {"revoke_bound_ms",
               Changed.RevokeBound ? std::to_string(Changed.RevokeBound->count())
                                   : "none"},
              {"retry_ratio", std::to_string(Changed.Retries.Ratio)},
-             {"exposure_share", std::to_string(Changed.ExposureShare)}});
+             {"exposure_share", std::to_string(Changed.Exposure.Share)},
+             {"exposure_slack", std::to_string(Changed.Exposure.Slack)}});
 }
 
 member_entry relay_node::selfEntry() const {
--- a/Libraries/LibRelay/relay_settings.h
+++ b/Libraries/LibRelay/relay_settings.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "LibDispatch/exposure_budget.h"
 #include "LibDispatch/fleet_retry_budget.h"
 #include "LibTypes/ids.h"
 #include "LibTypes/network_address.h"
@@ -25,9 +26,7 @@
   /// serving with an old configuration is allowed.
   std::optional<milliseconds> RevokeBound;
   retry_budget_limits Retries;
-  /// Largest fraction of a service's requests that an unproven release may
-  /// get in total.
-  double ExposureShare = 0.1;
+  exposure_limits Exposure;
 };
 
 } // namespace azurehaven
--- a/Libraries/LibRelay/rollout_driver.cpp
+++ b/Libraries/LibRelay/rollout_driver.cpp
@@ -35,7 +35,7 @@
 
 void rollout_driver::advance() {
   const steady_time Now = Clock.now();
-  Fleet.Rollouts.judge(Fleet.ReleaseStatistics, Now);
+  Fleet.Rollouts.judge(Fleet.ReleaseStatistics, Fleet.Members.size(), Now);
   // A stopping process may exit before the store responds.
   if (Fleet.IsStopping)
     return;
