LibDispatch: Load the endpoints of a trial as a roll-out will

Cause: a trial of 4 in 100 requests was spread over two endpoints at least, which had a fifth of the usual load each.

Change: the fraction is rounded, down to one endpoint.

--- a/Libraries/LibDispatch/candidate_filter.cpp
+++ b/Libraries/LibDispatch/candidate_filter.cpp
@@ -9,11 +9,6 @@
 
 namespace {
 
-/// Fewest endpoints of the target release that a trial uses. A trial restricts
-/// the endpoints to the same fraction as the requests, so that each of them has
-/// the load that it will have after the roll-out.
-constexpr std::size_t MinimumTrialEndpoints = 2;
-
 endpoint_list usableEndpoints(const endpoint_list &Endpoints,
                               const std::string &Target, bool WantsTarget,
                               steady_time Now) {
@@ -27,11 +22,11 @@
   return Usable;
 }
 
+/// A trial restricts the endpoints to the same fraction as the requests, so
+/// that each of them has about the load that it will have after the roll-out.
 void limitToTrialEndpoints(endpoint_list &Targets, double Share) {
-  const auto TrialCount =
-      std::max(MinimumTrialEndpoints,
-               static_cast<std::size_t>(
-                   std::ceil(static_cast<double>(Targets.size()) * Share)));
+  const auto TrialCount = std::max<std::size_t>(
+      1, std::llround(static_cast<double>(Targets.size()) * Share));
   if (Targets.size() <= TrialCount)
     return;
   std::sort(Targets.begin(), Targets.end(), [](const auto &A, const auto &B) {
