--- a/Libraries/LibRelay/relayed_request.cpp
+++ b/Libraries/LibRelay/relayed_request.cpp
@@ -26,6 +26,13 @@
 /// For a resumed stream: the caller has already received a part of it.
 constexpr int ContinuationUrgency = 2;
 
+std::string describeSegments(const std::vector<prompt_segment> &Prompt) {
+  std::string Text;
+  for (const prompt_segment &Segment : Prompt)
+    Text += (Text.empty() ? "" : ",") + Segment.Id;
+  return Text;
+}
+
 bool isSuccess(int Status) { return Status >= 200 && Status < 300; }
 
 const char *nameOf(route_kind Kind) {
@@ -125,6 +132,7 @@
     const std::shared_ptr<endpoint_record> &Target) {
   const steady_time Now = Context.Clock.now();
   Endpoint = Target;
+  HasHead = false;
   Tried.insert(Target->Descriptor.Id);
   ++SendCount;
   attempt_parameters Parameters;
@@ -211,6 +219,7 @@
     Context.Fleet.PrefillTimes.add(PromptWorkAhead, Recorder.msSinceSent(Now));
   if (tryEscalate(NewResponse))
     return head_verdict::Reject;
+  HasHead = true;
   ResponseHead = NewHead;
   Response = NewResponse;
   ResponseBody.clear();
@@ -380,15 +389,24 @@
     ++RunCount;
     if (recordCrash(*Endpoint, Now))
       Recorder.record(/*HasFailed=*/true, Now);
-    Context.Fleet.Quarantine.addLocal(
-        Admitted.Fingerprint,
-        endpoint_id(Endpoint->Descriptor.Id.text() + "/" +
-                    std::to_string(Endpoint->Descriptor.Incarnation)),
-        Now);
+    recordEndpointCrash(Now);
   }
   retryOrRefuse(Failure, Reason);
 }
 
+void relayed_request::recordEndpointCrash(steady_time Now) {
+  const endpoint_id ProcessStart(
+      Endpoint->Descriptor.Id.text() + "/" +
+      std::to_string(Endpoint->Descriptor.Incarnation));
+  Context.Fleet.Quarantine.addLocal(Admitted.Fingerprint, ProcessStart, Now);
+  Context.Log.write(log_level::Warning, "endpoint_crash_counted",
+                    {{"request", Request.Id.text()},
+                     {"endpoint", ProcessStart.text()},
+                     {"prompt", describeSegments(Request.Prompt)},
+                     {"response_begun", HasHead ? "yes" : "no"},
+                     {"events", std::to_string(Splicer.eventCount())}});
+}
+
 bool relayed_request::mayRetryAfter(attempt_failure Failure,
                                     steady_time Now) const {
   return isRetryAllowed(Route, Failure) && RunCount < Route.MaxAttempts &&
--- a/Libraries/LibRelay/relayed_request.h
+++ b/Libraries/LibRelay/relayed_request.h
@@ -57,6 +57,8 @@
   /// Forwards the endpoint's error response. Sends a 502 instead if that would
   /// tell the caller that the request was not executed, or if it is unsigned.
   void forwardErrorResponse();
+  /// Counts the failed attempt as a crash of its endpoint.
+  void recordEndpointCrash(steady_time Now);
   void retryOrRefuse(attempt_failure Failure, const std::string &Reason);
   void refuse(const error_response &Refusal);
   void abortResponse(const char *Reason);
@@ -94,6 +96,8 @@
   /// Whether a stream's response to the caller has begun.
   bool ResponseStarted = false;
   bool IsFinished = false;
+  /// Whether the head of the current attempt's response has been received.
+  bool HasHead = false;
   /// The endpoint's response that is being received.
   response_head ResponseHead;
   decoded_response_head Response;
