--- a/Tests/LibRelay/plain_codec.h
+++ b/Tests/LibRelay/plain_codec.h
@@ -2,6 +2,8 @@
 
 #include "LibRelay/wire_codec.h"
 
+#include <sstream>
+
 namespace azurehaven {
 
 /// A codec with short header names for tests of the relay.
@@ -21,6 +23,9 @@
     Request.Path = Head.Target;
     Request.ApiKey = headerValue(Head.Headers, "Key");
     Request.RequestedModel = headerValue(Head.Headers, "Model");
+    std::istringstream Prompt(headerValue(Head.Headers, "Prompt"));
+    for (std::string Segment; std::getline(Prompt, Segment, ',');)
+      Request.Prompt.push_back({Segment, 100});
     const std::string Deadline = headerValue(Head.Headers, "Deadline");
     if (!Deadline.empty())
       Request.Deadline = milliseconds(std::stoi(Deadline));
