LibDispatch, LibRelay: Quarantine a prompt segment under which engines crash

Cause: crashes were counted by whole requests (path, account, body). The requests were no two alike, so that none reached three crashes before it was given up, and each new one crashed up to three engines more. The class: evidence kept under a key that is too narrow for the cause that repeats.

Change: prompt_quarantine counts crashes by each shared segment of a request whose response had begun and not got on; what waits or streams on the engine is not blamed. A segment that a response gets on with is cleared, on all VMs. Refused at once, not run, on every VM.

--- a/Libraries/LibPeer/frame_codec.cpp
+++ b/Libraries/LibPeer/frame_codec.cpp
@@ -46,10 +46,7 @@
     std::vector<Offset<wire::Rating>> Ratings;
     for (const auto &Notice : Message.Ratings)
       Ratings.push_back(encodeRating(Builder, Notice));
-    std::vector<Offset<wire::Crash>> Crashes;
-    for (const auto &Notice : Message.Crashes)
-      Crashes.push_back(wire::CreateCrashDirect(
-          Builder, Notice.Fingerprint, Notice.Endpoint.text().c_str()));
+    const auto Crashes = encodeCrashes(Message.Crashes);
     std::vector<Offset<wire::Usage>> Usage;
     for (const auto &Notice : Message.Usage)
       Usage.push_back(wire::CreateUsageDirect(
@@ -111,10 +108,8 @@
     for (const auto &SessionRelease : Message.SessionReleases)
       SessionReleases.push_back(wire::CreateSessionSightingDirect(
           Builder, SessionRelease.Session, SessionRelease.Release.c_str()));
-    std::vector<Offset<wire::Crash>> Crashes;
-    for (const auto &Notice : Message.Crashes)
-      Crashes.push_back(wire::CreateCrashDirect(
-          Builder, Notice.Fingerprint, Notice.Endpoint.text().c_str()));
+    const auto Crashes = encodeCrashes(Message.Crashes);
+    const auto SegmentCrashes = encodeCrashes(Message.SegmentCrashes);
     std::vector<Offset<wire::LeavingEndpoint>> Leaving;
     for (const auto &Notice : Message.LeavingEndpoints)
       Leaving.push_back(wire::CreateLeavingEndpointDirect(
@@ -128,11 +123,21 @@
     return wire::CreateFleetNoticeDirect(
                Builder, &Releases, &SessionReleases, &Crashes, &Leaving, &Loads,
                static_cast<std::uint64_t>(Message.ClockReading.count()),
-               Confirmation ? &*Confirmation : nullptr)
+               Confirmation ? &*Confirmation : nullptr, &SegmentCrashes,
+               &Message.ClearedSegments)
         .Union();
   }
 
 private:
+  std::vector<Offset<wire::Crash>>
+  encodeCrashes(const std::vector<crash_notice> &Notices) {
+    std::vector<Offset<wire::Crash>> Crashes;
+    for (const auto &Notice : Notices)
+      Crashes.push_back(wire::CreateCrashDirect(
+          Builder, Notice.Fingerprint, Notice.Endpoint.text().c_str()));
+    return Crashes;
+  }
+
   FlatBufferBuilder &Builder;
 };
 
@@ -226,6 +231,9 @@
         return session_release_notice{Item.session(), Item.release()->str()};
       });
   Message.Crashes = decodeAll(Source.crashes(), decodeCrash);
+  Message.SegmentCrashes = decodeAll(Source.segment_crashes(), decodeCrash);
+  if (const auto *Cleared = Source.cleared_segments())
+    Message.ClearedSegments.assign(Cleared->begin(), Cleared->end());
   Message.LeavingEndpoints =
       decodeAll(Source.leaving(), [](const wire::LeavingEndpoint &Item) {
         return leaving_notice{endpoint_id(Item.endpoint()->str()),
--- a/Libraries/LibPeer/peer_message.h
+++ b/Libraries/LibPeer/peer_message.h
@@ -151,6 +151,10 @@
   /// The sender's clock reading.
   milliseconds ClockReading{0};
   std::optional<confirmation_notice> Confirmation;
+  /// Crashes under a prompt segment; the fingerprint is the segment's.
+  std::vector<crash_notice> SegmentCrashes;
+  /// Segments that are no longer suspected.
+  std::vector<std::uint64_t> ClearedSegments;
 };
 
 using peer_message =
--- a/Libraries/LibRelay/admitted_request.cpp
+++ b/Libraries/LibRelay/admitted_request.cpp
@@ -35,6 +35,7 @@
   admitted_request Admitted;
   Admitted.Session = fingerprintOf(Request.Session.empty() ? Request.Id.text()
                                                            : Request.Session);
+  Admitted.SharedSegments = sharedSegments(Request);
   Admitted.Request = std::move(Request);
   Admitted.Routes = std::move(Routes);
   Admitted.Route = &Route;
--- a/Libraries/LibRelay/admitted_request.h
+++ b/Libraries/LibRelay/admitted_request.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "LibDispatch/dispatch_request.h"
+#include "LibDispatch/prompt_quarantine.h"
 #include "LibDispatch/route_table.h"
 
 #include <memory>
@@ -18,6 +18,8 @@
   std::uint64_t Fingerprint = 0;
   /// Hash of the session id, or of the request id if there is no session.
   std::uint64_t Session = 0;
+  /// The prompt segments that other requests share.
+  std::vector<segment_key> SharedSegments;
   /// The service selected by the weights of the route's shares.
   service_id Service;
 
--- a/Libraries/LibRelay/fleet_state.h
+++ b/Libraries/LibRelay/fleet_state.h
@@ -8,6 +8,7 @@
 #include "LibDispatch/latency_baseline.h"
 #include "LibDispatch/model_cascade.h"
 #include "LibDispatch/prefill_time_estimator.h"
+#include "LibDispatch/prompt_quarantine.h"
 #include "LibDispatch/release_statistics.h"
 #include "LibDispatch/rollout_controller.h"
 #include "LibDispatch/route_table.h"
@@ -33,6 +34,7 @@
   rollout_controller Rollouts;
   confirmation_exchange PassedConfirmations{};
   crash_quarantine Quarantine{};
+  prompt_quarantine PromptQuarantine{};
   model_cascade Models{};
   release_statistics ReleaseStatistics{};
   /// Times between events of a stream, or total times of plain responses.
--- a/Libraries/LibRelay/fleet_state_updater.cpp
+++ b/Libraries/LibRelay/fleet_state_updater.cpp
@@ -211,6 +211,7 @@
     Log.write(log_level::Info, "endpoint_gone", {{"endpoint", Id.text()}});
   Fleet.Members.removeExpired(Now);
   Fleet.Quarantine.expire(Now);
+  Fleet.PromptQuarantine.expire(Now);
   DepartedEndpoints.expire(Now);
   DepartedMembers.expire(Now);
   if (Restoration.isSettled(Now))
--- a/Libraries/LibRelay/peer_state_sync.cpp
+++ b/Libraries/LibRelay/peer_state_sync.cpp
@@ -42,6 +42,9 @@
     Notice.SessionReleases.push_back({Pin.Session, Pin.Release});
   for (const auto &Crash : Fleet.Quarantine.takeUnsent())
     Notice.Crashes.push_back({Crash.Fingerprint, Crash.Endpoint});
+  for (const auto &Crash : Fleet.PromptQuarantine.takeUnsentCrashes())
+    Notice.SegmentCrashes.push_back({Crash.Segment, Crash.Endpoint});
+  Notice.ClearedSegments = Fleet.PromptQuarantine.takeUnsentCleared();
   for (const auto &Start : std::exchange(Fleet.UnsentLeavingEndpoints, {}))
     Notice.LeavingEndpoints.push_back({Start.Endpoint, Start.Incarnation});
   return Notice;
@@ -90,6 +93,10 @@
     Fleet.Pins.merge({SessionRelease.Session, SessionRelease.Release, Now});
   for (const auto &Crash : Notice->Crashes)
     Fleet.Quarantine.merge(Crash.Fingerprint, Crash.Endpoint, Now);
+  for (const auto &Crash : Notice->SegmentCrashes)
+    Fleet.PromptQuarantine.merge({Crash.Fingerprint, Crash.Endpoint}, Now);
+  for (const segment_key Segment : Notice->ClearedSegments)
+    Fleet.PromptQuarantine.mergeCleared(Segment, Now);
   for (const auto &Leaving : Notice->LeavingEndpoints)
     Fleet.Endpoints.markLeaving({Leaving.Endpoint, Leaving.Incarnation}, Now);
 }
--- a/Libraries/LibRelay/relay.cpp
+++ b/Libraries/LibRelay/relay.cpp
@@ -114,6 +114,9 @@
       Account ? Account->Account : client_account_id();
   const std::uint64_t Fingerprint =
       requestFingerprint(Request.Path, AccountId, Incoming.Body);
+  if (Fleet.PromptQuarantine.isQuarantined(sharedSegments(Request)))
+    return refuse(Request, *Caller, 503, QuarantineRetryAfter,
+                  "prompt_breaks_endpoints");
   if (Fleet.Quarantine.isQuarantined(Fingerprint))
     return refuse(Request, *Caller, 503, QuarantineRetryAfter,
                   "breaks_endpoints");
--- a/Libraries/LibRelay/relayed_request.cpp
+++ b/Libraries/LibRelay/relayed_request.cpp
@@ -17,6 +17,9 @@
 /// Attempts allowed beyond the route's MaxAttempts, which limits executions:
 /// refusals by full endpoints cost little.
 constexpr int MaxExtraSends = 2;
+/// Events after which a response has got on: the endpoint does not crash at its
+/// begin.
+constexpr std::uint64_t SoundResponseEvents = 3;
 /// With more bytes queued for a slow caller, reading from its endpoint is
 /// paused.
 constexpr std::size_t MaxCallerBacklogBytes = 256 << 10;
@@ -133,6 +136,7 @@
   const steady_time Now = Context.Clock.now();
   Endpoint = Target;
   HasHead = false;
+  EventsBefore = Splicer.eventCount();
   Tried.insert(Target->Descriptor.Id);
   ++SendCount;
   attempt_parameters Parameters;
@@ -283,7 +287,10 @@
 void relayed_request::forwardStreamBytes(std::string Bytes) {
   const steady_time Now = Context.Clock.now();
   const std::uint64_t EventsBefore = Splicer.eventCount();
+  const bool WasSound = attemptEvents() >= SoundResponseEvents;
   const std::string Events = Splicer.add(Bytes);
+  if (!WasSound && attemptEvents() >= SoundResponseEvents)
+    Context.Fleet.PromptQuarantine.clearLocal(Admitted.SharedSegments, Now);
   if (Liveness && Splicer.eventCount() > EventsBefore)
     Liveness->onProgress(Now);
   if (!Events.empty()) {
@@ -333,6 +340,7 @@
   const steady_time Now = Context.Clock.now();
   recordSuccess(*Endpoint);
   Context.Fleet.Quarantine.clear(Admitted.Fingerprint);
+  Context.Fleet.PromptQuarantine.clearLocal(Admitted.SharedSegments, Now);
   Recorder.record(/*HasFailed=*/false, Now);
   refreshSessionPin(Context.Fleet, Admitted, *Endpoint, Now);
   if (Route.Kind == route_kind::Stream)
@@ -399,6 +407,11 @@
       Endpoint->Descriptor.Id.text() + "/" +
       std::to_string(Endpoint->Descriptor.Incarnation));
   Context.Fleet.Quarantine.addLocal(Admitted.Fingerprint, ProcessStart, Now);
+  // A request that still waits on the endpoint has not caused its crash, nor
+  // has one whose response got on.
+  if (HasHead && attemptEvents() < SoundResponseEvents)
+    Context.Fleet.PromptQuarantine.addLocal(Admitted.SharedSegments,
+                                            ProcessStart, Now);
   Context.Log.write(log_level::Warning, "endpoint_crash_counted",
                     {{"request", Request.Id.text()},
                      {"endpoint", ProcessStart.text()},
@@ -407,11 +420,20 @@
                      {"events", std::to_string(Splicer.eventCount())}});
 }
 
+std::uint64_t relayed_request::attemptEvents() const {
+  return Splicer.eventCount() - EventsBefore;
+}
+
+bool relayed_request::isQuarantined() const {
+  const fleet_state &Fleet = Context.Fleet;
+  return Fleet.Quarantine.isQuarantined(Admitted.Fingerprint) ||
+         Fleet.PromptQuarantine.isQuarantined(Admitted.SharedSegments);
+}
+
 bool relayed_request::mayRetryAfter(attempt_failure Failure,
                                     steady_time Now) const {
   return isRetryAllowed(Route, Failure) && RunCount < Route.MaxAttempts &&
-         SendCount < Route.MaxAttempts + MaxExtraSends &&
-         !Context.Fleet.Quarantine.isQuarantined(Admitted.Fingerprint) &&
+         SendCount < Route.MaxAttempts + MaxExtraSends && !isQuarantined() &&
          timeLeft(Now).count() > 0;
 }
 
--- a/Libraries/LibRelay/relayed_request.h
+++ b/Libraries/LibRelay/relayed_request.h
@@ -59,6 +59,9 @@
   void forwardErrorResponse();
   /// Counts the failed attempt as a crash of its endpoint.
   void recordEndpointCrash(steady_time Now);
+  bool isQuarantined() const;
+  /// Events that the current attempt has delivered.
+  std::uint64_t attemptEvents() const;
   void retryOrRefuse(attempt_failure Failure, const std::string &Reason);
   void refuse(const error_response &Refusal);
   void abortResponse(const char *Reason);
@@ -98,6 +101,8 @@
   bool IsFinished = false;
   /// Whether the head of the current attempt's response has been received.
   bool HasHead = false;
+  /// Events that earlier attempts have delivered.
+  std::uint64_t EventsBefore = 0;
   /// The endpoint's response that is being received.
   response_head ResponseHead;
   decoded_response_head Response;
--- a/Tests/LibPeer/frame_codec_test.cpp
+++ b/Tests/LibPeer/frame_codec_test.cpp
@@ -55,6 +55,18 @@
         "{}");
 }
 
+TEST_CASE("crashes under prompt segments are decoded as they were encoded") {
+  fleet_notice Notice;
+  Notice.SegmentCrashes = {{5, endpoint_id("e/1")}};
+  Notice.ClearedSegments = {6, 7};
+  auto Frame = decodeFrame(encodeFrame({vm_id("a"), 1, Notice}));
+  const auto Decoded = std::get<fleet_notice>(valueOf(Frame).Message);
+  REQUIRE(Decoded.SegmentCrashes.size() == 1);
+  CHECK(Decoded.SegmentCrashes.front().Fingerprint == 5);
+  CHECK(Decoded.SegmentCrashes.front().Endpoint == endpoint_id("e/1"));
+  CHECK(Decoded.ClearedSegments == std::vector<std::uint64_t>{6, 7});
+}
+
 TEST_CASE("mutated frames are rejected or decoded without a crash") {
   const std::string Good = encodeFrame(fullHeartbeat());
   std::mt19937 Random(20261204);
