LibRelay: Take no unended stream without events for a complete one

What callers saw: an empty success, where an engine that sends a stream without length or chunks ended before the first event.

Cause: such a response is complete at a clean close of its connection, and a crash at the beginning looks the same. It also cleared the history of the request and of its prompt segments, so that a segment under which engines crash in this way was never quarantined.

Change: without an event it has been broken off, unless its caller has had events before and none are left. A stream that ends inside an event was resumed already; tests now show that without a length, for a reset, and for plain responses.

--- a/Libraries/LibConnection/head_validator.cpp
+++ b/Libraries/LibConnection/head_validator.cpp
@@ -47,6 +47,11 @@
   return !IsFold && !IsControl;
 }
 
+bool isEndedByClose(const response_head &Head) {
+  return headerValue(Head.Headers, "Content-Length").empty() &&
+         headerValue(Head.Headers, "Transfer-Encoding").empty();
+}
+
 bool isConnectionField(const std::string &Name, const http_headers &Headers) {
   static constexpr std::array<const char *, 9> Fields = {
       "connection",        "keep-alive", "proxy-connection",
--- a/Libraries/LibConnection/message_head.h
+++ b/Libraries/LibConnection/message_head.h
@@ -21,6 +21,10 @@
   http_headers Headers;
 };
 
+/// Whether the response has neither a length nor chunks, so that its body ends
+/// with the connection. Source: RFC 9112, section 6.3.
+bool isEndedByClose(const response_head &Head);
+
 /// Whether a header field is never forwarded: it applies to one connection
 /// only, or is Content-Length or Expect, which each connection handles itself.
 /// Source: RFC 9110, section 7.6.1.
--- a/Libraries/LibRelay/relayed_request.cpp
+++ b/Libraries/LibRelay/relayed_request.cpp
@@ -332,10 +332,9 @@
   ++RunCount;
   if (!isSuccess(Response.Status))
     return handleErrorStatus();
-  if (Route.Kind == route_kind::Stream && Splicer.hasPartialEvent()) {
+  if (const char *Reason = streamBreakReason()) {
     --RunCount; // onAttemptFailed() counts this attempt.
-    return onAttemptFailed(attempt_failure::NoValidResponse,
-                           "the stream ended in the middle of an event");
+    return onAttemptFailed(attempt_failure::NoValidResponse, Reason);
   }
   const steady_time Now = Context.Clock.now();
   recordSuccess(*Endpoint);
@@ -351,6 +350,20 @@
   finish("answered");
 }
 
+const char *relayed_request::streamBreakReason() const {
+  if (Route.Kind != route_kind::Stream)
+    return nullptr;
+  if (Splicer.hasPartialEvent())
+    return "the stream ended in the middle of an event";
+  // The end of the connection is all that completes such a stream, and it is
+  // also what a crash at its beginning looks like. Only a caller that has had
+  // events before may get none.
+  const bool MayBeEmpty = Request.LastEventId && !ResponseStarted;
+  if (isEndedByClose(ResponseHead) && attemptEvents() == 0 && !MayBeEmpty)
+    return "the stream ended before its first event";
+  return nullptr;
+}
+
 void relayed_request::finishStream() {
   if (!ResponseStarted)
     Caller->startResponse(ResponseHead.Status,
--- a/Libraries/LibRelay/relayed_request.h
+++ b/Libraries/LibRelay/relayed_request.h
@@ -52,6 +52,8 @@
   void startAttemptOn(const std::shared_ptr<endpoint_record> &Endpoint);
   void onDeadline();
   void forwardStreamBytes(std::string Bytes);
+  /// Why the stream that has ended is not complete; null if it is.
+  const char *streamBreakReason() const;
   void finishStream();
   void handleErrorStatus();
   /// Forwards the endpoint's error response. Sends a 502 instead if that would
--- a/Tests/LibRelay/plain_codec.h
+++ b/Tests/LibRelay/plain_codec.h
@@ -23,6 +23,8 @@
     Request.Path = Head.Target;
     Request.ApiKey = headerValue(Head.Headers, "Key");
     Request.RequestedModel = headerValue(Head.Headers, "Model");
+    if (auto Text = headerValue(Head.Headers, "After"); !Text.empty())
+      Request.LastEventId = std::stoull(Text);
     std::istringstream Prompt(headerValue(Head.Headers, "Prompt"));
     for (std::string Segment; std::getline(Prompt, Segment, ',');)
       Request.Prompt.push_back({Segment, 100});
--- a/Tests/LibRelay/prompt_crash_test.cpp
+++ b/Tests/LibRelay/prompt_crash_test.cpp
@@ -10,19 +10,22 @@
 /// Endpoint crashes, and requests after them, that the operators accept.
 constexpr std::size_t AllowedCrashes = 5;
 constexpr std::size_t AllowedSendsAfter = 3;
-const std::string ChunkedHead = "HTTP/1.1 200 OK\r\nId: r1\r\nSigned: x\r\n"
-                                "Transfer-Encoding: chunked\r\n\r\n";
+const std::string Fields = "HTTP/1.1 200 OK\r\nId: r1\r\nSigned: x\r\n";
+const std::string ChunkedHead = Fields + "Transfer-Encoding: chunked\r\n\r\n";
+/// The response ends when the connection is closed.
+const std::string UnframedHead = Fields + "\r\n";
 
 /// Streams whose prompts are segments "system", a subject and one of their own.
 /// An endpoint that begins to respond to a prompt with the segment "bad"
 /// crashes.
 struct prompt_crash_fixture : relay_fixture {
-  prompt_crash_fixture() : relay_fixture(EndpointCount) {
+  explicit prompt_crash_fixture(const std::string &CrashHead = ChunkedHead)
+      : relay_fixture(EndpointCount) {
     addRoute("/s/", route_kind::Stream);
     applyRoutes();
-    setScript([](std::size_t, const received_request &Request) {
+    setScript([CrashHead](std::size_t, const received_request &Request) {
       if (Request.Body.find("bad") != std::string::npos)
-        return scripted_response{ChunkedHead, after_response::Close};
+        return scripted_response{CrashHead, after_response::Close};
       std::string Events;
       for (int Id = 1; Id <= 5; ++Id)
         Events += event(Id);
@@ -53,13 +56,15 @@
 
 TEST_CASE("Requests that share a prompt segment under which endpoints crash do "
           "not crash all endpoints") {
-  prompt_crash_fixture Fixture;
-  for (int Subject = 0; Subject < 10; ++Subject) {
-    const std::string Name = "subject-" + std::to_string(Subject);
-    CHECK(Fixture.send("system," + Name) == 200);
-    CHECK(Fixture.send("system," + Name + ",bad") >= 500);
+  for (const std::string &CrashHead : {ChunkedHead, UnframedHead}) {
+    prompt_crash_fixture Fixture(CrashHead);
+    for (int Subject = 0; Subject < 10; ++Subject) {
+      const std::string Name = "subject-" + std::to_string(Subject);
+      CHECK(Fixture.send("system," + Name) == 200);
+      CHECK(Fixture.send("system," + Name + ",bad") >= 500);
+    }
+    CHECK(Fixture.receivedBad() <= AllowedCrashes + AllowedSendsAfter);
   }
-  CHECK(Fixture.receivedBad() <= AllowedCrashes + AllowedSendsAfter);
 }
 
 TEST_CASE("Sound requests are served while others with their caller and all "
--- a/Tests/LibRelay/relayed_request_test.cpp
+++ b/Tests/LibRelay/relayed_request_test.cpp
@@ -10,6 +10,9 @@
 const std::string StreamHead =
     "HTTP/1.1 200 OK\r\nId: r1\r\nSigned: x\r\nTransfer-Encoding: chunked\r\n"
     "\r\n";
+/// The response ends when the connection is closed.
+const std::string UnframedHead =
+    "HTTP/1.1 200 OK\r\nId: r1\r\nSigned: x\r\n\r\n";
 
 } // namespace
 
@@ -193,6 +196,79 @@
   CHECK(bodyOf(Fixture.sendRequest("/p/")) == event(1) + event(2));
 }
 
+TEST_CASE("A stream without a length is complete when its connection closes "
+          "after an event") {
+  relay_fixture Fixture;
+  Fixture.addRoute("/p/", route_kind::Stream);
+  Fixture.applyRoutes();
+  Fixture.setScript([](std::size_t, const received_request &) {
+    return scripted_response{UnframedHead + event(1) + event(2),
+                             after_response::Close};
+  });
+  const auto Response = Fixture.sendRequest("/p/");
+  CHECK(statusOf(Response) == 200);
+  CHECK(bodyOf(Response) == event(1) + event(2));
+  CHECK(Fixture.Received.size() == 1);
+}
+
+TEST_CASE("A stream without a length that breaks off resumes on another "
+          "endpoint") {
+  struct broken_stream {
+    std::string Events;
+    after_response After;
+  };
+  for (const broken_stream &Broken :
+       {broken_stream{event(1) + "id: 2\nda", after_response::Close},
+        broken_stream{event(1), after_response::Reset},
+        broken_stream{"", after_response::Close}}) {
+    CAPTURE(Broken.Events);
+    relay_fixture Fixture;
+    Fixture.addRoute("/p/", route_kind::Stream);
+    Fixture.applyRoutes();
+    Fixture.setScript([&](std::size_t Number, const received_request &) {
+      if (Number == 0)
+        return scripted_response{UnframedHead + Broken.Events, Broken.After};
+      const std::string First = Broken.Events.empty() ? event(1) : "";
+      return scripted_response{UnframedHead + First + event(2),
+                               after_response::Close};
+    });
+    const auto Response = Fixture.sendRequest("/p/");
+    CHECK(statusOf(Response) == 200);
+    CHECK(bodyOf(Response) == event(1) + event(2));
+    CHECK(Fixture.Received.size() == 2);
+  }
+}
+
+TEST_CASE("A plain response without a length is complete only at a clean "
+          "close") {
+  for (const auto After : {after_response::Close, after_response::Reset}) {
+    relay_fixture Fixture;
+    Fixture.addRoute("/p/", route_kind::NonIdempotent);
+    Fixture.applyRoutes();
+    Fixture.setScript([&](std::size_t, const received_request &) {
+      return scripted_response{UnframedHead + "body", After};
+    });
+    const auto Response = Fixture.sendRequest("/p/");
+    const bool IsClean = After == after_response::Close;
+    CHECK(statusOf(Response) == (IsClean ? 200 : 502));
+    CHECK(bodyOf(Response) == (IsClean ? "body" : ""));
+  }
+}
+
+TEST_CASE("A caller that has all events of a stream without a length gets an "
+          "empty one") {
+  relay_fixture Fixture;
+  Fixture.addRoute("/p/", route_kind::Stream);
+  Fixture.applyRoutes();
+  Fixture.setScript([](std::size_t, const received_request &) {
+    return scripted_response{UnframedHead, after_response::Close};
+  });
+  const auto Response = Fixture.sendRequest("/p/", "After: 9\r\n");
+  CHECK(statusOf(Response) == 200);
+  CHECK(bodyOf(Response).empty());
+  CHECK(Fixture.Received.size() == 1);
+}
+
 TEST_CASE("A low-confidence response of a small model is not forwarded") {
   relay_fixture Fixture;
   Fixture.addRoute("/p/", route_kind::Stream).ModelsBySize = {
