--- a/Libraries/LibRelay/relayed_request.cpp
+++ b/Libraries/LibRelay/relayed_request.cpp
@@ -17,9 +17,6 @@
 /// Attempts allowed beyond the route's MaxAttempts, which limits executions:
 /// refusals by full endpoints cost little.
 constexpr int MaxExtraSends = 2;
-/// Events after which a response has got on: the endpoint does not crash at its
-/// begin.
-constexpr std::uint64_t SoundResponseEvents = 3;
 /// With more bytes queued for a slow caller, reading from its endpoint is
 /// paused.
 constexpr std::size_t MaxCallerBacklogBytes = 256 << 10;
@@ -29,13 +26,6 @@
 /// For a resumed stream: the caller has already received a part of it.
 constexpr int ContinuationUrgency = 2;
 
-std::string describeSegments(const std::vector<prompt_segment> &Prompt) {
-  std::string Text;
-  for (const prompt_segment &Segment : Prompt)
-    Text += (Text.empty() ? "" : ",") + Segment.Id;
-  return Text;
-}
-
 bool isSuccess(int Status) { return Status >= 200 && Status < 300; }
 
 const char *nameOf(route_kind Kind) {
@@ -75,7 +65,9 @@
       Caller(std::move(Caller)), ArrivedAt(Context.Clock.now()),
       TimeLimit(timeLimitOf(Request, Route)), Deadline(Context.Executor),
       Splicer(Request.LastEventId), ResponseBody(Context.BufferedResponseBytes),
-      Recorder(Context.Fleet, Context.Log, Admitted) {
+      Recorder(Context.Fleet, Context.Log, Admitted),
+      Crashes(Context.Fleet, Context.Log, Admitted),
+      Logged(Context.Log, Admitted) {
   Context.ActiveRequests.insert(this);
 }
 
@@ -135,8 +127,6 @@
     const std::shared_ptr<endpoint_record> &Target) {
   const steady_time Now = Context.Clock.now();
   Endpoint = Target;
-  HasHead = false;
-  EventsBefore = Splicer.eventCount();
   Tried.insert(Target->Descriptor.Id);
   ++SendCount;
   attempt_parameters Parameters;
@@ -152,16 +142,7 @@
     Parameters.Urgency = SmallModelUrgency;
   Parameters.ResumeAfter = Splicer.lastEventId();
   Parameters.BodySize = Body->size();
-  Context.Log.write(
-      log_level::Info, "request_sent",
-      {{"request", Request.Id.text()},
-       {"route", Route.Name},
-       {"endpoint", Target->Descriptor.Id.text()},
-       {"release", Target->Descriptor.Release},
-       {"model", Model.text()},
-       {"send", std::to_string(SendCount)},
-       {"in_flight", std::to_string(Target->InFlight)},
-       {"time_left_ms", std::to_string(Parameters.TimeLeft.count())}});
+  Logged.onSent(*Target, Model, SendCount, Parameters.TimeLeft);
   const double OwnWork =
       promptWorkOn(Context.Fleet, Admitted, ModelIndex, *Target, Now);
   PromptWorkAhead = pendingPromptWork(*Target) + OwnWork;
@@ -173,6 +154,7 @@
   Outgoing.Body = Body;
   Outgoing.IsHead = Head.Method == "HEAD";
   Recorder.onSent(Target->Descriptor, Model, Splicer.eventCount(), Now);
+  Crashes.onSent(Target->Descriptor, Splicer.eventCount());
   Cost += attemptCost(Admitted, ModelIndex);
   recordSend(Context.Fleet, Admitted, ModelIndex, *Target, Now);
   Attempt->start(std::move(Outgoing), Route.allowsReexecution()
@@ -223,7 +205,7 @@
     Context.Fleet.PrefillTimes.add(PromptWorkAhead, Recorder.msSinceSent(Now));
   if (tryEscalate(NewResponse))
     return head_verdict::Reject;
-  HasHead = true;
+  Crashes.onHead();
   ResponseHead = NewHead;
   Response = NewResponse;
   ResponseBody.clear();
@@ -240,13 +222,7 @@
   const milliseconds Backlog = estimatedBacklog(Fleet, Admitted.Service, Now);
   const auto Larger = Fleet.Models.escalate(Route, Request, *ModelIndex,
                                             *NewResponse.Confidence, Backlog);
-  Context.Log.write(log_level::Info, "answer_judged",
-                    {{"request", Request.Id.text()},
-                     {"route", Route.Name},
-                     {"model", Model.text()},
-                     {"confidence", std::to_string(*NewResponse.Confidence)},
-                     {"backlog_ms", std::to_string(Backlog.count())},
-                     {"outcome", Larger ? "escalated" : "accepted"}});
+  Logged.onJudged(Model, *NewResponse.Confidence, Backlog, Larger.has_value());
   Context.Metrics.increment("azurehaven_judged_answers_total",
                             Larger ? "outcome=\"escalated\""
                                    : "outcome=\"accepted\"");
@@ -287,10 +263,8 @@
 void relayed_request::forwardStreamBytes(std::string Bytes) {
   const steady_time Now = Context.Clock.now();
   const std::uint64_t EventsBefore = Splicer.eventCount();
-  const bool WasSound = attemptEvents() >= SoundResponseEvents;
   const std::string Events = Splicer.add(Bytes);
-  if (!WasSound && attemptEvents() >= SoundResponseEvents)
-    Context.Fleet.PromptQuarantine.clearLocal(Admitted.SharedSegments, Now);
+  Crashes.onEvents(Splicer.eventCount(), Now);
   if (Liveness && Splicer.eventCount() > EventsBefore)
     Liveness->onProgress(Now);
   if (!Events.empty()) {
@@ -338,8 +312,7 @@
   }
   const steady_time Now = Context.Clock.now();
   recordSuccess(*Endpoint);
-  Context.Fleet.Quarantine.clear(Admitted.Fingerprint);
-  Context.Fleet.PromptQuarantine.clearLocal(Admitted.SharedSegments, Now);
+  Crashes.onComplete(Now);
   Recorder.record(/*HasFailed=*/false, Now);
   refreshSessionPin(Context.Fleet, Admitted, *Endpoint, Now);
   if (Route.Kind == route_kind::Stream)
@@ -359,7 +332,8 @@
   // also what a crash at its beginning looks like. Only a caller that has had
   // events before may get none.
   const bool MayBeEmpty = Request.LastEventId && !ResponseStarted;
-  if (isEndedByClose(ResponseHead) && attemptEvents() == 0 && !MayBeEmpty)
+  if (isEndedByClose(ResponseHead) && Crashes.attemptEvents() == 0 &&
+      !MayBeEmpty)
     return "the stream ended before its first event";
   return nullptr;
 }
@@ -410,55 +384,22 @@
     ++RunCount;
     if (recordCrash(*Endpoint, Now))
       Recorder.record(/*HasFailed=*/true, Now);
-    recordEndpointCrash(Now);
+    Crashes.recordCrash(Now);
   }
   retryOrRefuse(Failure, Reason);
 }
 
-void relayed_request::recordEndpointCrash(steady_time Now) {
-  const endpoint_id ProcessStart(
-      Endpoint->Descriptor.Id.text() + "/" +
-      std::to_string(Endpoint->Descriptor.Incarnation));
-  Context.Fleet.Quarantine.addLocal(Admitted.Fingerprint, ProcessStart, Now);
-  // A request that still waits on the endpoint has not caused its crash, nor
-  // has one whose response got on.
-  if (HasHead && attemptEvents() < SoundResponseEvents)
-    Context.Fleet.PromptQuarantine.addLocal(Admitted.SharedSegments,
-                                            ProcessStart, Now);
-  Context.Log.write(log_level::Warning, "endpoint_crash_counted",
-                    {{"request", Request.Id.text()},
-                     {"endpoint", ProcessStart.text()},
-                     {"prompt", describeSegments(Request.Prompt)},
-                     {"response_begun", HasHead ? "yes" : "no"},
-                     {"events", std::to_string(Splicer.eventCount())}});
-}
-
-std::uint64_t relayed_request::attemptEvents() const {
-  return Splicer.eventCount() - EventsBefore;
-}
-
-bool relayed_request::isQuarantined() const {
-  const fleet_state &Fleet = Context.Fleet;
-  return Fleet.Quarantine.isQuarantined(Admitted.Fingerprint) ||
-         Fleet.PromptQuarantine.isQuarantined(Admitted.SharedSegments);
-}
-
 bool relayed_request::mayRetryAfter(attempt_failure Failure,
                                     steady_time Now) const {
   return isRetryAllowed(Route, Failure) && RunCount < Route.MaxAttempts &&
-         SendCount < Route.MaxAttempts + MaxExtraSends && !isQuarantined() &&
-         timeLeft(Now).count() > 0;
+         SendCount < Route.MaxAttempts + MaxExtraSends &&
+         !Crashes.isQuarantined() && timeLeft(Now).count() > 0;
 }
 
 void relayed_request::retryOrRefuse(attempt_failure Failure,
                                     const std::string &Reason) {
   const steady_time Now = Context.Clock.now();
-  Context.Log.write(log_level::Warning, "attempt_failed",
-                    {{"request", Request.Id.text()},
-                     {"endpoint", Endpoint->Descriptor.Id.text()},
-                     {"reason", Reason},
-                     {"may_have_run", mayHaveRun(Failure) ? "yes" : "no"},
-                     {"sends", std::to_string(SendCount)}});
+  Logged.onAttemptFailed(Endpoint->Descriptor.Id, Failure, Reason, SendCount);
   const bool IsAllowed = mayRetryAfter(Failure, Now);
   const bool HasBudget =
       IsAllowed &&
@@ -545,19 +486,8 @@
   const bool IsAnswered = std::string_view(Outcome) == "answered";
   if (IsAnswered)
     recordBill();
-  Context.Log.write(
-      IsAnswered ? log_level::Info : log_level::Warning, "request_finished",
-      {{"request", Request.Id.text()},
-       {"route", Route.Name},
-       {"account", Admitted.Account.Account.text()},
-       {"outcome", Outcome},
-       {"endpoint", Endpoint ? Endpoint->Descriptor.Id.text() : "none"},
-       {"model", Model.text()},
-       {"config_version", std::to_string(Admitted.Routes->version())},
-       {"sends", std::to_string(SendCount)},
-       {"first_event_ms",
-        TimeToFirstEvent ? std::to_string(TimeToFirstEvent->count()) : "none"},
-       {"took_ms", std::to_string(Took.count())}});
+  Logged.onFinished(Outcome, IsAnswered, Endpoint.get(), Model, SendCount,
+                    TimeToFirstEvent, Took);
   Attempt.reset();
   ResponseBody.clear();
 }
--- a/Libraries/LibRelay/relayed_request.h
+++ b/Libraries/LibRelay/relayed_request.h
@@ -6,9 +6,11 @@
 #include "LibRelay/admitted_request.h"
 #include "LibRelay/attempt_recorder.h"
 #include "LibRelay/buffered_body.h"
+#include "LibRelay/crash_recorder.h"
 #include "LibRelay/endpoint_attempt.h"
 #include "LibRelay/liveness_monitor.h"
 #include "LibRelay/relay.h"
+#include "LibRelay/request_log.h"
 
 #include <asio/steady_timer.hpp>
 
@@ -59,11 +61,6 @@
   /// Forwards the endpoint's error response. Sends a 502 instead if that would
   /// tell the caller that the request was not executed, or if it is unsigned.
   void forwardErrorResponse();
-  /// Counts the failed attempt as a crash of its endpoint.
-  void recordEndpointCrash(steady_time Now);
-  bool isQuarantined() const;
-  /// Events that the current attempt has delivered.
-  std::uint64_t attemptEvents() const;
   void retryOrRefuse(attempt_failure Failure, const std::string &Reason);
   void refuse(const error_response &Refusal);
   void abortResponse(const char *Reason);
@@ -101,15 +98,13 @@
   /// Whether a stream's response to the caller has begun.
   bool ResponseStarted = false;
   bool IsFinished = false;
-  /// Whether the head of the current attempt's response has been received.
-  bool HasHead = false;
-  /// Events that earlier attempts have delivered.
-  std::uint64_t EventsBefore = 0;
   /// The endpoint's response that is being received.
   response_head ResponseHead;
   decoded_response_head Response;
   buffered_body ResponseBody;
   attempt_recorder Recorder;
+  crash_recorder Crashes;
+  const request_log Logged;
   /// Total model cost of all attempts.
   micro_euros Cost{0};
   /// Prompt work queued on the endpoint when this request was sent, its own
--- /dev/null
+++ b/Libraries/LibRelay/request_log.cpp
@@ -0,0 +1,61 @@
+#include "LibRelay/request_log.h"
+
+namespace azurehaven {
+
+void request_log::onSent(const endpoint_record &Endpoint, const model_id &Model,
+                         int SendCount, milliseconds TimeLeft) const {
+  Log.write(log_level::Info, "request_sent",
+            {{"request", Admitted.Request.Id.text()},
+             {"route", Admitted.Route->Name},
+             {"endpoint", Endpoint.Descriptor.Id.text()},
+             {"release", Endpoint.Descriptor.Release},
+             {"model", Model.text()},
+             {"send", std::to_string(SendCount)},
+             {"in_flight", std::to_string(Endpoint.InFlight)},
+             {"time_left_ms", std::to_string(TimeLeft.count())}});
+}
+
+void request_log::onJudged(const model_id &Model, int Confidence,
+                           milliseconds Backlog, bool IsEscalated) const {
+  Log.write(log_level::Info, "answer_judged",
+            {{"request", Admitted.Request.Id.text()},
+             {"route", Admitted.Route->Name},
+             {"model", Model.text()},
+             {"confidence", std::to_string(Confidence)},
+             {"backlog_ms", std::to_string(Backlog.count())},
+             {"outcome", IsEscalated ? "escalated" : "accepted"}});
+}
+
+void request_log::onAttemptFailed(const endpoint_id &Endpoint,
+                                  attempt_failure Failure,
+                                  const std::string &Reason,
+                                  int SendCount) const {
+  Log.write(log_level::Warning, "attempt_failed",
+            {{"request", Admitted.Request.Id.text()},
+             {"endpoint", Endpoint.text()},
+             {"reason", Reason},
+             {"may_have_run", mayHaveRun(Failure) ? "yes" : "no"},
+             {"sends", std::to_string(SendCount)}});
+}
+
+void request_log::onFinished(const char *Outcome, bool IsAnswered,
+                             const endpoint_record *Endpoint,
+                             const model_id &Model, int SendCount,
+                             std::optional<milliseconds> TimeToFirstEvent,
+                             milliseconds Took) const {
+  Log.write(
+      IsAnswered ? log_level::Info : log_level::Warning, "request_finished",
+      {{"request", Admitted.Request.Id.text()},
+       {"route", Admitted.Route->Name},
+       {"account", Admitted.Account.Account.text()},
+       {"outcome", Outcome},
+       {"endpoint", Endpoint ? Endpoint->Descriptor.Id.text() : "none"},
+       {"model", Model.text()},
+       {"config_version", std::to_string(Admitted.Routes->version())},
+       {"sends", std::to_string(SendCount)},
+       {"first_event_ms",
+        TimeToFirstEvent ? std::to_string(TimeToFirstEvent->count()) : "none"},
+       {"took_ms", std::to_string(Took.count())}});
+}
+
+} // namespace azurehaven
