LibDispatch: Give a trial requests of each route

Cause: requests with a common prompt go to the same release, and the trial is now small.

Change: the trial's share is corrected by route: above 1 while the target has got less than its share of the route's requests, below 1 while it has got more. The number of its endpoints follows the uncorrected share. On a single route two bad outcomes are enough to be suspect, where 0.2 are expected.

--- a/Libraries/LibDispatch/release_verdict.cpp
+++ b/Libraries/LibDispatch/release_verdict.cpp
@@ -15,7 +15,7 @@
 /// and on a single one.
 constexpr double SuspectDeviations = 2;
 constexpr double SuspectRouteDeviations = 3;
-constexpr std::uint32_t MinimumSuspectOutcomes = 3;
+constexpr std::uint32_t MinimumSuspectOutcomes = 2;
 /// Lower bound of the baseline rate: a few failures happen to any release.
 constexpr double MinimumBaselineRate = 0.03;
 /// Weight of the minimum rate in the estimated baseline, in requests.
--- a/Libraries/LibDispatch/rollout_controller.cpp
+++ b/Libraries/LibDispatch/rollout_controller.cpp
@@ -12,6 +12,11 @@
 constexpr double MinimumTrialFraction = 0.15;
 constexpr double MaximumTrialFraction = 0.6;
 
+/// Bounds of a route's factor. Requests with a common prompt go to the same
+/// release, so that a small trial may get all of a route's requests or none.
+constexpr double MinimumRouteFactor = 0.25;
+constexpr double MaximumRouteFactor = 16;
+
 } // namespace
 
 const char *nameOf(rollout_outcome Outcome) {
@@ -45,8 +50,9 @@
     return release_choice::Target;
   if (Pinned && Rule.PinsSessions)
     return release_choice::NotTarget;
-  return Sample < Rule.TargetShare ? release_choice::Target
-                                   : release_choice::NotTarget;
+  return Sample < Rule.TargetShare * Rule.RouteFactor
+             ? release_choice::Target
+             : release_choice::NotTarget;
 }
 
 bool rollout_controller::isRepeated(const rollout &Rollout,
@@ -180,6 +186,37 @@
   }
   Rollout.Verdict =
       judgeRelease(Totals, *Rollout.TotalsBefore, Rollout.Order.Target);
+  balanceRoutes(Rollout, Totals);
+}
+
+void rollout_controller::balanceRoutes(rollout &Rollout,
+                                       const service_totals &Totals) const {
+  std::map<std::string, exposure_counts> Attempts;
+  for (const auto &[Key, Counts] : Totals) {
+    const auto Before = Rollout.TotalsBefore->find(Key);
+    const std::uint32_t Earlier =
+        Before == Rollout.TotalsBefore->end() ? 0 : Before->second.Attempts;
+    Attempts[Key.Route].All += Counts.Attempts - Earlier;
+    if (Key.Release == Rollout.Order.Target)
+      Attempts[Key.Route].Target += Counts.Attempts - Earlier;
+  }
+  for (const auto &[Route, Counts] : Attempts) {
+    const double Expected = trialShare(Rollout) * Counts.All;
+    const double Ratio = Expected / std::max(Counts.Target, 1u);
+    // The square corrects a wrong number of requests sooner than its share of
+    // the prompts changes.
+    Rollout.RouteFactors[Route] =
+        std::clamp(Ratio * Ratio, MinimumRouteFactor, MaximumRouteFactor);
+  }
+}
+
+double rollout_controller::routeFactor(const service_id &Service,
+                                       const std::string &Route) const {
+  const auto Rollout = Rollouts.find(Service);
+  if (Rollout == Rollouts.end())
+    return 1;
+  const auto Factor = Rollout->second.RouteFactors.find(Route);
+  return Factor == Rollout->second.RouteFactors.end() ? 1 : Factor->second;
 }
 
 void rollout_controller::limitExposure(rollout &Rollout,
--- a/Libraries/LibDispatch/rollout_controller.h
+++ b/Libraries/LibDispatch/rollout_controller.h
@@ -55,6 +55,8 @@
   /// Fraction of the requests that go to the target, apart from those of
   /// sessions that keep their release.
   double TargetShare = 0;
+  /// Multiplies the share for the request's route.
+  double RouteFactor = 1;
   /// Whether sessions on the old release must stay there for now.
   bool PinsSessions = false;
 };
@@ -93,6 +95,10 @@
   /// rejected.
   bool isAnyUndecided() const;
   release_rule ruleFor(const service_id &Service, steady_time Now) const;
+  /// Factor of the trial's share for a route. Above 1 while the target has got
+  /// less than its share of the route's requests, below 1 while it has got
+  /// more.
+  double routeFactor(const service_id &Service, const std::string &Route) const;
   /// Evaluates the targets of open roll-outs. A target is rejected if it is
   /// found to be worse, or is not found to be sound in time; it remains so.
   void judge(const release_statistics &Statistics, std::size_t VmCount,
@@ -122,6 +128,7 @@
     exposure_counts AttemptsBefore;
     /// Share of the trial; unset until the rate of requests is known.
     std::optional<double> TrialShare;
+    std::map<std::string, double> RouteFactors;
     /// Whether the shift has to wait, and whether it has begun.
     bool IsShiftHeld = false;
     bool HasShifted = false;
@@ -151,6 +158,7 @@
   void limitExposure(rollout &Rollout, const release_statistics &Statistics,
                      std::size_t VmCount, steady_time Now) const;
   double trialShare(const rollout &Rollout) const;
+  void balanceRoutes(rollout &Rollout, const service_totals &Totals) const;
 
   exposure_limits Exposure;
   std::map<service_id, rollout> Rollouts;
--- a/Libraries/LibRelay/request_placement.cpp
+++ b/Libraries/LibRelay/request_placement.cpp
@@ -42,7 +42,10 @@
   if (ModelIndex)
     Parameters.WorkPerToken =
         Fleet.Models.workPerToken(*Admitted.Route, *ModelIndex);
-  const release_rule Rule = Fleet.Rollouts.ruleFor(Admitted.Service, Now);
+  release_rule Rule = Fleet.Rollouts.ruleFor(Admitted.Service, Now);
+  if (Rule.Phase == rollout_phase::Trial)
+    Rule.RouteFactor =
+        Fleet.Rollouts.routeFactor(Admitted.Service, Admitted.Route->Name);
   const release_choice Choice =
       chooseRelease(Rule, Fleet.Pins.releaseOf(Admitted.Session, Now),
                     rolloutSample(Admitted));
