LibDispatch, LibRelay: Take no first prompt of a trial for a slow release

Cause: the few endpoints of a trial read each prompt anew at first, one after the other. Seen in trials after the trial got requests of each route.

Change: the time to a head is compared only where the prompt is cached. Six slow outcomes make a release worse, four suspect (2.5 deviations; failures as before).

--- a/Libraries/LibDispatch/release_verdict.cpp
+++ b/Libraries/LibDispatch/release_verdict.cpp
@@ -7,15 +7,23 @@
 
 namespace {
 
-/// Standard deviations beyond which a release is worse. The test is repeated
-/// several times per second, and a false positive rolls back a good release.
-constexpr double WorseDeviations = 4;
-constexpr std::uint32_t MinimumWorseOutcomes = 4;
-/// Standard deviations beyond which a release is not completed, over all routes
-/// and on a single one.
-constexpr double SuspectDeviations = 2;
-constexpr double SuspectRouteDeviations = 3;
-constexpr std::uint32_t MinimumSuspectOutcomes = 2;
+/// When bad outcomes of one kind tell against a release.
+struct outcome_limits {
+  /// For a release that is worse. The test is repeated several times per
+  /// second, and a false positive rolls back a good release.
+  double WorseDeviations;
+  std::uint32_t MinimumWorse;
+  /// For a release that is not completed, over all routes and on a single one.
+  double SuspectDeviations;
+  double SuspectRouteDeviations;
+  std::uint32_t MinimumSuspect;
+};
+
+constexpr outcome_limits FailureLimits{4, 4, 2, 3, 2};
+/// Slow responses come together when an endpoint is busy for a moment, as with
+/// the first prompts of a trial.
+constexpr outcome_limits SlowLimits{4, 6, 2.5, 4, 4};
+
 /// Lower bound of the baseline rate: a few failures happen to any release.
 constexpr double MinimumBaselineRate = 0.03;
 /// Weight of the minimum rate in the estimated baseline, in requests.
@@ -63,7 +71,11 @@
 release_verdict
 judgeKind(const std::map<std::string, release_counts> &Judged,
           const std::map<std::string, route_baseline> &Baselines,
-          std::uint32_t release_counts::*Bad) {
+          std::uint32_t release_counts::*Bad, const outcome_limits &Limits) {
+  const auto IsBad = [](const bad_outcomes &Outcomes, std::uint32_t Minimum,
+                        double Deviations) {
+    return Outcomes.Count >= Minimum && isAboveExpected(Outcomes, Deviations);
+  };
   bad_outcomes Sum;
   bool IsSuspect = false;
   for (const auto &[Route, Counts] : Judged) {
@@ -71,20 +83,17 @@
     const double Rate = baselineRate(
         Known == Baselines.end() ? route_baseline{} : Known->second, Bad);
     const bad_outcomes OnRoute = badOutcomes(Counts, Rate, Bad);
-    if (OnRoute.Count >= MinimumWorseOutcomes &&
-        isAboveExpected(OnRoute, WorseDeviations))
+    if (IsBad(OnRoute, Limits.MinimumWorse, Limits.WorseDeviations))
       return release_verdict::Worse;
-    IsSuspect |= OnRoute.Count >= MinimumSuspectOutcomes &&
-                 isAboveExpected(OnRoute, SuspectRouteDeviations);
+    IsSuspect |=
+        IsBad(OnRoute, Limits.MinimumSuspect, Limits.SuspectRouteDeviations);
     Sum.Count += OnRoute.Count;
     Sum.Expected += OnRoute.Expected;
     Sum.Variance += OnRoute.Variance;
   }
-  if (Sum.Count >= MinimumWorseOutcomes &&
-      isAboveExpected(Sum, WorseDeviations))
+  if (IsBad(Sum, Limits.MinimumWorse, Limits.WorseDeviations))
     return release_verdict::Worse;
-  IsSuspect |= Sum.Count >= MinimumSuspectOutcomes &&
-               isAboveExpected(Sum, SuspectDeviations);
+  IsSuspect |= IsBad(Sum, Limits.MinimumSuspect, Limits.SuspectDeviations);
   return IsSuspect ? release_verdict::Suspect : release_verdict::Sound;
 }
 
@@ -129,9 +138,9 @@
     Baselines[Key.Route].Earlier += Earlier;
     Baselines[Key.Route].Since += Since;
   }
-  const release_verdict Verdict =
-      std::max(judgeKind(Judged, Baselines, &release_counts::Failures),
-               judgeKind(Judged, Baselines, &release_counts::Slow));
+  const release_verdict Verdict = std::max(
+      judgeKind(Judged, Baselines, &release_counts::Failures, FailureLimits),
+      judgeKind(Judged, Baselines, &release_counts::Slow, SlowLimits));
   if (Verdict == release_verdict::Worse)
     return Verdict;
   const std::uint32_t Bad = OfRelease.Failures + OfRelease.Slow;
--- a/Libraries/LibRelay/attempt_recorder.cpp
+++ b/Libraries/LibRelay/attempt_recorder.cpp
@@ -13,10 +13,11 @@
 } // namespace
 
 void attempt_recorder::onSent(const endpoint_descriptor &NewEndpoint,
-                              const model_id &NewModel,
+                              const model_id &NewModel, bool NewIsPromptCached,
                               std::uint64_t KnownEvents, steady_time Now) {
   Endpoint = NewEndpoint;
   Model = NewModel;
+  IsPromptCached = NewIsPromptCached;
   EventCount = KnownEvents;
   Timing.onSent(Now, KnownEvents);
   IsRunning = true;
@@ -28,6 +29,12 @@
   Timing.onEvents(Now);
 }
 
+response_latency attempt_recorder::comparable(response_latency Latency) const {
+  if (!IsPromptCached)
+    Latency.HeadMs.reset();
+  return Latency;
+}
+
 bool attempt_recorder::isSlow(const response_latency &Latency) const {
   const std::string &Route = Admitted.Route->Name;
   return (Latency.HeadMs &&
@@ -61,8 +68,8 @@
   if (!IsRunning)
     return;
   IsRunning = false;
-  const response_latency Latency =
-      Timing.latency(Admitted.Route->Kind, HasFailed, EventCount, Now);
+  const response_latency Latency = comparable(
+      Timing.latency(Admitted.Route->Kind, HasFailed, EventCount, Now));
   release_counts Counts;
   Counts.Failures = HasFailed;
   if (!IsCounted) {
@@ -87,7 +94,7 @@
   if (!IsRunning || IsCounted)
     return;
   const response_latency Latency =
-      Timing.latencySoFar(Admitted.Route->Kind, EventCount, Now);
+      comparable(Timing.latencySoFar(Admitted.Route->Kind, EventCount, Now));
   if (!isSlow(Latency))
     return;
   logSlow(Latency);
--- a/Libraries/LibRelay/attempt_recorder.h
+++ b/Libraries/LibRelay/attempt_recorder.h
@@ -15,10 +15,12 @@
                    const admitted_request &Admitted)
       : Fleet(Fleet), Log(Log), Admitted(Admitted) {}
 
-  /// Starts the next attempt. KnownEvents: events that earlier attempts have
-  /// delivered.
-  void onSent(const endpoint_descriptor &Endpoint, const model_id &Model,
-              std::uint64_t KnownEvents, steady_time Now);
+  /// Starts the next attempt. The time to the head is measured only if the
+  /// prompt is cached: the time to read it tells nothing of the release.
+  /// KnownEvents: events that earlier attempts have delivered.
+  void onSent(const endpoint_descriptor &NewEndpoint, const model_id &NewModel,
+              bool NewIsPromptCached, std::uint64_t KnownEvents,
+              steady_time Now);
   void onHead(steady_time Now) { Timing.onHead(Now); }
   void onEvents(std::uint64_t EventCount, steady_time Now);
   double msSinceSent(steady_time Now) const { return Timing.msSinceSent(Now); }
@@ -31,6 +33,8 @@
   void recordIfSlow(steady_time Now);
 
 private:
+  /// The latency without what can't be compared with other attempts.
+  response_latency comparable(response_latency Latency) const;
   bool isSlow(const response_latency &Latency) const;
   void logSlow(const response_latency &Latency) const;
   void add(const release_counts &Counts);
@@ -41,6 +45,7 @@
   endpoint_descriptor Endpoint;
   model_id Model;
   response_timing Timing;
+  bool IsPromptCached = true;
   std::uint64_t EventCount = 0;
   bool IsRunning = false;
   /// Whether the running attempt has been counted as slow.
--- a/Libraries/LibRelay/relayed_request.cpp
+++ b/Libraries/LibRelay/relayed_request.cpp
@@ -153,7 +153,9 @@
   Outgoing.Head = Context.Codec.encodeRequestHead(Head, Request, Parameters);
   Outgoing.Body = Body;
   Outgoing.IsHead = Head.Method == "HEAD";
-  Recorder.onSent(Target->Descriptor, Model, Splicer.eventCount(), Now);
+  Recorder.onSent(Target->Descriptor, Model,
+                  isPromptCached(Admitted, ModelIndex, *Target, Now),
+                  Splicer.eventCount(), Now);
   Crashes.onSent(Target->Descriptor, Splicer.eventCount());
   Cost += attemptCost(Admitted, ModelIndex);
   recordSend(Context.Fleet, Admitted, ModelIndex, *Target, Now);
--- a/Libraries/LibRelay/request_placement.cpp
+++ b/Libraries/LibRelay/request_placement.cpp
@@ -56,6 +56,16 @@
              : selectLeastLoaded(Candidates, Parameters, Now);
 }
 
+bool isPromptCached(const admitted_request &Admitted,
+                    std::optional<std::size_t> ModelIndex,
+                    const endpoint_record &Endpoint, steady_time Now) {
+  return !ModelIndex ||
+         isProbablyCached(
+             Endpoint,
+             sharedPrefixKey(Admitted.Request, modelOf(Admitted, ModelIndex)),
+             Now);
+}
+
 double promptWorkOn(const fleet_state &Fleet, const admitted_request &Admitted,
                     std::optional<std::size_t> ModelIndex,
                     const endpoint_record &Endpoint, steady_time Now) {
@@ -65,8 +75,7 @@
   const std::uint32_t Shared = sharedPrefixTokens(Request);
   const std::uint32_t Own =
       Request.PromptTokens > Shared ? Request.PromptTokens - Shared : 0;
-  const bool IsCached = isProbablyCached(
-      Endpoint, sharedPrefixKey(Request, modelOf(Admitted, ModelIndex)), Now);
+  const bool IsCached = isPromptCached(Admitted, ModelIndex, Endpoint, Now);
   return (Own + (IsCached ? 0 : Shared)) *
          Fleet.Models.workPerToken(*Admitted.Route, *ModelIndex);
 }
--- a/Libraries/LibRelay/request_placement.h
+++ b/Libraries/LibRelay/request_placement.h
@@ -29,6 +29,12 @@
 milliseconds estimatedBacklog(const fleet_state &Fleet,
                               const service_id &Service, steady_time Now);
 
+/// Whether the endpoint probably has the shared prefix of the request's prompt.
+/// Yes if that is not known, as for a model that the caller has selected.
+bool isPromptCached(const admitted_request &Admitted,
+                    std::optional<std::size_t> ModelIndex,
+                    const endpoint_record &Endpoint, steady_time Now);
+
 /// Records that the request was sent to the endpoint: pins its session to the
 /// release and marks the shared prompt prefix as cached there.
 void recordSend(fleet_state &Fleet, const admitted_request &Admitted,
--- a/Tests/LibDispatch/rollout_evidence_test.cpp
+++ b/Tests/LibDispatch/rollout_evidence_test.cpp
@@ -87,3 +87,15 @@
   Controller.onOutcome(Service, "v2", rollout_outcome::Completed, {{}, 12});
   CHECK(Controller.ruleFor(Service, Start).Phase == rollout_phase::Completed);
 }
+
+TEST_CASE("A few slow responses at once do not roll a release back") {
+  release_statistics Statistics;
+  Statistics.addLocal({Service, "v1", "r"}, {500, 0, 10, 500});
+  Statistics.addLocal({Service, "v2", "r"}, {6, 0, 4, 6});
+  const auto Judge = [&] {
+    return judgeRelease(Statistics.totals(Service), {}, "v2");
+  };
+  CHECK(Judge() != release_verdict::Worse);
+  Statistics.addLocal({Service, "v2", "r"}, {6, 0, 4, 6});
+  CHECK(Judge() == release_verdict::Worse);
+}
--- /dev/null
+++ b/Tests/LibRelay/attempt_recorder_test.cpp
@@ -0,0 +1,43 @@
+#include "LibRelay/attempt_recorder.h"
+
+#include "test_fleet.h"
+
+#include <doctest/doctest.h>
+
+using namespace azurehaven;
+
+namespace {
+
+const steady_time Start{std::chrono::hours(1)};
+const model_id Model("m");
+
+/// The counts after a stream whose head takes twenty times as long as usual.
+release_counts countsOfLateHead(bool IsPromptCached) {
+  fleet_state Fleet = testFleet();
+  for (int Sample = 0; Sample < 20; ++Sample)
+    Fleet.HeadLatencyBaseline.add("r", Model, 50);
+  route Route;
+  Route.Name = "r";
+  Route.Kind = route_kind::Stream;
+  admitted_request Admitted;
+  Admitted.Route = &Route;
+  endpoint_descriptor Endpoint;
+  Endpoint.Service = service_id("s");
+  Endpoint.Release = "v2";
+  const null_event_log Log;
+  attempt_recorder Recorder(Fleet, Log, Admitted);
+  Recorder.onSent(Endpoint, Model, IsPromptCached, 0, Start);
+  Recorder.onHead(Start + milliseconds(1000));
+  Recorder.record(/*HasFailed=*/false, Start + milliseconds(1000));
+  return Fleet.ReleaseStatistics.countsOf(service_id("s"), "v2");
+}
+
+} // namespace
+
+TEST_CASE(
+    "The time to read a prompt that is not cached does not make a release "
+    "slow") {
+  CHECK(countsOfLateHead(true).Slow == 1);
+  CHECK(countsOfLateHead(false).Slow == 0);
+  CHECK(countsOfLateHead(false).Requests == 1);
+}
