LibConnection: Close no connection at a planned stop with unsent bytes

Change: a connection with unsent bytes is not closed as idle.

Evidence: the test failed before (closed, 32 MB not delivered).

--- a/Libraries/LibConnection/caller_connection.cpp
+++ b/Libraries/LibConnection/caller_connection.cpp
@@ -258,7 +258,10 @@
 }
 
 void caller_connection::closeIfIdle() {
-  if (State == state::Reading && !Parser.hasStarted() && Unparsed.empty())
+  const bool IsBetweenRequests =
+      State == state::Reading && !Parser.hasStarted() && Unparsed.empty();
+  // The end of the last response may still be on its way.
+  if (IsBetweenRequests && PendingBytes == 0)
     close();
 }
 
--- a/Libraries/LibConnection/caller_connection.h
+++ b/Libraries/LibConnection/caller_connection.h
@@ -89,7 +89,8 @@
   bool isClosed() const { return State == state::Closed; }
   /// Bytes queued and not yet sent.
   std::size_t pendingBytes() const { return PendingBytes; }
-  /// Closes the connection if no request is being read or served.
+  /// Closes the connection if no request is being read or served and all
+  /// responses are sent.
   void closeIfIdle();
   void setClosedHandler(std::function<void()> NewHandler) {
     ClosedHandler = std::move(NewHandler);
--- a/Tests/LibConnection/connection_listener_test.cpp
+++ b/Tests/LibConnection/connection_listener_test.cpp
@@ -97,6 +97,44 @@
   CHECK(Listener->busyCount() == 1);
 }
 
+TEST_CASE(
+    "A planned stop closes no connection whose response is not sent yet") {
+  asio::io_context Loop(1);
+  echo_handler Handler;
+  Handler.ResponseBody = std::string(32 << 20, 'x');
+  std::uint16_t Port = 0;
+  auto Listener = listenOnFreePort(Loop, Handler, 10, Port);
+  REQUIRE(Listener);
+  asio::ip::tcp::socket Socket(Loop);
+  Socket.connect({asio::ip::make_address("127.0.0.1"), Port});
+  asio::write(Socket, asio::buffer(std::string("GET / HTTP/1.1\r\nHost: h\r\n"
+                                               "\r\n")));
+  while (Handler.Served == 0)
+    Loop.run_one();
+  Listener->closeIdle();
+  CHECK(Listener->busyCount() == 1);
+  std::size_t Received = 0;
+  bool HasFailed = false;
+  std::string Buffer(1 << 20, '\0');
+  std::function<void()> Read = [&] {
+    Socket.async_read_some(asio::buffer(Buffer),
+                           [&](const asio::error_code &Code, std::size_t Size) {
+                             Received += Size;
+                             HasFailed = !!Code;
+                             if (!Code)
+                               Read();
+                           });
+  };
+  Read();
+  while (Received < Handler.ResponseBody.size() && !HasFailed)
+    Loop.run_one();
+  CHECK_FALSE(HasFailed);
+  while (Listener->busyCount() > 0)
+    Loop.run_one();
+  Listener->closeIdle();
+  CHECK(Listener->connectionCount() == 0);
+}
+
 TEST_CASE(
     "A connection with an incomplete head is closed after the header timeout") {
   asio::io_context Loop(1);
