LibDispatch: Concentrate a trial in time

Change: in a part of each four seconds one endpoint gets the share that it will have (a third at most), in the rest the target gets no new sessions; over time it gets the same share.

--- a/Libraries/LibRelay/request_placement.cpp
+++ b/Libraries/LibRelay/request_placement.cpp
@@ -42,15 +42,17 @@
   if (ModelIndex)
     Parameters.WorkPerToken =
         Fleet.Models.workPerToken(*Admitted.Route, *ModelIndex);
+  const endpoint_list Endpoints = Fleet.Endpoints.endpointsOf(Admitted.Service);
   release_rule Rule = Fleet.Rollouts.ruleFor(Admitted.Service, Now);
-  if (Rule.Phase == rollout_phase::Trial)
+  if (Rule.Phase == rollout_phase::Trial) {
+    Rule = concentrateTrial(Rule, usableTargetCount(Endpoints, Rule, Now));
     Rule.RouteFactor =
         Fleet.Rollouts.routeFactor(Admitted.Service, Admitted.Route->Name);
+  }
   const release_choice Choice =
       chooseRelease(Rule, Fleet.Pins.releaseOf(Admitted.Session, Now),
                     rolloutSample(Admitted));
-  const endpoint_list Candidates = candidatesFor(
-      Fleet.Endpoints.endpointsOf(Admitted.Service), Rule, Choice, Now);
+  const endpoint_list Candidates = candidatesFor(Endpoints, Rule, Choice, Now);
   return Admitted.isForEngines()
              ? selectEngine(Admitted.Request, Candidates, Parameters, Now)
              : selectLeastLoaded(Candidates, Parameters, Now);
