LibDispatch: Part the release rule from the roll-out controller

release_rule.{h,cpp} holds what one request needs: the phase, the choice of a release and the concentration of a trial. Comments say 'makes progress' throughout.

--- a/Libraries/LibDispatch/prompt_quarantine.cpp
+++ b/Libraries/LibDispatch/prompt_quarantine.cpp
@@ -11,7 +11,7 @@
 /// Distinct endpoints that must have crashed: a crash may be coincidence, as
 /// other requests run on the endpoint.
 constexpr std::size_t QuarantineThreshold = 3;
-/// The same for a segment that a response has got on with before.
+/// The same for a segment of a response that made progress before.
 constexpr std::size_t ClearedSegmentThreshold = 5;
 constexpr std::chrono::minutes RetentionTime{10};
 /// How long a segment is quarantined that had been sound before. It may be
--- a/Libraries/LibDispatch/prompt_quarantine.h
+++ b/Libraries/LibDispatch/prompt_quarantine.h
@@ -18,10 +18,10 @@
 
 /// Finds the prompt segment under which endpoints crash as soon as they begin
 /// to respond, and quarantines it. Each segment of a request in a crash is a
-/// suspect until a response to a prompt with it gets on. Of several suspects,
-/// the one that explains the crashes of the others is quarantined; those that
-/// were in the same crashes only together, so that requests with some of them
-/// are still served. Not thread-safe.
+/// suspect until a response to a prompt with it makes progress. Of several
+/// suspects, the one that explains the crashes of the others is quarantined;
+/// those that were in the same crashes only together, so that requests with
+/// some of them are still served. Not thread-safe.
 class prompt_quarantine {
 public:
   struct crash_record {
@@ -36,8 +36,8 @@
                 const endpoint_id &Endpoint, steady_time Now);
   /// Records a crash that another VM observed.
   void merge(const crash_record &Record, steady_time Now);
-  /// Clears the segments of a request whose response has got on. What other VMs
-  /// may suspect is queued for them.
+  /// Clears the segments of a request whose response makes progress. What other
+  /// VMs may suspect is queued for them.
   void clearLocal(const std::vector<segment_key> &Segments, steady_time Now);
   /// Clears a segment that another VM has cleared.
   void mergeCleared(segment_key Segment, steady_time Now);
@@ -71,7 +71,7 @@
   void updateGroups();
 
   suspect_map Suspects;
-  /// Segments that a response has got on with, and when.
+  /// Segments of responses that made progress, and when.
   std::unordered_map<segment_key, steady_time> Cleared;
   /// A request with all segments of a group is refused.
   std::vector<std::vector<segment_key>> Groups;
--- a/Libraries/LibDispatch/rollout_controller.cpp
+++ b/Libraries/LibDispatch/rollout_controller.cpp
@@ -12,10 +12,6 @@
 constexpr double MinimumTrialFraction = 0.15;
 constexpr double MaximumTrialFraction = 0.6;
 
-/// Long enough for the load of an endpoint to build up.
-constexpr milliseconds TrialPeriod{4000};
-/// Bound of the share of a release with few endpoints.
-constexpr double MaximumConcentratedShare = 0.34;
 /// Bounds of a route's factor. Requests with a common prompt go to the same
 /// release, so that a small trial may get all of a route's requests or none.
 constexpr double MinimumRouteFactor = 0.25;
@@ -35,47 +31,6 @@
   return "unknown";
 }
 
-release_choice chooseRelease(const release_rule &Rule,
-                             const std::optional<std::string> &Pinned,
-                             double Sample) {
-  const bool IsOnTarget = Pinned && *Pinned == Rule.Target;
-  switch (Rule.Phase) {
-  case rollout_phase::None:
-    return release_choice::Any;
-  case rollout_phase::Completed:
-    return release_choice::Target;
-  case rollout_phase::RolledBack:
-    return release_choice::NotTarget;
-  case rollout_phase::Trial:
-  case rollout_phase::Shift:
-    break;
-  }
-  if (IsOnTarget)
-    return release_choice::Target;
-  if (Pinned && Rule.PinsSessions)
-    return release_choice::NotTarget;
-  return Sample < Rule.TargetShare * Rule.RouteFactor
-             ? release_choice::Target
-             : release_choice::NotTarget;
-}
-
-release_rule concentrateTrial(const release_rule &Rule,
-                              std::size_t TargetEndpoints) {
-  if (Rule.Phase != rollout_phase::Trial || TargetEndpoints == 0)
-    return Rule;
-  const double FullShare = std::min(1.0 / static_cast<double>(TargetEndpoints),
-                                    MaximumConcentratedShare);
-  if (Rule.TargetShare >= FullShare)
-    return Rule;
-  release_rule Concentrated = Rule;
-  const double Position =
-      static_cast<double>((Rule.Elapsed % TrialPeriod).count()) /
-      static_cast<double>(TrialPeriod.count());
-  const bool IsActive = Position < Rule.TargetShare / FullShare;
-  Concentrated.TargetShare = IsActive ? FullShare : 0;
-  return Concentrated;
-}
-
 bool rollout_controller::isRepeated(const rollout &Rollout,
                                     const rollout_order &Order,
                                     order_origin Origin) {
--- a/Libraries/LibDispatch/rollout_controller.h
+++ b/Libraries/LibDispatch/rollout_controller.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "LibDispatch/exposure_budget.h"
+#include "LibDispatch/release_rule.h"
 #include "LibDispatch/release_verdict.h"
 #include "LibDispatch/rollout_schedule.h"
 #include "LibTypes/store_revision.h"
@@ -36,48 +37,6 @@
   MaybeCopied,
 };
 
-enum class rollout_phase {
-  None,
-  /// A small share of new sessions goes to the target.
-  Trial,
-  /// A growing share of the requests, up to all of them, goes to the target.
-  Shift,
-  /// Only the target gets requests.
-  Completed,
-  /// The target gets no requests.
-  RolledBack,
-};
-
-/// Which releases of a service a request may go to.
-struct release_rule {
-  rollout_phase Phase = rollout_phase::None;
-  std::string Target;
-  /// Fraction of the requests that go to the target, apart from those of
-  /// sessions that keep their release.
-  double TargetShare = 0;
-  /// Multiplies the share for the request's route.
-  double RouteFactor = 1;
-  /// Whether sessions on the old release must stay there for now.
-  bool PinsSessions = false;
-  /// Time since the roll-out began.
-  milliseconds Elapsed{0};
-};
-
-/// Concentrates a trial in time: in a part of each period, one of the target's
-/// endpoints gets the share of the requests that each of them will have; in the
-/// rest the target gets no new sessions. Has no effect on other phases.
-release_rule concentrateTrial(const release_rule &Rule,
-                              std::size_t TargetEndpoints);
-
-enum class release_choice { Any, Target, NotTarget };
-
-/// Selects the release for one request. Pinned is the release that its session
-/// uses; Sample is a pseudo-random number in [0, 1), equal for requests that
-/// have to move to the target together.
-release_choice chooseRelease(const release_rule &Rule,
-                             const std::optional<std::string> &Pinned,
-                             double Sample);
-
 /// Rolls out new releases: a trial with a small share of the requests, a
 /// gradual shift of all requests shortly before the time limit, then
 /// completion. What a target gets until then stays within the limits of its
--- a/Libraries/LibRelay/crash_recorder.cpp
+++ b/Libraries/LibRelay/crash_recorder.cpp
@@ -4,8 +4,8 @@
 
 namespace {
 
-/// Events after which a response has got on: the endpoint does not crash at its
-/// begin.
+/// Events after which a response makes progress: its endpoint does not crash at
+/// its begin.
 constexpr std::uint64_t SoundResponseEvents = 3;
 
 std::string describeSegments(const std::vector<prompt_segment> &Prompt) {
@@ -42,7 +42,7 @@
                                  std::to_string(Endpoint.Incarnation));
   Fleet.Quarantine.addLocal(Admitted.Fingerprint, ProcessStart, Now);
   // A request that still waits on the endpoint has not caused its crash, nor
-  // has one whose response got on.
+  // has one whose response made progress.
   if (HasHead && Events < SoundResponseEvents)
     Fleet.PromptQuarantine.addLocal(Admitted.SharedSegments, ProcessStart, Now);
   Log.write(log_level::Warning, "endpoint_crash_counted",
--- a/Tests/LibDispatch/prompt_quarantine_test.cpp
+++ b/Tests/LibDispatch/prompt_quarantine_test.cpp
@@ -77,7 +77,7 @@
   CHECK_FALSE(Quarantine.isQuarantined({System, subject(1)}));
 }
 
-TEST_CASE("A response that gets on clears its segments on all VMs") {
+TEST_CASE("A response that makes progress clears its segments on all VMs") {
   prompt_quarantine Here;
   prompt_quarantine There;
   crash(Here, {System, subject(1)}, 1, 3);
