LibDispatch: Count streams that move at completion as exposure

Cause: the old endpoints stop at once at completion; what still runs there is sent to the target again.

Change: the account sets six tenths of this VM's attempts in flight aside.

--- a/Libraries/LibDispatch/exposure_budget.cpp
+++ b/Libraries/LibDispatch/exposure_budget.cpp
@@ -10,6 +10,9 @@
 /// Standard deviations of the number of requests in the time in which the
 /// target gets all of them; more may come than the rate so far lets expect.
 constexpr double ForecastDeviations = 2.5;
+/// Fraction of the attempts in flight that still run when the old endpoints
+/// stop, and are sent to the target again.
+constexpr double MovedFraction = 0.6;
 constexpr milliseconds MinimumObservation{1000};
 
 double asDouble(milliseconds Time) { return static_cast<double>(Time.count()); }
@@ -39,7 +42,7 @@
   // Errors of all VMs' forecasts partly cancel out.
   const double Margin = ForecastDeviations * std::sqrt(FullRequests / Vms);
   return Limits.Share * Expected + Limits.Slack / Vms - Counts.Target -
-         FullRequests - Margin;
+         FullRequests - Margin - MovedFraction * Counts.InFlight;
 }
 
 bool exposure_budget::allowsAll(milliseconds FullTime) const {
--- a/Libraries/LibDispatch/exposure_budget.h
+++ b/Libraries/LibDispatch/exposure_budget.h
@@ -21,6 +21,8 @@
   std::uint32_t Target = 0;
   /// To all releases of the service.
   std::uint32_t All = 0;
+  /// Attempts to the service that run now.
+  std::uint32_t InFlight = 0;
 };
 
 /// This VM's part of a roll-out's exposure. The VMs need no common counter:
@@ -42,7 +44,8 @@
 
 private:
   /// Attempts that the target may still get until the time limit, less those of
-  /// the time in which it gets all of them.
+  /// the time in which it gets all of them and those that are moved to it when
+  /// the old endpoints stop.
   double allowanceBefore(milliseconds FullTime) const;
 
   const exposure_limits Limits;
--- a/Libraries/LibDispatch/rollout_controller.cpp
+++ b/Libraries/LibDispatch/rollout_controller.cpp
@@ -198,16 +198,18 @@
 
 void rollout_controller::limitExposure(rollout &Rollout,
                                        const release_statistics &Statistics,
-                                       std::size_t VmCount,
+                                       const rollout_surroundings &Surroundings,
                                        steady_time Now) const {
   const rollout_schedule Schedule = scheduleFor(Rollout.Order.TimeLimit);
   const milliseconds Elapsed = elapsed(Rollout, Now);
   const exposure_counts Sent =
       Statistics.localAttempts(Rollout.Order.Service, Rollout.Order.Target);
+  const auto InFlight = Surroundings.InFlight.find(Rollout.Order.Service);
   const exposure_budget Budget(
-      Exposure, VmCount,
+      Exposure, Surroundings.VmCount,
       {Sent.Target - Rollout.AttemptsBefore.Target,
-       Sent.All - Rollout.AttemptsBefore.All},
+       Sent.All - Rollout.AttemptsBefore.All,
+       InFlight == Surroundings.InFlight.end() ? 0 : InFlight->second},
       std::chrono::duration_cast<milliseconds>(Now - Rollout.ObservedSince),
       Schedule.TimeLimit - Elapsed);
   if (Elapsed < Schedule.ShiftStart) {
@@ -230,12 +232,13 @@
 }
 
 void rollout_controller::judge(const release_statistics &Statistics,
-                               std::size_t VmCount, steady_time Now) {
+                               const rollout_surroundings &Surroundings,
+                               steady_time Now) {
   for (auto &[Service, Rollout] : Rollouts) {
     if (Rollout.FinalOutcome || Rollout.IsRejected)
       continue;
     observe(Rollout, Statistics, Now);
-    limitExposure(Rollout, Statistics, VmCount, Now);
+    limitExposure(Rollout, Statistics, Surroundings, Now);
     const bool IsDue = elapsed(Rollout, Now) >=
                        scheduleFor(Rollout.Order.TimeLimit).Completion;
     Rollout.IsRejected = Rollout.Verdict == release_verdict::Worse ||
--- a/Libraries/LibDispatch/rollout_controller.h
+++ b/Libraries/LibDispatch/rollout_controller.h
@@ -37,6 +37,13 @@
   MaybeCopied,
 };
 
+/// The fleet as one VM sees it.
+struct rollout_surroundings {
+  std::size_t VmCount = 1;
+  /// This VM's attempts that run now.
+  std::map<service_id, std::uint32_t> InFlight;
+};
+
 /// Rolls out new releases: a trial with a small share of the requests, a
 /// gradual shift of all requests shortly before the time limit, then
 /// completion. What a target gets until then stays within the limits of its
@@ -68,8 +75,8 @@
   double routeFactor(const service_id &Service, const std::string &Route) const;
   /// Evaluates the targets of open roll-outs. A target is rejected if it is
   /// found to be worse, or is not found to be sound in time; it remains so.
-  void judge(const release_statistics &Statistics, std::size_t VmCount,
-             steady_time Now);
+  void judge(const release_statistics &Statistics,
+             const rollout_surroundings &Surroundings, steady_time Now);
 
   /// A change of the published outcome that has to be written to the store.
   struct outcome_update {
@@ -123,7 +130,8 @@
                steady_time Now) const;
   /// Sets the share of the trial and whether the shift has to wait.
   void limitExposure(rollout &Rollout, const release_statistics &Statistics,
-                     std::size_t VmCount, steady_time Now) const;
+                     const rollout_surroundings &Surroundings,
+                     steady_time Now) const;
   double trialShare(const rollout &Rollout) const;
   void balanceRoutes(rollout &Rollout, const service_totals &Totals) const;
 
--- a/Libraries/LibRelay/rollout_driver.cpp
+++ b/Libraries/LibRelay/rollout_driver.cpp
@@ -33,9 +33,17 @@
       unix_millis(Object["began_unix_ms"].get<std::int64_t>())};
 }
 
+rollout_surroundings rollout_driver::surroundings() const {
+  rollout_surroundings Surroundings;
+  Surroundings.VmCount = Fleet.Members.size();
+  for (const auto &[Id, Endpoint] : Fleet.Endpoints.all())
+    Surroundings.InFlight[Endpoint->Descriptor.Service] += Endpoint->InFlight;
+  return Surroundings;
+}
+
 void rollout_driver::advance() {
   const steady_time Now = Clock.now();
-  Fleet.Rollouts.judge(Fleet.ReleaseStatistics, Fleet.Members.size(), Now);
+  Fleet.Rollouts.judge(Fleet.ReleaseStatistics, surroundings(), Now);
   // A stopping process may exit before the store responds.
   if (Fleet.IsStopping)
     return;
--- a/Libraries/LibRelay/rollout_driver.h
+++ b/Libraries/LibRelay/rollout_driver.h
@@ -54,6 +54,7 @@
     bool IsPublishing = false;
     steady_time RetryAt;
   };
+  rollout_surroundings surroundings() const;
   void publish(const rollout_controller::outcome_update &Due, steady_time Now);
 
   fleet_state &Fleet;
--- a/Tests/LibDispatch/rollout_controller_test.cpp
+++ b/Tests/LibDispatch/rollout_controller_test.cpp
@@ -75,13 +75,13 @@
   rollout_controller Controller = controllerWithOrder();
   release_statistics Statistics;
   Statistics.addLocal({Service, "v1", "r"}, {100, 1, 0});
-  Controller.judge(Statistics, 1, Start);
+  Controller.judge(Statistics, {}, Start);
   Statistics.addLocal({Service, "v2", "r"}, {10, 6, 0});
-  Controller.judge(Statistics, 1, Start);
+  Controller.judge(Statistics, {}, Start);
   CHECK(Controller.ruleFor(Service, Start).Phase == rollout_phase::RolledBack);
   CHECK(dueOutcomeAt(Controller, milliseconds(0)) ==
         rollout_outcome::RolledBack);
-  Controller.judge(release_statistics(), 1, Start);
+  Controller.judge(release_statistics(), {}, Start);
   CHECK(Controller.ruleFor(Service, Start + TimeLimit).Phase ==
         rollout_phase::RolledBack);
 }
@@ -184,9 +184,9 @@
   rollout_controller Controller = controllerWithOrder();
   release_statistics Statistics;
   Statistics.addLocal({Service, "v1", "r"}, {100, 1, 0});
-  Controller.judge(Statistics, 1, Start);
+  Controller.judge(Statistics, {}, Start);
   Statistics.addLocal({Service, "v2", "r"}, {10, 6, 0});
-  Controller.judge(Statistics, 1, Start);
+  Controller.judge(Statistics, {}, Start);
   Controller.onStoreRestored();
   Controller.onOrder({Service, "v2", TimeLimit, afterRestoration(9)},
                      order_origin::MaybeRepeated, milliseconds(0), Start);
--- a/Tests/LibDispatch/rollout_coverage_test.cpp
+++ b/Tests/LibDispatch/rollout_coverage_test.cpp
@@ -31,7 +31,7 @@
     std::map<std::string, int> Exposed;
     const milliseconds TrialEnd = scheduleFor(TimeLimit).ShiftStart;
     for (milliseconds After{0}; After < TrialEnd; After += milliseconds(100)) {
-      Controller.judge(Statistics, 1, Start + After);
+      Controller.judge(Statistics, {}, Start + After);
       for (const auto &[Route, Samples] : Prompts) {
         release_rule Rule = Controller.ruleFor(Service, Start + After);
         Rule.RouteFactor = Controller.routeFactor(Service, Route);
--- a/Tests/LibDispatch/rollout_evidence_test.cpp
+++ b/Tests/LibDispatch/rollout_evidence_test.cpp
@@ -23,12 +23,12 @@
   Statistics.addLocal({Service, "v1", "doomed"}, {46, 46, 0, 46});
   Statistics.addLocal({Service, "v1", "fragile"}, {150, 22, 0, 150});
   Statistics.addLocal({Service, "v1", "sound"}, {230, 1, 0, 230});
-  Controller.judge(Statistics, 1, Start);
+  Controller.judge(Statistics, {}, Start);
   Statistics.addLocal({Service, "v2", "doomed"}, {2, 2, 0, 2});
   Statistics.addLocal({Service, "v2", "fragile"}, {30, 11, 0, 30});
   Statistics.addLocal({Service, "v2", "sound"}, {55, 4, 0, 55});
   const steady_time End = Start + milliseconds(14999);
-  Controller.judge(Statistics, 1, End);
+  Controller.judge(Statistics, {}, End);
   const auto Due = Controller.outcomeUpdates(End);
   REQUIRE(Due.size() == 1);
   CHECK(Due.front().Outcome == rollout_outcome::RolledBack);
@@ -41,11 +41,11 @@
                      order_origin::Written, milliseconds(0), Start);
   Controller.onOutcome(Service, "v2", rollout_outcome::InProgress, {{}, 11});
   release_statistics Statistics;
-  Controller.judge(Statistics, 1, Start);
+  Controller.judge(Statistics, {}, Start);
   Statistics.addLocal({Service, "v1", "r"}, {500, 5, 0, 510});
   Statistics.addLocal({Service, "v2", "r"}, {1, 0, 0, 40});
   const steady_time End = Start + milliseconds(14999);
-  Controller.judge(Statistics, 1, End);
+  Controller.judge(Statistics, {}, End);
   const auto Due = Controller.outcomeUpdates(End);
   REQUIRE(Due.size() == 1);
   CHECK(Due.front().Outcome == rollout_outcome::RolledBack);
@@ -58,7 +58,7 @@
   Statistics.addLocal({Service, "v2", "r"}, {20, 15, 0, 20});
   Controller.onOrder({Service, "v2", milliseconds(15000), {{}, 10}},
                      order_origin::Written, milliseconds(0), Start);
-  Controller.judge(Statistics, 1, Start);
+  Controller.judge(Statistics, {}, Start);
   CHECK(Controller.ruleFor(Service, Start).Phase == rollout_phase::Trial);
 }
 
@@ -80,9 +80,9 @@
   Controller.onOrder({Service, "v2", milliseconds(15000), {{}, 10}},
                      order_origin::Written, milliseconds(0), Start);
   release_statistics Statistics;
-  Controller.judge(Statistics, 1, Start);
+  Controller.judge(Statistics, {}, Start);
   Statistics.addLocal({Service, "v2", "r"}, {10, 9, 0, 10});
-  Controller.judge(Statistics, 1, Start);
+  Controller.judge(Statistics, {}, Start);
   CHECK(Controller.ruleFor(Service, Start).Phase == rollout_phase::RolledBack);
   Controller.onOutcome(Service, "v2", rollout_outcome::Completed, {{}, 12});
   CHECK(Controller.ruleFor(Service, Start).Phase == rollout_phase::Completed);
--- a/Tests/LibDispatch/rollout_exposure_test.cpp
+++ b/Tests/LibDispatch/rollout_exposure_test.cpp
@@ -40,7 +40,7 @@
   for (milliseconds After{0}; After < Load.TimeLimit;
        After += milliseconds(10)) {
     const steady_time Now = Start + After;
-    Controller.judge(Statistics, 1, Now);
+    Controller.judge(Statistics, {}, Now);
     for (const auto &Update : Controller.outcomeUpdates(Now)) {
       Controller.onOutcome(Service, "v2", Update.Outcome, {{}, ++Revision});
       Result.Published = Update.Outcome;
@@ -76,3 +76,17 @@
       CHECK(Result.Published == rollout_outcome::Completed);
     }
 }
+
+TEST_CASE("Streams that move to the target when the old endpoints stop count "
+          "as its exposure") {
+  const exposure_limits Limits{0.15, 30};
+  const milliseconds Observed{11500};
+  const milliseconds Left{2300};
+  const milliseconds FullTime{1800};
+  // 75 requests a second; the target has got 19 of them.
+  exposure_counts Counts{19, 862, 0};
+  CHECK(exposure_budget(Limits, 1, Counts, Observed, Left).allowsAll(FullTime));
+  Counts.InFlight = 45;
+  CHECK_FALSE(
+      exposure_budget(Limits, 1, Counts, Observed, Left).allowsAll(FullTime));
+}
