LibDispatch: Let the shift wait for moved streams, not the trial

Change: only the start of the shift counts the attempts in flight. It begins later where the account is tight; the trial keeps its share.

--- a/Libraries/LibDispatch/exposure_budget.cpp
+++ b/Libraries/LibDispatch/exposure_budget.cpp
@@ -42,11 +42,11 @@
   // Errors of all VMs' forecasts partly cancel out.
   const double Margin = ForecastDeviations * std::sqrt(FullRequests / Vms);
   return Limits.Share * Expected + Limits.Slack / Vms - Counts.Target -
-         FullRequests - Margin - MovedFraction * Counts.InFlight;
+         FullRequests - Margin;
 }
 
 bool exposure_budget::allowsAll(milliseconds FullTime) const {
-  return allowanceBefore(FullTime) >= 0;
+  return allowanceBefore(FullTime) >= MovedFraction * Counts.InFlight;
 }
 
 double exposure_budget::shareBefore(milliseconds FullTime,
--- a/Libraries/LibDispatch/exposure_budget.h
+++ b/Libraries/LibDispatch/exposure_budget.h
@@ -36,7 +36,8 @@
   /// Whether the rate of requests is known.
   bool hasRate() const;
   /// Whether the target may get all requests for this long, which is a part of
-  /// the time until the limit.
+  /// the time until the limit, and those in flight that move to it when the old
+  /// endpoints stop.
   bool allowsAll(milliseconds FullTime) const;
   /// The share of the requests that the target may get for TrialTime, if it
   /// gets all of them for FullTime after it. Not limited to [0, 1].
@@ -44,8 +45,7 @@
 
 private:
   /// Attempts that the target may still get until the time limit, less those of
-  /// the time in which it gets all of them and those that are moved to it when
-  /// the old endpoints stop.
+  /// the time in which it gets all of them.
   double allowanceBefore(milliseconds FullTime) const;
 
   const exposure_limits Limits;
