LibDispatch: Take back the concentration of a trial in time

A route's factor multiplied the concentrated share, so that one endpoint got most of a route at once. Slow releases showed sooner by it, at the price of good ones.

The trial is as before, with six slow outcomes for worse. The test of the concentration goes with what it tested; no other check changed.

--- a/Libraries/LibDispatch/candidate_filter.cpp
+++ b/Libraries/LibDispatch/candidate_filter.cpp
@@ -38,12 +38,6 @@
 
 } // namespace
 
-std::size_t usableTargetCount(const endpoint_list &Endpoints,
-                              const release_rule &Rule, steady_time Now) {
-  return usableEndpoints(Endpoints, Rule.Target, /*WantsTarget=*/true, Now)
-      .size();
-}
-
 endpoint_list candidatesFor(const endpoint_list &Endpoints,
                             const release_rule &Rule, release_choice Choice,
                             steady_time Now) {
--- a/Libraries/LibDispatch/candidate_filter.h
+++ b/Libraries/LibDispatch/candidate_filter.h
@@ -5,10 +5,6 @@
 
 namespace azurehaven {
 
-/// Number of the target's endpoints that are usable.
-std::size_t usableTargetCount(const endpoint_list &Endpoints,
-                              const release_rule &Rule, steady_time Now);
-
 /// The endpoints of a service that a request may be sent to during a roll-out;
 /// with release_choice::Any all of them, whether usable or not. If no endpoint
 /// of the target is usable, falls back to the other releases. Falls back to the
--- a/Libraries/LibDispatch/release_rule.h
+++ b/Libraries/LibDispatch/release_rule.h
@@ -1,8 +1,5 @@
 #pragma once
 
-#include "LibTypes/units.h"
-
-#include <cstddef>
 #include <optional>
 #include <string>
 
@@ -31,16 +28,8 @@
   double RouteFactor = 1;
   /// Whether sessions on the old release must stay there for now.
   bool PinsSessions = false;
-  /// Time since the roll-out began.
-  milliseconds Elapsed{0};
 };
 
-/// Concentrates a trial in time: in a part of each period, one of the target's
-/// endpoints gets the share of the requests that each of them will have; in the
-/// rest the target gets no new sessions. Has no effect on other phases.
-release_rule concentrateTrial(const release_rule &Rule,
-                              std::size_t TargetEndpoints);
-
 enum class release_choice { Any, Target, NotTarget };
 
 /// Selects the release for one request. Pinned is the release that its session
--- a/Libraries/LibDispatch/release_verdict.cpp
+++ b/Libraries/LibDispatch/release_verdict.cpp
@@ -22,7 +22,7 @@
 constexpr outcome_limits FailureLimits{4, 4, 2, 3, 2};
 /// Slow responses come together when an endpoint is busy for a moment, as with
 /// the first prompts of a trial.
-constexpr outcome_limits SlowLimits{4, 8, 2.5, 4, 4};
+constexpr outcome_limits SlowLimits{4, 6, 2.5, 4, 4};
 
 /// Lower bound of the baseline rate: a few failures happen to any release.
 constexpr double MinimumBaselineRate = 0.03;
--- a/Libraries/LibDispatch/rollout_controller.cpp
+++ b/Libraries/LibDispatch/rollout_controller.cpp
@@ -145,7 +145,6 @@
         std::min(1.0, SinceStart / (Schedule.ShiftEnd - Schedule.ShiftStart));
     Rule.TargetShare += Fraction * (1 - Rule.TargetShare);
   }
-  Rule.Elapsed = Elapsed;
   Rule.PinsSessions = Elapsed < Schedule.SessionMove;
   return Rule;
 }
--- a/Libraries/LibRelay/request_placement.cpp
+++ b/Libraries/LibRelay/request_placement.cpp
@@ -44,11 +44,9 @@
         Fleet.Models.workPerToken(*Admitted.Route, *ModelIndex);
   const endpoint_list Endpoints = Fleet.Endpoints.endpointsOf(Admitted.Service);
   release_rule Rule = Fleet.Rollouts.ruleFor(Admitted.Service, Now);
-  if (Rule.Phase == rollout_phase::Trial) {
-    Rule = concentrateTrial(Rule, usableTargetCount(Endpoints, Rule, Now));
+  if (Rule.Phase == rollout_phase::Trial)
     Rule.RouteFactor =
         Fleet.Rollouts.routeFactor(Admitted.Service, Admitted.Route->Name);
-  }
   const release_choice Choice =
       chooseRelease(Rule, Fleet.Pins.releaseOf(Admitted.Session, Now),
                     rolloutSample(Admitted));
--- a/Tests/LibDispatch/rollout_controller_test.cpp
+++ b/Tests/LibDispatch/rollout_controller_test.cpp
@@ -225,26 +225,3 @@
                      order_origin::Written, milliseconds(0), Start);
   CHECK(Controller.ruleFor(Service, Start).Phase == rollout_phase::Trial);
 }
-
-TEST_CASE("A trial loads one endpoint as the roll-out will, and gets its share "
-          "over time") {
-  constexpr std::size_t TargetEndpoints = 10;
-  release_rule Rule{rollout_phase::Trial, "v2", 0.04};
-  double Sum = 0;
-  int Active = 0;
-  constexpr int Samples = 4000;
-  for (int Sample = 0; Sample < Samples; ++Sample) {
-    Rule.Elapsed = milliseconds(10 * Sample);
-    const double Share = concentrateTrial(Rule, TargetEndpoints).TargetShare;
-    CHECK((Share == 0 || Share == doctest::Approx(1.0 / TargetEndpoints)));
-    Active += Share > 0;
-    Sum += Share;
-  }
-  CHECK(Sum / Samples == doctest::Approx(0.04).epsilon(0.02));
-  CHECK(Active < Samples / 2);
-  // A share that loads an endpoint fully is left as it is.
-  Rule.TargetShare = 0.12;
-  CHECK(concentrateTrial(Rule, TargetEndpoints).TargetShare == 0.12);
-  Rule = {rollout_phase::Shift, "v2", 0.04};
-  CHECK(concentrateTrial(Rule, TargetEndpoints).TargetShare == 0.04);
-}
