LibRelay: Count heads beyond the objective as slow, cached prompt or not

Change: without a cached prompt the time to the head counts beyond the route's objective. Only cached prompts add to the usual time.

--- a/Libraries/LibRelay/attempt_recorder.cpp
+++ b/Libraries/LibRelay/attempt_recorder.cpp
@@ -30,7 +30,12 @@
 }
 
 response_latency attempt_recorder::comparable(response_latency Latency) const {
-  if (!IsPromptCached)
+  const auto Objective =
+      static_cast<double>(Admitted.Route->LatencyObjective.count());
+  // No prompt takes that long to read.
+  const bool IsBeyondObjective =
+      Objective > 0 && Latency.HeadMs && *Latency.HeadMs > Objective;
+  if (!IsPromptCached && !IsBeyondObjective)
     Latency.HeadMs.reset();
   return Latency;
 }
@@ -84,7 +89,7 @@
   if (Rule.Phase != rollout_phase::None && Endpoint.Release == Rule.Target)
     return;
   const std::string &Route = Admitted.Route->Name;
-  if (Latency.HeadMs)
+  if (Latency.HeadMs && IsPromptCached)
     Fleet.HeadLatencyBaseline.add(Route, Model, *Latency.HeadMs);
   if (Latency.BodyMs)
     Fleet.LatencyBaseline.add(Route, Model, *Latency.BodyMs);
--- a/Libraries/LibRelay/attempt_recorder.h
+++ b/Libraries/LibRelay/attempt_recorder.h
@@ -15,9 +15,10 @@
                    const admitted_request &Admitted)
       : Fleet(Fleet), Log(Log), Admitted(Admitted) {}
 
-  /// Starts the next attempt. The time to the head is measured only if the
-  /// prompt is cached: the time to read it tells nothing of the release.
-  /// KnownEvents: events that earlier attempts have delivered.
+  /// Starts the next attempt. If the prompt is not cached, the time to the head
+  /// counts only beyond the route's objective: the time to read the prompt
+  /// tells nothing of the release. KnownEvents: events that earlier attempts
+  /// have delivered.
   void onSent(const endpoint_descriptor &NewEndpoint, const model_id &NewModel,
               bool NewIsPromptCached, std::uint64_t KnownEvents,
               steady_time Now);
--- a/Tests/LibRelay/attempt_recorder_test.cpp
+++ b/Tests/LibRelay/attempt_recorder_test.cpp
@@ -11,14 +11,19 @@
 const steady_time Start{std::chrono::hours(1)};
 const model_id Model("m");
 
-/// The counts after a stream whose head takes twenty times as long as usual.
-release_counts countsOfLateHead(bool IsPromptCached) {
+constexpr milliseconds Objective{2000};
+
+/// The counts after a stream whose head takes twenty times as long as usual, or
+/// as long as this.
+release_counts countsOfLateHead(bool IsPromptCached,
+                                milliseconds HeadTime = milliseconds(1000)) {
   fleet_state Fleet = testFleet();
   for (int Sample = 0; Sample < 20; ++Sample)
     Fleet.HeadLatencyBaseline.add("r", Model, 50);
   route Route;
   Route.Name = "r";
   Route.Kind = route_kind::Stream;
+  Route.LatencyObjective = Objective;
   admitted_request Admitted;
   Admitted.Route = &Route;
   endpoint_descriptor Endpoint;
@@ -27,8 +32,8 @@
   const null_event_log Log;
   attempt_recorder Recorder(Fleet, Log, Admitted);
   Recorder.onSent(Endpoint, Model, IsPromptCached, 0, Start);
-  Recorder.onHead(Start + milliseconds(1000));
-  Recorder.record(/*HasFailed=*/false, Start + milliseconds(1000));
+  Recorder.onHead(Start + HeadTime);
+  Recorder.record(/*HasFailed=*/false, Start + HeadTime);
   return Fleet.ReleaseStatistics.countsOf(service_id("s"), "v2");
 }
 
@@ -41,3 +46,8 @@
   CHECK(countsOfLateHead(false).Slow == 0);
   CHECK(countsOfLateHead(false).Requests == 1);
 }
+
+TEST_CASE("A head beyond the route's objective makes a release slow, whether "
+          "its prompt is cached or not") {
+  CHECK(countsOfLateHead(false, Objective + milliseconds(1)).Slow == 1);
+}
