Tests: Show that requests that wait on a crashed engine are not blamed

Change: a test whose endpoints close without a byte, four times over, and then serve the same segments.

--- a/Tests/LibRelay/prompt_crash_test.cpp
+++ b/Tests/LibRelay/prompt_crash_test.cpp
@@ -15,6 +15,13 @@
 /// The response ends when the connection is closed.
 const std::string UnframedHead = Fields + "\r\n";
 
+scripted_response soundResponse() {
+  std::string Events;
+  for (int Id = 1; Id <= 5; ++Id)
+    Events += event(Id);
+  return {ChunkedHead + chunk(Events) + "0\r\n\r\n"};
+}
+
 /// Streams whose prompts are segments "system", a subject and one of their own.
 /// An endpoint that begins to respond to a prompt with the segment "bad"
 /// crashes.
@@ -26,10 +33,7 @@
     setScript([CrashHead](std::size_t, const received_request &Request) {
       if (Request.Body.find("bad") != std::string::npos)
         return scripted_response{CrashHead, after_response::Close};
-      std::string Events;
-      for (int Id = 1; Id <= 5; ++Id)
-        Events += event(Id);
-      return scripted_response{ChunkedHead + chunk(Events) + "0\r\n\r\n"};
+      return soundResponse();
     });
   }
   /// Sends one request with these shared segments and returns its status. The
@@ -75,3 +79,17 @@
   for (int Round = 0; Round < 10; ++Round)
     CHECK(Fixture.send("system,subject") == 200);
 }
+
+TEST_CASE("Requests that still wait on an endpoint are not blamed for its "
+          "crash") {
+  prompt_crash_fixture Fixture;
+  Fixture.setScript([](std::size_t, const received_request &) {
+    return scripted_response{"", after_response::Close};
+  });
+  for (int Round = 0; Round < 4; ++Round)
+    CHECK(Fixture.send("system,waiting") >= 500);
+  CHECK(Fixture.Received.size() >= AllowedCrashes);
+  Fixture.setScript(
+      [](std::size_t, const received_request &) { return soundResponse(); });
+  CHECK(Fixture.send("system,waiting") == 200);
+}
