LibEntry: Log each failed attempt

Cause: the product's own path logged only how a request ended. A refusal for want of an endpoint could not be told from one after failed attempts.

Change: attempt_failed with endpoint, version, fault and error, as the relay of the platform's path has it.

--- a/Libraries/LibEntry/chat_run.cpp
+++ b/Libraries/LibEntry/chat_run.cpp
@@ -359,6 +359,12 @@
                            Services.Clock.now());
   Services.SendHeartbeatsNow();
 }
+  Services.Log.write(log_level::Warning, "attempt_failed",
+                     {{"request", Request.Id.text()},
+                      {"endpoint", Attempt->Endpoint.Id.text()},
+                      {"version", Version.text()},
+                      {"fault", nameOf(Failure.Fault)},
+                      {"error", Failure.Message}});
 
 chat_event chat_run::next() {
   engine_event Event;
