LibEntry: Plan a queued request again if its version's endpoints have left

Callers saw: 503 no_endpoint, "not run", after a wait, while other versions that they may use served the requests that came later.

Cause: a request is planned for a version and then waits for admission. When it was admitted, the version's last endpoint had left; the outdated plan was carried out all the same. Class of fault: a decision that is acted on after its grounds have gone.

Change: a request that has had no attempt is planned again, three plans at most.

--- a/Libraries/LibEntry/chat_run.cpp
+++ b/Libraries/LibEntry/chat_run.cpp
@@ -12,6 +12,8 @@
 /// A request that has had this many attempts, over all its stages, is not
 /// retried.
 constexpr unsigned MaximumAttempts = 4;
+/// A request is planned again at most until it has had this many plans.
+constexpr unsigned MaximumPlans = 3;
 constexpr milliseconds ConnectTimeout{500};
 /// Time between two chunks of a response after which the connection counts as
 /// broken.
@@ -124,6 +126,26 @@
 std::optional<refusal> chat_run::planAndRun() {
   Services.Router.countRequest(Request.Account.Id);
   routing_request Routing;
+  for (unsigned PlanCount = 1;; ++PlanCount) {
+    auto Planned = plan();
+    if (auto *Refusal = std::get_if<refusal>(&Planned))
+      return *Refusal;
+    IsPlanOutdated = false;
+    auto Refusal = runPlan(std::get<route_plan>(Planned));
+    if (!Refusal || !mayPlanAgain(PlanCount))
+      return Refusal;
+    addStep(Version.text() + " has no endpoint any more, planned again");
+    releaseStage();
+  }
+}
+
+/// Endpoints may leave while a request waits for admission. Another version
+/// then serves it, as it does those that arrive later.
+bool chat_run::mayPlanAgain(unsigned PlanCount) const {
+  return IsPlanOutdated && AttemptCount == 0 && PlanCount < MaximumPlans;
+}
+
+std::variant<route_plan, refusal> chat_run::plan() {
   Routing.Configuration = Request.Configuration.get();
   Routing.Account = &Request.Account;
   Routing.Class = &Request.Class;
@@ -133,7 +155,7 @@
   auto Planned = Services.Router.plan(Routing, Services.Clock.now(), &Record);
   if (auto *Refused = std::get_if<routing_refusal>(&Planned))
     return refusalForRouting(*Refused);
-  return runPlan(std::get<route_plan>(Planned));
+  return std::get<route_plan>(std::move(Planned));
 }
 
 std::optional<refusal> chat_run::runPlan(const route_plan &Plan) {
@@ -241,10 +263,12 @@
     Attempt = Services.Router.startAttempt(
         Version, Request.AffinityKey, Request.CrashFingerprint,
         ExcludedEndpoints, Services.Clock.now());
-    if (!Attempt)
+    if (!Attempt) {
+      IsPlanOutdated = true;
       return refusalForRouting({refusal_reason::NoEndpoint, RetryAfterFailure});
     auto Opened = openAttempt();
     if (auto *Event = std::get_if<engine_event>(&Opened))
+    }
       return std::move(*Event);
     const auto &Failure = std::get<engine_failure>(Opened);
     recordAttemptFailure(Failure);
--- a/Libraries/LibEntry/chat_run.h
+++ b/Libraries/LibEntry/chat_run.h
@@ -53,6 +53,10 @@
   /// for another body.
   std::optional<refusal> registerRequestId();
   std::optional<refusal> planAndRun();
+  std::variant<route_plan, refusal> plan();
+  /// Whether the refusal comes from a plan that no longer fits and no part of
+  /// the request has been sent, so that another plan may serve it.
+  bool mayPlanAgain(unsigned PlanCount) const;
   std::optional<refusal> runPlan(const route_plan &Plan);
   std::optional<refusal> admitToStage(const version_id &Stage);
   void releaseStage();
@@ -100,6 +104,8 @@
   std::set<endpoint_id> ExcludedEndpoints;
   unsigned AttemptCount = 0;
   answer_role Role = answer_role::Direct;
+  /// The planned version had no endpoint left when the request was admitted.
+  bool IsPlanOutdated = false;
   /// The minimum confidence that the previous stage of the cascade missed.
   double RequiredConfidence = 0;
   /// An escalated response is rated under the confidence that was required of
