LibRouting: Promote no version that keeps callers waiting or breaks off

Callers would see: a version under roll-out several times slower, or failing half of its requests, becomes the active one.

Cause: as on the platform's path, a roll-out was completed unless found worse, and what was counted were ratings, which only answered requests have. Attempts that failed before the first token, or whose caller left, counted nowhere; latency was not compared at all.

Change: each attempt counts as in time or late by its class's targets, also one that never got an answer (latency_outcome); the counts travel with the ratings, in a field that earlier builds ignore. promotion_rule compares quality, completeness and punctuality with the incumbent's by lower confidence bounds, within the margin that quality had.

--- a/Libraries/LibBench/scaling_bench.cpp
+++ b/Libraries/LibBench/scaling_bench.cpp
@@ -108,7 +108,7 @@
             Router->startAttempt(makeVersionId(0), Key, Key, {}, Start)) {
       attempt_report Report;
       Report.Outcome = attempt_outcome::Cancelled;
-      Router->finishAttempt(*Started, Request.Class->Id, Report, Start);
+      Router->finishAttempt(*Started, *Request.Class, Report, Start);
     }
   });
   const double AdmissionMicroseconds = meanMicroseconds(Rounds, [&] {
--- a/Libraries/LibBench/simulation_engines.cpp
+++ b/Libraries/LibBench/simulation_engines.cpp
@@ -134,8 +134,8 @@
       token_count(static_cast<std::int64_t>(State.Request.Tokens));
   Report.Confidence = Confidence;
   Report.Role = State.Role;
-  routerOf(State).finishAttempt(*State.Attempt, State.Request.Class, Report,
-                                Now);
+  Report.MayHaveRun = true;
+  routerOf(State).finishAttempt(*State.Attempt, classOf(State), Report, Now);
   State.Attempt.reset();
 }
 
--- a/Libraries/LibBench/simulation_placement.cpp
+++ b/Libraries/LibBench/simulation_placement.cpp
@@ -90,8 +90,7 @@
 void simulation::retryOrRefuse(request_state &State, attempt_outcome Outcome) {
   attempt_report Report;
   Report.Outcome = Outcome;
-  routerOf(State).finishAttempt(*State.Attempt, State.Request.Class, Report,
-                                Now);
+  routerOf(State).finishAttempt(*State.Attempt, classOf(State), Report, Now);
   State.Excluded.insert(State.Attempt->Endpoint.Id);
   State.Attempt.reset();
   const bool MayRetry =
--- a/Libraries/LibClient/operator_report.cpp
+++ b/Libraries/LibClient/operator_report.cpp
@@ -94,7 +94,8 @@
     std::cout << Line.get<std::string>() << "\n";
   std::cout << "\n";
   printColumns(Status["quality"], {"version", "class", "quality", "target",
-                                   "ratings", "answers", "failures"});
+                                   "ratings", "answers", "failures",
+                                   "in_time", "late"});
 }
 
 void printConfiguration(const json &Configuration) {
--- a/Libraries/LibEntry/chat_run.cpp
+++ b/Libraries/LibEntry/chat_run.cpp
@@ -77,7 +77,8 @@
 
 chat_run::~chat_run() {
   if (Attempt)
-    reportAttempt(attempt_outcome::Cancelled, nullptr);
+    reportAttempt(attempt_outcome::Cancelled, /*AttemptMayHaveRun=*/true,
+                  nullptr);
   releaseStage();
   if (RegisteredBody)
     Services.RequestIds.endRequest(*RegisteredBody);
@@ -125,7 +126,6 @@
 
 std::optional<refusal> chat_run::planAndRun() {
   Services.Router.countRequest(Request.Account.Id);
-  routing_request Routing;
   for (unsigned PlanCount = 1;; ++PlanCount) {
     auto Planned = plan();
     if (auto *Refusal = std::get_if<refusal>(&Planned))
@@ -146,6 +146,7 @@
 }
 
 std::variant<route_plan, refusal> chat_run::plan() {
+  routing_request Routing;
   Routing.Configuration = Request.Configuration.get();
   Routing.Account = &Request.Account;
   Routing.Class = &Request.Class;
@@ -226,7 +227,8 @@
     return std::nullopt;
   }
   Response.Finish = std::get<engine_finish>(Event);
-  reportAttempt(attempt_outcome::Answered, &Response.Finish);
+  reportAttempt(attempt_outcome::Answered, /*AttemptMayHaveRun=*/true,
+                &Response.Finish);
   addCost(Response.Finish);
   offerForRating(Response.Finish, Response.Text);
   const bool IsAccepted =
@@ -266,9 +268,9 @@
     if (!Attempt) {
       IsPlanOutdated = true;
       return refusalForRouting({refusal_reason::NoEndpoint, RetryAfterFailure});
+    }
     auto Opened = openAttempt();
     if (auto *Event = std::get_if<engine_event>(&Opened))
-    }
       return std::move(*Event);
     const auto &Failure = std::get<engine_failure>(Opened);
     recordAttemptFailure(Failure);
@@ -332,20 +334,22 @@
   return Services.Router.tryTakeRetry(Request.Account.Id);
 }
 
-void chat_run::reportAttempt(attempt_outcome Outcome,
+void chat_run::reportAttempt(attempt_outcome Outcome, bool AttemptMayHaveRun,
                              const engine_finish *Finish) {
   attempt_report Report;
   Report.Outcome = Outcome;
   Report.TimeToFirstToken = AttemptFirstToken;
   Report.TotalTime = elapsed(AttemptStartedAt, Services.Clock.now());
   Report.HadStartedAnswer = AttemptFirstToken.has_value();
+  Report.MayHaveRun = AttemptMayHaveRun;
+  Report.IsPastDeadline = remainingTime() <= milliseconds(0);
   Report.Role = Role;
   if (Finish) {
     Report.Confidence = confidenceForRating(*Finish);
     Report.PromptTokens = Finish->PromptTokens;
     Report.CompletionTokens = Finish->CompletionTokens;
   }
-  Services.Router.finishAttempt(*Attempt, Request.Class.Id, Report,
+  Services.Router.finishAttempt(*Attempt, Request.Class, Report,
                                 Services.Clock.now());
   Attempt.reset();
   EngineAttempt.reset();
@@ -355,6 +359,12 @@
   MayHaveRun |= Failure.mayHaveRun();
   addStep("failed: " + std::string(nameOf(Failure.Fault)) + ", " +
           Failure.Message);
+  Services.Log.write(log_level::Warning, "attempt_failed",
+                     {{"request", Request.Id.text()},
+                      {"endpoint", Attempt->Endpoint.Id.text()},
+                      {"version", Version.text()},
+                      {"fault", nameOf(Failure.Fault)},
+                      {"error", Failure.Message}});
   Services.Metrics.increment("azurehaven_attempt_failures_total",
                              label("fault", nameOf(Failure.Fault)));
   ExcludedEndpoints.insert(Attempt->Endpoint.Id);
@@ -362,7 +372,7 @@
     Services.Router.markEndpointLeaving(Attempt->Endpoint.Id);
   if (Failure.Fault == engine_fault::Broken)
     detectCrash();
-  reportAttempt(outcomeOf(Failure), nullptr);
+  reportAttempt(outcomeOf(Failure), Failure.mayHaveRun(), nullptr);
 }
 
 /// Records a crash against the request if the endpoint is unreachable or has
@@ -383,12 +393,6 @@
                            Services.Clock.now());
   Services.SendHeartbeatsNow();
 }
-  Services.Log.write(log_level::Warning, "attempt_failed",
-                     {{"request", Request.Id.text()},
-                      {"endpoint", Attempt->Endpoint.Id.text()},
-                      {"version", Version.text()},
-                      {"fault", nameOf(Failure.Fault)},
-                      {"error", Failure.Message}});
 
 chat_event chat_run::next() {
   engine_event Event;
@@ -437,7 +441,8 @@
 
 chat_event chat_run::billAndFinish(const engine_finish &Finish) {
   if (Attempt) {
-    reportAttempt(attempt_outcome::Answered, &Finish);
+    reportAttempt(attempt_outcome::Answered, /*AttemptMayHaveRun=*/true,
+                  &Finish);
     addCost(Finish);
     offerForRating(Finish, SentText);
   }
--- a/Libraries/LibEntry/chat_run.h
+++ b/Libraries/LibEntry/chat_run.h
@@ -70,7 +70,9 @@
   /// Returns whether the request may be retried. Takes the retry from the retry
   /// budgets, unless the endpoint refused the attempt because it is leaving.
   bool takeRetryIfAllowed(const engine_failure &Failure);
-  void reportAttempt(attempt_outcome Outcome, const engine_finish *Finish);
+  /// AttemptMayHaveRun: whether the endpoint may have run the attempt.
+  void reportAttempt(attempt_outcome Outcome, bool AttemptMayHaveRun,
+                     const engine_finish *Finish);
   void recordAttemptFailure(const engine_failure &Failure);
   void detectCrash();
   engine_event resume(const engine_failure &Failure);
@@ -102,10 +104,10 @@
   /// Time from the start of the attempt to its first chunk.
   std::optional<milliseconds> AttemptFirstToken;
   std::set<endpoint_id> ExcludedEndpoints;
-  unsigned AttemptCount = 0;
-  answer_role Role = answer_role::Direct;
   /// The planned version had no endpoint left when the request was admitted.
   bool IsPlanOutdated = false;
+  unsigned AttemptCount = 0;
+  answer_role Role = answer_role::Direct;
   /// The minimum confidence that the previous stage of the cascade missed.
   double RequiredConfidence = 0;
   /// An escalated response is rated under the confidence that was required of
--- a/Libraries/LibEntry/operator_api.cpp
+++ b/Libraries/LibEntry/operator_api.cpp
@@ -139,7 +139,9 @@
                          {"target", Targets.QualityTarget},
                          {"ratings", Ratings.Count},
                          {"answers", Ratings.Successes},
-                         {"failures", Ratings.Failures}});
+                         {"failures", Ratings.Failures},
+                         {"in_time", Ratings.InTime},
+                         {"late", Ratings.Late}});
     }
   const bill_committer_counts Bills = Services.Bills.counts();
   return respond({{"vm", Services.Settings.Vm.text()},
--- a/Libraries/LibEntry/service_relay.cpp
+++ b/Libraries/LibEntry/service_relay.cpp
@@ -214,7 +214,7 @@
   Report.Outcome = std::holds_alternative<http_response>(Sent)
                        ? attempt_outcome::Answered
                        : attempt_outcome::Failed;
-  Services.Router.finishAttempt(Attempt, class_id(), Report, Now);
+  Services.Router.finishAttempt(Attempt, work_class(), Report, Now);
   return Sent;
 }
 
--- a/Libraries/LibPeer/frame_codec.cpp
+++ b/Libraries/LibPeer/frame_codec.cpp
@@ -21,14 +21,19 @@
 Offset<wire::Rating> encodeRating(FlatBufferBuilder &Builder,
                                   const rating_notice &Notice) {
   std::vector<wire::Counts> Buckets;
-  for (const auto &Counts : Notice.Buckets)
+  std::vector<wire::LatencyCounts> Latencies;
+  for (const auto &Counts : Notice.Buckets) {
     Buckets.emplace_back(static_cast<std::uint32_t>(Counts.Count),
                          static_cast<std::uint32_t>(Counts.Successes),
                          static_cast<std::uint32_t>(Counts.Failures),
                          Counts.ScoreMilli);
+    Latencies.emplace_back(static_cast<std::uint32_t>(Counts.InTime),
+                           static_cast<std::uint32_t>(Counts.Late));
+  }
   return wire::CreateRatingDirect(
       Builder, Notice.Origin.text().c_str(), Notice.Incarnation,
-      Notice.Version.text().c_str(), Notice.Class.text().c_str(), &Buckets);
+      Notice.Version.text().c_str(), Notice.Class.text().c_str(), &Buckets,
+      &Latencies);
 }
 
 /// Encodes the body of one message and sets Type to its wire type.
@@ -153,22 +158,33 @@
   return Decoded;
 }
 
+/// Decodes the structs of a vector, at most one for each bucket, with their
+/// index.
+template <typename Struct, typename Visitor>
+void forEachBucket(const flatbuffers::Vector<const Struct *> *Items,
+                   Visitor Visit) {
+  const std::size_t Count =
+      Items ? std::min<std::size_t>(Items->size(), BucketCount) : 0;
+  for (std::size_t Index = 0; Index < Count; ++Index)
+    Visit(Index, *Items->Get(static_cast<flatbuffers::uoffset_t>(Index)));
+}
+
 rating_notice decodeRating(const wire::Rating &Item) {
   rating_notice Notice;
   Notice.Origin = vm_id(Item.origin()->str());
   Notice.Incarnation = Item.incarnation();
   Notice.Version = version_id(Item.version()->str());
   Notice.Class = class_id(Item.work_class()->str());
-  const std::size_t Count =
-      Item.buckets()
-          ? std::min<std::size_t>(Item.buckets()->size(), BucketCount)
-          : 0;
-  for (std::size_t Index = 0; Index < Count; ++Index) {
-    const wire::Counts *Counts =
-        Item.buckets()->Get(static_cast<flatbuffers::uoffset_t>(Index));
-    Notice.Buckets[Index] = {Counts->ratings(), Counts->score_milli(),
-                             Counts->successes(), Counts->failures()};
-  }
+  forEachBucket(
+      Item.buckets(), [&](std::size_t Index, const wire::Counts &Counts) {
+        Notice.Buckets[Index] = {Counts.ratings(), Counts.score_milli(),
+                                 Counts.successes(), Counts.failures()};
+      });
+  forEachBucket(Item.latencies(),
+                [&](std::size_t Index, const wire::LatencyCounts &Counts) {
+                  Notice.Buckets[Index].InTime = Counts.in_time();
+                  Notice.Buckets[Index].Late = Counts.late();
+                });
   return Notice;
 }
 
--- a/Libraries/LibPeer/rating_counts.h
+++ b/Libraries/LibPeer/rating_counts.h
@@ -16,17 +16,24 @@
   std::uint64_t Successes = 0;
   /// Answers that failed after they had started.
   std::uint64_t Failures = 0;
+  /// Attempts that met the latency targets of their class, and those that
+  /// missed one, whether they were answered or not.
+  std::uint64_t InTime = 0;
+  std::uint64_t Late = 0;
 
   rating_counts &operator+=(const rating_counts &Other) {
     Count += Other.Count;
     ScoreMilli += Other.ScoreMilli;
     Successes += Other.Successes;
     Failures += Other.Failures;
+    InTime += Other.InTime;
+    Late += Other.Late;
     return *this;
   }
   rating_counts operator-(const rating_counts &Other) const {
-    return {Count - Other.Count, ScoreMilli - Other.ScoreMilli,
-            Successes - Other.Successes, Failures - Other.Failures};
+    return {Count - Other.Count,         ScoreMilli - Other.ScoreMilli,
+            Successes - Other.Successes, Failures - Other.Failures,
+            InTime - Other.InTime,       Late - Other.Late};
   }
   bool operator==(const rating_counts &) const = default;
 
--- a/Libraries/LibRouting/rating_pool.cpp
+++ b/Libraries/LibRouting/rating_pool.cpp
@@ -16,7 +16,8 @@
 bool isAtLeast(const rating_counts &After, const rating_counts &Before) {
   return After.Count >= Before.Count && After.ScoreMilli >= Before.ScoreMilli &&
          After.Successes >= Before.Successes &&
-         After.Failures >= Before.Failures;
+         After.Failures >= Before.Failures && After.InTime >= Before.InTime &&
+         After.Late >= Before.Late;
 }
 
 } // namespace
--- a/Libraries/LibRouting/router.cpp
+++ b/Libraries/LibRouting/router.cpp
@@ -1,5 +1,7 @@
 #include "LibRouting/router.h"
 
+#include "LibRouting/promotion_rule.h"
+
 #include <algorithm>
 #include <cmath>
 
@@ -12,9 +14,6 @@
 constexpr double InFlightPerSlot = 1.25;
 constexpr milliseconds PeerUsageLifetime{3000};
 constexpr milliseconds NoEndpointRetryAfter{1000};
-/// A version under roll-out is promoted if after PromotionRatings ratings its
-/// lower quality bound is at most this much below its incumbent's mean quality.
-constexpr double PromotionMargin = 0.03;
 constexpr std::uint64_t PromotionRatings = 200;
 /// Answers of a version in a class needed before its own statistics in that
 /// class are used instead of an estimate.
@@ -193,15 +192,16 @@
   return attempt{*Endpoint, version_id(), 0, false};
 }
 
-void router::finishAttempt(const attempt &Attempt, const class_id &Class,
+void router::finishAttempt(const attempt &Attempt, const work_class &Class,
                            const attempt_report &Report, steady_time Now) {
   std::lock_guard Lock(Mutex);
   Endpoints.attemptFinished(Attempt.Endpoint.Id, Report.Outcome,
                             Report.TimeToFirstToken, Attempt.IsSuspect, Now);
   if (Attempt.Version.empty())
     return;
-  const version_class Subject{Attempt.Version, Class};
+  const version_class Subject{Attempt.Version, Class.Id};
   const std::size_t Bucket = bucketIndex(Report.Role, Report.Confidence);
+  countLatency(Subject, Bucket, latencyOutcomeOf(Class, Report));
   if (Report.Outcome == attempt_outcome::Answered) {
     for (version_statistics *Means :
          {&Statistics[Subject], &VersionStatistics[Subject.Version],
@@ -216,6 +216,15 @@
   }
 }
 
+void router::countLatency(const version_class &Subject, std::size_t Bucket,
+                          latency_outcome Outcome) {
+  rating_counts Added;
+  Added.InTime = Outcome == latency_outcome::InTime;
+  Added.Late = Outcome == latency_outcome::Late;
+  if (Added != rating_counts{})
+    addCounts(Subject, Bucket, Added);
+}
+
 void router::countRequest(const client_account_id &Account) {
   std::lock_guard Lock(Mutex);
   Retries.countRequest(Account);
@@ -316,11 +325,11 @@
       auto Incumbent = incumbentOf(Configuration, Version, Class);
       if (Own.Count == 0 || !Incumbent)
         continue;
-      const double Reference =
-          meanQuality(sumBuckets(Ratings.pooledCounts({*Incumbent, Class})));
-      Health.setIncumbentScore({Id, Class}, Reference);
+      const rating_counts Reference =
+          sumBuckets(Ratings.pooledCounts({*Incumbent, Class}));
+      Health.setIncumbentScore({Id, Class}, meanQuality(Reference));
       RatingCount += Own.Count;
-      if (lowerQualityBound(Own, 1) < Reference - PromotionMargin)
+      if (!isNoWorse(Own, Reference))
         IsProven = false;
     }
     if (IsProven && RatingCount >= PromotionRatings && !Health.isAlarmed(Id))
--- a/Libraries/LibRouting/router.h
+++ b/Libraries/LibRouting/router.h
@@ -5,6 +5,7 @@
 #include "LibRouting/crash_registry.h"
 #include "LibRouting/decision_log.h"
 #include "LibRouting/endpoint_table.h"
+#include "LibRouting/latency_outcome.h"
 #include "LibRouting/rating_pool.h"
 #include "LibRouting/retry_budget.h"
 #include "LibRouting/version_chooser.h"
@@ -47,20 +48,6 @@
   bool IsSuspect = false;
 };
 
-/// Outcome and measurements of a finished attempt.
-struct attempt_report {
-  attempt_outcome Outcome = attempt_outcome::Failed;
-  std::optional<milliseconds> TimeToFirstToken;
-  milliseconds TotalTime{0};
-  token_count PromptTokens;
-  token_count CompletionTokens;
-  double Confidence = 1;
-  answer_role Role = answer_role::Direct;
-  /// Whether a token had arrived. A failure counts against the version only
-  /// then.
-  bool HadStartedAnswer = false;
-};
-
 /// Makes all routing decisions of one VM. No I/O; the time is an argument.
 /// Thread-safe (lock_rank::Router).
 class router {
@@ -92,7 +79,8 @@
   std::optional<attempt>
   startServiceAttempt(const service_id &Service,
                       const std::set<endpoint_id> &Excluded, steady_time Now);
-  void finishAttempt(const attempt &Attempt, const class_id &Class,
+  /// Class is not used for a plain service.
+  void finishAttempt(const attempt &Attempt, const work_class &Class,
                      const attempt_report &Report, steady_time Now);
   /// Credits the retry budgets for one request.
   void countRequest(const client_account_id &Account);
@@ -115,7 +103,8 @@
   std::vector<version_alarm> evaluateHealth();
   /// Returns the versions under roll-out that have enough ratings and are,
   /// within a margin, no worse than their incumbent in every class that has
-  /// ratings of both.
+  /// ratings of both: in quality, in the share of answers that are complete and
+  /// in that of attempts that meet the latency targets.
   std::vector<version_id>
   promotableVersions(const configuration &Configuration);
   /// Resets the health tests of versions that an operator has reinstated after
@@ -154,6 +143,8 @@
   void updateRemoteInFlight(admission_queue &Queue, steady_time Now);
   void addCounts(const version_class &Subject, std::size_t Bucket,
                  const rating_counts &Added);
+  void countLatency(const version_class &Subject, std::size_t Bucket,
+                    latency_outcome Outcome);
   /// The active version of the same model with the most ratings in the class.
   std::optional<version_id> incumbentOf(const configuration &Configuration,
                                         const model_version &Version,
--- a/Libraries/LibRouting/version_chooser.cpp
+++ b/Libraries/LibRouting/version_chooser.cpp
@@ -255,15 +255,23 @@
   ++Samples;
 }
 
+double priorMean(double Sum, double Count) {
+  return (Sum + PriorScore * PriorCount) / (Count + PriorCount);
+}
+
+double lowerMeanBound(double Sum, double Count, double Width) {
+  const double Mean = priorMean(Sum, Count);
+  return std::max(
+      0.0, Mean - Width * std::sqrt(Mean * (1 - Mean) / (Count + PriorCount)));
+}
+
 double meanQuality(const rating_counts &Ratings) {
-  return (Ratings.scoreSum() + PriorScore * PriorCount) /
-         (static_cast<double>(Ratings.Count) + PriorCount);
+  return priorMean(Ratings.scoreSum(), static_cast<double>(Ratings.Count));
 }
 
 double lowerQualityBound(const rating_counts &Ratings, double Width) {
-  const double Mean = meanQuality(Ratings);
-  const double Count = static_cast<double>(Ratings.Count) + PriorCount;
-  return std::max(0.0, Mean - Width * std::sqrt(Mean * (1 - Mean) / Count));
+  return lowerMeanBound(Ratings.scoreSum(), static_cast<double>(Ratings.Count),
+                        Width);
 }
 
 double upperQualityBound(const rating_counts &Ratings, double Width) {
--- a/Libraries/LibRouting/version_chooser.h
+++ b/Libraries/LibRouting/version_chooser.h
@@ -94,6 +94,11 @@
 /// ratings gets.
 double rollOutShare(const work_class &Class, const rating_counts &Ratings);
 
+/// Mean of Count scores in [0, 1] with the given sum and of a prior, and its
+/// lower confidence bound; Width is in standard errors.
+double priorMean(double Sum, double Count);
+double lowerMeanBound(double Sum, double Count, double Width);
+
 /// Confidence bounds of the mean score; Width is in standard errors.
 double lowerQualityBound(const rating_counts &Ratings, double Width);
 double upperQualityBound(const rating_counts &Ratings, double Width);
--- a/Tests/LibPeer/frame_codec_test.cpp
+++ b/Tests/LibPeer/frame_codec_test.cpp
@@ -19,7 +19,7 @@
   Message.Members = {
       {vm_id("a"), 3, member_state::Leaving, failure_domain_id("north")}};
   rating_notice Rating{vm_id("a"), 3, version_id("m@1"), class_id("c"), {}};
-  Rating.Buckets[2] = {5, 4000, 6, 1};
+  Rating.Buckets[2] = {5, 4000, 6, 1, 7, 2};
   Message.Ratings = {Rating};
   Message.Crashes = {{99, endpoint_id("e")}};
   Message.Usage = {{client_account_id("x"), 4}};
@@ -37,7 +37,7 @@
   CHECK(Message.ConfigVersion == 42);
   CHECK(Message.ConfirmationAge == milliseconds(123));
   CHECK(Message.Members.at(0).State == member_state::Leaving);
-  CHECK(Message.Ratings.at(0).Buckets[2] == rating_counts{5, 4000, 6, 1});
+  CHECK(Message.Ratings.at(0).Buckets[2] == rating_counts{5, 4000, 6, 1, 7, 2});
   CHECK(Message.Crashes.at(0).Fingerprint == 99);
   CHECK(Message.Usage.at(0).InFlight == 4);
   CHECK(Message.RequestBodies.at(0).Request == 7);
