LibEntry, LibRouting: Refuse messages under which engines crash

Callers would see: requests of one conversation or one system prompt, no two alike, end one engine after the other; sound requests on those engines are cut.

Cause: as on the platform's path, crashes were counted by whole requests only (account and body); requests that share a message never added up.

Change: all messages but the last are shared segments. crash_detector, parted from chat_run, counts a crash against them if the response had begun and made no progress; prompt_crash_registry holds LibDispatch's prompt_quarantine, the one copy, behind a lock and passes its notices on with heartbeats. Refused with 422 prompt_crash_causing; ctl status shows how many are refused.

--- a/Libraries/LibClient/caller_client.cpp
+++ b/Libraries/LibClient/caller_client.cpp
@@ -17,6 +17,19 @@
       std::chrono::steady_clock::now() - StartedAt);
 }
 
+json messagesOf(const caller_request &Request) {
+  json Messages = json::array();
+  const auto Add = [&](const char *Role, const std::string &Text) {
+    Messages.push_back({{"role", Role}, {"content", Text}});
+  };
+  if (!Request.SystemText.empty())
+    Add("system", Request.SystemText);
+  if (!Request.EarlierText.empty())
+    Add("user", Request.EarlierText);
+  Add("user", Request.Text);
+  return Messages;
+}
+
 /// Copies the fields of an error document; ignores any other document.
 void readError(const json &Document, caller_response &Response) {
   if (!Document.is_object() || !Document.contains("error") ||
@@ -85,8 +98,7 @@
   if (Request.StartsSession)
     HttpRequest.Headers.emplace_back("X-Session", "new");
   HttpRequest.Body =
-      json{{"messages", {{{"role", "user"}, {"content", Request.Text}}}},
-           {"stream", Request.IsStreamed}}
+      json{{"messages", messagesOf(Request)}, {"stream", Request.IsStreamed}}
           .dump(-1, ' ', false, json::error_handler_t::replace);
   caller_response Response;
   Response.EntryAddress = Entry.text();
--- a/Libraries/LibClient/caller_client.h
+++ b/Libraries/LibClient/caller_client.h
@@ -16,6 +16,10 @@
   std::string SessionToken;
   bool StartsSession = false;
   bool IsStreamed = true;
+  /// The message of the role "system"; none if empty.
+  std::string SystemText;
+  /// An earlier message of the conversation; none if empty.
+  std::string EarlierText;
   std::string Text;
 };
 
--- a/Libraries/LibDispatch/prompt_quarantine.h
+++ b/Libraries/LibDispatch/prompt_quarantine.h
@@ -43,6 +43,8 @@
   void mergeCleared(segment_key Segment, steady_time Now);
 
   bool isQuarantined(const std::vector<segment_key> &Segments) const;
+  /// Number of segments, or groups of them, that are quarantined.
+  std::size_t quarantinedCount() const { return Groups.size(); }
 
   /// The records for the other VMs; clears the queue.
   std::vector<crash_record> takeUnsentCrashes();
--- a/Libraries/LibEntry/chat_request.cpp
+++ b/Libraries/LibEntry/chat_request.cpp
@@ -32,17 +32,27 @@
                                     : std::string();
 }
 
+std::string textOf(const json &Message) {
+  return Message.dump(-1, ' ', false, json::error_handler_t::replace);
+}
+
 /// Hashes the start of the first message, usually the system prompt, because
 /// that is the prefix that requests share in an engine's cache. Sets the lowest
 /// bit, because 0 means that there is no affinity key.
 std::uint64_t affinityKeyOf(const json &Messages) {
-  const std::string Prefix =
-      Messages.front().dump(-1, ' ', false, json::error_handler_t::replace);
+  const std::string Prefix = textOf(Messages.front());
   return fingerprintOf(std::string_view(Prefix).substr(0, AffinityPrefixBytes),
                        1) |
          1;
 }
 
+std::vector<segment_key> sharedSegmentsOf(const json &Messages) {
+  std::vector<segment_key> Keys;
+  for (std::size_t Index = 0; Index + 1 < Messages.size(); ++Index)
+    Keys.push_back(fingerprintOf(textOf(Messages[Index])));
+  return Keys;
+}
+
 std::optional<refusal> validateBody(const json &Body) {
   if (!Body.is_object())
     return badRequest("bad_json", "the body is not a JSON object");
@@ -117,6 +127,7 @@
                                                    : response_mode::Buffered;
   Parsed.BodyFingerprint = fingerprintOf(Request.Body);
   Parsed.CrashFingerprint = crashFingerprint(Parsed.Account.Id, Request.Body);
+  Parsed.SharedSegments = sharedSegmentsOf(Parsed.Body["messages"]);
   Parsed.AffinityKey = affinityKeyOf(Parsed.Body["messages"]);
   Parsed.ArrivedAt = Now;
   Parsed.Deadline = Now + Parsed.Class.Deadline;
--- a/Libraries/LibEntry/chat_request.h
+++ b/Libraries/LibEntry/chat_request.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "LibConfig/configuration.h"
+#include "LibDispatch/prompt_quarantine.h"
 #include "LibEntry/refusal.h"
 #include "LibSession/session_token.h"
 
@@ -29,6 +30,8 @@
   nlohmann::json Body;
   std::uint64_t BodyFingerprint = 0;
   std::uint64_t CrashFingerprint = 0;
+  /// The messages that other requests may share: all but the last.
+  std::vector<segment_key> SharedSegments;
   /// Equal for requests that share a prompt prefix.
   std::uint64_t AffinityKey = 0;
   steady_time ArrivedAt;
--- a/Libraries/LibEntry/chat_run.cpp
+++ b/Libraries/LibEntry/chat_run.cpp
@@ -21,7 +21,6 @@
 /// Timeout of the first chunk, as a multiple of the class's first-token target.
 constexpr int FirstTokenTimeoutFactor = 10;
 constexpr milliseconds MinimumFirstTokenTimeout{2000};
-constexpr milliseconds CrashProbeTimeout{300};
 constexpr milliseconds RetryAfterFailure{500};
 /// A queued request is shed if it would start later than this multiple of the
 /// class's first-token target after its arrival.
@@ -67,7 +66,8 @@
 } // namespace
 
 chat_run::chat_run(const entry_services &Services, chat_request Checked)
-    : Services(Services), Request(std::move(Checked)) {
+    : Services(Services), Request(std::move(Checked)),
+      Crashes(Services, Request) {
   Record.Request = Request.Id;
   Record.Account = Request.Account.Id;
   Record.Class = Request.Class.Id;
@@ -146,6 +146,8 @@
 }
 
 std::variant<route_plan, refusal> chat_run::plan() {
+  if (const auto Reason = Crashes.refusalReason())
+    return refusalForRouting({*Reason, milliseconds(0)});
   routing_request Routing;
   Routing.Configuration = Request.Configuration.get();
   Routing.Account = &Request.Account;
@@ -220,7 +222,7 @@
   engine_event Event = std::move(std::get<engine_event>(Opened));
   while (auto *Chunk = std::get_if<engine_text>(&Event)) {
     Response.Text += Chunk->Text;
-    Event = EngineAttempt->next();
+    Event = receive();
   }
   if (auto *Failure = std::get_if<engine_failure>(&Event)) {
     recordAttemptFailure(*Failure);
@@ -259,9 +261,8 @@
     if (remainingTime() <= milliseconds(0))
       return makeRefusal(504, "deadline_exceeded", "the deadline has passed",
                          milliseconds(0));
-    if (Services.Router.crashStatusOf(Request.CrashFingerprint) ==
-        crash_status::Refused)
-      return refusalForRouting({refusal_reason::CrashCausing, milliseconds(0)});
+    if (const auto Reason = Crashes.refusalReason())
+      return refusalForRouting({*Reason, milliseconds(0)});
     Attempt = Services.Router.startAttempt(
         Version, Request.AffinityKey, Request.CrashFingerprint,
         ExcludedEndpoints, Services.Clock.now());
@@ -285,6 +286,7 @@
     Services.RequestIds.markSent(*RegisteredBody);
   AttemptStartedAt = Services.Clock.now();
   AttemptFirstToken.reset();
+  Crashes.onSent(Attempt->Endpoint);
   engine_attempt::parameters Parameters;
   // Unique for each attempt, so that a response to an earlier one is detected.
   Parameters.AttemptId =
@@ -302,13 +304,23 @@
   if (auto *Failure = std::get_if<engine_failure>(&Opened))
     return std::move(*Failure);
   EngineAttempt = std::move(std::get<std::unique_ptr<engine_attempt>>(Opened));
-  engine_event First = EngineAttempt->next();
+  Crashes.onHead();
+  engine_event First = receive();
   if (auto *Failure = std::get_if<engine_failure>(&First))
     return std::move(*Failure);
   AttemptFirstToken = elapsed(AttemptStartedAt, Services.Clock.now());
   return First;
 }
 
+engine_event chat_run::receive() {
+  engine_event Event = EngineAttempt->next();
+  if (std::holds_alternative<engine_text>(Event))
+    Crashes.onText();
+  else if (std::holds_alternative<engine_finish>(Event))
+    Crashes.onComplete();
+  return Event;
+}
+
 std::optional<refusal> chat_run::checkStillPermitted() const {
   auto Current = Services.currentConfiguration();
   if (!Current)
@@ -370,30 +382,11 @@
   ExcludedEndpoints.insert(Attempt->Endpoint.Id);
   if (Failure.Fault == engine_fault::Leaving)
     Services.Router.markEndpointLeaving(Attempt->Endpoint.Id);
-  if (Failure.Fault == engine_fault::Broken)
-    detectCrash();
+  if (Failure.Fault == engine_fault::Broken && Crashes.detectCrash())
+    addStep(Attempt->Endpoint.Id.text() + " crashed while running the request");
   reportAttempt(outcomeOf(Failure), Failure.mayHaveRun(), nullptr);
 }
 
-/// Records a crash against the request if the endpoint is unreachable or has
-/// restarted after an interrupted response. If the endpoint still runs, the
-/// request is not to blame.
-void chat_run::detectCrash() {
-  const std::string BootId = Services.Router.bootIdOf(Attempt->Endpoint.Id);
-  auto Report = fetchEndpointReport(
-      Services.Transport, Attempt->Endpoint.Address, CrashProbeTimeout);
-  if (!isError(Report) && valueOf(Report).BootId == BootId)
-    return;
-  addStep(Attempt->Endpoint.Id.text() + " crashed while running the request");
-  Services.Log.write(log_level::Warning, "endpoint_crashed",
-                     {{"request", Request.Id.text()},
-                      {"endpoint", Attempt->Endpoint.Id.text()}});
-  Services.Metrics.increment("azurehaven_endpoint_crashes_total");
-  Services.Router.addCrash({Request.CrashFingerprint, Attempt->Endpoint.Id},
-                           Services.Clock.now());
-  Services.SendHeartbeatsNow();
-}
-
 chat_event chat_run::next() {
   engine_event Event;
   if (!PendingEvents.empty()) {
@@ -401,7 +394,7 @@
     PendingEvents.pop_front();
   } else {
     VERIFY(EngineAttempt);
-    Event = EngineAttempt->next();
+    Event = receive();
   }
   if (auto *Failure = std::get_if<engine_failure>(&Event))
     Event = resume(*Failure);
@@ -542,6 +535,11 @@
                        "this request crashed two endpoints and is not run "
                        "again",
                        std::nullopt);
+  case refusal_reason::PromptCrashCausing:
+    return makeRefusal(422, "prompt_crash_causing",
+                       "endpoints crash under a message of this request, which "
+                       "is not run",
+                       std::nullopt);
   case refusal_reason::Overloaded:
     return makeRefusal(429, "overloaded", "no slot would be free in time",
                        Refusal.RetryAfter);
--- a/Libraries/LibEntry/chat_run.h
+++ b/Libraries/LibEntry/chat_run.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "LibEntry/chat_request.h"
+#include "LibEntry/crash_detector.h"
 #include "LibEntry/engine_attempt.h"
 #include "LibEntry/entry_services.h"
 
@@ -74,7 +75,8 @@
   void reportAttempt(attempt_outcome Outcome, bool AttemptMayHaveRun,
                      const engine_finish *Finish);
   void recordAttemptFailure(const engine_failure &Failure);
-  void detectCrash();
+  /// Returns the next event of the running attempt.
+  engine_event receive();
   engine_event resume(const engine_failure &Failure);
   chat_event billAndFinish(const engine_finish &Finish);
   void addCost(const engine_finish &Finish);
@@ -100,6 +102,7 @@
   std::optional<attempt> Attempt;
   /// The response stream of the running attempt.
   std::unique_ptr<engine_attempt> EngineAttempt;
+  crash_detector Crashes;
   steady_time AttemptStartedAt;
   /// Time from the start of the attempt to its first chunk.
   std::optional<milliseconds> AttemptFirstToken;
--- /dev/null
+++ b/Libraries/LibEntry/crash_detector.cpp
@@ -0,0 +1,64 @@
+#include "LibEntry/crash_detector.h"
+
+#include "LibEntry/engine_attempt.h"
+
+namespace azurehaven {
+
+namespace {
+
+constexpr milliseconds ProbeTimeout{300};
+/// Chunks after which a response makes progress: its engine does not crash at
+/// its begin.
+constexpr unsigned SoundResponseChunks = 3;
+
+} // namespace
+
+void crash_detector::onSent(const chosen_endpoint &NewEngine) {
+  Engine = NewEngine;
+  HasHead = false;
+  TextCount = 0;
+}
+
+void crash_detector::onText() {
+  if (++TextCount == SoundResponseChunks)
+    Services.PromptCrashes.clear(Request.SharedSegments, Services.Clock.now());
+}
+
+void crash_detector::onComplete() {
+  Services.PromptCrashes.clear(Request.SharedSegments, Services.Clock.now());
+}
+
+bool crash_detector::detectCrash() {
+  const std::string BootId = Services.Router.bootIdOf(Engine.Id);
+  auto Report =
+      fetchEndpointReport(Services.Transport, Engine.Address, ProbeTimeout);
+  if (!isError(Report) && valueOf(Report).BootId == BootId)
+    return false;
+  const steady_time Now = Services.Clock.now();
+  Services.Router.addCrash({Request.CrashFingerprint, Engine.Id}, Now);
+  // A request that still waits on the engine has not caused its crash, nor has
+  // one whose response made progress.
+  const bool IsSuspect = HasHead && TextCount < SoundResponseChunks;
+  if (IsSuspect)
+    Services.PromptCrashes.addCrash(Request.SharedSegments, Engine.Id, BootId,
+                                    Now);
+  Services.Log.write(log_level::Warning, "endpoint_crashed",
+                     {{"request", Request.Id.text()},
+                      {"endpoint", Engine.Id.text()},
+                      {"boot_id", BootId},
+                      {"prompt_suspected", IsSuspect ? "yes" : "no"}});
+  Services.Metrics.increment("azurehaven_endpoint_crashes_total");
+  Services.SendHeartbeatsNow();
+  return true;
+}
+
+std::optional<refusal_reason> crash_detector::refusalReason() const {
+  if (Services.Router.crashStatusOf(Request.CrashFingerprint) ==
+      crash_status::Refused)
+    return refusal_reason::CrashCausing;
+  if (Services.PromptCrashes.isQuarantined(Request.SharedSegments))
+    return refusal_reason::PromptCrashCausing;
+  return std::nullopt;
+}
+
+} // namespace azurehaven
--- a/Libraries/LibEntry/entry_node.cpp
+++ b/Libraries/LibEntry/entry_node.cpp
@@ -70,23 +70,12 @@
         Ratings(Transport, Settings.RatingService, Settings.RatingsPerSecond,
                 Router, Metrics),
         List(Transport, Settings.VmList, Settings.Vm),
-        Services{Settings,
-                 Clock,
-                 Log,
-                 Metrics,
-                 Transport,
-                 Holder,
-                 Freshness,
-                 Members,
-                 Router,
-                 Gate,
-                 Decisions,
-                 Bills,
-                 Claims,
-                 RequestIds,
-                 Store,
-                 Ratings,
-                 [this] { sendHeartbeatsNow(); }},
+        Services{Settings,      Clock,     Log,
+                 Metrics,       Transport, Holder,
+                 Freshness,     Members,   Router,
+                 PromptCrashes, Gate,      Decisions,
+                 Bills,         Claims,    RequestIds,
+                 Store,         Ratings,   [this] { sendHeartbeatsNow(); }},
         ConfigurationPoller(Services), Automation(Services),
         EndpointPoller(Services, List), CallerApi(Services) {}
 
@@ -244,6 +233,7 @@
   configuration_freshness Freshness;
   member_table Members;
   router Router;
+  prompt_crash_registry PromptCrashes;
   admission_gate Gate;
   decision_log Decisions;
   peer_custody_client CustodyClient;
--- a/Libraries/LibEntry/entry_services.h
+++ b/Libraries/LibEntry/entry_services.h
@@ -11,6 +11,7 @@
 #include "LibLog/event_log.h"
 #include "LibMembership/member_table.h"
 #include "LibMetrics/metrics.h"
+#include "LibRouting/prompt_crash_registry.h"
 #include "LibTypes/clock_source.h"
 
 namespace azurehaven {
@@ -27,6 +28,7 @@
   configuration_freshness &Freshness;
   member_table &Members;
   router &Router;
+  prompt_crash_registry &PromptCrashes;
   admission_gate &Gate;
   decision_log &Decisions;
   bill_committer &Bills;
--- a/Libraries/LibEntry/heartbeat_service.cpp
+++ b/Libraries/LibEntry/heartbeat_service.cpp
@@ -55,6 +55,7 @@
   Message.Members = Services.Members.takeNotices();
   Message.Ratings = Services.Router.takeRatingNotices();
   Message.Crashes = Services.Router.takeCrashNotices();
+  Services.PromptCrashes.takeNotices(Message, Services.Clock.now());
   Message.RequestBodies = Services.RequestIds.takeNotices();
   Message.Usage = Services.Router.inFlightByAccount();
   if (Message.Usage.size() > MaximumUsagesPerFrame)
@@ -91,6 +92,7 @@
   const steady_time Now = Services.Clock.now();
   for (const auto &Notice : Message.Crashes)
     Services.Router.addCrash(Notice, Now);
+  Services.PromptCrashes.mergeNotices(Message, Now);
   for (const auto &Notice : Message.RequestBodies)
     Services.RequestIds.merge(Notice, Now);
 }
--- a/Libraries/LibEntry/operator_api.cpp
+++ b/Libraries/LibEntry/operator_api.cpp
@@ -144,19 +144,21 @@
                          {"late", Ratings.Late}});
     }
   const bill_committer_counts Bills = Services.Bills.counts();
-  return respond({{"vm", Services.Settings.Vm.text()},
-                  {"configuration", Current->Version},
-                  {"current", Services.currentConfiguration() != nullptr},
-                  {"entries", Entries},
-                  {"roster", Roster},
-                  {"endpoints", Services.Router.describeEndpoints(Now)},
-                  {"quality", Quality},
-                  {"requests_in_flight", CallerApi.requestsInFlight()},
-                  {"crash_causing", Services.Router.refusedFingerprintCount()},
-                  {"bills",
-                   {{"written", Bills.Written},
-                    {"unwritten", Bills.Unwritten},
-                    {"held_for_peers", CustodyTable.size()}}}});
+  return respond(
+      {{"vm", Services.Settings.Vm.text()},
+       {"configuration", Current->Version},
+       {"current", Services.currentConfiguration() != nullptr},
+       {"entries", Entries},
+       {"roster", Roster},
+       {"endpoints", Services.Router.describeEndpoints(Now)},
+       {"quality", Quality},
+       {"requests_in_flight", CallerApi.requestsInFlight()},
+       {"crash_causing", Services.Router.refusedFingerprintCount()},
+       {"crash_causing_prompts", Services.PromptCrashes.quarantinedCount()},
+       {"bills",
+        {{"written", Bills.Written},
+         {"unwritten", Bills.Unwritten},
+         {"held_for_peers", CustodyTable.size()}}}});
 }
 
 served_response operator_api::showConfiguration() const {
--- a/Libraries/LibPeer/frame_codec.cpp
+++ b/Libraries/LibPeer/frame_codec.cpp
@@ -52,6 +52,7 @@
     for (const auto &Notice : Message.Ratings)
       Ratings.push_back(encodeRating(Builder, Notice));
     const auto Crashes = encodeCrashes(Message.Crashes);
+    const auto SegmentCrashes = encodeCrashes(Message.SegmentCrashes);
     std::vector<Offset<wire::Usage>> Usage;
     for (const auto &Notice : Message.Usage)
       Usage.push_back(wire::CreateUsageDirect(
@@ -65,7 +66,8 @@
                Message.ConfigVersion, Message.MayVote,
                Message.ConfirmationAge.has_value(),
                static_cast<std::uint64_t>(Age), Message.ConfirmedVersion,
-               &Members, &Ratings, &Crashes, &Usage, &Bodies)
+               &Members, &Ratings, &Crashes, &Usage, &Bodies, &SegmentCrashes,
+               &Message.ClearedSegments)
         .Union();
   }
 
@@ -218,6 +220,9 @@
   if (Source.request_bodies())
     for (const wire::RequestBody *Item : *Source.request_bodies())
       Message.RequestBodies.push_back({Item->request(), Item->body()});
+  Message.SegmentCrashes = decodeAll(Source.segment_crashes(), decodeCrash);
+  if (const auto *Cleared = Source.cleared_segments())
+    Message.ClearedSegments.assign(Cleared->begin(), Cleared->end());
   return Message;
 }
 
--- a/Libraries/LibPeer/peer_message.h
+++ b/Libraries/LibPeer/peer_message.h
@@ -74,6 +74,10 @@
   std::vector<crash_notice> Crashes;
   std::vector<usage_notice> Usage;
   std::vector<request_body_notice> RequestBodies;
+  /// Crashes under a prompt segment; the fingerprint is the segment's.
+  std::vector<crash_notice> SegmentCrashes;
+  /// Segments that are no longer suspected.
+  std::vector<std::uint64_t> ClearedSegments;
 };
 
 struct configuration_request {
--- a/Libraries/LibRouting/router.h
+++ b/Libraries/LibRouting/router.h
@@ -29,7 +29,9 @@
   VersionWithdrawn,
   NoAllowedVersion,
   NoEndpoint,
+  /// Endpoints crash under the whole request, or under a part of its prompt.
   CrashCausing,
+  PromptCrashCausing,
   Overloaded,
 };
 
--- a/Libraries/LibTypes/ranked_mutex.h
+++ b/Libraries/LibTypes/ranked_mutex.h
@@ -13,6 +13,7 @@
   Configuration = 10,
   Membership = 20,
   Router = 30,
+  PromptCrashes = 35,
   Ledger = 40,
   Claims = 50,
   Records = 60,
--- a/Tests/LibEntry/chat_request_test.cpp
+++ b/Tests/LibEntry/chat_request_test.cpp
@@ -57,6 +57,22 @@
   CHECK(std::get<chat_request>(Parsed).Deadline == Start + milliseconds(1000));
 }
 
+TEST_CASE("requests share the segments of equal messages, never the last") {
+  const auto SegmentsOf = [](const std::string &Messages) {
+    auto Parsed = parse(requestWith("{\"messages\":[" + Messages + "]}"));
+    REQUIRE(std::holds_alternative<chat_request>(Parsed));
+    return std::get<chat_request>(Parsed).SharedSegments;
+  };
+  const std::string System = R"({"role":"system","content":"be brief"},)";
+  const std::string First = R"({"role":"user","content":"first"})";
+  const std::string Second = R"({"role":"user","content":"second"})";
+  CHECK(SegmentsOf(First).empty());
+  CHECK(SegmentsOf(System + First).size() == 1);
+  CHECK(SegmentsOf(System + First) == SegmentsOf(System + Second));
+  CHECK(SegmentsOf(First + "," + Second).size() == 1);
+  CHECK(SegmentsOf(First + "," + Second) != SegmentsOf(System + Second));
+}
+
 TEST_CASE("each kind of invalid input has its own error code") {
   CHECK(codeOf(requestWith("{")) == "bad_json");
   CHECK(codeOf(requestWith("{}")) == "bad_messages");
--- /dev/null
+++ b/Tests/LibEntry/chat_run_fixture.cpp
@@ -0,0 +1,147 @@
+#include "chat_run_fixture.h"
+
+#include "LibHttp/server_sent_events.h"
+
+namespace azurehaven {
+
+using nlohmann::json;
+
+namespace {
+
+const version_id Version("m@1");
+constexpr std::uint32_t EngineSlots = 8;
+constexpr milliseconds ClassDeadline{1000};
+constexpr milliseconds FlushInterval{1};
+
+class scripted_stream : public http_stream {
+public:
+  scripted_stream(std::string AttemptId, engine_script Script)
+      : AttemptId(std::move(AttemptId)), Script(Script) {}
+
+  int status() const override { return 200; }
+  const http_headers &headers() const override { return Headers; }
+  std::variant<std::optional<std::string>, http_failure> next() override {
+    if (Sent < Script.ChunkCount) {
+      ++Sent;
+      return std::optional(chunk("text", nullptr));
+    }
+    if (Script.Crashes)
+      return http_failure{delivery::MayHaveRun, "crashed"};
+    if (Sent++ == Script.ChunkCount)
+      return std::optional(chunk("", "stop") + formatEvent("[DONE]"));
+    return std::optional<std::string>();
+  }
+
+private:
+  std::string chunk(const char *Text, const json &FinishReason) const {
+    return formatEvent(json{
+        {"id", AttemptId},
+        {"model", Version.text()},
+        {"choices",
+         {{{"delta", {{"content", Text}}}, {"finish_reason", FinishReason}}}}}
+                           .dump());
+  }
+
+  const http_headers Headers;
+  const std::string AttemptId;
+  const engine_script Script;
+  int Sent = 0;
+};
+
+endpoint_id engineId(int Number) {
+  return endpoint_id("engine-" + std::to_string(Number));
+}
+
+std::shared_ptr<const configuration> makeConfiguration() {
+  auto Configuration = std::make_shared<configuration>();
+  Configuration->Version = 1;
+  work_class Class;
+  Class.Id = class_id("survey");
+  Class.FirstTokenTarget = milliseconds(500);
+  Class.Deadline = ClassDeadline;
+  Configuration->Classes[Class.Id] = Class;
+  client_account Account;
+  Account.Id = client_account_id("pindos");
+  Account.AllowedModels = {model_id("m")};
+  Configuration->Accounts[Account.Id] = Account;
+  Configuration->Versions[Version] = {Version, model_id("m"), micro_euros(10),
+                                      micro_euros(10), version_state::Active};
+  return Configuration;
+}
+
+} // namespace
+
+open_result scripted_engines::open(const network_address &,
+                                   const http_request &Request,
+                                   const http_timeouts &) {
+  ++OpenedCount;
+  const engine_script Chosen = Script(Request.Body);
+  CrashCount += Chosen.Crashes;
+  return std::make_unique<scripted_stream>(
+      headerValue(Request.Headers, "X-Request-Id"), Chosen);
+}
+
+send_result scripted_engines::send(const network_address &,
+                                   const http_request &, const http_timeouts &,
+                                   connection_use) {
+  return http_response{200, {}, json{{"boot_id", bootId()}}.dump()};
+}
+
+chat_run_fixture::chat_run_fixture(int EngineCount)
+    : EngineCount(EngineCount), Services{Settings,      Clock,   Log,
+                                         Metrics,       Engines, Configuration,
+                                         Freshness,     Members, Router,
+                                         PromptCrashes, Gate,    Decisions,
+                                         Bills,         Claims,  RequestIds,
+                                         Store,         Ratings, [] {}} {
+  Configuration.replaceIfNewer(*makeConfiguration());
+  std::vector<listed_vm> List;
+  for (int Number = 0; Number < EngineCount; ++Number) {
+    listed_vm Engine;
+    Engine.Vm = vm_id(engineId(Number).text());
+    Engine.Kind = vm_kind::Engine;
+    Engine.Address = {"127.0.0.1", static_cast<std::uint16_t>(1 + Number)};
+    List.push_back(Engine);
+  }
+  Router.applyList(List, 1);
+  reportEngines();
+  Flusher = std::thread([this] {
+    while (!IsStopping) {
+      Bills.flush(std::chrono::steady_clock::now());
+      std::this_thread::sleep_for(FlushInterval);
+    }
+  });
+}
+
+chat_run_fixture::~chat_run_fixture() {
+  IsStopping = true;
+  Flusher.join();
+}
+
+void chat_run_fixture::reportEngines() {
+  for (int Number = 0; Number < EngineCount; ++Number)
+    Router.updateEndpointReport(
+        engineId(Number), {{Version}, EngineSlots, 0, false, Engines.bootId()},
+        Clock.Now);
+}
+
+chat_request
+chat_run_fixture::makeRequest(const std::vector<std::string> &SharedMessages) {
+  Freshness.recordStoreConfirmation(1, Clock.Now);
+  json Messages = json::array();
+  for (const std::string &Text : SharedMessages)
+    Messages.push_back({{"role", "system"}, {"content", Text}});
+  const std::string Own = "own-" + std::to_string(++RequestCount);
+  Messages.push_back({{"role", "user"}, {"content", Own}});
+  served_request Request{"POST", "/v1/chat/completions", {}, {}, {}};
+  Request.Headers = {{"X-Work-Class", "survey"}};
+  Request.Body = json{{"messages", Messages}, {"stream", true}}.dump();
+  const auto Current = Configuration.current();
+  auto Parsed = parseChatRequest(
+      Request,
+      {request_id(Own), id_origin::Caller, Current->Accounts.begin()->second},
+      Current, Clock.Now, Clock.wallNow());
+  return std::get<chat_request>(std::move(Parsed));
+}
+
+} // namespace azurehaven
--- /dev/null
+++ b/Tests/LibEntry/chat_run_test.cpp
@@ -0,0 +1,91 @@
+#include "chat_run_fixture.h"
+
+#include <doctest/doctest.h>
+
+using namespace azurehaven;
+
+namespace {
+
+constexpr int EngineCount = 8;
+/// Chunks after which a response makes progress.
+constexpr int SoundChunks = 3;
+constexpr std::size_t AllowedCrashes = 5;
+constexpr std::size_t AllowedSendsAfter = 3;
+
+/// Serves one request to its end. Returns the refusal, if it got one.
+std::optional<refusal> serve(chat_run_fixture &Fixture,
+                             const std::vector<std::string> &SharedMessages) {
+  Fixture.Clock.Now += std::chrono::seconds(5);
+  Fixture.reportEngines();
+  chat_run Run(Fixture.Services, Fixture.makeRequest(SharedMessages));
+  if (auto Refusal = Run.start())
+    return Refusal;
+  while (true) {
+    chat_event Event = Run.next();
+    if (auto *Refusal = std::get_if<refusal>(&Event))
+      return *Refusal;
+    if (std::holds_alternative<chat_end>(Event))
+      return std::nullopt;
+  }
+}
+
+/// Engines that crash as soon as they begin to respond to a prompt with the
+/// message "bad".
+engine_script crashOnBad(const std::string &Body) {
+  if (Body.find("bad") != std::string::npos)
+    return {0, true};
+  return {SoundChunks, false};
+}
+
+} // namespace
+
+TEST_CASE("Requests that share a message under which engines crash do not "
+          "crash all engines") {
+  chat_run_fixture Fixture(EngineCount);
+  Fixture.Engines.Script = crashOnBad;
+  for (int Subject = 0; Subject < 10; ++Subject) {
+    const std::string Name = "subject-" + std::to_string(Subject);
+    CHECK_FALSE(serve(Fixture, {"system", Name}));
+    CHECK(serve(Fixture, {"system", Name, "bad"}));
+  }
+  CHECK(Fixture.Engines.CrashCount <= AllowedCrashes + AllowedSendsAfter);
+}
+
+TEST_CASE("A request with a crashing message is refused unsent, others with "
+          "its other messages are served") {
+  chat_run_fixture Fixture(EngineCount);
+  Fixture.Engines.Script = crashOnBad;
+  CHECK_FALSE(serve(Fixture, {"system", "subject"}));
+  for (int Round = 0; Round < 5; ++Round)
+    CHECK(serve(Fixture, {"system", "subject", "bad"}));
+  const std::size_t Sent = Fixture.Engines.OpenedCount;
+  const auto Refusal = serve(Fixture, {"system", "other", "bad"});
+  REQUIRE(Refusal);
+  CHECK(Refusal->Code == "prompt_crash_causing");
+  CHECK(Refusal->Run == run_state::NotRun);
+  CHECK(Fixture.Engines.OpenedCount == Sent);
+  CHECK_FALSE(serve(Fixture, {"system", "subject"}));
+}
+
+TEST_CASE("A message whose responses make progress is not blamed for crashes "
+          "at the same time") {
+  chat_run_fixture Fixture(EngineCount);
+  Fixture.Engines.Script = [](const std::string &) {
+    return engine_script{SoundChunks, true};
+  };
+  std::vector<std::unique_ptr<chat_run>> Runs;
+  for (int Index = 0; Index < 6; ++Index) {
+    Runs.push_back(std::make_unique<chat_run>(Fixture.Services,
+                                              Fixture.makeRequest({"system"})));
+    CHECK_FALSE(Runs.back()->start());
+    for (int Chunk = 0; Chunk < SoundChunks; ++Chunk)
+      CHECK(std::holds_alternative<chat_text>(Runs.back()->next()));
+  }
+  for (const auto &Run : Runs) {
+    ++Fixture.Engines.CrashCount;
+    (void)Run->next();
+    Fixture.reportEngines();
+  }
+  Fixture.Engines.Script = crashOnBad;
+  CHECK_FALSE(serve(Fixture, {"system"}));
+}
--- a/Tests/LibPeer/frame_codec_test.cpp
+++ b/Tests/LibPeer/frame_codec_test.cpp
@@ -24,6 +24,8 @@
   Message.Crashes = {{99, endpoint_id("e")}};
   Message.Usage = {{client_account_id("x"), 4}};
   Message.RequestBodies = {{7, 8}};
+  Message.SegmentCrashes = {{5, endpoint_id("e/boot")}};
+  Message.ClearedSegments = {6};
   return {vm_id("sender"), 11, Message};
 }
 
@@ -42,6 +44,8 @@
   CHECK(Message.Usage.at(0).InFlight == 4);
   CHECK(Message.RequestBodies.at(0).Request == 7);
   CHECK(Message.RequestBodies.at(0).Body == 8);
+  CHECK(Message.SegmentCrashes.at(0).Endpoint == endpoint_id("e/boot"));
+  CHECK(Message.ClearedSegments.at(0) == 6);
 }
 
 TEST_CASE("the other messages are decoded as they were encoded") {
--- a/Tests/LibScenario/scenario_expectations.cpp
+++ b/Tests/LibScenario/scenario_expectations.cpp
@@ -39,7 +39,8 @@
       {"leaving", &scenario_expectations::expectLeaving},
       {"staying", &scenario_expectations::expectLeaving},
       {"breakdowns", &scenario_expectations::expectCrashes},
-      {"crash-causing", &scenario_expectations::expectCrashCausing}};
+      {"crash-causing", &scenario_expectations::expectCrashCausing},
+      {"crash-causing-prompts", &scenario_expectations::expectCrashCausing}};
   auto Found = Expectations.find(Statement.Words[0]);
   if (Found == Expectations.end())
     return failure("unknown expectation " + Statement.Words[0]);
@@ -260,14 +261,17 @@
   });
 }
 
-/// expect crash-causing ENTRY count=N
+/// expect crash-causing|crash-causing-prompts ENTRY count=N
 status scenario_expectations::expectCrashCausing(const statement &Statement) {
+  const char *Field = Statement.Words[0] == "crash-causing"
+                          ? "crash_causing"
+                          : "crash_causing_prompts";
   return eventually([&]() -> status {
     TRY(json Status, Cluster.getFromOperator(Statement.Words[1], "/v1/status"));
-    if (Status.value("crash_causing", std::size_t(0)) ==
+    if (Status.value(Field, std::size_t(0)) ==
         std::stoul(Statement.option("count")))
       return success{};
-    return failure("observed: " + Status["crash_causing"].dump());
+    return failure("observed: " + Status[Field].dump());
   });
 }
 
--- a/Tests/LibScenario/scenario_runner.cpp
+++ b/Tests/LibScenario/scenario_runner.cpp
@@ -275,6 +275,8 @@
   ChatRequest.Class = Statement.option("class", "survey");
   ChatRequest.RequestId = Statement.option("id", Statement.Words[0]);
   ChatRequest.Text = Statement.option("text", "question " + Statement.Words[0]);
+  ChatRequest.SystemText = Statement.option("system");
+  ChatRequest.EarlierText = Statement.option("context");
   ChatRequest.IsStreamed = Statement.option("stream", "yes") == "yes";
   ChatRequest.StartsSession = Statement.option("new-session") == "yes";
   if (Statement.Options.contains("session"))
