LibRouting: Learn from attempts whose callers gave up

Cause: an endpoint's time to the first token was averaged over the attempts that had one. An endpoint that keeps all its callers waiting until they leave had no samples, was never an outlier and kept its share.

Result: endpoint_table_test has a case that fails without the sample and one that fails if early leavers count.

--- a/Libraries/LibRouting/attempt_report.h
+++ b/Libraries/LibRouting/attempt_report.h
@@ -1,13 +1,25 @@
 #pragma once
 
 #include "LibPeer/rating_counts.h"
-#include "LibRouting/endpoint_table.h"
+#include "LibTypes/units.h"
+
+#include <optional>
 
 namespace azurehaven {
 
+enum class attempt_outcome {
+  Answered,
+  /// No connection, or a truncated or malformed response.
+  Failed,
+  /// The endpoint rejected the request because it is busy or leaving.
+  Refused,
+  Cancelled,
+};
+
 /// Outcome and measurements of a finished attempt.
 struct attempt_report {
   attempt_outcome Outcome = attempt_outcome::Failed;
+  /// Nullopt if no token arrived within TotalTime.
   std::optional<milliseconds> TimeToFirstToken;
   milliseconds TotalTime{0};
   token_count PromptTokens;
--- a/Libraries/LibRouting/endpoint_table.cpp
+++ b/Libraries/LibRouting/endpoint_table.cpp
@@ -213,10 +213,9 @@
     ++Found->second.SuspectsInFlight;
 }
 
-void endpoint_table::attemptFinished(
-    const endpoint_id &Id, attempt_outcome Outcome,
-    std::optional<milliseconds> TimeToFirstToken, bool IsSuspectRequest,
-    steady_time Now) {
+void endpoint_table::attemptFinished(const endpoint_id &Id,
+                                     const attempt_report &Report,
+                                     bool IsSuspectRequest, steady_time Now) {
   auto Found = Endpoints.find(Id);
   if (Found == Endpoints.end())
     return;
@@ -226,25 +225,42 @@
   --Endpoint.InFlightChangeSinceReport;
   if (IsSuspectRequest && Endpoint.SuspectsInFlight > 0)
     --Endpoint.SuspectsInFlight;
-  if (TimeToFirstToken) {
-    const auto Measured = static_cast<double>(TimeToFirstToken->count());
-    Endpoint.MeanFirstTokenMs =
-        Endpoint.FirstTokenSamples == 0
-            ? Measured
-            : Endpoint.MeanFirstTokenMs +
-                  FirstTokenSmoothing * (Measured - Endpoint.MeanFirstTokenMs);
-    ++Endpoint.FirstTokenSamples;
-  }
-  if (Outcome == attempt_outcome::Answered) {
+  if (Report.TimeToFirstToken)
+    addFirstTokenSample(Endpoint,
+                        static_cast<double>(Report.TimeToFirstToken->count()));
+  else if (Report.Outcome == attempt_outcome::Cancelled)
+    addWaitInVain(Endpoint, Report.TotalTime);
+  if (Report.Outcome == attempt_outcome::Answered) {
     Endpoint.ConsecutiveFailures = 0;
     if (!isLatencyOutlier(Endpoint))
       Endpoint.ConsecutiveEjections = 0;
-  } else if (Outcome == attempt_outcome::Failed) {
+  } else if (Report.Outcome == attempt_outcome::Failed) {
     ++Endpoint.ConsecutiveFailures;
   }
   ejectIfUnhealthy(Endpoint, Now);
 }
 
+void endpoint_table::addFirstTokenSample(endpoint &Endpoint, double Ms) {
+  Endpoint.MeanFirstTokenMs =
+      Endpoint.FirstTokenSamples == 0
+          ? Ms
+          : Endpoint.MeanFirstTokenMs +
+                FirstTokenSmoothing * (Ms - Endpoint.MeanFirstTokenMs);
+  ++Endpoint.FirstTokenSamples;
+}
+
+/// The first token would have taken longer still, and at least as long as usual
+/// on this endpoint. A wait that is shorter than on other endpoints tells
+/// nothing. Without these samples, an endpoint whose callers give up would be
+/// known by its fast responses only.
+void endpoint_table::addWaitInVain(endpoint &Endpoint,
+                                   milliseconds Time) const {
+  const auto Usual = medianFirstTokenMs(Endpoint);
+  const auto Waited = static_cast<double>(Time.count());
+  if (Usual && Waited > *Usual)
+    addFirstTokenSample(Endpoint, std::max(Waited, Endpoint.MeanFirstTokenMs));
+}
+
 bool endpoint_table::areInterchangeable(const endpoint &Left,
                                         const endpoint &Right) const {
   if (Left.Listed.Kind != Right.Listed.Kind)
@@ -257,9 +273,8 @@
                      });
 }
 
-bool endpoint_table::isLatencyOutlier(const endpoint &Endpoint) const {
-  if (Endpoint.FirstTokenSamples < MinimumLatencySamples)
-    return false;
+std::optional<double>
+endpoint_table::medianFirstTokenMs(const endpoint &Endpoint) const {
   std::vector<double> OtherMeansMs;
   for (const auto &Entry : Endpoints) {
     const endpoint &Other = Entry.second;
@@ -269,11 +284,18 @@
       OtherMeansMs.push_back(Other.MeanFirstTokenMs);
   }
   if (OtherMeansMs.empty())
-    return false;
+    return std::nullopt;
   auto Median = OtherMeansMs.begin() +
                 static_cast<std::ptrdiff_t>(OtherMeansMs.size() / 2);
   std::nth_element(OtherMeansMs.begin(), Median, OtherMeansMs.end());
-  return Endpoint.MeanFirstTokenMs > LatencyOutlierFactor * *Median;
+  return *Median;
+}
+
+bool endpoint_table::isLatencyOutlier(const endpoint &Endpoint) const {
+  if (Endpoint.FirstTokenSamples < MinimumLatencySamples)
+    return false;
+  const auto Usual = medianFirstTokenMs(Endpoint);
+  return Usual && Endpoint.MeanFirstTokenMs > LatencyOutlierFactor * *Usual;
 }
 
 bool endpoint_table::mayEject(const endpoint &Endpoint, steady_time Now) const {
--- a/Libraries/LibRouting/endpoint_table.h
+++ b/Libraries/LibRouting/endpoint_table.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "LibMembership/vm_list.h"
+#include "LibRouting/attempt_report.h"
 #include "LibTypes/ids.h"
 #include "LibTypes/units.h"
 
@@ -24,15 +25,6 @@
   std::string BootId;
 };
 
-enum class attempt_outcome {
-  Answered,
-  /// No connection, or a truncated or malformed response.
-  Failed,
-  /// The endpoint rejected the request because it is busy or leaving.
-  Refused,
-  Cancelled,
-};
-
 struct chosen_endpoint {
   endpoint_id Id;
   network_address Address;
@@ -71,8 +63,7 @@
                 const std::set<endpoint_id> &Excluded, steady_time Now);
 
   void attemptStarted(const endpoint_id &Id, bool IsSuspectRequest);
-  void attemptFinished(const endpoint_id &Id, attempt_outcome Outcome,
-                       std::optional<milliseconds> TimeToFirstToken,
+  void attemptFinished(const endpoint_id &Id, const attempt_report &Report,
                        bool IsSuspectRequest, steady_time Now);
 
   /// Sets how many entry VMs share the endpoints.
@@ -126,7 +117,13 @@
   void ejectIfUnhealthy(endpoint &Endpoint, steady_time Now);
   /// Whether both run the same plain service or have a model version in common.
   bool areInterchangeable(const endpoint &Left, const endpoint &Right) const;
+  /// Median of the mean times to the first token of the other endpoints that
+  /// are interchangeable with this one; nullopt if none has enough samples.
+  std::optional<double> medianFirstTokenMs(const endpoint &Endpoint) const;
   bool isLatencyOutlier(const endpoint &Endpoint) const;
+  static void addFirstTokenSample(endpoint &Endpoint, double Ms);
+  /// Adds the time for which an attempt waited in vain for its first token.
+  void addWaitInVain(endpoint &Endpoint, milliseconds Time) const;
   bool mayEject(const endpoint &Endpoint, steady_time Now) const;
 
   std::map<endpoint_id, endpoint> Endpoints;
--- a/Libraries/LibRouting/router.cpp
+++ b/Libraries/LibRouting/router.cpp
@@ -195,8 +195,8 @@
 void router::finishAttempt(const attempt &Attempt, const work_class &Class,
                            const attempt_report &Report, steady_time Now) {
   std::lock_guard Lock(Mutex);
-  Endpoints.attemptFinished(Attempt.Endpoint.Id, Report.Outcome,
-                            Report.TimeToFirstToken, Attempt.IsSuspect, Now);
+  Endpoints.attemptFinished(Attempt.Endpoint.Id, Report, Attempt.IsSuspect,
+                            Now);
   if (Attempt.Version.empty())
     return;
   const version_class Subject{Attempt.Version, Class.Id};
--- a/Tests/LibRouting/endpoint_table_test.cpp
+++ b/Tests/LibRouting/endpoint_table_test.cpp
@@ -35,6 +35,20 @@
   return Table;
 }
 
+constexpr milliseconds UsualTime{100};
+constexpr milliseconds SlowTime{900};
+
+attempt_report failedAttempt() { return {attempt_outcome::Failed}; }
+
+attempt_report answeredAttempt(milliseconds TimeToFirstToken) {
+  return {attempt_outcome::Answered, TimeToFirstToken};
+}
+
+/// The caller has left before the first token.
+attempt_report abandonedAttempt(milliseconds TotalTime) {
+  return {attempt_outcome::Cancelled, std::nullopt, TotalTime};
+}
+
 endpoint_id idOf(int Index) { return endpoint_id("e" + std::to_string(Index)); }
 
 std::map<endpoint_id, int> tally(endpoint_table &Table, int Rounds,
@@ -88,8 +102,7 @@
   auto Table = makeTable(4);
   for (int Round = 0; Round < 2; ++Round) {
     Table.attemptStarted(idOf(0), false);
-    Table.attemptFinished(idOf(0), attempt_outcome::Failed, std::nullopt, false,
-                          Start);
+    Table.attemptFinished(idOf(0), failedAttempt(), false, Start);
   }
   const steady_time Later = Start + std::chrono::minutes(5);
   CHECK_FALSE(tally(Table, 20, Later).contains(idOf(0)));
@@ -102,8 +115,7 @@
   for (int Index = 0; Index < 3; ++Index)
     for (int Round = 0; Round < 5; ++Round) {
       Table.attemptStarted(idOf(Index), false);
-      Table.attemptFinished(idOf(Index), attempt_outcome::Failed, std::nullopt,
-                            false, Start);
+      Table.attemptFinished(idOf(Index), failedAttempt(), false, Start);
     }
   CHECK(tally(Table, 30).size() >= 2);
 }
@@ -113,12 +125,39 @@
   for (int Round = 0; Round < 10; ++Round)
     for (int Index = 0; Index < 4; ++Index) {
       Table.attemptStarted(idOf(Index), false);
-      Table.attemptFinished(idOf(Index), attempt_outcome::Answered,
-                            milliseconds(Index == 2 ? 900 : 100), false, Start);
+      Table.attemptFinished(idOf(Index),
+                            answeredAttempt(Index == 2 ? SlowTime : UsualTime),
+                            false, Start);
     }
   CHECK_FALSE(tally(Table, 40).contains(idOf(2)));
 }
 
+TEST_CASE("an endpoint whose callers give up while others respond is ejected") {
+  auto Table = makeTable(4);
+  for (int Round = 0; Round < 10; ++Round)
+    for (int Index = 0; Index < 4; ++Index) {
+      Table.attemptStarted(idOf(Index), false);
+      Table.attemptFinished(idOf(Index),
+                            Index == 2 ? abandonedAttempt(SlowTime)
+                                       : answeredAttempt(UsualTime),
+                            false, Start);
+    }
+  CHECK_FALSE(tally(Table, 40).contains(idOf(2)));
+}
+
+TEST_CASE("callers that leave early make no endpoint an outlier") {
+  auto Table = makeTable(4);
+  for (int Round = 0; Round < 10; ++Round)
+    for (int Index = 0; Index < 4; ++Index) {
+      Table.attemptStarted(idOf(Index), false);
+      Table.attemptFinished(idOf(Index),
+                            Index == 2 ? answeredAttempt(UsualTime)
+                                       : abandonedAttempt(milliseconds(5)),
+                            false, Start);
+    }
+  CHECK(tally(Table, 200).size() == 4);
+}
+
 TEST_CASE("a crashed endpoint needs a report requested after the crash") {
   auto Table = makeTable(1);
   Table.markCrashed(idOf(0), Start + milliseconds(10));
