LibEntry: Say "may have run" once an engine has accepted the request

Callers saw: a refusal that says "not run" though an engine was running the request, or had run it: a deadline that passes in the middle of a response, and a cascade that drops the cheaper answer and finds no endpoint for the larger version. A caller may send such a request again and have it done twice.

Cause: only failed attempts were remembered; one that is running or was answered was not.

Change: the request counts as possibly run from the response's head on. The guard not-run takes that line out as well.

Result: two cases of chat_run_test, which failed before.

--- a/Libraries/LibEntry/chat_run.cpp
+++ b/Libraries/LibEntry/chat_run.cpp
@@ -304,6 +304,8 @@
   if (auto *Failure = std::get_if<engine_failure>(&Opened))
     return std::move(*Failure);
   EngineAttempt = std::move(std::get<std::unique_ptr<engine_attempt>>(Opened));
+  // The engine has accepted the request, whatever becomes of its response.
+  MayHaveRun = true;
   Crashes.onHead();
   engine_event First = receive();
   if (auto *Failure = std::get_if<engine_failure>(&First))
@@ -457,7 +459,6 @@
   addStep(IsDurable ? "billed" : "bill not durable in time");
   if (!IsDurable) {
     Record.Outcome = "refused: bill_not_durable";
-    MayHaveRun = true;
     return makeRefusal(503, "bill_not_durable",
                        "the bill could not be stored durably; a retry with "
                        "the same id is billed once",
--- a/Tests/LibEntry/chat_run_fixture.cpp
+++ b/Tests/LibEntry/chat_run_fixture.cpp
@@ -9,14 +9,19 @@
 namespace {
 
 const version_id Version("m@1");
+const version_id LargerVersion("large@1");
+const endpoint_id LargerEngine("engine-large");
+const class_id Class("survey");
 constexpr std::uint32_t EngineSlots = 8;
 constexpr milliseconds ClassDeadline{1000};
 constexpr milliseconds FlushInterval{1};
 
 class scripted_stream : public http_stream {
 public:
-  scripted_stream(std::string AttemptId, engine_script Script)
-      : AttemptId(std::move(AttemptId)), Script(Script) {}
+  scripted_stream(std::string AttemptId, std::string Version,
+                  engine_script Script)
+      : AttemptId(std::move(AttemptId)), Version(std::move(Version)),
+        Script(Script) {}
 
   int status() const override { return 200; }
   const http_headers &headers() const override { return Headers; }
@@ -36,7 +41,8 @@
   std::string chunk(const char *Text, const json &FinishReason) const {
     return formatEvent(json{
         {"id", AttemptId},
-        {"model", Version.text()},
+        {"model", Version},
+        {"confidence", Script.Confidence},
         {"choices",
          {{{"delta", {{"content", Text}}}, {"finish_reason", FinishReason}}}}}
                            .dump());
@@ -44,6 +50,7 @@
 
   const http_headers Headers;
   const std::string AttemptId;
+  const std::string Version;
   const engine_script Script;
   int Sent = 0;
 };
@@ -52,23 +59,31 @@
   return endpoint_id("engine-" + std::to_string(Number));
 }
 
-std::shared_ptr<const configuration> makeConfiguration() {
-  auto Configuration = std::make_shared<configuration>();
-  Configuration->Version = 1;
-  work_class Class;
-  Class.Id = class_id("survey");
-  Class.FirstTokenTarget = milliseconds(500);
-  Class.Deadline = ClassDeadline;
-  Configuration->Classes[Class.Id] = Class;
+configuration makeConfiguration() {
+  configuration Configuration;
+  Configuration.Version = 1;
+  work_class &Survey = Configuration.Classes[Class];
+  Survey.Id = Class;
+  Survey.QualityTarget = 0.8;
+  Survey.FirstTokenTarget = milliseconds(5000);
+  Survey.Deadline = ClassDeadline;
   client_account Account;
   Account.Id = client_account_id("pindos");
-  Account.AllowedModels = {model_id("m")};
-  Configuration->Accounts[Account.Id] = Account;
-  Configuration->Versions[Version] = {Version, model_id("m"), micro_euros(10),
-                                      micro_euros(10), version_state::Active};
+  Account.AllowedModels = {model_id("m"), model_id("large")};
+  Configuration.Accounts[Account.Id] = Account;
+  Configuration.Versions[Version] = {Version, model_id("m"), micro_euros(10),
+                                     micro_euros(10), version_state::Active};
   return Configuration;
 }
 
+listed_vm makeEngine(const endpoint_id &Id, std::uint16_t Port) {
+  listed_vm Engine;
+  Engine.Vm = vm_id(Id.text());
+  Engine.Kind = vm_kind::Engine;
+  Engine.Address = {"127.0.0.1", Port};
+  return Engine;
+}
+
 } // namespace
 
 open_result scripted_engines::open(const network_address &,
@@ -78,7 +93,8 @@
   const engine_script Chosen = Script(Request.Body);
   CrashCount += Chosen.Crashes;
   return std::make_unique<scripted_stream>(
-      headerValue(Request.Headers, "X-Request-Id"), Chosen);
+      headerValue(Request.Headers, "X-Request-Id"),
+      json::parse(Request.Body).at("model").get<std::string>(), Chosen);
 }
 
 send_result scripted_engines::send(const network_address &,
@@ -94,15 +110,11 @@
                                          PromptCrashes, Gate,    Decisions,
                                          Bills,         Claims,  RequestIds,
                                          Store,         Ratings, [] {}} {
-  Configuration.replaceIfNewer(*makeConfiguration());
-  std::vector<listed_vm> List;
-  for (int Number = 0; Number < EngineCount; ++Number) {
-    listed_vm Engine;
-    Engine.Vm = vm_id(engineId(Number).text());
-    Engine.Kind = vm_kind::Engine;
-    Engine.Address = {"127.0.0.1", static_cast<std::uint16_t>(1 + Number)};
-    List.push_back(Engine);
-  }
+  Configuration.replaceIfNewer(makeConfiguration());
+  std::vector<listed_vm> List = {makeEngine(LargerEngine, 1000)};
+  for (int Number = 0; Number < EngineCount; ++Number)
+    List.push_back(
+        makeEngine(engineId(Number), static_cast<std::uint16_t>(1 + Number)));
   Router.applyList(List, 1);
   reportEngines();
   Flusher = std::thread([this] {
@@ -125,16 +137,38 @@
         Clock.Now);
 }
 
+void chat_run_fixture::addLargerVersion() {
+  configuration Changed = *Configuration.current();
+  ++Changed.Version;
+  Changed.Versions[LargerVersion] = {LargerVersion, model_id("large"),
+                                     micro_euros(1000), micro_euros(1000),
+                                     version_state::Active};
+  Configuration.replaceIfNewer(Changed);
+  Router.updateEndpointReport(
+      LargerEngine, {{LargerVersion}, EngineSlots, 0, false, Engines.bootId()},
+      Clock.Now);
+  for (int Rating = 0; Rating < 200; ++Rating) {
+    Router.addRating({Version, Class}, answer_role::Direct, 0.9, 0.95);
+    Router.addRating({Version, Class}, answer_role::Direct, 0.3, 0.2);
+    Router.addRating({LargerVersion, Class}, answer_role::Direct, 0.9, 0.95);
+  }
+}
+
+void chat_run_fixture::loseLargerVersion() {
+  Router.markEndpointLeaving(LargerEngine);
+}
+
 chat_request
 chat_run_fixture::makeRequest(const std::vector<std::string> &SharedMessages) {
-  Freshness.recordStoreConfirmation(1, Clock.Now);
+  Freshness.recordStoreConfirmation(Configuration.current()->Version,
+                                    Clock.Now);
   json Messages = json::array();
   for (const std::string &Text : SharedMessages)
     Messages.push_back({{"role", "system"}, {"content", Text}});
   const std::string Own = "own-" + std::to_string(++RequestCount);
   Messages.push_back({{"role", "user"}, {"content", Own}});
   served_request Request{"POST", "/v1/chat/completions", {}, {}, {}};
-  Request.Headers = {{"X-Work-Class", "survey"}};
+  Request.Headers = {{"X-Work-Class", Class.text()}};
   Request.Body = json{{"messages", Messages}, {"stream", true}}.dump();
   const auto Current = Configuration.current();
   auto Parsed = parseChatRequest(
--- a/Tests/LibEntry/chat_run_fixture.h
+++ b/Tests/LibEntry/chat_run_fixture.h
@@ -21,6 +21,7 @@
 struct engine_script {
   int ChunkCount = 0;
   bool Crashes = false;
+  double Confidence = 1;
 };
 
 /// Engines that respond as a script says. An engine that crashes has restarted
@@ -51,6 +52,10 @@
   chat_request makeRequest(const std::vector<std::string> &SharedMessages);
   /// Reports all engines as up, with their present process starts.
   void reportEngines();
+  /// Adds a larger version on an engine of its own, and ratings by which
+  /// responses of low confidence are escalated to it.
+  void addLargerVersion();
+  void loseLargerVersion();
 
   chat_clock Clock;
   scripted_engines Engines;
--- a/Tests/LibEntry/chat_run_test.cpp
+++ b/Tests/LibEntry/chat_run_test.cpp
@@ -89,3 +89,36 @@
   Fixture.Engines.Script = crashOnBad;
   CHECK_FALSE(serve(Fixture, {"system"}));
 }
+
+TEST_CASE(
+    "A deadline that passes in the middle of a response is not refused as "
+    "not run") {
+  chat_run_fixture Fixture;
+  Fixture.Engines.Script = [](const std::string &) {
+    return engine_script{SoundChunks, false};
+  };
+  chat_run Run(Fixture.Services, Fixture.makeRequest({}));
+  REQUIRE_FALSE(Run.start());
+  Fixture.Clock.Now += std::chrono::seconds(2);
+  const chat_event Event = Run.next();
+  REQUIRE(std::holds_alternative<refusal>(Event));
+  CHECK(std::get<refusal>(Event).Code == "deadline_exceeded");
+  CHECK(std::get<refusal>(Event).Run == run_state::MayHaveRun);
+}
+
+TEST_CASE("A request whose cheaper answer was dropped is not refused as not "
+          "run") {
+  chat_run_fixture Fixture;
+  Fixture.addLargerVersion();
+  // The larger version is lost while the cheaper one responds.
+  Fixture.Engines.Script = [&](const std::string &) {
+    Fixture.loseLargerVersion();
+    return engine_script{SoundChunks, false, 0.1};
+  };
+  chat_run Run(Fixture.Services, Fixture.makeRequest({}));
+  const auto Refusal = Run.start();
+  REQUIRE(Refusal);
+  CHECK(Fixture.Engines.OpenedCount == 1);
+  CHECK(Refusal->Code == "no_endpoint");
+  CHECK(Refusal->Run == run_state::MayHaveRun);
+}
