LibStore: Take a write that fails in the store for one of unknown outcome

Callers could see: a booking refused as "not run" whose claim stands, or an operator's change reported as not made that was made.

Cause: every status of a swap but 200, 404 and 409 counted as "took no effect", 5xx too.

Change: rejections (4xx, 503) took no effect; any other failure may have taken effect, which the callers of the store handle already. The transport mock of engine_attempt_test serves both tests.

--- a/Libraries/LibStore/http_store.cpp
+++ b/Libraries/LibStore/http_store.cpp
@@ -11,8 +11,11 @@
 namespace {
 
 constexpr int StatusOk = 200;
+constexpr int StatusBadRequest = 400;
 constexpr int StatusNotFound = 404;
 constexpr int StatusConflict = 409;
+constexpr int FirstServerError = 500;
+constexpr int StatusUnavailable = 503;
 
 error errorOfStatus(const http_response &Response) {
   if (Response.Status == StatusNotFound)
@@ -23,6 +26,18 @@
           "the store responded with status " + std::to_string(Response.Status)};
 }
 
+/// The error of a write. A rejected one took no effect; one that failed within
+/// the store, or behind a proxy, may have taken effect.
+error errorOfWriteStatus(const http_response &Response) {
+  const bool IsRejected = (Response.Status >= StatusBadRequest &&
+                           Response.Status < FirstServerError) ||
+                          Response.Status == StatusUnavailable;
+  error Error = errorOfStatus(Response);
+  if (!IsRejected)
+    Error.Code = error_code::OutcomeUnknown;
+  return Error;
+}
+
 result<store_entry> entryOf(const json &Item) {
   try {
     return store_entry{Item.at("key").get<std::string>(),
@@ -71,7 +86,7 @@
                                     {{"Content-Type", "application/json"}},
                                     Body.dump()}));
   if (Response.Status != StatusOk)
-    return errorOfStatus(Response);
+    return errorOfWriteStatus(Response);
   json Document = json::parse(Response.Body, nullptr, false);
   if (!Document.is_object() || !Document["revision"].is_number_unsigned())
     return error{error_code::OutcomeUnknown, "store: malformed response"};
--- a/Tests/LibEntry/engine_attempt_test.cpp
+++ b/Tests/LibEntry/engine_attempt_test.cpp
@@ -1,7 +1,7 @@
 #include "LibEntry/engine_attempt.h"
+#include "LibHttp/transport_mock.h"
 
 #include <doctest/doctest.h>
-#include <doctest/trompeloeil.hpp>
 
 using namespace azurehaven;
 using nlohmann::json;
@@ -35,18 +35,6 @@
   bool HasReturnedBody = false;
 };
 
-class transport_mock : public http_transport {
-public:
-  MAKE_MOCK4(send,
-             send_result(const network_address &, const http_request &,
-                         const http_timeouts &, connection_use),
-             override);
-  MAKE_MOCK3(open,
-             open_result(const network_address &, const http_request &,
-                         const http_timeouts &),
-             override);
-};
-
 std::string chunk(const char *Id, const char *Model, const char *Text,
                   bool IsLast = false) {
   json Event = {{"id", Id},
