LibMembership: Read the VM list from a successful response only

Callers could see: all requests refused for want of an endpoint, because the platform's list answered with an error document.

Cause: the status was ignored, and a document that is no array read as a list of no VMs, so that all endpoints and members were removed.

Change: any other status, and a document that is no array, is a failed fetch; the last list stays.

--- a/Libraries/LibMembership/http_vm_list.cpp
+++ b/Libraries/LibMembership/http_vm_list.cpp
@@ -12,6 +12,7 @@
 namespace {
 
 constexpr http_timeouts ListTimeouts{milliseconds(500), milliseconds(1000)};
+constexpr int StatusOk = 200;
 
 result<listed_vm> parseListedVm(const json &Item) {
   listed_vm ListedVm;
@@ -45,6 +46,9 @@
 result<std::vector<listed_vm>> parseVmList(const std::string &Text) {
   try {
     json Document = json::parse(Text);
+    // An object without members would read as a list of no VMs.
+    if (!Document.is_array())
+      return error{error_code::InvalidInput, "VM list: not an array"};
     std::vector<listed_vm> ListedVms;
     for (const auto &Item : Document) {
       TRY(listed_vm ListedVm, parseListedVm(Item));
@@ -65,11 +69,15 @@
 result<std::vector<listed_vm>> http_vm_list::fetch() {
   http_request Request{
       "GET", "/v1/vms?viewer=" + percentEncode(Viewer.text()), {}, {}};
-  auto Response =
+  auto Sent =
       Transport.send(Address, Request, ListTimeouts, connection_use::Pooled);
-  if (auto *Failure = std::get_if<http_failure>(&Response))
+  if (auto *Failure = std::get_if<http_failure>(&Sent))
     return error{error_code::Unavailable, "VM list: " + Failure->Message};
-  return parseVmList(std::get<http_response>(Response).Body);
+  const auto &Response = std::get<http_response>(Sent);
+  if (Response.Status != StatusOk)
+    return error{error_code::Unavailable,
+                 "VM list: status " + std::to_string(Response.Status)};
+  return parseVmList(Response.Body);
 }
 
 } // namespace azurehaven
--- a/Libraries/LibMembership/http_vm_list.h
+++ b/Libraries/LibMembership/http_vm_list.h
@@ -6,6 +6,7 @@
 namespace azurehaven {
 
 /// Fetches the platform's list: GET /v1/vms?viewer=VM returns a JSON array.
+/// Errors: Unavailable (no response with status 200), InvalidInput.
 class http_vm_list : public vm_list {
 public:
   http_vm_list(http_transport &Transport, network_address Address,
