--- a/Libraries/LibRouting/router.cpp
+++ b/Libraries/LibRouting/router.cpp
@@ -9,10 +9,6 @@
 
 namespace {
 
-/// More requests in flight than slots keep the batches of the endpoints full
-/// while responses are in transit.
-constexpr double InFlightPerSlot = 1.25;
-constexpr milliseconds PeerUsageLifetime{3000};
 constexpr milliseconds NoEndpointRetryAfter{1000};
 constexpr std::uint64_t PromotionRatings = 200;
 /// Answers of a version in a class needed before its own statistics in that
@@ -26,8 +22,8 @@
 
 router::router(vm_id Self, std::uint64_t Incarnation, std::uint64_t Seed,
                drop_test_settings HealthSettings)
-    : Endpoints(Seed), Chooser(Seed + 1), Ratings(std::move(Self), Incarnation),
-      Health(HealthSettings) {}
+    : Endpoints(Seed), Admission(Endpoints), Chooser(Seed + 1),
+      Ratings(std::move(Self), Incarnation), Health(HealthSettings) {}
 
 std::variant<route_plan, routing_refusal>
 router::plan(const routing_request &Request, steady_time Now,
@@ -69,9 +65,8 @@
   // withdrawal is stored.
   View.IsAvailable = Endpoints.hasUsableEndpoint(Version.Id, Now) &&
                      !Health.isAlarmed(Version.Id);
-  auto Queue = Queues.find(Version.Id);
-  if (Queue != Queues.end())
-    View.QueueMs = static_cast<double>(Queue->second.expectedWait().count());
+  View.QueueMs =
+      static_cast<double>(Admission.expectedWait(Version.Id).count());
   View.IsSuspect = Health.isSuspect(Subject);
   return View;
 }
@@ -101,69 +96,30 @@
   return Estimate;
 }
 
-admission_queue &router::queueOf(const version_id &Version, steady_time Now) {
-  auto [It, IsNew] = Queues.try_emplace(Version);
-  if (IsNew)
-    updateLimit(Version, It->second, Now);
-  return It->second;
-}
-
-/// Scans all endpoints; only advanceQueues() and the creation of a queue call
-/// it.
-void router::updateLimit(const version_id &Version, admission_queue &Queue,
-                         steady_time Now) {
-  const double Limit = InFlightPerSlot *
-                       static_cast<double>(Endpoints.slotsOf(Version, Now)) /
-                       static_cast<double>(EntryCount);
-  Queue.setConcurrencyLimit(
-      std::max<std::uint32_t>(1, static_cast<std::uint32_t>(Limit + 0.5)));
-}
-
-void router::updateRemoteInFlight(admission_queue &Queue, steady_time Now) {
-  std::map<client_account_id, std::uint32_t> Totals;
-  // Expired usage counts as 0 instead of being skipped, so that it replaces the
-  // count that the queue still has.
-  for (const auto &[Peer, Usage] : PeerUsage)
-    for (const auto &Notice : Usage.Usage)
-      Totals[Notice.Account] +=
-          Now - Usage.ReceivedAt <= PeerUsageLifetime ? Notice.InFlight : 0;
-  for (const auto &[Account, InFlight] : Totals)
-    Queue.setRemoteInFlight(Account, InFlight);
-}
-
 admission_result router::admit(const version_id &Version,
                                const admission_request &Request,
                                steady_time Now) {
   std::lock_guard Lock(Mutex);
-  admission_queue &Queue = queueOf(Version, Now);
-  updateRemoteInFlight(Queue, Now);
-  return Queue.admit(Request, Now);
+  return Admission.admit(Version, Request, Now);
 }
 
 admission_progress router::release(const version_id &Version,
                                    admission_ticket Ticket,
                                    milliseconds ServiceTime, steady_time Now) {
   std::lock_guard Lock(Mutex);
-  return queueOf(Version, Now).release(Ticket, ServiceTime, Now);
+  return Admission.release(Version, Ticket, ServiceTime, Now);
 }
 
 bool router::cancelAdmission(const version_id &Version,
                              admission_ticket Ticket) {
   std::lock_guard Lock(Mutex);
-  auto Found = Queues.find(Version);
-  return Found != Queues.end() && Found->second.cancel(Ticket);
+  return Admission.cancel(Version, Ticket);
 }
 
 std::vector<std::pair<version_id, admission_progress>>
 router::advanceQueues(steady_time Now) {
   std::lock_guard Lock(Mutex);
-  std::vector<std::pair<version_id, admission_progress>> All;
-  for (auto &[Version, Queue] : Queues) {
-    updateLimit(Version, Queue, Now);
-    updateRemoteInFlight(Queue, Now);
-    All.emplace_back(Version, Queue.advance(Now));
-  }
-  return All;
+  return Admission.advance(Now);
 }
 
 std::optional<attempt>
@@ -353,8 +309,9 @@
                        std::size_t ServingEntryCount) {
   std::lock_guard Lock(Mutex);
   Endpoints.applyList(List);
-  EntryCount = std::max<std::size_t>(1, ServingEntryCount);
+  const std::size_t EntryCount = std::max<std::size_t>(1, ServingEntryCount);
   Endpoints.setEntryCount(EntryCount);
+  Admission.setEntryCount(EntryCount);
 }
 
 void router::updateEndpointReport(const endpoint_id &Id,
@@ -387,19 +344,13 @@
 
 std::vector<usage_notice> router::inFlightByAccount() {
   std::lock_guard Lock(Mutex);
-  std::map<client_account_id, std::uint32_t> Totals;
-  for (const auto &[Version, Queue] : Queues)
-    Queue.addInFlightTo(Totals);
-  std::vector<usage_notice> Notices;
-  for (const auto &[Account, InFlightHere] : Totals)
-    Notices.push_back({Account, InFlightHere});
-  return Notices;
+  return Admission.inFlightByAccount();
 }
 
 void router::setPeerUsage(const vm_id &Peer, std::vector<usage_notice> Usage,
                           steady_time Now) {
   std::lock_guard Lock(Mutex);
-  PeerUsage[Peer] = {std::move(Usage), Now};
+  Admission.setPeerUsage(Peer, std::move(Usage), Now);
 }
 
 std::vector<std::string> router::describeEndpoints(steady_time Now) {
--- a/Libraries/LibRouting/router.h
+++ b/Libraries/LibRouting/router.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "LibConfig/configuration.h"
-#include "LibRouting/admission_queue.h"
+#include "LibRouting/admission_control.h"
 #include "LibRouting/crash_registry.h"
 #include "LibRouting/decision_log.h"
 #include "LibRouting/endpoint_table.h"
@@ -139,10 +139,6 @@
                       steady_time Now);
   /// This VM's measurements of the pair, or an estimate if they are too few.
   version_statistics statisticsOf(const version_class &Subject) const;
-  admission_queue &queueOf(const version_id &Version, steady_time Now);
-  void updateLimit(const version_id &Version, admission_queue &Queue,
-                   steady_time Now);
-  void updateRemoteInFlight(admission_queue &Queue, steady_time Now);
   void addCounts(const version_class &Subject, std::size_t Bucket,
                  const rating_counts &Added);
   void countLatency(const version_class &Subject, std::size_t Bucket,
@@ -152,13 +148,9 @@
                                         const model_version &Version,
                                         const class_id &Class);
 
-  struct peer_usage {
-    std::vector<usage_notice> Usage;
-    steady_time ReceivedAt;
-  };
-
   ranked_mutex Mutex{lock_rank::Router};
   endpoint_table Endpoints;
+  admission_control Admission;
   version_chooser Chooser;
   rating_pool Ratings;
   version_health Health;
@@ -169,9 +161,6 @@
   /// estimate the statistics of a pair with too few samples on this VM.
   std::map<version_id, version_statistics> VersionStatistics;
   std::map<class_id, version_statistics> ClassStatistics;
-  std::map<version_id, admission_queue> Queues;
-  std::map<vm_id, peer_usage> PeerUsage;
-  std::size_t EntryCount = 1;
 };
 
 } // namespace azurehaven
