LibRouting: Forget the usage of accounts that no peer reports any more

Callers could see: an account whose requests on the other VMs have all ended waits behind others, as if they still ran.

Cause: an account that left all reports kept its last remote count.

Change: each update sets the remote usage of all accounts, 0 for those not reported. The test of admission_queue gives both its accounts in one call.

--- a/Libraries/LibRouting/admission_control.cpp
+++ b/Libraries/LibRouting/admission_control.cpp
@@ -35,14 +35,11 @@
 void admission_control::updateRemoteInFlight(admission_queue &Queue,
                                              steady_time Now) const {
   std::map<client_account_id, std::uint32_t> Totals;
-  // Expired usage counts as 0 instead of being skipped, so that it replaces the
-  // count that the queue still has.
   for (const auto &[Peer, Usage] : PeerUsage)
-    for (const auto &Notice : Usage.Usage)
-      Totals[Notice.Account] +=
-          Now - Usage.ReceivedAt <= PeerUsageLifetime ? Notice.InFlight : 0;
-  for (const auto &[Account, InFlight] : Totals)
-    Queue.setRemoteInFlight(Account, InFlight);
+    if (Now - Usage.ReceivedAt <= PeerUsageLifetime)
+      for (const auto &Notice : Usage.Usage)
+        Totals[Notice.Account] += Notice.InFlight;
+  Queue.setRemoteInFlight(Totals);
 }
 
 void admission_control::setPeerUsage(const vm_id &Peer,
--- a/Libraries/LibRouting/admission_queue.cpp
+++ b/Libraries/LibRouting/admission_queue.cpp
@@ -15,9 +15,12 @@
 
 } // namespace
 
-void admission_queue::setRemoteInFlight(const client_account_id &Account,
-                                        std::uint32_t InFlight) {
-  Usage[Account].RemoteInFlight = InFlight;
+void admission_queue::setRemoteInFlight(
+    const std::map<client_account_id, std::uint32_t> &InFlightByAccount) {
+  for (auto &[Account, Used] : Usage)
+    Used.RemoteInFlight = 0;
+  for (const auto &[Account, InFlightElsewhere] : InFlightByAccount)
+    Usage[Account].RemoteInFlight = InFlightElsewhere;
 }
 
 double
--- a/Libraries/LibRouting/admission_queue.h
+++ b/Libraries/LibRouting/admission_queue.h
@@ -56,9 +56,10 @@
   /// Sets how many requests this VM may have in flight. A lower limit takes
   /// effect as requests end.
   void setConcurrencyLimit(std::uint32_t Limit) { ConcurrencyLimit = Limit; }
-  /// Sets the account's requests in flight on other VMs, as last reported.
-  void setRemoteInFlight(const client_account_id &Account,
-                         std::uint32_t InFlight);
+  /// Sets the requests in flight on other VMs, as last reported; 0 for the
+  /// accounts that are not among them.
+  void setRemoteInFlight(
+      const std::map<client_account_id, std::uint32_t> &InFlightByAccount);
 
   admission_result admit(const admission_request &Request, steady_time Now);
   /// Ends an admitted request that took ServiceTime, then advances the queue.
--- a/Tests/LibRouting/admission_queue_test.cpp
+++ b/Tests/LibRouting/admission_queue_test.cpp
@@ -54,8 +54,8 @@
   admission_queue Queue;
   Queue.setConcurrencyLimit(1);
   const auto First = mustAdmit(Queue, requestOf("x"));
-  Queue.setRemoteInFlight(client_account_id("busy"), 6);
-  Queue.setRemoteInFlight(client_account_id("large"), 6);
+  Queue.setRemoteInFlight(
+      {{client_account_id("busy"), 6}, {client_account_id("large"), 6}});
   const auto Busy = mustQueue(Queue, requestOf("busy"));
   const auto Large = mustQueue(Queue, requestOf("large", 5, 3));
   auto Progress = Queue.release(First, milliseconds(100), Start);
