LibEntry: Part bills and refusals of chat requests from chat_run

Prices and the bill go to chat_bill, the responses to the router's refusals to chat_refusal, the names of engine faults to engine_attempt.

--- a/Libraries/LibEntry/chat_run.cpp
+++ b/Libraries/LibEntry/chat_run.cpp
@@ -1,6 +1,8 @@
 #include "LibEntry/chat_run.h"
 
 #include "LibEntry/bill_commit.h"
+#include "LibEntry/chat_bill.h"
+#include "LibEntry/chat_refusal.h"
 #include "LibTypes/verify.h"
 
 #include <algorithm>
@@ -26,29 +28,6 @@
 /// class's first-token target after its arrival.
 constexpr int QueueTimeoutFactor = 4;
 
-micro_euros priceOf(const model_version &Version, const engine_finish &Finish) {
-  return micro_euros(
-      (Finish.PromptTokens.count() * Version.PromptPrice.count() +
-       Finish.CompletionTokens.count() * Version.CompletionPrice.count()) /
-      1000);
-}
-
-const char *nameOf(engine_fault Fault) {
-  switch (Fault) {
-  case engine_fault::Busy:
-    return "busy";
-  case engine_fault::Leaving:
-    return "leaving";
-  case engine_fault::Unreachable:
-    return "unreachable";
-  case engine_fault::Broken:
-    return "broken";
-  case engine_fault::Foreign:
-    return "foreign";
-  }
-  return "unknown";
-}
-
 attempt_outcome outcomeOf(const engine_failure &Failure) {
   const bool IsRefused = Failure.Fault == engine_fault::Busy ||
                          Failure.Fault == engine_fault::Leaving;
@@ -430,8 +409,7 @@
 }
 
 void chat_run::addCost(const engine_finish &Finish) {
-  if (const auto *Found = Request.Configuration->findVersion(Version))
-    Cost += priceOf(*Found, Finish);
+  Cost += priceOf(*Request.Configuration, Version, Finish);
 }
 
 chat_event chat_run::billAndFinish(const engine_finish &Finish) {
@@ -442,19 +420,9 @@
     offerForRating(Finish, SentText);
   }
   releaseStage();
-  bill Bill;
-  Bill.Account = Request.Account.Id;
-  Bill.Request = Request.Id;
-  Bill.BodyFingerprint = Request.BodyFingerprint;
-  Bill.Class = Request.Class.Id;
-  Bill.Version = Version;
-  Bill.PromptTokens = Finish.PromptTokens;
-  Bill.CompletionTokens = Finish.CompletionTokens;
-  if (const auto *Found = Request.Configuration->findVersion(Version))
-    Bill.Price = priceOf(*Found, Finish);
-  Bill.Cost = Cost;
-  Bill.At = Services.Clock.wallNow();
-  Bill.Vm = Services.Settings.Vm;
+  const bill Bill =
+      makeChatBill(Request, Version, Finish, Cost, Services.Clock.wallNow(),
+                   Services.Settings.Vm);
   const bool IsDurable = commitBill(Services, Bill);
   addStep(IsDurable ? "billed" : "bill not durable in time");
   if (!IsDurable) {
@@ -513,39 +481,11 @@
 
 refusal chat_run::makeRefusal(int Status, const char *Code, std::string Message,
                               std::optional<milliseconds> RetryAfter) const {
-  return {Status, Code, MayHaveRun ? run_state::MayHaveRun : run_state::NotRun,
-          std::move(Message), RetryAfter};
+  return {Status, Code, runState(), std::move(Message), RetryAfter};
 }
 
 refusal chat_run::refusalForRouting(const routing_refusal &Refusal) const {
-  switch (Refusal.Reason) {
-  case refusal_reason::VersionWithdrawn:
-    return makeRefusal(410, "session_ended",
-                       "the session's version is withdrawn or not allowed; "
-                       "start a new session",
-                       std::nullopt);
-  case refusal_reason::NoAllowedVersion:
-    return makeRefusal(403, "not_allowed",
-                       "the account may use no version for this request",
-                       std::nullopt);
-  case refusal_reason::NoEndpoint:
-    return makeRefusal(503, "no_endpoint", "no endpoint is available",
-                       Refusal.RetryAfter);
-  case refusal_reason::CrashCausing:
-    return makeRefusal(422, "crash_causing",
-                       "this request crashed two endpoints and is not run "
-                       "again",
-                       std::nullopt);
-  case refusal_reason::PromptCrashCausing:
-    return makeRefusal(422, "prompt_crash_causing",
-                       "endpoints crash under a message of this request, which "
-                       "is not run",
-                       std::nullopt);
-  case refusal_reason::Overloaded:
-    return makeRefusal(429, "overloaded", "no slot would be free in time",
-                       Refusal.RetryAfter);
-  }
-  return makeRefusal(500, "internal", "unknown refusal reason", std::nullopt);
+  return makeRoutingRefusal(Refusal, runState());
 }
 
 } // namespace azurehaven
--- a/Libraries/LibEntry/chat_run.h
+++ b/Libraries/LibEntry/chat_run.h
@@ -81,6 +81,9 @@
   chat_event billAndFinish(const engine_finish &Finish);
   void addCost(const engine_finish &Finish);
   void offerForRating(const engine_finish &Finish, const std::string &Text);
+  run_state runState() const {
+    return MayHaveRun ? run_state::MayHaveRun : run_state::NotRun;
+  }
   refusal refusalForFailure(const engine_failure &Failure) const;
   refusal makeRefusal(int Status, const char *Code, std::string Message,
                       std::optional<milliseconds> RetryAfter) const;
--- a/Libraries/LibEntry/engine_attempt.cpp
+++ b/Libraries/LibEntry/engine_attempt.cpp
@@ -43,6 +43,22 @@
 
 } // namespace
 
+const char *nameOf(engine_fault Fault) {
+  switch (Fault) {
+  case engine_fault::Busy:
+    return "busy";
+  case engine_fault::Leaving:
+    return "leaving";
+  case engine_fault::Unreachable:
+    return "unreachable";
+  case engine_fault::Broken:
+    return "broken";
+  case engine_fault::Foreign:
+    return "foreign";
+  }
+  return "unknown";
+}
+
 engine_attempt::engine_attempt(std::unique_ptr<http_stream> Stream,
                                std::string AttemptId, version_id Version)
     : Stream(std::move(Stream)), AttemptId(std::move(AttemptId)),
--- a/Libraries/LibEntry/engine_attempt.h
+++ b/Libraries/LibEntry/engine_attempt.h
@@ -33,6 +33,8 @@
   Foreign,
 };
 
+const char *nameOf(engine_fault Fault);
+
 struct engine_failure {
   engine_fault Fault = engine_fault::Broken;
   std::string Message;
