LibEntry: Blame no request for an engine that still runs

Callers could see: 422 crash_causing for a sound request, on all VMs, after two connections broke on a busy machine.

Change: an engine has crashed if it no longer accepts connections or names another process start. The probe uses a fresh connection, as a pooled one may have broken in the crash. fetchEndpointReport tells the three errors apart.

Result: chat_run_test: four kinds of probe, each blamed the request before; an engine that no longer listens still counts as crashed.

--- a/Libraries/LibEntry/crash_detector.cpp
+++ b/Libraries/LibEntry/crash_detector.cpp
@@ -30,9 +30,16 @@
 
 bool crash_detector::detectCrash() {
   const std::string BootId = Services.Router.bootIdOf(Engine.Id);
-  auto Report =
-      fetchEndpointReport(Services.Transport, Engine.Address, ProbeTimeout);
-  if (!isError(Report) && valueOf(Report).BootId == BootId)
+  // A pooled connection may have broken in the crash, and tells nothing of the
+  // engine that listens now.
+  const auto Report = fetchEndpointReport(Services.Transport, Engine.Address,
+                                          ProbeTimeout, connection_use::Fresh);
+  // An engine that accepts connections still runs, however late or badly it
+  // responds.
+  const bool HasCrashed = isError(Report)
+                              ? errorOf(Report).Code == error_code::Unavailable
+                              : valueOf(Report).BootId != BootId;
+  if (!HasCrashed)
     return false;
   const steady_time Now = Services.Clock.now();
   Services.Router.addCrash({Request.CrashFingerprint, Engine.Id}, Now);
--- a/Libraries/LibEntry/crash_detector.h
+++ b/Libraries/LibEntry/crash_detector.h
@@ -18,8 +18,9 @@
   void onText();
   void onComplete();
   /// Asks the engine of a broken attempt for its status. Records a crash
-  /// against the request if the engine is unreachable or has restarted; if it
-  /// still runs, the request is not to blame. Returns whether it has crashed.
+  /// against the request if the engine no longer listens or has restarted; if
+  /// it may still run, the request is not to blame. Returns whether it has
+  /// crashed.
   bool detectCrash();
 
   /// The reason for which the request must not be sent, if there is one.
--- a/Libraries/LibEntry/endpoint_poller.cpp
+++ b/Libraries/LibEntry/endpoint_poller.cpp
@@ -51,8 +51,8 @@
 
 void endpoint_poller::pollEndpoint(const chosen_endpoint &Endpoint) {
   const steady_time RequestedAt = Services.Clock.now();
-  auto Report =
-      fetchEndpointReport(Services.Transport, Endpoint.Address, ReportTimeout);
+  auto Report = fetchEndpointReport(Services.Transport, Endpoint.Address,
+                                    ReportTimeout, connection_use::Pooled);
   if (isError(Report))
     Services.Router.recordEndpointPollFailure(Endpoint.Id,
                                               Services.Clock.now());
--- a/Libraries/LibEntry/engine_attempt.cpp
+++ b/Libraries/LibEntry/engine_attempt.cpp
@@ -41,6 +41,23 @@
   return Finish;
 }
 
+result<endpoint_report> parseEndpointReport(const std::string &Text) {
+  // The JSON library throws on a field of the wrong type.
+  try {
+    const json Document = json::parse(Text);
+    endpoint_report Report;
+    for (const auto &Version : Document.value("versions", json::array()))
+      Report.Versions.insert(version_id(Version.get<std::string>()));
+    Report.Slots = std::max(1u, Document.value("slots", 1u));
+    Report.Load = Document.value("load", 0u);
+    Report.IsLeaving = Document.value("leaving", false);
+    Report.BootId = Document.value("boot_id", std::string());
+    return Report;
+  } catch (const json::exception &Exception) {
+    return error{error_code::InvalidInput, Exception.what()};
+  }
+}
+
 } // namespace
 
 const char *nameOf(engine_fault Fault) {
@@ -154,24 +171,20 @@
 
 result<endpoint_report> fetchEndpointReport(http_transport &Transport,
                                             const network_address &Address,
-                                            milliseconds Timeout) {
+                                            milliseconds Timeout,
+                                            connection_use Use) {
   auto Sent = Transport.send(Address, {"GET", "/status", {}, {}},
-                             {Timeout, Timeout}, connection_use::Pooled);
+                             {Timeout, Timeout}, Use);
   if (auto *Failure = std::get_if<http_failure>(&Sent))
-    return error{error_code::Unavailable, Failure->Message};
-  try {
-    const json Document = json::parse(std::get<http_response>(Sent).Body);
-    endpoint_report Report;
-    for (const auto &Version : Document.value("versions", json::array()))
-      Report.Versions.insert(version_id(Version.get<std::string>()));
-    Report.Slots = std::max(1u, Document.value("slots", 1u));
-    Report.Load = Document.value("load", 0u);
-    Report.IsLeaving = Document.value("leaving", false);
-    Report.BootId = Document.value("boot_id", std::string());
-    return Report;
-  } catch (const json::exception &Exception) {
-    return error{error_code::Unavailable, Exception.what()};
-  }
+    return error{Failure->Delivery == delivery::NotSent
+                     ? error_code::Unavailable
+                     : error_code::OutcomeUnknown,
+                 Failure->Message};
+  const auto &Response = std::get<http_response>(Sent);
+  if (Response.Status != StatusOk)
+    return error{error_code::InvalidInput,
+                 "status " + std::to_string(Response.Status)};
+  return parseEndpointReport(Response.Body);
 }
 
 } // namespace azurehaven
--- a/Libraries/LibEntry/engine_attempt.h
+++ b/Libraries/LibEntry/engine_attempt.h
@@ -85,10 +85,12 @@
   bool IsComplete = false;
 };
 
-/// Fetches an endpoint's status report: GET /status. Returns Unavailable if
-/// that fails or the report is malformed.
+/// Fetches an endpoint's status report: GET /status. Errors: Unavailable (no
+/// connection could be made), OutcomeUnknown (no complete response arrived),
+/// InvalidInput (another status than 200, or a malformed report).
 result<endpoint_report> fetchEndpointReport(http_transport &Transport,
                                             const network_address &Address,
-                                            milliseconds Timeout);
+                                            milliseconds Timeout,
+                                            connection_use Use);
 
 } // namespace azurehaven
--- a/Tests/LibEntry/chat_run_fixture.cpp
+++ b/Tests/LibEntry/chat_run_fixture.cpp
@@ -30,8 +30,8 @@
       ++Sent;
       return std::optional(chunk("text", nullptr));
     }
-    if (Script.Crashes)
-      return http_failure{delivery::MayHaveRun, "crashed"};
+    if (Script.End != response_end::Complete)
+      return http_failure{delivery::MayHaveRun, "cut"};
     if (Sent++ == Script.ChunkCount)
       return std::optional(chunk("", "stop") + formatEvent("[DONE]"));
     return std::optional<std::string>();
@@ -91,7 +91,8 @@
                                    const http_timeouts &) {
   ++OpenedCount;
   const engine_script Chosen = Script(Request.Body);
-  CrashCount += Chosen.Crashes;
+  if (Chosen.End == response_end::Crash)
+    ++CrashCount;
   return std::make_unique<scripted_stream>(
       headerValue(Request.Headers, "X-Request-Id"),
       json::parse(Request.Body).at("model").get<std::string>(), Chosen);
@@ -100,7 +101,8 @@
 send_result scripted_engines::send(const network_address &,
                                    const http_request &, const http_timeouts &,
                                    connection_use) {
-  return http_response{200, {}, json{{"boot_id", bootId()}}.dump()};
+  return StatusResponse.value_or(
+      http_response{200, {}, json{{"boot_id", bootId()}}.dump()});
 }
 
 chat_run_fixture::chat_run_fixture(int EngineCount)
--- a/Tests/LibEntry/chat_run_fixture.h
+++ b/Tests/LibEntry/chat_run_fixture.h
@@ -16,11 +16,18 @@
   steady_time Now{std::chrono::hours(1)};
 };
 
-/// The chunks of text that an engine returns, and whether it crashes then
-/// instead of ending its response.
+enum class response_end {
+  Complete,
+  /// The connection breaks; the engine runs on.
+  Cut,
+  /// The engine crashes.
+  Crash,
+};
+
+/// The chunks of text that an engine returns, and how its response ends.
 struct engine_script {
   int ChunkCount = 0;
-  bool Crashes = false;
+  response_end End = response_end::Complete;
   double Confidence = 1;
 };
 
@@ -30,6 +37,8 @@
 public:
   /// Argument: the body of the request.
   std::function<engine_script(const std::string &)> Script;
+  /// Replaces the response to a request for the status, if set.
+  std::optional<send_result> StatusResponse;
   std::size_t OpenedCount = 0;
   std::size_t CrashCount = 0;
 
--- a/Tests/LibEntry/chat_run_test.cpp
+++ b/Tests/LibEntry/chat_run_test.cpp
@@ -33,8 +33,8 @@
 /// message "bad".
 engine_script crashOnBad(const std::string &Body) {
   if (Body.find("bad") != std::string::npos)
-    return {0, true};
-  return {SoundChunks, false};
+    return {0, response_end::Crash};
+  return {SoundChunks};
 }
 
 } // namespace
@@ -71,7 +71,7 @@
           "at the same time") {
   chat_run_fixture Fixture(EngineCount);
   Fixture.Engines.Script = [](const std::string &) {
-    return engine_script{SoundChunks, true};
+    return engine_script{SoundChunks, response_end::Crash};
   };
   std::vector<std::unique_ptr<chat_run>> Runs;
   for (int Index = 0; Index < 6; ++Index) {
@@ -90,12 +90,42 @@
   CHECK_FALSE(serve(Fixture, {"system"}));
 }
 
+TEST_CASE("A request is not blamed for engines that run on, whatever their "
+          "status probe gives") {
+  const send_result Probes[] = {
+      http_failure{delivery::MayHaveRun, "timeout"},
+      http_response{503, {}, "{}"},
+      http_response{200, {}, "not json"},
+      http_response{200, {}, "[]"},
+  };
+  for (const send_result &Probe : Probes) {
+    chat_run_fixture Fixture(EngineCount);
+    Fixture.Engines.StatusResponse = Probe;
+    Fixture.Engines.Script = [](const std::string &) {
+      return engine_script{0, response_end::Cut};
+    };
+    CHECK(serve(Fixture, {"system"})->Code == "endpoint_failed");
+    Fixture.Engines.Script = crashOnBad;
+    CHECK_FALSE(serve(Fixture, {"system"}));
+  }
+}
+
+TEST_CASE("An engine that no longer listens has crashed") {
+  chat_run_fixture Fixture(EngineCount);
+  Fixture.Engines.StatusResponse =
+      send_result(http_failure{delivery::NotSent, "refused"});
+  Fixture.Engines.Script = [](const std::string &) {
+    return engine_script{0, response_end::Cut};
+  };
+  CHECK(serve(Fixture, {"system"})->Code == "crash_causing");
+}
+
 TEST_CASE(
     "A deadline that passes in the middle of a response is not refused as "
     "not run") {
   chat_run_fixture Fixture;
   Fixture.Engines.Script = [](const std::string &) {
-    return engine_script{SoundChunks, false};
+    return engine_script{SoundChunks};
   };
   chat_run Run(Fixture.Services, Fixture.makeRequest({}));
   REQUIRE_FALSE(Run.start());
@@ -113,7 +143,7 @@
   // The larger version is lost while the cheaper one responds.
   Fixture.Engines.Script = [&](const std::string &) {
     Fixture.loseLargerVersion();
-    return engine_script{SoundChunks, false, 0.1};
+    return engine_script{SoundChunks, response_end::Complete, 0.1};
   };
   chat_run Run(Fixture.Services, Fixture.makeRequest({}));
   const auto Refusal = Run.start();
