LibDispatch: Give a plain service's new release its full load before completion

Cause: of the exposure that the operators allow, 1.8 s of full traffic, the target got one second ramping up, 0.3 s at full load and one second after completion, when nothing can be taken back. Counts of other VMs are 0.2 s old, so that a tenth of a second at full load was judged. The gradual shift is for engines without cached prompts; plain services have none.

Change: plain services move at once, 1.2 s before completion, which is 0.5 s before the time limit; the exposure stays within the same bound. So that a dead publisher is replaced in time, the others publish after 0.3 s (0.7 s before).

--- a/Libraries/LibDispatch/rollout_controller.cpp
+++ b/Libraries/LibDispatch/rollout_controller.cpp
@@ -17,6 +17,15 @@
 constexpr double MinimumRouteFactor = 0.25;
 constexpr double MaximumRouteFactor = 16;
 
+/// Fraction of the requests beyond the trial's that have moved to the target.
+double shiftedFraction(const rollout_schedule &Schedule, milliseconds Elapsed) {
+  if (Elapsed >= Schedule.ShiftEnd)
+    return 1;
+  const std::chrono::duration<double> SinceStart =
+      Elapsed - Schedule.ShiftStart;
+  return SinceStart / (Schedule.ShiftEnd - Schedule.ShiftStart);
+}
+
 } // namespace
 
 const char *nameOf(rollout_outcome Outcome) {
@@ -124,7 +133,7 @@
   const rollout &Rollout = Found->second;
   release_rule Rule;
   Rule.Target = Rollout.Order.Target;
-  const rollout_schedule Schedule = scheduleFor(Rollout.Order.TimeLimit);
+  const rollout_schedule Schedule = scheduleOf(Rollout);
   const milliseconds Elapsed = elapsed(Rollout, Now);
   // The endpoints of the old release are gone once completion is published,
   // whatever this VM has found.
@@ -139,11 +148,8 @@
     Rule.Phase = rollout_phase::Trial;
   Rule.TargetShare = trialShare(Rollout);
   if (Rule.Phase == rollout_phase::Shift) {
-    const std::chrono::duration<double> SinceStart =
-        Elapsed - Schedule.ShiftStart;
-    const double Fraction =
-        std::min(1.0, SinceStart / (Schedule.ShiftEnd - Schedule.ShiftStart));
-    Rule.TargetShare += Fraction * (1 - Rule.TargetShare);
+    Rule.TargetShare +=
+        shiftedFraction(Schedule, Elapsed) * (1 - Rule.TargetShare);
   }
   Rule.PinsSessions = Elapsed < Schedule.SessionMove;
   return Rule;
@@ -199,7 +205,7 @@
                                        const release_statistics &Statistics,
                                        const rollout_surroundings &Surroundings,
                                        steady_time Now) const {
-  const rollout_schedule Schedule = scheduleFor(Rollout.Order.TimeLimit);
+  const rollout_schedule Schedule = scheduleOf(Rollout);
   const milliseconds Elapsed = elapsed(Rollout, Now);
   const exposure_counts Sent =
       Statistics.localAttempts(Rollout.Order.Service, Rollout.Order.Target);
@@ -236,10 +242,11 @@
   for (auto &[Service, Rollout] : Rollouts) {
     if (Rollout.FinalOutcome || Rollout.IsRejected)
       continue;
+    if (Surroundings.PlainServices.contains(Service))
+      Rollout.Shift = shift_kind::Immediate;
     observe(Rollout, Statistics, Now);
     limitExposure(Rollout, Statistics, Surroundings, Now);
-    const bool IsDue = elapsed(Rollout, Now) >=
-                       scheduleFor(Rollout.Order.TimeLimit).Completion;
+    const bool IsDue = elapsed(Rollout, Now) >= scheduleOf(Rollout).Completion;
     Rollout.IsRejected = Rollout.Verdict == release_verdict::Worse ||
                          (IsDue && Rollout.Verdict != release_verdict::Sound);
   }
@@ -254,8 +261,7 @@
       Wanted = *Rollout.FinalOutcome;
     else if (Rollout.IsRejected)
       Wanted = rollout_outcome::RolledBack;
-    else if (elapsed(Rollout, Now) >=
-             scheduleFor(Rollout.Order.TimeLimit).Completion)
+    else if (elapsed(Rollout, Now) >= scheduleOf(Rollout).Completion)
       Wanted = rollout_outcome::Completed;
     if (Rollout.PublishedOutcome == Wanted)
       continue;
--- a/Libraries/LibDispatch/rollout_controller.h
+++ b/Libraries/LibDispatch/rollout_controller.h
@@ -8,6 +8,7 @@
 
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -40,8 +41,10 @@
 /// The fleet as one VM sees it.
 struct rollout_surroundings {
   std::size_t VmCount = 1;
+  /// Services whose endpoints cache no prompts.
+  std::set<service_id> PlainServices{};
   /// This VM's attempts that run now.
-  std::map<service_id, std::uint32_t> InFlight;
+  std::map<service_id, std::uint32_t> InFlight{};
 };
 
 /// Rolls out new releases: a trial with a small share of the requests, a
@@ -94,6 +97,7 @@
   struct rollout {
     rollout_order Order;
     steady_time BeganAt;
+    shift_kind Shift = shift_kind::Gradual;
     /// The service's totals when the roll-out was first evaluated.
     std::optional<service_totals> TotalsBefore;
     release_verdict Verdict = release_verdict::Sound;
@@ -126,6 +130,9 @@
                          order_origin Origin);
   void applyPublishedOutcome(rollout &Rollout) const;
   static milliseconds elapsed(const rollout &Rollout, steady_time Now);
+  static rollout_schedule scheduleOf(const rollout &Rollout) {
+    return scheduleFor(Rollout.Order.TimeLimit, Rollout.Shift);
+  }
   void observe(rollout &Rollout, const release_statistics &Statistics,
                steady_time Now) const;
   /// Sets the share of the trial and whether the shift has to wait.
--- a/Libraries/LibDispatch/rollout_schedule.cpp
+++ b/Libraries/LibDispatch/rollout_schedule.cpp
@@ -9,15 +9,18 @@
 
 /// Sessions keep their release in the first half of the time limit.
 constexpr double SessionMoveProgress = 0.52;
-/// From the start of the shift to its end. The target's engines start without
-/// cached prompts; a gradual shift lets those of the old release serve while
-/// the new ones fill their caches.
-constexpr milliseconds ShiftTime{1000};
+/// From the start of a gradual shift to its end.
+constexpr milliseconds GradualShiftTime{1000};
 /// From the end of the shift to completion, which stops the old endpoints:
 /// their last requests finish.
 constexpr milliseconds DrainTime{300};
-/// From completion to the time limit, for the write of the outcome.
-constexpr milliseconds CompletionMargin{1000};
+/// The same after an immediate shift: faults that show only under the full load
+/// of the target are seen, and counted on all VMs.
+constexpr milliseconds FullLoadTime{1200};
+/// From completion to the time limit, for the write of the outcome. After an
+/// immediate shift, more of the exposure goes to the time before completion.
+constexpr milliseconds GradualCompletionMargin{1000};
+constexpr milliseconds ImmediateCompletionMargin{500};
 /// The times above are shortened for a shorter time limit.
 constexpr milliseconds UnshortenedTimeLimit{10000};
 
@@ -27,7 +30,7 @@
   return TimeLimit - ShiftEnd + (ShiftEnd - ShiftStart) / 2;
 }
 
-rollout_schedule scheduleFor(milliseconds TimeLimit) {
+rollout_schedule scheduleFor(milliseconds TimeLimit, shift_kind Kind) {
   const double Scale =
       std::min(1.0, static_cast<double>(TimeLimit.count()) /
                         static_cast<double>(UnshortenedTimeLimit.count()));
@@ -39,9 +42,14 @@
   Schedule.TimeLimit = TimeLimit;
   Schedule.SessionMove = milliseconds(std::llround(
       static_cast<double>(TimeLimit.count()) * SessionMoveProgress));
-  Schedule.Completion = TimeLimit - Scaled(CompletionMargin);
-  Schedule.ShiftEnd = Schedule.Completion - Scaled(DrainTime);
-  Schedule.ShiftStart = Schedule.ShiftEnd - Scaled(ShiftTime);
+  const bool IsGradual = Kind == shift_kind::Gradual;
+  Schedule.Completion =
+      TimeLimit -
+      Scaled(IsGradual ? GradualCompletionMargin : ImmediateCompletionMargin);
+  Schedule.ShiftEnd =
+      Schedule.Completion - Scaled(IsGradual ? DrainTime : FullLoadTime);
+  Schedule.ShiftStart = Schedule.ShiftEnd -
+                        Scaled(IsGradual ? GradualShiftTime : milliseconds(0));
   return Schedule;
 }
 
--- a/Libraries/LibDispatch/rollout_schedule.h
+++ b/Libraries/LibDispatch/rollout_schedule.h
@@ -4,6 +4,16 @@
 
 namespace azurehaven {
 
+/// How all requests move to the target before completion.
+enum class shift_kind {
+  /// Bit by bit: the target's engines start without cached prompts, and those
+  /// of the old release serve while the new ones fill their caches.
+  Gradual,
+  /// At once, so that the target has its full load for as long as its exposure
+  /// allows.
+  Immediate,
+};
+
 /// The times of a roll-out's steps, counted from its start.
 struct rollout_schedule {
   /// Until then, sessions keep the release that they use.
@@ -19,6 +29,7 @@
   milliseconds fullExposure() const;
 };
 
-rollout_schedule scheduleFor(milliseconds TimeLimit);
+rollout_schedule scheduleFor(milliseconds TimeLimit,
+                             shift_kind Kind = shift_kind::Gradual);
 
 } // namespace azurehaven
--- a/Libraries/LibRelay/rollout_driver.cpp
+++ b/Libraries/LibRelay/rollout_driver.cpp
@@ -8,7 +8,7 @@
 
 /// The other VMs publish an outcome too if the preferred VM has not done so
 /// within this time.
-constexpr milliseconds FallbackPublishDelay{700};
+constexpr milliseconds FallbackPublishDelay{300};
 constexpr milliseconds RetryDelay{300};
 
 } // namespace
@@ -38,6 +38,12 @@
   Surroundings.VmCount = Fleet.Members.size();
   for (const auto &[Id, Endpoint] : Fleet.Endpoints.all())
     Surroundings.InFlight[Endpoint->Descriptor.Service] += Endpoint->InFlight;
+  for (const auto &[Service, InFlight] : Surroundings.InFlight) {
+    const endpoint_pool *Pool =
+        Fleet.Routes ? Fleet.Routes->pool(Service) : nullptr;
+    if (Pool && !Pool->Engine)
+      Surroundings.PlainServices.insert(Service);
+  }
   return Surroundings;
 }
 
--- a/Tests/LibRelay/rollout_driver_test.cpp
+++ b/Tests/LibRelay/rollout_driver_test.cpp
@@ -98,3 +98,27 @@
   Vm.advanceBy(milliseconds(3000));
   CHECK(Vm.Publisher.Outcomes.empty());
 }
+
+TEST_CASE("A plain service moves to its target at once, a service of engines "
+          "bit by bit") {
+  for (const bool IsPlain : {true, false}) {
+    driver_vm Vm("vm-1");
+    endpoint_pool Pool{service_id("s")};
+    if (!IsPlain)
+      Pool.Engine = engine_pool_settings{};
+    Vm.Fleet.Routes =
+        std::make_shared<route_table>(route_table::content{1, {}, {Pool}});
+    endpoint_descriptor Endpoint;
+    Endpoint.Id = endpoint_id("e");
+    Endpoint.Service = service_id("s");
+    Vm.Fleet.Endpoints.put(Endpoint);
+    Vm.advanceBy(milliseconds(0));
+    const rollout_schedule Schedule =
+        scheduleFor(milliseconds(10000),
+                    IsPlain ? shift_kind::Immediate : shift_kind::Gradual);
+    const release_rule Rule = Vm.Fleet.Rollouts.ruleFor(
+        service_id("s"), Vm.Clock.Now + Schedule.ShiftStart);
+    CHECK(Rule.Phase == rollout_phase::Shift);
+    CHECK((Rule.TargetShare == doctest::Approx(1)) == IsPlain);
+  }
+}
