LibDispatch: Tell a release that fails where the old one hardly ever does

Cause: failures up to 3 of 100 were expected of any release, also where the old one fails 6 of 1,650 requests; over all routes, one that fails 3 of 10 on any release hid the rest.

Change: a release is suspect, and not completed, if it fails four times or more and beyond what a rate of 1 in 100 lets expect, or the old release's own rate if that is higher. What rolls a release back at once, and slowness, are judged as before.

--- a/Libraries/LibDispatch/release_verdict.cpp
+++ b/Libraries/LibDispatch/release_verdict.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <optional>
 
 namespace azurehaven {
 
@@ -17,16 +18,22 @@
   double SuspectDeviations;
   double SuspectRouteDeviations;
   std::uint32_t MinimumSuspect;
+  /// The same number where bad outcomes are rare on the other releases; nullopt
+  /// if these are compared at the usual rate.
+  std::optional<std::uint32_t> MinimumRareSuspect;
 };
 
-constexpr outcome_limits FailureLimits{4, 4, 2, 3, 2};
+constexpr outcome_limits FailureLimits{4, 4, 2, 3, 2, 4};
 /// Slow responses come together when an endpoint is busy for a moment, as with
 /// the first prompts of a trial.
-constexpr outcome_limits SlowLimits{4, 6, 2.5, 4, 4};
-
-/// Lower bound of the baseline rate: a few failures happen to any release.
-constexpr double MinimumBaselineRate = 0.03;
-/// Weight of the minimum rate in the estimated baseline, in requests.
+constexpr outcome_limits SlowLimits{4, 6, 2.5, 4, 4, std::nullopt};
+
+/// Lower bounds of the baseline rate: a few bad outcomes happen to any release.
+constexpr double UsualRate = 0.03;
+constexpr double RareRate = 0.01;
+/// Rate, and its weight in requests, that the estimate of the baseline starts
+/// from.
+constexpr double PriorRate = 0.03;
 constexpr double PriorRequests = 20;
 /// Largest weight of the time before the roll-out in the baseline, in requests:
 /// what impairs the service now impairs all its releases.
@@ -55,9 +62,9 @@
   const double EarlierBad =
       Earlier > 0 ? Baseline.Earlier.*Bad * Weight / Earlier : 0;
   const double Rate =
-      (Baseline.Since.*Bad + EarlierBad + MinimumBaselineRate * PriorRequests) /
+      (Baseline.Since.*Bad + EarlierBad + PriorRate * PriorRequests) /
       (Baseline.Since.Requests + Weight + PriorRequests);
-  return std::clamp(Rate, MinimumBaselineRate, 1.0);
+  return std::min(Rate, 1.0);
 }
 
 bad_outcomes badOutcomes(const release_counts &Counts, double BaselineRate,
@@ -76,24 +83,34 @@
                         double Deviations) {
     return Outcomes.Count >= Minimum && isAboveExpected(Outcomes, Deviations);
   };
-  bad_outcomes Sum;
+  const auto IsSuspicious = [&](const bad_outcomes &AtUsualRate,
+                                const bad_outcomes &AtRareRate,
+                                double Deviations) {
+    return IsBad(AtUsualRate, Limits.MinimumSuspect, Deviations) ||
+           (Limits.MinimumRareSuspect &&
+            IsBad(AtRareRate, *Limits.MinimumRareSuspect, Deviations));
+  };
+  bad_outcomes UsualSum;
+  bad_outcomes RareSum;
   bool IsSuspect = false;
   for (const auto &[Route, Counts] : Judged) {
     const auto Known = Baselines.find(Route);
     const double Rate = baselineRate(
         Known == Baselines.end() ? route_baseline{} : Known->second, Bad);
-    const bad_outcomes OnRoute = badOutcomes(Counts, Rate, Bad);
-    if (IsBad(OnRoute, Limits.MinimumWorse, Limits.WorseDeviations))
+    const bad_outcomes AtUsualRate =
+        badOutcomes(Counts, std::max(Rate, UsualRate), Bad);
+    const bad_outcomes AtRareRate =
+        badOutcomes(Counts, std::max(Rate, RareRate), Bad);
+    if (IsBad(AtUsualRate, Limits.MinimumWorse, Limits.WorseDeviations))
       return release_verdict::Worse;
     IsSuspect |=
-        IsBad(OnRoute, Limits.MinimumSuspect, Limits.SuspectRouteDeviations);
-    Sum.Count += OnRoute.Count;
-    Sum.Expected += OnRoute.Expected;
-    Sum.Variance += OnRoute.Variance;
+        IsSuspicious(AtUsualRate, AtRareRate, Limits.SuspectRouteDeviations);
+    UsualSum += AtUsualRate;
+    RareSum += AtRareRate;
   }
-  if (IsBad(Sum, Limits.MinimumWorse, Limits.WorseDeviations))
+  if (IsBad(UsualSum, Limits.MinimumWorse, Limits.WorseDeviations))
     return release_verdict::Worse;
-  IsSuspect |= IsBad(Sum, Limits.MinimumSuspect, Limits.SuspectDeviations);
+  IsSuspect |= IsSuspicious(UsualSum, RareSum, Limits.SuspectDeviations);
   return IsSuspect ? release_verdict::Suspect : release_verdict::Sound;
 }
 
--- a/Libraries/LibDispatch/release_verdict.h
+++ b/Libraries/LibDispatch/release_verdict.h
@@ -31,6 +31,13 @@
   std::uint32_t Count = 0;
   double Expected = 0;
   double Variance = 0;
+
+  bad_outcomes &operator+=(const bad_outcomes &Other) {
+    Count += Other.Count;
+    Expected += Other.Expected;
+    Variance += Other.Variance;
+    return *this;
+  }
 };
 
 /// Whether there are more bad outcomes than expected by this number of standard
--- a/Tests/LibDispatch/rollout_evidence_test.cpp
+++ b/Tests/LibDispatch/rollout_evidence_test.cpp
@@ -34,6 +34,21 @@
   CHECK(Due.front().Outcome == rollout_outcome::RolledBack);
 }
 
+TEST_CASE("A release that fails now and then where the old one hardly ever "
+          "does is not sound, however often both fail elsewhere") {
+  release_statistics Statistics;
+  Statistics.addLocal({Service, "v1", "sound"}, {1650, 6, 0, 1650});
+  Statistics.addLocal({Service, "v1", "fragile"}, {840, 265, 0, 840});
+  Statistics.addLocal({Service, "v2", "fragile"}, {49, 9, 0, 49});
+  Statistics.addLocal({Service, "v2", "sound"}, {109, 2, 0, 109});
+  const auto Judge = [&] {
+    return judgeRelease(Statistics.totals(Service), {}, "v2");
+  };
+  CHECK(Judge() == release_verdict::Sound);
+  Statistics.addLocal({Service, "v2", "sound"}, {0, 4, 0, 0});
+  CHECK(Judge() == release_verdict::Suspect);
+}
+
 TEST_CASE("A release without a known outcome of its requests is not "
           "completed") {
   rollout_controller Controller({ExposureShare, 0});
