--- a/Libraries/LibDispatch/release_verdict.cpp
+++ b/Libraries/LibDispatch/release_verdict.cpp
@@ -23,12 +23,23 @@
   std::optional<std::uint32_t> MinimumRareSuspect;
 };
 
-constexpr outcome_limits FailureLimits{4, 4, 2, 3, 2, 4};
+constexpr outcome_limits FailureLimits{.WorseDeviations = 4,
+                                       .MinimumWorse = 4,
+                                       .SuspectDeviations = 2,
+                                       .SuspectRouteDeviations = 3,
+                                       .MinimumSuspect = 2,
+                                       .MinimumRareSuspect = 4};
 /// Slow responses come together when an endpoint is busy for a moment, as with
 /// the first prompts of a trial.
-constexpr outcome_limits SlowLimits{4, 6, 2.5, 4, 4, std::nullopt};
-
-/// Lower bounds of the baseline rate: a few bad outcomes happen to any release.
+constexpr outcome_limits SlowLimits{.WorseDeviations = 4,
+                                    .MinimumWorse = 6,
+                                    .SuspectDeviations = 2.5,
+                                    .SuspectRouteDeviations = 4,
+                                    .MinimumSuspect = 4,
+                                    .MinimumRareSuspect = std::nullopt};
+
+/// Lower bounds of the baseline rate, as a few bad outcomes happen to any
+/// release: by itself, and where they are rare on the other releases.
 constexpr double UsualRate = 0.03;
 constexpr double RareRate = 0.01;
 /// Rate, and its weight in requests, that the estimate of the baseline starts
--- a/Libraries/LibDispatch/rollout_schedule.cpp
+++ b/Libraries/LibDispatch/rollout_schedule.cpp
@@ -14,8 +14,8 @@
 /// From the end of the shift to completion, which stops the old endpoints:
 /// their last requests finish.
 constexpr milliseconds DrainTime{300};
-/// The same after an immediate shift: faults that show only under the full load
-/// of the target are seen, and counted on all VMs.
+/// From an immediate shift to completion: faults that show only under the
+/// target's full load are seen, and counted on all VMs.
 constexpr milliseconds FullLoadTime{1200};
 /// From completion to the time limit, for the write of the outcome. After an
 /// immediate shift, more of the exposure goes to the time before completion.
