--- a/Libraries/LibClient/operator_report.cpp
+++ b/Libraries/LibClient/operator_report.cpp
@@ -93,9 +93,9 @@
   for (const auto &Line : Status["endpoints"])
     std::cout << Line.get<std::string>() << "\n";
   std::cout << "\n";
-  printColumns(Status["quality"], {"version", "class", "quality", "target",
-                                   "ratings", "answers", "failures",
-                                   "in_time", "late"});
+  printColumns(Status["quality"],
+               {"version", "class", "quality", "target", "ratings", "answers",
+                "failures", "in_time", "late"});
 }
 
 void printConfiguration(const json &Configuration) {
