--- a/Tests/LibEntry/chat_run_test.cpp
+++ b/Tests/LibEntry/chat_run_test.cpp
@@ -67,6 +67,21 @@
   CHECK_FALSE(serve(Fixture, {"system", "subject"}));
 }
 
+TEST_CASE("A complete response clears its messages, however short it is") {
+  chat_run_fixture Fixture(EngineCount);
+  const auto ServeWith = [&](const engine_script &Script) {
+    Fixture.Engines.Script = [Script](const std::string &) { return Script; };
+    return serve(Fixture, {"system"});
+  };
+  const engine_script Crash{0, response_end::Crash};
+  const engine_script Short{1};
+  // Two engines crash under each request.
+  CHECK(ServeWith(Crash));
+  CHECK_FALSE(ServeWith(Short));
+  CHECK(ServeWith(Crash));
+  CHECK_FALSE(ServeWith(Short));
+}
+
 TEST_CASE("A message whose responses make progress is not blamed for crashes "
           "at the same time") {
   chat_run_fixture Fixture(EngineCount);
