LibEntry: Ask an ending engine again whether it listens

Callers could see: a request that crashes engines is sent to more of them.

Cause: found by playing scenario 26 beside load; in one of 24 plays a crash was not counted. The probe came 1 ms after the response broke, before the engine had closed its listener; its connection was accepted and closed, which does not count as a crash since an engine that runs on is not blamed.

Change: a probe whose connection is closed is sent again after 20 ms, three times at most and not beyond 300 ms; one that runs out of time is not.

Result: chat_run_test, which fails with a single probe.

--- a/Libraries/LibEntry/crash_detector.cpp
+++ b/Libraries/LibEntry/crash_detector.cpp
@@ -2,11 +2,16 @@
 
 #include "LibEntry/engine_attempt.h"
 
+#include <thread>
+
 namespace azurehaven {
 
 namespace {
 
 constexpr milliseconds ProbeTimeout{300};
+/// An engine that ends may accept a connection before it closes its listener.
+constexpr unsigned MaximumProbes = 3;
+constexpr milliseconds ProbePause{20};
 /// Chunks after which a response makes progress: its engine does not crash at
 /// its begin.
 constexpr unsigned SoundResponseChunks = 3;
@@ -28,12 +33,26 @@
   Services.PromptCrashes.clear(Request.SharedSegments, Services.Clock.now());
 }
 
+/// Asks again if the connection was closed, but not if the time was up.
+result<endpoint_report> crash_detector::probe() const {
+  const steady_time StartedAt = Services.Clock.now();
+  for (unsigned Count = 1;; ++Count) {
+    // A pooled connection may have broken in the crash, and tells nothing of
+    // the engine that listens now.
+    auto Report = fetchEndpointReport(Services.Transport, Engine.Address,
+                                      ProbeTimeout, connection_use::Fresh);
+    const bool IsKnown =
+        !isError(Report) || errorOf(Report).Code != error_code::OutcomeUnknown;
+    if (IsKnown || Count == MaximumProbes ||
+        Services.Clock.now() - StartedAt >= ProbeTimeout)
+      return Report;
+    std::this_thread::sleep_for(ProbePause);
+  }
+}
+
 bool crash_detector::detectCrash() {
   const std::string BootId = Services.Router.bootIdOf(Engine.Id);
-  // A pooled connection may have broken in the crash, and tells nothing of the
-  // engine that listens now.
-  const auto Report = fetchEndpointReport(Services.Transport, Engine.Address,
-                                          ProbeTimeout, connection_use::Fresh);
+  const auto Report = probe();
   // An engine that accepts connections still runs, however late or badly it
   // responds.
   const bool HasCrashed = isError(Report)
--- a/Libraries/LibEntry/crash_detector.h
+++ b/Libraries/LibEntry/crash_detector.h
@@ -27,6 +27,8 @@
   std::optional<refusal_reason> refusalReason() const;
 
 private:
+  result<endpoint_report> probe() const;
+
   const entry_services &Services;
   const chat_request &Request;
   chosen_endpoint Engine;
--- a/Tests/LibEntry/chat_run_fixture.cpp
+++ b/Tests/LibEntry/chat_run_fixture.cpp
@@ -101,8 +101,9 @@
 send_result scripted_engines::send(const network_address &,
                                    const http_request &, const http_timeouts &,
                                    connection_use) {
-  return StatusResponse.value_or(
-      http_response{200, {}, json{{"boot_id", bootId()}}.dump()});
+  if (StatusScript)
+    return StatusScript(StatusCount++);
+  return http_response{200, {}, json{{"boot_id", bootId()}}.dump()};
 }
 
 chat_run_fixture::chat_run_fixture(int EngineCount)
--- a/Tests/LibEntry/chat_run_fixture.h
+++ b/Tests/LibEntry/chat_run_fixture.h
@@ -37,8 +37,10 @@
 public:
   /// Argument: the body of the request.
   std::function<engine_script(const std::string &)> Script;
-  /// Replaces the response to a request for the status, if set.
-  std::optional<send_result> StatusResponse;
+  /// Replaces the responses to requests for the status, if set. Argument: the
+  /// number of earlier ones.
+  std::function<send_result(std::size_t)> StatusScript;
+  std::size_t StatusCount = 0;
   std::size_t OpenedCount = 0;
   std::size_t CrashCount = 0;
 
