--- a/Libraries/LibDispatch/endpoint_registry.h
+++ b/Libraries/LibDispatch/endpoint_registry.h
@@ -75,6 +75,8 @@
   /// Until when the endpoint has asked this VM to send nothing; see
   /// recordShedding().
   steady_time ShedUntil;
+  /// The limit on requests from all VMs that its latest response named.
+  std::optional<double> RequestsPerSecond;
   /// Number of consecutive failures, and the end of the resulting ejection.
   std::uint32_t ConsecutiveFailures = 0;
   steady_time EjectedUntil;
--- a/Libraries/LibRelay/endpoint_attempt.cpp
+++ b/Libraries/LibRelay/endpoint_attempt.cpp
@@ -55,6 +55,7 @@
     return;
   if (Response.IsLeaving)
     markEndpointLeaving(Context, *Endpoint, Now);
+  applyRateLimit(Response);
   if (!Response.RetryAfter)
     return;
   recordShedding(
@@ -67,6 +68,20 @@
        {"retry_after_ms", std::to_string(Response.RetryAfter->count())}});
 }
 
+void endpoint_attempt::applyRateLimit(const decoded_response_head &Response) {
+  const auto Before =
+      std::exchange(Endpoint->RequestsPerSecond, Response.RequestsPerSecond);
+  if (Before == Response.RequestsPerSecond)
+    return;
+  Context.Log.write(
+      log_level::Info, "endpoint_limit_changed",
+      {{"endpoint", Endpoint->Descriptor.Id.text()},
+       {"request", Id.text()},
+       {"per_second", Response.RequestsPerSecond
+                          ? std::to_string(*Response.RequestsPerSecond)
+                          : "none"}});
+}
+
 head_verdict endpoint_attempt::onResponseHead(const response_head &Head) {
   removePromptWork();
   const steady_time Now = Context.Clock.now();
--- a/Libraries/LibRelay/endpoint_attempt.h
+++ b/Libraries/LibRelay/endpoint_attempt.h
@@ -48,6 +48,7 @@
   /// responds to.
   void applyEndpointState(const decoded_response_head &Response,
                           steady_time Now);
+  void applyRateLimit(const decoded_response_head &Response);
   void removeFromLoad();
   void removePromptWork();
 
--- a/Libraries/LibRelay/liveness_monitor.cpp
+++ b/Libraries/LibRelay/liveness_monitor.cpp
@@ -100,8 +100,13 @@
   Context.Metrics.increment("azurehaven_engine_inspections_total");
   Context.Inspector->inspect(
       Endpoint->Descriptor,
-      [Endpoint = Endpoint, &Context = Context,
-       Weak = weak_from_this()](result<engine_report> Report) {
+      [Endpoint = Endpoint, &Context = Context, Weak = weak_from_this(),
+       Id = Id](result<engine_report> Report) {
+        Context.Log.write(log_level::Info, "engine_inspected",
+                          {{"endpoint", Endpoint->Descriptor.Id.text()},
+                           {"request", Id.text()},
+                           {"outcome", isError(Report) ? errorOf(Report).Message
+                                                       : "reported"}});
         Endpoint->IsBeingInspected = false;
         Endpoint->ReportAt = Context.Clock.now();
         if (!isError(Report)) {
--- a/Libraries/LibRelay/wire_codec.h
+++ b/Libraries/LibRelay/wire_codec.h
@@ -40,6 +40,8 @@
   bool IsLeaving = false;
   /// Set if the endpoint sheds load: it wants nothing from this VM for so long.
   std::optional<milliseconds> RetryAfter;
+  /// Requests per second that the endpoint accepts from all VMs together.
+  std::optional<double> RequestsPerSecond;
   /// Name of a field that was ignored because it is malformed; null if none.
   const char *MalformedField = nullptr;
   bool HasContentEncoding = false;
--- a/Tests/LibRelay/plain_codec.h
+++ b/Tests/LibRelay/plain_codec.h
@@ -59,6 +59,8 @@
     Response.IsLeaving = !headerValue(Head.Headers, "Leaving").empty();
     if (auto Text = headerValue(Head.Headers, "Retry-After"); !Text.empty())
       Response.RetryAfter = milliseconds(std::stoi(Text));
+    if (auto Text = headerValue(Head.Headers, "Rate-Limit"); !Text.empty())
+      Response.RequestsPerSecond = std::stod(Text);
     if (auto Text = headerValue(Head.Headers, "Confidence"); !Text.empty())
       Response.Confidence = std::stoi(Text);
     return Response;
--- a/Tests/platform/header_codec_test.cpp
+++ b/Tests/platform/header_codec_test.cpp
@@ -192,3 +192,17 @@
     CHECK(Decode(Value).MalformedField);
   }
 }
+
+TEST_CASE("An endpoint's limit for all VMs is a number from 0 up") {
+  const auto Decode = [](const std::string &Value) {
+    return decodeResponse(200, {{"Server-Limit", Value}});
+  };
+  CHECK(Decode("1.3").RequestsPerSecond == 1.3);
+  CHECK(Decode("0").RequestsPerSecond == 0);
+  CHECK_FALSE(decodeResponse(200, {}).RequestsPerSecond);
+  for (const char *Value : {"", "-1", "none", "nan", "inf", "1 /s", "1,5"}) {
+    CAPTURE(Value);
+    CHECK_FALSE(Decode(Value).RequestsPerSecond);
+    CHECK(Decode(Value).MalformedField);
+  }
+}
