--- a/Tests/LibRelay/relay_fixture.cpp
+++ b/Tests/LibRelay/relay_fixture.cpp
@@ -113,19 +113,21 @@
   asio::ip::tcp::acceptor Acceptor;
 };
 
-relay_fixture::relay_fixture(std::size_t EndpointCount)
-    : Fleet(testFleet("vm-1", milliseconds(60000))),
+relay_fixture::relay_fixture(std::shared_ptr<shared_parts> NewShared,
+                             const std::string &Vm)
+    : Shared(std::move(NewShared)), Loop(Shared->Loop), Clock(Shared->Clock),
+      Fleet(testFleet(Vm, milliseconds(60000))),
       Connections(Loop.get_executor(), connection_timeouts{}),
       Context{Loop.get_executor(), Clock,   Codec,  Log, Metrics, Fleet,
               Connections,         nullptr, nullptr},
       Relay(Context) {
-  for (std::uint16_t Port = 43000; Port < 44000 && !Listener; ++Port) {
-    CallerAddress = {"127.0.0.1", Port};
-    auto Result = connection_listener::listen(Loop, CallerAddress, Relay, 100);
-    if (!isError(Result))
-      Listener = std::move(valueOf(Result));
-  }
-  REQUIRE(Listener);
+  Content.Version = 1;
+  Content.Pools.push_back({service_id("s"), 64, std::nullopt});
+  listen();
+}
+
+relay_fixture::relay_fixture(std::size_t EndpointCount)
+    : relay_fixture(std::make_shared<shared_parts>(), "vm-1") {
   for (std::size_t Index = 0; Index < EndpointCount; ++Index) {
     const std::string Name = "e" + std::to_string(Index);
     Endpoints.push_back(std::make_unique<scripted_endpoint>(*this, Name));
@@ -136,8 +138,22 @@
     Descriptor.Domain = failure_domain_id("a");
     Fleet.Endpoints.put(Descriptor);
   }
-  Content.Version = 1;
-  Content.Pools.push_back({service_id("s"), 64, std::nullopt});
+}
+
+relay_fixture::relay_fixture(relay_fixture &First, const std::string &Vm)
+    : relay_fixture(First.Shared, Vm) {
+  for (const auto &[Id, Endpoint] : First.Fleet.Endpoints.all())
+    Fleet.Endpoints.put(Endpoint->Descriptor);
+}
+
+void relay_fixture::listen() {
+  for (std::uint16_t Port = 43000; Port < 44000 && !Listener; ++Port) {
+    CallerAddress = {"127.0.0.1", Port};
+    auto Result = connection_listener::listen(Loop, CallerAddress, Relay, 100);
+    if (!isError(Result))
+      Listener = std::move(valueOf(Result));
+  }
+  REQUIRE(Listener);
 }
 
 relay_fixture::~relay_fixture() {
--- a/Tests/LibRelay/relay_fixture.h
+++ b/Tests/LibRelay/relay_fixture.h
@@ -56,6 +56,9 @@
       std::function<scripted_response(std::size_t, const received_request &)>;
 
   explicit relay_fixture(std::size_t EndpointCount = 2);
+  /// Another VM with the same event loop, clock and endpoints; to be destroyed
+  /// before the first one.
+  relay_fixture(relay_fixture &First, const std::string &Vm);
   ~relay_fixture();
 
   route &addRoute(const std::string &Prefix, route_kind Kind);
@@ -73,8 +76,17 @@
                                                     call_handler Handler);
   void runUntil(const std::function<bool()> &IsDone);
 
-  asio::io_context Loop{1};
-  skippable_clock Clock;
+private:
+  /// What the VMs of a fleet have in common.
+  struct shared_parts {
+    asio::io_context Loop{1};
+    skippable_clock Clock;
+  };
+  std::shared_ptr<shared_parts> Shared;
+
+public:
+  asio::io_context &Loop;
+  skippable_clock &Clock;
   plain_codec Codec;
   null_event_log Log;
   metrics Metrics;
@@ -91,6 +103,8 @@
 
 private:
   class scripted_endpoint;
+  relay_fixture(std::shared_ptr<shared_parts> Shared, const std::string &Vm);
+  void listen();
   network_address CallerAddress;
   std::unique_ptr<connection_listener> Listener;
   std::list<std::unique_ptr<scripted_endpoint>> Endpoints;
