LibDispatch, LibRelay: Hold an endpoint's rate by all VMs together

Change: a few VMs, chosen by rendezvous hashing for each endpoint, hold equal parts of its rate as token buckets; the others send it nothing. Their number (2 and one for each request a second, at most all) keeps a burst of all of them, and of one more while VMs disagree about who is there, within the tolerance; no message is needed for the sum to hold. Every exchange takes a token: first sends, retries, resumed streams, larger models and inspections. Statements of limits and of their end go to the other VMs with their age; the newest counts; a response to a request sent before the limit was known does not end it. A request beyond the rate of all endpoints is refused at once with the time of the next token. Ruled out: a coordinator for each endpoint (a hop and a lease for each request); shares by demand (hold only while all VMs hear of each other); a bucket for each VM of 300 (300 first requests at once).

--- a/Libraries/LibDispatch/endpoint_health.cpp
+++ b/Libraries/LibDispatch/endpoint_health.cpp
@@ -42,10 +42,14 @@
   for (const auto &Endpoint : Endpoints) {
     if (Endpoint->Descriptor.IsLeaving)
       continue;
-    if (Now >= Endpoint->ShedUntil)
+    const auto Admission = Endpoint->RateLimit.nextAdmission(Now);
+    // Other VMs use the whole rate that the endpoint accepts.
+    if (!Admission)
+      continue;
+    const steady_time At = std::max(Endpoint->ShedUntil, *Admission);
+    if (Now >= At)
       return std::nullopt;
-    const auto Left =
-        std::chrono::ceil<milliseconds>(Endpoint->ShedUntil - Now);
+    const auto Left = std::chrono::ceil<milliseconds>(At - Now);
     Shortest = std::min(Shortest.value_or(Left), Left);
   }
   return Shortest;
--- a/Libraries/LibDispatch/endpoint_health.h
+++ b/Libraries/LibDispatch/endpoint_health.h
@@ -24,7 +24,8 @@
 /// load: none before the end of that time, then a growing number at a time.
 bool isAdmittedAfterShedding(const endpoint_record &Endpoint, steady_time Now);
 /// Shortest time after which one of the endpoints takes requests of this VM
-/// again if all that are not leaving shed load; nullopt otherwise.
+/// again if all that are not leaving shed load or limit their rate; nullopt
+/// otherwise, or if that is not known.
 std::optional<milliseconds> timeUntilAdmission(const endpoint_list &Endpoints,
                                                steady_time Now);
 /// Records a truncated or missing response. Returns whether it starts a new
--- a/Libraries/LibDispatch/endpoint_registry.h
+++ b/Libraries/LibDispatch/endpoint_registry.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "LibDispatch/fleet_rate_limit.h"
 #include "LibTypes/ids.h"
 #include "LibTypes/network_address.h"
 #include "LibTypes/units.h"
@@ -75,8 +76,8 @@
   /// Until when the endpoint has asked this VM to send nothing; see
   /// recordShedding().
   steady_time ShedUntil;
-  /// The limit on requests from all VMs that its latest response named.
-  std::optional<double> RequestsPerSecond;
+  /// The limit that it names on requests from all VMs together.
+  fleet_rate_limit RateLimit;
   /// Number of consecutive failures, and the end of the resulting ejection.
   std::uint32_t ConsecutiveFailures = 0;
   steady_time EjectedUntil;
--- a/Libraries/LibPeer/frame_codec.cpp
+++ b/Libraries/LibPeer/frame_codec.cpp
@@ -3,6 +3,7 @@
 #include <peer_generated.h>
 
 #include <algorithm>
+#include <cmath>
 
 namespace azurehaven {
 
@@ -121,6 +122,12 @@
     for (const auto &Notice : Message.LeavingEndpoints)
       Leaving.push_back(wire::CreateLeavingEndpointDirect(
           Builder, Notice.Endpoint.text().c_str(), Notice.Incarnation));
+    std::vector<wire::EndpointRate> Rates;
+    for (const auto &Rate : Message.Rates)
+      Rates.emplace_back(Rate.Endpoint, Rate.Incarnation,
+                         Rate.PerSecond.value_or(0),
+                         static_cast<std::uint32_t>(Rate.Age.count()),
+                         Rate.PerSecond.has_value());
     std::optional<wire::PassedConfirmation> Confirmation;
     if (Message.Confirmation)
       Confirmation.emplace(Message.Confirmation->Version,
@@ -131,7 +138,7 @@
                Builder, &Releases, &SessionReleases, &Crashes, &Leaving, &Loads,
                static_cast<std::uint64_t>(Message.ClockReading.count()),
                Confirmation ? &*Confirmation : nullptr, &SegmentCrashes,
-               &Message.ClearedSegments)
+               &Message.ClearedSegments, &Rates)
         .Union();
   }
 
@@ -226,6 +233,18 @@
   return Message;
 }
 
+/// Returns nullopt for a rate that no endpoint can have named.
+std::optional<endpoint_rate_notice> decodeRate(const wire::EndpointRate &Item) {
+  endpoint_rate_notice Notice{Item.endpoint(), Item.incarnation(), std::nullopt,
+                              milliseconds(Item.age_ms())};
+  if (!Item.is_limited())
+    return Notice;
+  if (!std::isfinite(Item.per_second()) || Item.per_second() < 0)
+    return std::nullopt;
+  Notice.PerSecond = Item.per_second();
+  return Notice;
+}
+
 fleet_notice decodeFleetNotice(const wire::FleetNotice &Source) {
   fleet_notice Message;
   Message.ClockReading = milliseconds(Source.clock_ms());
@@ -237,6 +256,10 @@
     for (const wire::EndpointLoad *Item : *Source.loads())
       Message.EndpointLoads.push_back(
           {Item->endpoint(), Item->in_flight(), Item->prompt_work()});
+  if (Source.rates())
+    for (const wire::EndpointRate *Item : *Source.rates())
+      if (const auto Rate = decodeRate(*Item))
+        Message.Rates.push_back(*Rate);
   Message.Releases =
       decodeAll(Source.releases(), [](const wire::ReleaseCounts &Item) {
         return release_counts_notice{service_id(Item.service()->str()),
--- a/Libraries/LibPeer/peer_message.h
+++ b/Libraries/LibPeer/peer_message.h
@@ -144,6 +144,18 @@
   milliseconds ClockReading{0};
 };
 
+/// What an endpoint's process start has said about the rate that it accepts
+/// from all VMs together.
+struct endpoint_rate_notice {
+  /// Hash of the endpoint's id; see endpointHash().
+  std::uint64_t Endpoint = 0;
+  std::int64_t Incarnation = 0;
+  /// Requests per second; nullopt if it has no limit any more.
+  std::optional<double> PerSecond;
+  /// Time since the sender received it.
+  milliseconds Age{0};
+};
+
 /// Endpoint load and outcomes of the sender's requests, sent several times a
 /// second.
 struct fleet_notice {
@@ -159,6 +171,7 @@
   std::vector<crash_notice> SegmentCrashes;
   /// Segments that are no longer suspected.
   std::vector<std::uint64_t> ClearedSegments;
+  std::vector<endpoint_rate_notice> Rates;
 };
 
 using peer_message =
--- a/Libraries/LibRelay/endpoint_attempt.cpp
+++ b/Libraries/LibRelay/endpoint_attempt.cpp
@@ -1,6 +1,7 @@
 #include "LibRelay/endpoint_attempt.h"
 
 #include "LibDispatch/endpoint_health.h"
+#include "LibRelay/rate_share.h"
 #include "LibTypes/fingerprint.h"
 
 namespace azurehaven {
@@ -29,8 +30,10 @@
 }
 
 void endpoint_attempt::start(outgoing_request Request, connection_reuse Trust) {
-  Connection = Context.Connections.acquire(Endpoint->Descriptor.Address, Trust,
-                                           Context.Clock.now());
+  SentAt = Context.Clock.now();
+  Endpoint->RateLimit.consume(SentAt);
+  Connection =
+      Context.Connections.acquire(Endpoint->Descriptor.Address, Trust, SentAt);
   Connection->start(std::move(Request), shared_from_this());
 }
 
@@ -55,7 +58,7 @@
     return;
   if (Response.IsLeaving)
     markEndpointLeaving(Context, *Endpoint, Now);
-  applyRateLimit(Response);
+  applyRateLimit(Response, Now);
   if (!Response.RetryAfter)
     return;
   recordShedding(
@@ -68,18 +71,20 @@
        {"retry_after_ms", std::to_string(Response.RetryAfter->count())}});
 }
 
-void endpoint_attempt::applyRateLimit(const decoded_response_head &Response) {
-  const auto Before =
-      std::exchange(Endpoint->RequestsPerSecond, Response.RequestsPerSecond);
-  if (Before == Response.RequestsPerSecond)
+void endpoint_attempt::applyRateLimit(const decoded_response_head &Response,
+                                      steady_time Now) {
+  if (Response.HasUnreadableLimit)
     return;
-  Context.Log.write(
-      log_level::Info, "endpoint_limit_changed",
-      {{"endpoint", Endpoint->Descriptor.Id.text()},
-       {"request", Id.text()},
-       {"per_second", Response.RequestsPerSecond
-                          ? std::to_string(*Response.RequestsPerSecond)
-                          : "none"}});
+  const auto Before = Endpoint->RateLimit.latest().PerSecond;
+  Endpoint->RateLimit.observe(Response.RequestsPerSecond, SentAt, Now);
+  const auto After = Endpoint->RateLimit.latest().PerSecond;
+  if (Before == After)
+    return;
+  updateRateShare(Context.Fleet, *Endpoint, Now);
+  Context.Log.write(log_level::Info, "endpoint_limit_changed",
+                    {{"endpoint", Endpoint->Descriptor.Id.text()},
+                     {"request", Id.text()},
+                     {"per_second", After ? std::to_string(*After) : "none"}});
 }
 
 head_verdict endpoint_attempt::onResponseHead(const response_head &Head) {
--- a/Libraries/LibRelay/endpoint_attempt.h
+++ b/Libraries/LibRelay/endpoint_attempt.h
@@ -48,7 +48,7 @@
   /// responds to.
   void applyEndpointState(const decoded_response_head &Response,
                           steady_time Now);
-  void applyRateLimit(const decoded_response_head &Response);
+  void applyRateLimit(const decoded_response_head &Response, steady_time Now);
   void removeFromLoad();
   void removePromptWork();
 
@@ -59,6 +59,7 @@
   std::shared_ptr<endpoint_connection> Connection;
   milliseconds IdleLimit{4000};
   double PromptWork;
+  steady_time SentAt;
   bool IsCounted = true;
 };
 
--- a/Libraries/LibRelay/liveness_monitor.cpp
+++ b/Libraries/LibRelay/liveness_monitor.cpp
@@ -63,7 +63,8 @@
                                              ? InspectionRetryDelay
                                              : InspectionInterval;
     if (!Endpoint->IsBeingInspected &&
-        Now - Endpoint->ReportAt >= InspectionDelay)
+        Now - Endpoint->ReportAt >= InspectionDelay &&
+        Endpoint->RateLimit.allows(Now))
       inspectEngine();
   }
   scheduleCheck();
@@ -97,6 +98,7 @@
 
 void liveness_monitor::inspectEngine() {
   Endpoint->IsBeingInspected = true;
+  Endpoint->RateLimit.consume(Context.Clock.now());
   Context.Metrics.increment("azurehaven_engine_inspections_total");
   Context.Inspector->inspect(
       Endpoint->Descriptor,
--- a/Libraries/LibRelay/peer_state_sync.cpp
+++ b/Libraries/LibRelay/peer_state_sync.cpp
@@ -1,5 +1,6 @@
 #include "LibRelay/peer_state_sync.h"
 
+#include "LibRelay/rate_share.h"
 #include "LibTypes/verify.h"
 
 #include <algorithm>
@@ -13,6 +14,8 @@
 constexpr milliseconds PeerLoadTimeToLive{1500};
 /// One in this many notices has all release counts.
 constexpr std::uint64_t NoticesPerFullCounts = 10;
+/// Notices tell that a limit has ended for this long; one of them may be lost.
+constexpr milliseconds EndedLimitNoticeTime{3000};
 
 } // namespace
 
@@ -30,6 +33,38 @@
   return Notices;
 }
 
+std::vector<endpoint_rate_notice> peer_state_sync::rateNotices() const {
+  const steady_time Now = Clock.now();
+  std::vector<endpoint_rate_notice> Notices;
+  for (const auto &[Id, Endpoint] : Fleet.Endpoints.all()) {
+    const rate_statement &Latest = Endpoint->RateLimit.latest();
+    const bool IsNews = Now - Latest.At < EndedLimitNoticeTime;
+    if (Latest.PerSecond || IsNews)
+      Notices.push_back(
+          {Endpoint->Hash, Endpoint->Descriptor.Incarnation, Latest.PerSecond,
+           std::chrono::duration_cast<milliseconds>(Now - Latest.At)});
+  }
+  return Notices;
+}
+
+void peer_state_sync::applyRates(const std::vector<endpoint_rate_notice> &Rates,
+                                 steady_time Now) {
+  if (Rates.empty())
+    return;
+  std::unordered_map<std::uint64_t, const endpoint_rate_notice *> ByEndpoint;
+  for (const auto &Rate : Rates)
+    ByEndpoint[Rate.Endpoint] = &Rate;
+  for (const auto &[Id, Endpoint] : Fleet.Endpoints.all()) {
+    auto Found = ByEndpoint.find(Endpoint->Hash);
+    if (Found == ByEndpoint.end() ||
+        Found->second->Incarnation != Endpoint->Descriptor.Incarnation)
+      continue;
+    Endpoint->RateLimit.merge(
+        {Found->second->PerSecond, Now - Found->second->Age}, Now);
+    updateRateShare(Fleet, *Endpoint, Now);
+  }
+}
+
 fleet_notice peer_state_sync::buildNotice() {
   fleet_notice Notice;
   for (const auto &[Id, Endpoint] : Fleet.Endpoints.all())
@@ -38,6 +73,7 @@
           {Endpoint->Hash, Endpoint->InFlight,
            static_cast<std::uint32_t>(std::max(Endpoint->PromptWork, 0.0))});
   Notice.Releases = releaseCounts();
+  Notice.Rates = rateNotices();
   for (const auto &Pin : Fleet.Pins.takeUnsent())
     Notice.SessionReleases.push_back({Pin.Session, Pin.Release});
   for (const auto &Crash : Fleet.Quarantine.takeUnsent())
@@ -84,6 +120,7 @@
   addToTotals(Reported.Loads);
   applyTotals();
   exchangeConfirmations(Frame, *Notice, Now);
+  applyRates(Notice->Rates, Now);
   for (const auto &Release : Notice->Releases)
     Fleet.ReleaseStatistics.merge(
         Frame.Sender, Frame.Incarnation,
--- a/Libraries/LibRelay/peer_state_sync.h
+++ b/Libraries/LibRelay/peer_state_sync.h
@@ -36,6 +36,9 @@
   };
 
   fleet_notice buildNotice();
+  std::vector<endpoint_rate_notice> rateNotices() const;
+  void applyRates(const std::vector<endpoint_rate_notice> &Rates,
+                  steady_time Now);
   /// The release counts that have changed since the last notice; at times all
   /// of them, since a notice may be lost.
   std::vector<release_counts_notice> releaseCounts();
--- a/Libraries/LibRelay/relay_node.cpp
+++ b/Libraries/LibRelay/relay_node.cpp
@@ -1,5 +1,7 @@
 #include "LibRelay/relay_node.h"
 
+#include "LibRelay/rate_share.h"
+
 #include <algorithm>
 #include <csignal>
 
@@ -153,6 +155,7 @@
 void relay_node::runPeriodicTasks() {
   updateConfirmationSource();
   StateUpdater.advance();
+  updateRateShares(Fleet, Clock.now());
   Connections.closeExpired(Clock.now());
   recordSlowAttempts();
   Rollouts->advance();
--- a/Tests/LibRelay/fleet_limit_test.cpp
+++ b/Tests/LibRelay/fleet_limit_test.cpp
@@ -81,3 +81,95 @@
     CHECK(Fleet.Statuses.size() == 1);
   }
 }
+
+TEST_CASE("An endpoint without a limit any more gets its requests again, from "
+          "all VMs") {
+  limited_fleet Fleet(5, 2, "1");
+  Fleet.serveFor(milliseconds(6000));
+  Fleet.Limit.clear();
+  Fleet.serveFor(milliseconds(4000));
+  Fleet.Arrivals.clear();
+  Fleet.serveFor(milliseconds(1000));
+  for (std::size_t Index = 0; Index < Fleet.size(); ++Index)
+    CHECK_FALSE(Fleet.vm(Index)
+                    .Fleet.Endpoints.find(endpoint_id("e0"))
+                    ->RateLimit.isLimited());
+  CHECK(Fleet.Arrivals.size() > 20);
+}
+
+TEST_CASE("A limit of 0 is asked about now and then, and no more") {
+  limited_fleet Fleet(5, 2, "0");
+  Fleet.serveFor(milliseconds(12000));
+  CHECK(Fleet.mostInWindow() <= limited_fleet::allowed(0));
+  CHECK(Fleet.Statuses.size() == 1);
+  Fleet.Limit.clear();
+  Fleet.serveFor(milliseconds(10000));
+  CHECK_FALSE(Fleet.vm(0)
+                  .Fleet.Endpoints.find(endpoint_id("e0"))
+                  ->RateLimit.isLimited());
+}
+
+TEST_CASE("VMs that get no notices keep the rate as well") {
+  limited_fleet Fleet(5, 2, "1.3");
+  for (std::size_t Index = 0; Index < Fleet.size(); ++Index)
+    Fleet.isolateFromPeers(Index);
+  Fleet.serveFor(milliseconds(12000));
+  CHECK(Fleet.mostInWindow() <= limited_fleet::allowed(1.3));
+}
+
+TEST_CASE("A request beyond the rate of all endpoints is refused at once, with "
+          "a time at which it is admitted") {
+  limited_fleet Fleet(1, 1, "1");
+  Fleet.serveFor(milliseconds(2000));
+  auto Refused = Fleet.vm(0).sendRequest("/p/x");
+  if (statusOf(Refused) == 200)
+    Refused = Fleet.vm(0).sendRequest("/p/x");
+  REQUIRE(statusOf(Refused) == 503);
+  const milliseconds RetryAfter(std::stoi(fieldOf(Refused, "Retry-After")));
+  Fleet.advance(RetryAfter);
+  CHECK(statusOf(Fleet.vm(0).sendRequest("/p/x")) == 200);
+}
+
+TEST_CASE("A new process start of a limited endpoint has no limit") {
+  limited_fleet Fleet(1, 1, "0");
+  Fleet.serveFor(milliseconds(500));
+  auto Restarted = Fleet.vm(0).Fleet.Endpoints.find(endpoint_id("e0"));
+  REQUIRE(Restarted->RateLimit.isLimited());
+  endpoint_descriptor Descriptor = Restarted->Descriptor;
+  ++Descriptor.Incarnation;
+  Fleet.vm(0).Fleet.Endpoints.put(Descriptor);
+  CHECK(statusOf(Fleet.vm(0).sendRequest("/p/x")) == 200);
+}
+
+TEST_CASE("Inspections of a limited engine count towards its rate") {
+  struct counting_inspector : engine_inspector {
+    void inspect(const endpoint_descriptor &,
+                 std::function<void(result<engine_report>)> Handler) override {
+      ++Count;
+      Handler(engine_report{});
+    }
+    int Count = 0;
+  } Inspector;
+  relay_fixture Vm(1);
+  Vm.Content.Pools.front().Engine = engine_pool_settings();
+  Vm.addRoute("/s/", route_kind::Stream);
+  Vm.applyRoutes();
+  Vm.Context.Inspector = &Inspector;
+  Vm.setScript([](std::size_t, const received_request &) {
+    return scripted_response{"", after_response::Hang};
+  });
+  auto Connection = Vm.startRequest("/s/x", [](const call_result &) {});
+  Vm.runUntil([&] { return !Vm.Received.empty(); });
+  auto Engine = Vm.Fleet.Endpoints.find(endpoint_id("e0"));
+  Engine->RateLimit.observe(0.25, Vm.Clock.now(), Vm.Clock.now());
+  Engine->RateLimit.setShare(1, Vm.Clock.now());
+  // Long enough without progress to be inspected, but not for a token.
+  Vm.Clock.skip(milliseconds(1500));
+  Vm.Loop.run_for(milliseconds(400));
+  CHECK(Inspector.Count == 0);
+  Vm.Clock.skip(milliseconds(4000));
+  Vm.runUntil([&] { return Inspector.Count > 0; });
+  CHECK_FALSE(Engine->RateLimit.allows(Vm.Clock.now()));
+  Connection->abort();
+  Vm.runUntil([&] { return Vm.Context.ActiveRequests.empty(); });
+}
