LibDispatch, LibRelay: Keep a brittle endpoint from rejecting too much

Change: what one endpoint says counts for its service, also for one that has just started, and is told to the other VMs. The rejections borne are shared out: each endpoint has as many holders, VMs that may have requests there that it has not responded to yet; after a rejection a holder pauses for longer than a second. The bound thus rests on no message between VMs; each VM has an endpoint, also where there are more VMs than that allows (then it is exceeded only if all of them send at the moment at which the room goes). Ruled out: a limit on all requests under way by slots (an engine has room for its memory, not its slots); backing off after the first rejection only (the others' first ones come at the same moment).

--- a/Libraries/LibDispatch/endpoint_registry.cpp
+++ b/Libraries/LibDispatch/endpoint_registry.cpp
@@ -15,7 +15,8 @@
 
 bool endpoint_record::isUsable(steady_time Now) const {
   return !Descriptor.IsLeaving && Now >= EjectedUntil &&
-         isAdmittedAfterShedding(*this, Now) && RateLimit.allows(Now);
+         isAdmittedAfterShedding(*this, Now) && RateLimit.allows(Now) &&
+         Brittle.admits(Now);
 }
 
 std::uint64_t endpointHash(const endpoint_id &Id) {
--- a/Libraries/LibDispatch/endpoint_registry.h
+++ b/Libraries/LibDispatch/endpoint_registry.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "LibDispatch/brittle_admission.h"
 #include "LibDispatch/fleet_rate_limit.h"
 #include "LibTypes/ids.h"
 #include "LibTypes/network_address.h"
@@ -78,6 +79,8 @@
   steady_time ShedUntil;
   /// The limit that it names on requests from all VMs together.
   fleet_rate_limit RateLimit;
+  /// Used while the endpoints of its service are brittle.
+  brittle_admission Brittle;
   /// Number of consecutive failures, and the end of the resulting ejection.
   std::uint32_t ConsecutiveFailures = 0;
   steady_time EjectedUntil;
--- a/Libraries/LibPeer/frame_codec.cpp
+++ b/Libraries/LibPeer/frame_codec.cpp
@@ -128,6 +128,12 @@
                          Rate.PerSecond.value_or(0),
                          static_cast<std::uint32_t>(Rate.Age.count()),
                          Rate.PerSecond.has_value());
+    std::vector<Offset<wire::BrittleService>> Brittle;
+    for (const auto &Notice : Message.BrittleServices)
+      Brittle.push_back(wire::CreateBrittleServiceDirect(
+          Builder, Notice.Service.text().c_str(), Notice.PerSecond.value_or(0),
+          static_cast<std::uint32_t>(Notice.Age.count()),
+          Notice.PerSecond.has_value()));
     std::optional<wire::PassedConfirmation> Confirmation;
     if (Message.Confirmation)
       Confirmation.emplace(Message.Confirmation->Version,
@@ -138,7 +144,7 @@
                Builder, &Releases, &SessionReleases, &Crashes, &Leaving, &Loads,
                static_cast<std::uint64_t>(Message.ClockReading.count()),
                Confirmation ? &*Confirmation : nullptr, &SegmentCrashes,
-               &Message.ClearedSegments, &Rates)
+               &Message.ClearedSegments, &Rates, &Brittle)
         .Union();
   }
 
@@ -233,13 +239,29 @@
   return Message;
 }
 
+bool isValidRate(double PerSecond) {
+  return std::isfinite(PerSecond) && PerSecond >= 0;
+}
+
 /// Returns nullopt for a rate that no endpoint can have named.
 std::optional<endpoint_rate_notice> decodeRate(const wire::EndpointRate &Item) {
   endpoint_rate_notice Notice{Item.endpoint(), Item.incarnation(), std::nullopt,
                               milliseconds(Item.age_ms())};
   if (!Item.is_limited())
     return Notice;
-  if (!std::isfinite(Item.per_second()) || Item.per_second() < 0)
+  if (!isValidRate(Item.per_second()))
+    return std::nullopt;
+  Notice.PerSecond = Item.per_second();
+  return Notice;
+}
+
+std::optional<brittle_service_notice>
+decodeBrittleService(const wire::BrittleService &Item) {
+  brittle_service_notice Notice{service_id(Item.service()->str()), std::nullopt,
+                                milliseconds(Item.age_ms())};
+  if (!Item.is_brittle())
+    return Notice;
+  if (!isValidRate(Item.per_second()))
     return std::nullopt;
   Notice.PerSecond = Item.per_second();
   return Notice;
@@ -260,6 +282,10 @@
     for (const wire::EndpointRate *Item : *Source.rates())
       if (const auto Rate = decodeRate(*Item))
         Message.Rates.push_back(*Rate);
+  if (Source.brittle())
+    for (const wire::BrittleService *Item : *Source.brittle())
+      if (auto Notice = decodeBrittleService(*Item))
+        Message.BrittleServices.push_back(std::move(*Notice));
   Message.Releases =
       decodeAll(Source.releases(), [](const wire::ReleaseCounts &Item) {
         return release_counts_notice{service_id(Item.service()->str()),
--- a/Libraries/LibPeer/peer_message.h
+++ b/Libraries/LibPeer/peer_message.h
@@ -156,6 +156,16 @@
   milliseconds Age{0};
 };
 
+/// What an endpoint of a service has said about the rejections that each of
+/// them bears.
+struct brittle_service_notice {
+  service_id Service;
+  /// Nullopt if they are not brittle any more.
+  std::optional<double> PerSecond;
+  /// Time since the sender received it.
+  milliseconds Age{0};
+};
+
 /// Endpoint load and outcomes of the sender's requests, sent several times a
 /// second.
 struct fleet_notice {
@@ -172,6 +182,7 @@
   /// Segments that are no longer suspected.
   std::vector<std::uint64_t> ClearedSegments;
   std::vector<endpoint_rate_notice> Rates;
+  std::vector<brittle_service_notice> BrittleServices;
 };
 
 using peer_message =
--- a/Libraries/LibRelay/endpoint_attempt.cpp
+++ b/Libraries/LibRelay/endpoint_attempt.cpp
@@ -1,11 +1,18 @@
 #include "LibRelay/endpoint_attempt.h"
 
 #include "LibDispatch/endpoint_health.h"
-#include "LibRelay/rate_share.h"
+#include "LibRelay/endpoint_shares.h"
 #include "LibTypes/fingerprint.h"
 
 namespace azurehaven {
 
+namespace {
+
+/// Status of an endpoint that has no room for the request.
+constexpr int RejectedStatus = 503;
+
+} // namespace
+
 endpoint_attempt::endpoint_attempt(relay_context &Context,
                                    std::shared_ptr<endpoint_record> Endpoint,
                                    request_id Id, double PromptWork,
@@ -24,6 +31,7 @@
 
 void endpoint_attempt::removeFromLoad() {
   removePromptWork();
+  removeFromUnanswered();
   if (IsCounted)
     --Endpoint->InFlight;
   IsCounted = false;
@@ -32,6 +40,8 @@
 void endpoint_attempt::start(outgoing_request Request, connection_reuse Trust) {
   SentAt = Context.Clock.now();
   Endpoint->RateLimit.consume(SentAt);
+  Endpoint->Brittle.onSent();
+  IsUnanswered = true;
   Connection =
       Context.Connections.acquire(Endpoint->Descriptor.Address, Trust, SentAt);
   Connection->start(std::move(Request), shared_from_this());
@@ -58,12 +68,13 @@
     return;
   if (Response.IsLeaving)
     markEndpointLeaving(Context, *Endpoint, Now);
-  applyRateLimit(Response, Now);
+  if (!Response.HasUnreadableLimit) {
+    applyRateLimit(Response, Now);
+    applyBrittleness(Response, Now);
+  }
   if (!Response.RetryAfter)
     return;
-  recordShedding(
-      *Endpoint, *Response.RetryAfter,
-      rendezvousFraction(EndpointId.text(), Context.Fleet.Self.text()), Now);
+  recordShedding(*Endpoint, *Response.RetryAfter, spreadFraction(), Now);
   Context.Log.write(
       log_level::Warning, "endpoint_sheds_load",
       {{"endpoint", EndpointId.text()},
@@ -73,8 +84,6 @@
 
 void endpoint_attempt::applyRateLimit(const decoded_response_head &Response,
                                       steady_time Now) {
-  if (Response.HasUnreadableLimit)
-    return;
   const auto Before = Endpoint->RateLimit.latest().PerSecond;
   Endpoint->RateLimit.observe(Response.RequestsPerSecond, SentAt, Now);
   const auto After = Endpoint->RateLimit.latest().PerSecond;
@@ -87,6 +96,38 @@
                      {"per_second", After ? std::to_string(*After) : "none"}});
 }
 
+void endpoint_attempt::applyBrittleness(const decoded_response_head &Response,
+                                        steady_time Now) {
+  const service_id &Service = Endpoint->Descriptor.Service;
+  const bool IsNews = Context.Fleet.BrittleServices.observe(
+      Service, Response.RejectionsPerSecond, SentAt, Now);
+  if (IsNews) {
+    updateBrittleQuotas(Context.Fleet);
+    Context.Log.write(log_level::Info, "service_brittleness_changed",
+                      {{"service", Service.text()},
+                       {"endpoint", Endpoint->Descriptor.Id.text()},
+                       {"request", Id.text()},
+                       {"rejections_per_second",
+                        Response.RejectionsPerSecond
+                            ? std::to_string(*Response.RejectionsPerSecond)
+                            : "any"}});
+  }
+  const bool IsRejected =
+      Response.WasNotExecuted && Response.Status == RejectedStatus;
+  if (IsRejected)
+    Endpoint->Brittle.onRejected(spreadFraction(), Now);
+}
+
+double endpoint_attempt::spreadFraction() const {
+  return rendezvousFraction(Endpoint->Descriptor.Id.text(),
+                            Context.Fleet.Self.text());
+}
+
+void endpoint_attempt::removeFromUnanswered() {
+  if (std::exchange(IsUnanswered, false))
+    Endpoint->Brittle.onAnswered();
+}
+
 head_verdict endpoint_attempt::onResponseHead(const response_head &Head) {
   removePromptWork();
   const steady_time Now = Context.Clock.now();
@@ -96,6 +137,7 @@
   IdleLimit = Response.IdleLimit;
   if (Response.EchoedRequestId && *Response.EchoedRequestId != Id)
     return head_verdict::SkipResponse;
+  removeFromUnanswered();
   auto Receiver = Observer.lock();
   if (!Receiver)
     return head_verdict::Reject;
--- a/Libraries/LibRelay/endpoint_attempt.h
+++ b/Libraries/LibRelay/endpoint_attempt.h
@@ -49,6 +49,11 @@
   void applyEndpointState(const decoded_response_head &Response,
                           steady_time Now);
   void applyRateLimit(const decoded_response_head &Response, steady_time Now);
+  void applyBrittleness(const decoded_response_head &Response, steady_time Now);
+  /// Called once the endpoint can no longer reject the request.
+  void removeFromUnanswered();
+  /// In [0, 1), different for each VM and endpoint.
+  double spreadFraction() const;
   void removeFromLoad();
   void removePromptWork();
 
@@ -60,6 +65,7 @@
   milliseconds IdleLimit{4000};
   double PromptWork;
   steady_time SentAt;
+  bool IsUnanswered = false;
   bool IsCounted = true;
 };
 
--- a/Libraries/LibRelay/fleet_state.h
+++ b/Libraries/LibRelay/fleet_state.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "LibDispatch/brittle_services.h"
 #include "LibDispatch/configuration_confirmation.h"
 #include "LibDispatch/confirmation_exchange.h"
 #include "LibDispatch/crash_quarantine.h"
@@ -35,6 +36,7 @@
   confirmation_exchange PassedConfirmations{};
   crash_quarantine Quarantine{};
   prompt_quarantine PromptQuarantine{};
+  brittle_services BrittleServices{};
   model_cascade Models{};
   release_statistics ReleaseStatistics{};
   /// Times between events of a stream, or total times of plain responses.
--- a/Libraries/LibRelay/fleet_state_updater.cpp
+++ b/Libraries/LibRelay/fleet_state_updater.cpp
@@ -1,5 +1,7 @@
 #include "LibRelay/fleet_state_updater.h"
 
+#include "LibRelay/endpoint_shares.h"
+
 #include <algorithm>
 
 namespace azurehaven {
@@ -63,6 +65,7 @@
       !Known || Known->Descriptor.IsLeaving != Descriptor.IsLeaving ||
       Known->Descriptor.Incarnation != Descriptor.Incarnation;
   Fleet.Endpoints.put(Descriptor);
+  updateBrittleQuotas(Fleet);
   if (IsChanged)
     Log.write(log_level::Info, "endpoint_listed",
               {{"endpoint", Descriptor.Id.text()},
--- a/Libraries/LibRelay/peer_state_sync.cpp
+++ b/Libraries/LibRelay/peer_state_sync.cpp
@@ -1,6 +1,6 @@
 #include "LibRelay/peer_state_sync.h"
 
-#include "LibRelay/rate_share.h"
+#include "LibRelay/endpoint_shares.h"
 #include "LibTypes/verify.h"
 
 #include <algorithm>
@@ -47,6 +47,26 @@
   return Notices;
 }
 
+std::vector<brittle_service_notice> peer_state_sync::brittleNotices() const {
+  const steady_time Now = Clock.now();
+  std::vector<brittle_service_notice> Notices;
+  for (const auto &[Service, Latest] : Fleet.BrittleServices.statements())
+    if (Latest.PerSecond || Now - Latest.At < EndedLimitNoticeTime)
+      Notices.push_back(
+          {Service, Latest.PerSecond,
+           std::chrono::duration_cast<milliseconds>(Now - Latest.At)});
+  return Notices;
+}
+
+void peer_state_sync::applyBrittleServices(
+    const std::vector<brittle_service_notice> &Services, steady_time Now) {
+  for (const auto &Notice : Services)
+    Fleet.BrittleServices.merge(Notice.Service,
+                                {Notice.PerSecond, Now - Notice.Age});
+  if (!Services.empty())
+    updateBrittleQuotas(Fleet);
+}
+
 void peer_state_sync::applyRates(const std::vector<endpoint_rate_notice> &Rates,
                                  steady_time Now) {
   if (Rates.empty())
@@ -74,6 +94,7 @@
            static_cast<std::uint32_t>(std::max(Endpoint->PromptWork, 0.0))});
   Notice.Releases = releaseCounts();
   Notice.Rates = rateNotices();
+  Notice.BrittleServices = brittleNotices();
   for (const auto &Pin : Fleet.Pins.takeUnsent())
     Notice.SessionReleases.push_back({Pin.Session, Pin.Release});
   for (const auto &Crash : Fleet.Quarantine.takeUnsent())
@@ -121,6 +142,7 @@
   applyTotals();
   exchangeConfirmations(Frame, *Notice, Now);
   applyRates(Notice->Rates, Now);
+  applyBrittleServices(Notice->BrittleServices, Now);
   for (const auto &Release : Notice->Releases)
     Fleet.ReleaseStatistics.merge(
         Frame.Sender, Frame.Incarnation,
--- a/Libraries/LibRelay/peer_state_sync.h
+++ b/Libraries/LibRelay/peer_state_sync.h
@@ -37,6 +37,9 @@
 
   fleet_notice buildNotice();
   std::vector<endpoint_rate_notice> rateNotices() const;
+  std::vector<brittle_service_notice> brittleNotices() const;
+  void applyBrittleServices(const std::vector<brittle_service_notice> &Services,
+                            steady_time Now);
   void applyRates(const std::vector<endpoint_rate_notice> &Rates,
                   steady_time Now);
   /// The release counts that have changed since the last notice; at times all
--- a/Libraries/LibRelay/relay_node.cpp
+++ b/Libraries/LibRelay/relay_node.cpp
@@ -1,6 +1,6 @@
 #include "LibRelay/relay_node.h"
 
-#include "LibRelay/rate_share.h"
+#include "LibRelay/endpoint_shares.h"
 
 #include <algorithm>
 #include <csignal>
@@ -155,7 +155,7 @@
 void relay_node::runPeriodicTasks() {
   updateConfirmationSource();
   StateUpdater.advance();
-  updateRateShares(Fleet, Clock.now());
+  updateShares(Fleet, Clock.now());
   Connections.closeExpired(Clock.now());
   recordSlowAttempts();
   Rollouts->advance();
--- a/Libraries/LibRelay/relayed_request.cpp
+++ b/Libraries/LibRelay/relayed_request.cpp
@@ -64,7 +64,8 @@
       Request(Admitted.Request), Route(*Admitted.Route),
       Caller(std::move(Caller)), ArrivedAt(Context.Clock.now()),
       TimeLimit(timeLimitOf(Request, Route)), Deadline(Context.Executor),
-      Splicer(Request.LastEventId), ResponseBody(Context.BufferedResponseBytes),
+      PlacementWait(Context.Executor), Splicer(Request.LastEventId),
+      ResponseBody(Context.BufferedResponseBytes),
       Recorder(Context.Fleet, Context.Log, Admitted),
       Crashes(Context.Fleet, Context.Log, Admitted),
       Logged(Context.Log, Admitted) {
@@ -110,10 +111,7 @@
   const auto Target =
       placeRequest(Context.Fleet, Admitted, Tried, ModelIndex, Now);
   if (!Target)
-    return refuse(noEndpointErrorResponse(
-        RunCount > 0,
-        timeUntilAdmission(
-            Context.Fleet.Endpoints.endpointsOf(Admitted.Service), Now)));
+    return handleMissingEndpoint(Now);
   // The process may have been suspended since the request arrived, so that the
   // configuration is no longer current.
   const bool NeedsKey = Admitted.Routes->needsKeys() && !Route.IsPublic;
@@ -123,6 +121,19 @@
   startAttemptOn(Target);
 }
 
+void relayed_request::handleMissingEndpoint(steady_time Now) {
+  const endpoint_list &Endpoints =
+      Context.Fleet.Endpoints.endpointsOf(Admitted.Service);
+  if (!PlacementWait.isWorthwhile(Endpoints, Now))
+    return refuse(noEndpointErrorResponse(RunCount > 0,
+                                          timeUntilAdmission(Endpoints, Now)));
+  PlacementWait.start(Now, [Weak = weak_from_this()] {
+    auto Self = Weak.lock();
+    if (Self && !Self->IsFinished)
+      Self->startNextAttempt();
+  });
+}
+
 void relayed_request::startAttemptOn(
     const std::shared_ptr<endpoint_record> &Target) {
   const steady_time Now = Context.Clock.now();
@@ -476,6 +487,7 @@
 void relayed_request::finish(const char *Outcome) {
   IsFinished = true;
   Deadline.cancel();
+  PlacementWait.cancel();
   if (Liveness)
     Liveness->stop();
   const steady_time Now = Context.Clock.now();
--- a/Libraries/LibRelay/relayed_request.h
+++ b/Libraries/LibRelay/relayed_request.h
@@ -9,6 +9,7 @@
 #include "LibRelay/crash_recorder.h"
 #include "LibRelay/endpoint_attempt.h"
 #include "LibRelay/liveness_monitor.h"
+#include "LibRelay/placement_wait.h"
 #include "LibRelay/relay.h"
 #include "LibRelay/request_log.h"
 
@@ -51,6 +52,8 @@
 
   void begin();
   void startNextAttempt();
+  /// Waits or refuses, as no endpoint takes the request now.
+  void handleMissingEndpoint(steady_time Now);
   void startAttemptOn(const std::shared_ptr<endpoint_record> &Endpoint);
   void onDeadline();
   void forwardStreamBytes(std::string Bytes);
@@ -83,6 +86,7 @@
   const milliseconds TimeLimit;
   asio::steady_timer Deadline;
   std::shared_ptr<liveness_monitor> Liveness;
+  placement_wait PlacementWait;
 
   std::shared_ptr<endpoint_attempt> Attempt;
   std::shared_ptr<endpoint_record> Endpoint;
--- a/Libraries/LibRelay/wire_codec.h
+++ b/Libraries/LibRelay/wire_codec.h
@@ -42,6 +42,8 @@
   std::optional<milliseconds> RetryAfter;
   /// Requests per second that the endpoint accepts from all VMs together.
   std::optional<double> RequestsPerSecond;
+  /// Set if the endpoint is brittle: rejections per second that it bears.
+  std::optional<double> RejectionsPerSecond;
   /// The response names a limit that can't be read.
   bool HasUnreadableLimit = false;
   /// Name of a field that was ignored because it is malformed; null if none.
--- a/Tests/LibRelay/plain_codec.h
+++ b/Tests/LibRelay/plain_codec.h
@@ -61,6 +61,8 @@
       Response.RetryAfter = milliseconds(std::stoi(Text));
     if (auto Text = headerValue(Head.Headers, "Rate-Limit"); !Text.empty())
       Response.RequestsPerSecond = std::stod(Text);
+    if (auto Text = headerValue(Head.Headers, "Brittle"); !Text.empty())
+      Response.RejectionsPerSecond = std::stod(Text);
     if (auto Text = headerValue(Head.Headers, "Confidence"); !Text.empty())
       Response.Confidence = std::stoi(Text);
     return Response;
