LibRouting, LibEntry: Hold an engine's rate by all entry VMs together

Engines and services now name it in their status, which each VM asks for; fleet_rate_limit shares it out by the listed entry VMs.

--- a/Libraries/LibEntry/chat_run.cpp
+++ b/Libraries/LibEntry/chat_run.cpp
@@ -247,7 +247,10 @@
         ExcludedEndpoints, Services.Clock.now());
     if (!Attempt) {
       IsPlanOutdated = true;
-      return refusalForRouting({refusal_reason::NoEndpoint, RetryAfterFailure});
+      const auto UntilAdmission =
+          Services.Router.timeUntilAdmission(Version, Services.Clock.now());
+      return refusalForRouting({refusal_reason::NoEndpoint,
+                                UntilAdmission.value_or(RetryAfterFailure)});
     }
     auto Opened = openAttempt();
     if (auto *Event = std::get_if<engine_event>(&Opened))
--- a/Libraries/LibEntry/engine_attempt.cpp
+++ b/Libraries/LibEntry/engine_attempt.cpp
@@ -1,5 +1,7 @@
 #include "LibEntry/engine_attempt.h"
 
+#include <cmath>
+
 namespace azurehaven {
 
 using nlohmann::json;
@@ -41,6 +43,16 @@
   return Finish;
 }
 
+/// Throws a json::exception for anything but a number from 0 up, so that the
+/// previous report stays in force.
+double parseRate(const json &Value) {
+  const double PerSecond = Value.get<double>();
+  if (!std::isfinite(PerSecond) || PerSecond < 0)
+    throw json::other_error::create(500, "requests_per_second: out of range",
+                                    &Value);
+  return PerSecond;
+}
+
 result<endpoint_report> parseEndpointReport(const std::string &Text) {
   // The JSON library throws on a field of the wrong type.
   try {
@@ -52,6 +64,8 @@
     Report.Load = Document.value("load", 0u);
     Report.IsLeaving = Document.value("leaving", false);
     Report.BootId = Document.value("boot_id", std::string());
+    if (Document.contains("requests_per_second"))
+      Report.RequestsPerSecond = parseRate(Document["requests_per_second"]);
     return Report;
   } catch (const json::exception &Exception) {
     return error{error_code::InvalidInput, Exception.what()};
--- a/Libraries/LibRouting/endpoint_table.cpp
+++ b/Libraries/LibRouting/endpoint_table.cpp
@@ -34,9 +34,12 @@
 
 void endpoint_table::applyList(const std::vector<listed_vm> &List) {
   std::map<endpoint_id, endpoint> Next;
+  Entries = {Self};
   for (const auto &ListedVm : List) {
-    if (ListedVm.Kind == vm_kind::Entry)
+    if (ListedVm.Kind == vm_kind::Entry) {
+      Entries.insert(ListedVm.Vm);
       continue;
+    }
     endpoint_id Id(ListedVm.Vm.text());
     auto Known = Endpoints.find(Id);
     endpoint Endpoint;
@@ -63,6 +66,9 @@
   Endpoint.HasReport = true;
   Endpoint.ReportCutoff = RequestedAt;
   Endpoint.InFlightChangeSinceReport = 0;
+  Endpoint.RateLimit.observe(Report.RequestsPerSecond, RequestedAt,
+                             RequestedAt);
+  updateRateShare(Endpoint, RequestedAt);
   // An endpoint that restarted and is no longer leaving is usable again.
   Endpoint.IsLeaving =
       Report.IsLeaving || Endpoint.Listed.State == listed_state::Leaving;
@@ -85,6 +91,42 @@
   Found->second.ReportCutoff = std::max(Found->second.ReportCutoff, Now);
 }
 
+void endpoint_table::updateRateShare(endpoint &Endpoint,
+                                     steady_time Now) const {
+  const auto &PerSecond = Endpoint.RateLimit.latest().PerSecond;
+  if (!PerSecond)
+    return;
+  const std::size_t Holders =
+      fleet_rate_limit::holderCount(*PerSecond, Entries.size());
+  const std::string Task = "rate/" + Endpoint.Listed.Vm.text();
+  const std::uint64_t OwnScore = rendezvousScore(Task, Self.text());
+  const auto Before =
+      std::count_if(Entries.begin(), Entries.end(), [&](const vm_id &Vm) {
+        return rendezvousScore(Task, Vm.text()) > OwnScore;
+      });
+  const bool IsHolder = static_cast<std::size_t>(Before) < Holders;
+  Endpoint.RateLimit.setShare(IsHolder ? 1 / static_cast<double>(Holders) : 0,
+                              Now);
+}
+
+std::optional<milliseconds>
+endpoint_table::timeUntilAdmission(const version_id &Version,
+                                   steady_time Now) const {
+  std::optional<milliseconds> Shortest;
+  for (const auto &[Id, Endpoint] : Endpoints) {
+    if (!serves(Endpoint, Version) || !isUsable(Endpoint, Now))
+      continue;
+    if (Endpoint.RateLimit.allows(Now))
+      return std::nullopt;
+    const auto Next = Endpoint.RateLimit.nextAdmission(Now);
+    if (!Next)
+      continue;
+    const auto Left = std::chrono::ceil<milliseconds>(*Next - Now);
+    Shortest = std::min(Shortest.value_or(Left), Left);
+  }
+  return Shortest;
+}
+
 void endpoint_table::markLeaving(const endpoint_id &Id) {
   auto Found = Endpoints.find(Id);
   if (Found != Endpoints.end())
@@ -115,12 +157,13 @@
 }
 
 std::vector<endpoint_table::endpoint *>
-endpoint_table::usableEndpointsOf(const version_id &Version, steady_time Now) {
-  std::vector<endpoint *> Usable;
+endpoint_table::admittedEndpointsOf(const version_id &Version,
+                                    steady_time Now) {
+  std::vector<endpoint *> Admitted;
   for (auto &[Id, Endpoint] : Endpoints)
-    if (serves(Endpoint, Version) && isUsable(Endpoint, Now))
-      Usable.push_back(&Endpoint);
-  return Usable;
+    if (serves(Endpoint, Version) && isAdmitted(Endpoint, Now))
+      Admitted.push_back(&Endpoint);
+  return Admitted;
 }
 
 std::optional<chosen_endpoint>
@@ -128,7 +171,7 @@
                        const std::set<endpoint_id> &Excluded,
                        bool IsSuspectRequest, steady_time Now) {
   std::vector<endpoint *> Candidates;
-  for (endpoint *Endpoint : usableEndpointsOf(Version, Now)) {
+  for (endpoint *Endpoint : admittedEndpointsOf(Version, Now)) {
     if (Excluded.contains(endpoint_id(Endpoint->Listed.Vm.text())))
       continue;
     // If an endpoint crashes while it runs two suspect requests, there is no
@@ -153,7 +196,7 @@
   std::vector<endpoint *> Candidates;
   for (auto &[Id, Endpoint] : Endpoints)
     if (Endpoint.Listed.Kind == vm_kind::Service &&
-        Endpoint.Listed.Service == Service && isUsable(Endpoint, Now) &&
+        Endpoint.Listed.Service == Service && isAdmitted(Endpoint, Now) &&
         !Excluded.contains(Id))
       Candidates.push_back(&Endpoint);
   if (Candidates.empty())
@@ -203,12 +246,13 @@
 }
 
 void endpoint_table::attemptStarted(const endpoint_id &Id,
-                                    bool IsSuspectRequest) {
+                                    bool IsSuspectRequest, steady_time Now) {
   auto Found = Endpoints.find(Id);
   if (Found == Endpoints.end())
     return;
   ++Found->second.InFlight;
   ++Found->second.InFlightChangeSinceReport;
+  Found->second.RateLimit.consume(Now);
   if (IsSuspectRequest)
     ++Found->second.SuspectsInFlight;
 }
@@ -383,6 +427,8 @@
       Line += " unreported";
     if (Now < Endpoint.EjectedUntil)
       Line += " ejected";
+    if (const auto &PerSecond = Endpoint.RateLimit.latest().PerSecond)
+      Line += " limit=" + std::to_string(*PerSecond) + "/s";
     Lines.push_back(std::move(Line));
   }
   return Lines;
--- a/Libraries/LibRouting/endpoint_table.h
+++ b/Libraries/LibRouting/endpoint_table.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "LibDispatch/fleet_rate_limit.h"
 #include "LibMembership/vm_list.h"
 #include "LibRouting/attempt_report.h"
 #include "LibTypes/ids.h"
@@ -23,6 +24,9 @@
   bool IsLeaving = false;
   /// Changes when the endpoint restarts.
   std::string BootId;
+  /// Requests per second that it accepts from all entry VMs together; nullopt
+  /// if it names no limit. Reports are not counted.
+  std::optional<double> RequestsPerSecond;
 };
 
 struct chosen_endpoint {
@@ -34,7 +38,8 @@
 /// ejection of failing and slow ones. Not thread-safe.
 class endpoint_table {
 public:
-  explicit endpoint_table(std::uint64_t Seed) : Random(Seed) {}
+  explicit endpoint_table(std::uint64_t Seed, vm_id Self = {})
+      : Self(std::move(Self)), Random(Seed) {}
 
   /// Applies the platform's VM list; endpoints that are not listed are removed.
   void applyList(const std::vector<listed_vm> &List);
@@ -48,6 +53,10 @@
   /// Marks an endpoint that crashed: it gets no requests until a report arrives
   /// that was requested at Now or later.
   void markCrashed(const endpoint_id &Id, steady_time Now);
+  /// Shortest time after which an endpoint of the version that limits its rate
+  /// takes a request of this VM; nullopt if there is none, or one takes it now.
+  std::optional<milliseconds> timeUntilAdmission(const version_id &Version,
+                                                 steady_time Now) const;
   /// Marks an endpoint as leaving: it gets no new requests.
   void markLeaving(const endpoint_id &Id);
 
@@ -62,7 +71,8 @@
   chooseService(const service_id &Service,
                 const std::set<endpoint_id> &Excluded, steady_time Now);
 
-  void attemptStarted(const endpoint_id &Id, bool IsSuspectRequest);
+  void attemptStarted(const endpoint_id &Id, bool IsSuspectRequest,
+                      steady_time Now);
   void attemptFinished(const endpoint_id &Id, const attempt_report &Report,
                        bool IsSuspectRequest, steady_time Now);
 
@@ -99,14 +109,21 @@
     std::uint32_t ConsecutiveFailures = 0;
     std::uint32_t ConsecutiveEjections = 0;
     steady_time EjectedUntil{};
+    fleet_rate_limit RateLimit;
   };
 
+  /// Whether it responds and takes requests, apart from a limit on their rate.
   bool isUsable(const endpoint &Endpoint, steady_time Now) const;
+  bool isAdmitted(const endpoint &Endpoint, steady_time Now) const {
+    return isUsable(Endpoint, Now) && Endpoint.RateLimit.allows(Now);
+  }
+  /// Sets this VM's part of the rate that the endpoint accepts.
+  void updateRateShare(endpoint &Endpoint, steady_time Now) const;
   bool serves(const endpoint &Endpoint, const version_id &Version) const;
   /// Estimated requests at the endpoint, from all entry VMs, per slot.
   double loadOf(const endpoint &Endpoint) const;
-  std::vector<endpoint *> usableEndpointsOf(const version_id &Version,
-                                            steady_time Now);
+  std::vector<endpoint *> admittedEndpointsOf(const version_id &Version,
+                                              steady_time Now);
   /// Chooses at random among the endpoints whose load is within LoadTolerance
   /// of the lowest.
   endpoint *chooseLeastLoaded(const std::vector<endpoint *> &Candidates);
@@ -127,6 +144,9 @@
   bool mayEject(const endpoint &Endpoint, steady_time Now) const;
 
   std::map<endpoint_id, endpoint> Endpoints;
+  const vm_id Self;
+  /// All listed entry VMs, including this one.
+  std::set<vm_id> Entries;
   std::size_t EntryCount = 1;
   std::mt19937_64 Random;
 };
--- a/Libraries/LibRouting/router.cpp
+++ b/Libraries/LibRouting/router.cpp
@@ -22,7 +22,7 @@
 
 router::router(vm_id Self, std::uint64_t Incarnation, std::uint64_t Seed,
                drop_test_settings HealthSettings)
-    : Endpoints(Seed), Admission(Endpoints), Chooser(Seed + 1),
+    : Endpoints(Seed, Self), Admission(Endpoints), Chooser(Seed + 1),
       Ratings(std::move(Self), Incarnation), Health(HealthSettings) {}
 
 std::variant<route_plan, routing_refusal>
@@ -132,7 +132,7 @@
       Endpoints.choose(Version, AffinityKey, Excluded, IsSuspect, Now);
   if (!Endpoint)
     return std::nullopt;
-  Endpoints.attemptStarted(Endpoint->Id, IsSuspect);
+  Endpoints.attemptStarted(Endpoint->Id, IsSuspect, Now);
   return attempt{*Endpoint, Version, Fingerprint, IsSuspect};
 }
 
@@ -144,7 +144,7 @@
   auto Endpoint = Endpoints.chooseService(Service, Excluded, Now);
   if (!Endpoint)
     return std::nullopt;
-  Endpoints.attemptStarted(Endpoint->Id, false);
+  Endpoints.attemptStarted(Endpoint->Id, false, Now);
   return attempt{*Endpoint, version_id(), 0, false};
 }
 
@@ -321,6 +321,12 @@
   Endpoints.updateReport(Id, Report, RequestedAt);
 }
 
+std::optional<milliseconds>
+router::timeUntilAdmission(const version_id &Version, steady_time Now) {
+  std::lock_guard Lock(Mutex);
+  return Endpoints.timeUntilAdmission(Version, Now);
+}
+
 void router::recordEndpointPollFailure(const endpoint_id &Id, steady_time Now) {
   std::lock_guard Lock(Mutex);
   Endpoints.recordPollFailure(Id, Now);
--- a/Libraries/LibRouting/router.h
+++ b/Libraries/LibRouting/router.h
@@ -119,6 +119,9 @@
   void updateEndpointReport(const endpoint_id &Id,
                             const endpoint_report &Report,
                             steady_time RequestedAt);
+  /// See endpoint_table::timeUntilAdmission().
+  std::optional<milliseconds> timeUntilAdmission(const version_id &Version,
+                                                 steady_time Now);
   void recordEndpointPollFailure(const endpoint_id &Id, steady_time Now);
   void markEndpointLeaving(const endpoint_id &Id);
   std::vector<chosen_endpoint> endpointsDueForPoll(milliseconds MaximumAge,
--- a/Tests/LibRouting/endpoint_table_test.cpp
+++ b/Tests/LibRouting/endpoint_table_test.cpp
@@ -56,7 +56,7 @@
   std::map<endpoint_id, int> Counts;
   for (int Round = 0; Round < Rounds; ++Round)
     if (auto Chosen = Table.choose(Version, 0, {}, false, Now)) {
-      Table.attemptStarted(Chosen->Id, false);
+      Table.attemptStarted(Chosen->Id, false, Now);
       ++Counts[Chosen->Id];
     }
   return Counts;
@@ -101,7 +101,7 @@
 TEST_CASE("a failing endpoint is ejected until it responds to a poll") {
   auto Table = makeTable(4);
   for (int Round = 0; Round < 2; ++Round) {
-    Table.attemptStarted(idOf(0), false);
+    Table.attemptStarted(idOf(0), false, Start);
     Table.attemptFinished(idOf(0), failedAttempt(), false, Start);
   }
   const steady_time Later = Start + std::chrono::minutes(5);
@@ -114,7 +114,7 @@
   auto Table = makeTable(3);
   for (int Index = 0; Index < 3; ++Index)
     for (int Round = 0; Round < 5; ++Round) {
-      Table.attemptStarted(idOf(Index), false);
+      Table.attemptStarted(idOf(Index), false, Start);
       Table.attemptFinished(idOf(Index), failedAttempt(), false, Start);
     }
   CHECK(tally(Table, 30).size() >= 2);
@@ -124,7 +124,7 @@
   auto Table = makeTable(4);
   for (int Round = 0; Round < 10; ++Round)
     for (int Index = 0; Index < 4; ++Index) {
-      Table.attemptStarted(idOf(Index), false);
+      Table.attemptStarted(idOf(Index), false, Start);
       Table.attemptFinished(idOf(Index),
                             answeredAttempt(Index == 2 ? SlowTime : UsualTime),
                             false, Start);
@@ -136,7 +136,7 @@
   auto Table = makeTable(4);
   for (int Round = 0; Round < 10; ++Round)
     for (int Index = 0; Index < 4; ++Index) {
-      Table.attemptStarted(idOf(Index), false);
+      Table.attemptStarted(idOf(Index), false, Start);
       Table.attemptFinished(idOf(Index),
                             Index == 2 ? abandonedAttempt(SlowTime)
                                        : answeredAttempt(UsualTime),
@@ -149,7 +149,7 @@
   auto Table = makeTable(4);
   for (int Round = 0; Round < 10; ++Round)
     for (int Index = 0; Index < 4; ++Index) {
-      Table.attemptStarted(idOf(Index), false);
+      Table.attemptStarted(idOf(Index), false, Start);
       Table.attemptFinished(idOf(Index),
                             Index == 2 ? answeredAttempt(UsualTime)
                                        : abandonedAttempt(milliseconds(5)),
@@ -174,7 +174,7 @@
   for (int Round = 0; Round < 10; ++Round)
     CHECK(Table.choose(Version, 77, {}, false, Start)->Id == First->Id);
   for (int Round = 0; Round < 12; ++Round)
-    Table.attemptStarted(First->Id, false);
+    Table.attemptStarted(First->Id, false, Start);
   CHECK(Table.choose(Version, 77, {}, false, Start)->Id != First->Id);
 }
 
@@ -182,7 +182,65 @@
   auto Table = makeTable(1);
   const auto First = Table.choose(Version, 0, {}, true, Start);
   REQUIRE(First);
-  Table.attemptStarted(First->Id, true);
+  Table.attemptStarted(First->Id, true, Start);
   CHECK_FALSE(Table.choose(Version, 0, {}, true, Start));
   CHECK(Table.choose(Version, 0, {}, false, Start));
 }
+
+TEST_CASE("All entry VMs together keep the rate that an endpoint reports") {
+  constexpr int VmCount = 5;
+  constexpr double PerSecond = 1.3;
+  std::vector<listed_vm> List = {engine("e0"), engine("e1")};
+  for (int Index = 0; Index < VmCount; ++Index) {
+    listed_vm Entry;
+    Entry.Vm = vm_id("vm-" + std::to_string(Index));
+    List.push_back(Entry);
+  }
+  std::vector<endpoint_table> Tables;
+  for (int Index = 0; Index < VmCount; ++Index) {
+    Tables.emplace_back(1, vm_id("vm-" + std::to_string(Index)));
+    Tables.back().applyList(List);
+  }
+  std::vector<steady_time> Sent;
+  endpoint_report Limited = reportWith(0);
+  Limited.RequestsPerSecond = PerSecond;
+  for (steady_time Now = Start; Now < Start + std::chrono::seconds(20);
+       Now += milliseconds(50))
+    for (auto &Table : Tables) {
+      Table.updateReport(idOf(0), Limited, Now);
+      Table.updateReport(idOf(1), reportWith(8), Now);
+      auto Chosen = Table.choose(Version, 0, {}, false, Now);
+      REQUIRE(Chosen);
+      Table.attemptStarted(Chosen->Id, false, Now);
+      if (Chosen->Id == idOf(0))
+        Sent.push_back(Now);
+    }
+  // An endpoint tolerates half as much again and five requests in four seconds.
+  for (std::size_t First = 0; First < Sent.size(); ++First) {
+    const auto InWindow =
+        std::count_if(Sent.begin() + static_cast<std::ptrdiff_t>(First),
+                      Sent.end(), [&](steady_time At) {
+                        return At - Sent[First] < std::chrono::seconds(4);
+                      });
+    CHECK(static_cast<double>(InWindow) <= 1.5 * PerSecond * 4 + 5);
+  }
+  CHECK(Sent.size() > 10);
+  for (auto &Table : Tables) {
+    const steady_time Later = Start + std::chrono::seconds(21);
+    Table.updateReport(idOf(0), reportWith(0), Later);
+    CHECK_FALSE(Table.timeUntilAdmission(Version, Later));
+  }
+}
+
+TEST_CASE("The time until a limited endpoint takes a request is known") {
+  auto Table = makeTable(1);
+  endpoint_report Limited = reportWith(0);
+  Limited.RequestsPerSecond = 0.5;
+  Table.updateReport(idOf(0), Limited, Start);
+  CHECK_FALSE(Table.choose(Version, 0, {}, false, Start));
+  CHECK(Table.hasUsableEndpoint(Version, Start));
+  const auto Time = Table.timeUntilAdmission(Version, Start);
+  REQUIRE(Time);
+  CHECK(*Time == milliseconds(2000));
+  CHECK(Table.choose(Version, 0, {}, false, Start + *Time));
+}
--- a/Tests/LibScenario/scenario_expectations.cpp
+++ b/Tests/LibScenario/scenario_expectations.cpp
@@ -36,8 +36,10 @@
       {"version", &scenario_expectations::expectVersionState},
       {"reaches", &scenario_expectations::expectReaches},
       {"engine", &scenario_expectations::expectEngine},
-      {"leaving", &scenario_expectations::expectLeaving},
-      {"staying", &scenario_expectations::expectLeaving},
+      {"leaving", &scenario_expectations::expectEndpointState},
+      {"staying", &scenario_expectations::expectEndpointState},
+      {"limited", &scenario_expectations::expectEndpointState},
+      {"unlimited", &scenario_expectations::expectEndpointState},
       {"breakdowns", &scenario_expectations::expectCrashes},
       {"crash-causing", &scenario_expectations::expectCrashCausing},
       {"crash-causing-prompts", &scenario_expectations::expectCrashCausing}};
@@ -241,10 +243,13 @@
   return failure("observed: " + std::to_string(Served) + " requests");
 }
 
-/// expect leaving|staying ENGINE: waits until every running entry VM shows the
-/// engine in that state.
-status scenario_expectations::expectLeaving(const statement &Statement) {
-  const bool WantsLeaving = Statement.Words[0] == "leaving";
+/// expect leaving|staying|limited|unlimited ENGINE: waits until every running
+/// entry VM shows the engine in that state.
+status scenario_expectations::expectEndpointState(const statement &Statement) {
+  const std::string &State = Statement.Words[0];
+  const bool IsWanted = State == "leaving" || State == "limited";
+  const char *Mark =
+      State == "limited" || State == "unlimited" ? " limit=" : " leaving";
   return eventually([&]() -> status {
     for (const auto &Entry : Cluster.entryNames()) {
       if (!Cluster.processes().isRunning(Entry))
@@ -253,8 +258,8 @@
       for (const auto &Item : Status["endpoints"]) {
         const auto Line = Item.get<std::string>();
         if (Line.starts_with(Statement.Words[1] + " ") &&
-            (Line.find(" leaving") != std::string::npos) != WantsLeaving)
-          return failure(Entry + " does not show the expected leaving state");
+            (Line.find(Mark) != std::string::npos) != IsWanted)
+          return failure(Entry + " does not show the expected state: " + Line);
       }
     }
     return success{};
--- a/Tests/LibScenario/scenario_expectations.h
+++ b/Tests/LibScenario/scenario_expectations.h
@@ -28,7 +28,7 @@
   status expectVersionState(const statement &Statement);
   status expectReaches(const statement &Statement);
   status expectEngine(const statement &Statement);
-  status expectLeaving(const statement &Statement);
+  status expectEndpointState(const statement &Statement);
   status expectCrashCausing(const statement &Statement);
   status expectCrashes(const statement &Statement);
 
--- a/Tests/LibStandIn/engine_stand_in.cpp
+++ b/Tests/LibStandIn/engine_stand_in.cpp
@@ -204,12 +204,16 @@
 served_response engine_stand_in::status() const {
   const unsigned Load = State->load();
   std::lock_guard Lock(State->Mutex);
-  return respond(
-      200, {{"versions", State->Versions},
-            {"slots", Settings.Slots},
-            {"load", Load},
-            {"leaving", State->Switches.number("leaving") != 0},
-            {"boot_id", Settings.Name + "-" + std::to_string(State->Boot)}});
+  json Status = {
+      {"versions", State->Versions},
+      {"slots", Settings.Slots},
+      {"load", Load},
+      {"leaving", State->Switches.number("leaving") != 0},
+      {"boot_id", Settings.Name + "-" + std::to_string(State->Boot)}};
+  const auto PerSecond = State->Switches.number("requests_per_second", -1);
+  if (PerSecond >= 0)
+    Status["requests_per_second"] = PerSecond;
+  return respond(200, Status);
 }
 
 served_response engine_stand_in::chat(const served_request &Request) {
--- a/Tests/LibStandIn/engine_stand_in.h
+++ b/Tests/LibStandIn/engine_stand_in.h
@@ -31,7 +31,8 @@
 /// (tokens until the response is truncated), "late_ms" (added to the first
 /// token), "crossed" (events carry another request's id), "twice" (the end is
 /// sent twice, with a further chunk in between), "slow_factor",
-/// "first_token_ms".
+/// "first_token_ms", "requests_per_second" (the limit that it names for all VMs
+/// together).
 class engine_stand_in {
 public:
   engine_stand_in(engine_stand_in_settings Settings, http_transport &Transport);
