--- a/Tests/LibRelay/relay_fixture.cpp
+++ b/Tests/LibRelay/relay_fixture.cpp
@@ -137,6 +137,7 @@
     Descriptor.Address = Endpoints.back()->address();
     Descriptor.Domain = failure_domain_id("a");
     Fleet.Endpoints.put(Descriptor);
+    EndpointAddresses[Descriptor.Id] = Descriptor.Address;
   }
 }
 
--- a/Tests/LibRelay/relay_fixture.h
+++ b/Tests/LibRelay/relay_fixture.h
@@ -100,6 +100,7 @@
   /// Connections to endpoints that the relay has closed.
   std::size_t ClosedByRelay = 0;
   route_table::content Content;
+  std::map<endpoint_id, network_address> EndpointAddresses;
 
 private:
   class scripted_endpoint;
--- a/Tests/LibRelay/relay_fleet_fixture.cpp
+++ b/Tests/LibRelay/relay_fleet_fixture.cpp
@@ -85,6 +85,26 @@
   }
 }
 
+void relay_fleet_fixture::losePath(std::size_t Vm) {
+  // A port on which nothing listens.
+  asio::ip::tcp::acceptor Closed(Vms.front()->Loop,
+                                 {asio::ip::make_address("127.0.0.1"), 0});
+  const network_address Unreachable{"127.0.0.1",
+                                    Closed.local_endpoint().port()};
+  Closed.close();
+  const auto Endpoints = Vms[Vm]->Fleet.Endpoints.all();
+  for (const auto &[Id, Endpoint] : Endpoints) {
+    Vms[Vm]->Connections.closeIdleConnections(Endpoint->Descriptor.Address);
+    Endpoint->Descriptor.Address = Unreachable;
+  }
+}
+
+void relay_fleet_fixture::regainPath(std::size_t Vm) {
+  const auto &Originals = Vms.front()->EndpointAddresses;
+  for (const auto &[Id, Endpoint] : Vms[Vm]->Fleet.Endpoints.all())
+    Endpoint->Descriptor.Address = Originals.at(Id);
+}
+
 void relay_fleet_fixture::isolateFromPeers(std::size_t Vm) {
   Isolated.insert(Vms[Vm]->Fleet.Self);
 }
--- a/Tests/LibRelay/relay_fleet_fixture.h
+++ b/Tests/LibRelay/relay_fleet_fixture.h
@@ -25,6 +25,9 @@
   void advance(milliseconds Time);
   /// Delivers a notice of each VM to each other one.
   void exchangeNotices();
+  /// The VM can't connect to any endpoint any more.
+  void losePath(std::size_t Vm);
+  void regainPath(std::size_t Vm);
   /// From now on the VM's notices and those for it are lost.
   void isolateFromPeers(std::size_t Vm);
 
