LibDispatch, LibRelay: Notice a lost path to a service

Now a VM holds its path to a service for lost if two endpoints can't be connected to, none since, while a peer has received something from the service lately; peers say so in their notices. It logs both changes with the evidence, connects to an endpoint each 250 ms while lost, and after two connections in a row ends the ejections that came of the loss. Requests do not use the knowledge yet. Weighed: peers' success with the very endpoints (a kilobyte in each notice on the large site, five times a second to each VM) against with the service (some bytes): the second may take two crashed endpoints for a lost path, until a probe finds another.

--- a/Libraries/LibDispatch/endpoint_health.cpp
+++ b/Libraries/LibDispatch/endpoint_health.cpp
@@ -81,6 +81,11 @@
       std::max(Endpoint.EjectedUntil, Now + MaximumEjection);
 }
 
+void endEjection(endpoint_record &Endpoint, steady_time Now) {
+  Endpoint.ConsecutiveFailures = 0;
+  Endpoint.EjectedUntil = std::min(Endpoint.EjectedUntil, Now);
+}
+
 bool recordCrash(endpoint_record &Endpoint, steady_time Now) {
   const bool IsNewCrash = Now - Endpoint.LastCrash > CrashWindow;
   Endpoint.LastCrash = Now;
--- a/Libraries/LibDispatch/endpoint_health.h
+++ b/Libraries/LibDispatch/endpoint_health.h
@@ -28,6 +28,8 @@
 /// otherwise, or if that is not known.
 std::optional<milliseconds> timeUntilAdmission(const endpoint_list &Endpoints,
                                                steady_time Now);
+/// Ends an ejection: the failures had another cause than the endpoint.
+void endEjection(endpoint_record &Endpoint, steady_time Now);
 /// Records a truncated or missing response. Returns whether it starts a new
 /// crash: all requests on an endpoint that crashes fail together.
 bool recordCrash(endpoint_record &Endpoint, steady_time Now);
--- a/Libraries/LibPeer/frame_codec.cpp
+++ b/Libraries/LibPeer/frame_codec.cpp
@@ -134,6 +134,11 @@
           Builder, Notice.Service.text().c_str(), Notice.PerSecond.value_or(0),
           static_cast<std::uint32_t>(Notice.Age.count()),
           Notice.PerSecond.has_value()));
+    std::vector<Offset<wire::ReachedService>> Reached;
+    for (const auto &Notice : Message.ReachedServices)
+      Reached.push_back(wire::CreateReachedServiceDirect(
+          Builder, Notice.Service.text().c_str(),
+          static_cast<std::uint32_t>(Notice.Age.count())));
     std::optional<wire::PassedConfirmation> Confirmation;
     if (Message.Confirmation)
       Confirmation.emplace(Message.Confirmation->Version,
@@ -144,7 +149,7 @@
                Builder, &Releases, &SessionReleases, &Crashes, &Leaving, &Loads,
                static_cast<std::uint64_t>(Message.ClockReading.count()),
                Confirmation ? &*Confirmation : nullptr, &SegmentCrashes,
-               &Message.ClearedSegments, &Rates, &Brittle)
+               &Message.ClearedSegments, &Rates, &Brittle, &Reached)
         .Union();
   }
 
@@ -286,6 +291,11 @@
     for (const wire::BrittleService *Item : *Source.brittle())
       if (auto Notice = decodeBrittleService(*Item))
         Message.BrittleServices.push_back(std::move(*Notice));
+  Message.ReachedServices =
+      decodeAll(Source.reached(), [](const wire::ReachedService &Item) {
+        return reached_service_notice{service_id(Item.service()->str()),
+                                      milliseconds(Item.age_ms())};
+      });
   Message.Releases =
       decodeAll(Source.releases(), [](const wire::ReleaseCounts &Item) {
         return release_counts_notice{service_id(Item.service()->str()),
--- a/Libraries/LibPeer/peer_message.h
+++ b/Libraries/LibPeer/peer_message.h
@@ -166,6 +166,13 @@
   milliseconds Age{0};
 };
 
+/// Time since the sender last received something from an endpoint of the
+/// service.
+struct reached_service_notice {
+  service_id Service;
+  milliseconds Age{0};
+};
+
 /// Endpoint load and outcomes of the sender's requests, sent several times a
 /// second.
 struct fleet_notice {
@@ -183,6 +190,7 @@
   std::vector<std::uint64_t> ClearedSegments;
   std::vector<endpoint_rate_notice> Rates;
   std::vector<brittle_service_notice> BrittleServices;
+  std::vector<reached_service_notice> ReachedServices;
 };
 
 using peer_message =
--- a/Libraries/LibRelay/endpoint_attempt.cpp
+++ b/Libraries/LibRelay/endpoint_attempt.cpp
@@ -2,6 +2,7 @@
 
 #include "LibDispatch/endpoint_health.h"
 #include "LibRelay/endpoint_shares.h"
+#include "LibRelay/path_watch.h"
 #include "LibTypes/fingerprint.h"
 
 namespace azurehaven {
@@ -44,6 +45,7 @@
   IsUnanswered = true;
   Connection =
       Context.Connections.acquire(Endpoint->Descriptor.Address, Trust, SentAt);
+  IsConnecting = !Connection->isIdle();
   Connection->start(std::move(Request), shared_from_this());
 }
 
@@ -55,6 +57,7 @@
 void endpoint_attempt::applyEndpointState(const decoded_response_head &Response,
                                           steady_time Now) {
   Endpoint->LastReceivedAt = Now;
+  Context.Fleet.Paths.onReceived(Endpoint->Descriptor.Service, Now);
   if (Response.Load)
     Endpoint->Load = Response.Load;
   const endpoint_id &EndpointId = Endpoint->Descriptor.Id;
@@ -145,7 +148,9 @@
 }
 
 void endpoint_attempt::onResponseBody(std::string Bytes) {
-  Endpoint->LastReceivedAt = Context.Clock.now();
+  const steady_time Now = Context.Clock.now();
+  Endpoint->LastReceivedAt = Now;
+  Context.Fleet.Paths.onReceived(Endpoint->Descriptor.Service, Now);
   removePromptWork();
   if (auto Receiver = Observer.lock())
     Receiver->onAttemptResponseBody(std::move(Bytes));
@@ -162,8 +167,15 @@
     Receiver->onAttemptResponseEnd();
 }
 
+void endpoint_attempt::onRequestSent() {
+  if (std::exchange(IsConnecting, false))
+    recordConnected(Context, *Endpoint, Context.Clock.now());
+}
+
 void endpoint_attempt::onExchangeFailed(const http_failure &Failure) {
   removeFromLoad();
+  if (Failure.Delivery == delivery::NotSent)
+    recordUnreachable(Context, *Endpoint, Context.Clock.now());
   auto Receiver = Observer.lock();
   if (!Receiver)
     return;
--- a/Libraries/LibRelay/endpoint_attempt.h
+++ b/Libraries/LibRelay/endpoint_attempt.h
@@ -41,6 +41,7 @@
   head_verdict onResponseHead(const response_head &Head) override;
   void onResponseBody(std::string Bytes) override;
   void onResponseEnd() override;
+  void onRequestSent() override;
   void onExchangeFailed(const http_failure &Failure) override;
 
 private:
@@ -66,6 +67,8 @@
   double PromptWork;
   steady_time SentAt;
   bool IsUnanswered = false;
+  /// Whether the connection is new rather than one from the pool.
+  bool IsConnecting = false;
   bool IsCounted = true;
 };
 
--- a/Libraries/LibRelay/fleet_state.h
+++ b/Libraries/LibRelay/fleet_state.h
@@ -13,6 +13,7 @@
 #include "LibDispatch/release_statistics.h"
 #include "LibDispatch/rollout_controller.h"
 #include "LibDispatch/route_table.h"
+#include "LibDispatch/service_paths.h"
 #include "LibDispatch/session_pins.h"
 #include "LibFleet/fleet_members.h"
 
@@ -37,6 +38,7 @@
   crash_quarantine Quarantine{};
   prompt_quarantine PromptQuarantine{};
   brittle_services BrittleServices{};
+  service_paths Paths{};
   model_cascade Models{};
   release_statistics ReleaseStatistics{};
   /// Times between events of a stream, or total times of plain responses.
--- a/Libraries/LibRelay/peer_state_sync.cpp
+++ b/Libraries/LibRelay/peer_state_sync.cpp
@@ -16,6 +16,8 @@
 constexpr std::uint64_t NoticesPerFullCounts = 10;
 /// Notices tell that a limit has ended for this long; one of them may be lost.
 constexpr milliseconds EndedLimitNoticeTime{3000};
+/// Notices tell for this long that a service has sent something.
+constexpr milliseconds ReachedNoticeTime{2000};
 
 } // namespace
 
@@ -67,6 +69,16 @@
     updateBrittleQuotas(Fleet);
 }
 
+std::vector<reached_service_notice> peer_state_sync::reachedNotices() const {
+  const steady_time Now = Clock.now();
+  std::vector<reached_service_notice> Notices;
+  for (const auto &[Service, At] : Fleet.Paths.lastReceived())
+    if (Now - At < ReachedNoticeTime && !Fleet.Paths.isLost(Service))
+      Notices.push_back(
+          {Service, std::chrono::duration_cast<milliseconds>(Now - At)});
+  return Notices;
+}
+
 void peer_state_sync::applyRates(const std::vector<endpoint_rate_notice> &Rates,
                                  steady_time Now) {
   if (Rates.empty())
@@ -95,6 +107,7 @@
   Notice.Releases = releaseCounts();
   Notice.Rates = rateNotices();
   Notice.BrittleServices = brittleNotices();
+  Notice.ReachedServices = reachedNotices();
   for (const auto &Pin : Fleet.Pins.takeUnsent())
     Notice.SessionReleases.push_back({Pin.Session, Pin.Release});
   for (const auto &Crash : Fleet.Quarantine.takeUnsent())
@@ -143,6 +156,8 @@
   exchangeConfirmations(Frame, *Notice, Now);
   applyRates(Notice->Rates, Now);
   applyBrittleServices(Notice->BrittleServices, Now);
+  for (const auto &Reached : Notice->ReachedServices)
+    Fleet.Paths.onPeerReached(Frame.Sender, Reached.Service, Now - Reached.Age);
   for (const auto &Release : Notice->Releases)
     Fleet.ReleaseStatistics.merge(
         Frame.Sender, Frame.Incarnation,
--- a/Libraries/LibRelay/peer_state_sync.h
+++ b/Libraries/LibRelay/peer_state_sync.h
@@ -40,6 +40,7 @@
   std::vector<brittle_service_notice> brittleNotices() const;
   void applyBrittleServices(const std::vector<brittle_service_notice> &Services,
                             steady_time Now);
+  std::vector<reached_service_notice> reachedNotices() const;
   void applyRates(const std::vector<endpoint_rate_notice> &Rates,
                   steady_time Now);
   /// The release counts that have changed since the last notice; at times all
--- a/Libraries/LibRelay/relay_node.cpp
+++ b/Libraries/LibRelay/relay_node.cpp
@@ -53,7 +53,8 @@
       Connections(Loop.get_executor(), EndpointTiming),
       Context{Loop.get_executor(), Clock,   Codec,  Log, Metrics, Fleet,
               Connections,         nullptr, nullptr},
-      Relay(Context), StateUpdater(Fleet, Clock, Log, Metrics),
+      Relay(Context), PathProber(Context),
+      StateUpdater(Fleet, Clock, Log, Metrics),
       Scheduler(Loop.get_executor(), Clock), Signals(Loop, SIGTERM, SIGINT),
       Incarnation(static_cast<std::uint64_t>(Clock.wallNow().count())) {
   Fleet.StopGrace = Settings.StopGrace;
@@ -156,6 +157,7 @@
   updateConfirmationSource();
   StateUpdater.advance();
   updateShares(Fleet, Clock.now());
+  PathProber.advance(Clock.now());
   Connections.closeExpired(Clock.now());
   recordSlowAttempts();
   Rollouts->advance();
--- a/Libraries/LibRelay/relay_node.h
+++ b/Libraries/LibRelay/relay_node.h
@@ -6,6 +6,7 @@
 #include "LibRelay/asio_scheduler.h"
 #include "LibRelay/directory_service.h"
 #include "LibRelay/fleet_state_updater.h"
+#include "LibRelay/path_prober.h"
 #include "LibRelay/peer_state_sync.h"
 #include "LibRelay/relay.h"
 #include "LibRelay/relay_settings.h"
@@ -63,6 +64,7 @@
   connection_pool Connections;
   relay_context Context;
   relay Relay;
+  path_prober PathProber;
   fleet_state_updater StateUpdater;
   asio_scheduler Scheduler;
   asio::signal_set Signals;
--- /dev/null
+++ b/Tests/LibDispatch/service_paths_test.cpp
@@ -0,0 +1,99 @@
+#include "LibDispatch/service_paths.h"
+
+#include <doctest/doctest.h>
+
+using namespace azurehaven;
+
+namespace {
+
+const steady_time Start{std::chrono::hours(1)};
+const service_id Service("s");
+const vm_id Peer("vm-2");
+constexpr std::size_t EndpointCount = 4;
+
+endpoint_id idOf(int Number) {
+  return endpoint_id("e" + std::to_string(Number));
+}
+
+struct watched_path : service_paths {
+  std::optional<path_change> failAt(int Number, steady_time Now) {
+    return onUnreachable(Service, idOf(Number), EndpointCount, Now);
+  }
+};
+
+/// A path that was lost at Start.
+watched_path lostPath() {
+  watched_path Path;
+  Path.onPeerReached(Peer, Service, Start);
+  Path.failAt(0, Start);
+  Path.failAt(1, Start);
+  REQUIRE(Path.isLost(Service));
+  return Path;
+}
+
+} // namespace
+
+TEST_CASE("A path is lost if endpoints can't be connected to that another VM "
+          "reaches") {
+  watched_path Path;
+  Path.onPeerReached(Peer, Service, Start - milliseconds(300));
+  CHECK_FALSE(Path.failAt(0, Start));
+  CHECK_FALSE(Path.failAt(0, Start));
+  const auto Change = Path.failAt(1, Start);
+  REQUIRE(Change);
+  CHECK(Change->Direction == path_change::direction::Lost);
+  CHECK(Change->Endpoints == std::vector<endpoint_id>{idOf(0), idOf(1)});
+  CHECK(Change->Witness == Peer);
+  CHECK(Change->WitnessAge == milliseconds(300));
+  CHECK(Path.lostSince(Service) == Start);
+  CHECK_FALSE(Path.failAt(2, Start));
+}
+
+TEST_CASE("Endpoints that nobody reaches are gone; the path is not lost") {
+  watched_path Path;
+  Path.onPeerReached(Peer, Service, Start - milliseconds(3000));
+  for (int Number = 0; Number < 4; ++Number)
+    CHECK_FALSE(Path.failAt(Number, Start));
+  CHECK_FALSE(Path.isLost(Service));
+}
+
+TEST_CASE("Endpoints that fail beside others that can be connected to are "
+          "gone") {
+  watched_path Path;
+  Path.onPeerReached(Peer, Service, Start);
+  Path.failAt(0, Start);
+  Path.onConnected(Service, Start);
+  CHECK_FALSE(Path.failAt(1, Start));
+  CHECK_FALSE(Path.failAt(0, Start + milliseconds(3000)));
+}
+
+TEST_CASE("The path to a service with a single endpoint can be lost") {
+  watched_path Path;
+  Path.onPeerReached(Peer, Service, Start);
+  CHECK(Path.onUnreachable(Service, idOf(0), 1, Start));
+}
+
+TEST_CASE("Services are told apart") {
+  const watched_path Path = lostPath();
+  CHECK_FALSE(Path.isLost(service_id("other")));
+  CHECK(Path.lostServices() == std::vector<service_id>{Service});
+}
+
+TEST_CASE("A path is back after two probes in a row") {
+  watched_path Path = lostPath();
+  CHECK_FALSE(Path.onProbed(Service, idOf(0), true));
+  CHECK_FALSE(Path.onProbed(Service, idOf(1), false));
+  CHECK_FALSE(Path.onProbed(Service, idOf(2), true));
+  CHECK(Path.isLost(Service));
+  const auto Change = Path.onProbed(Service, idOf(3), true);
+  REQUIRE(Change);
+  CHECK(Change->Direction == path_change::direction::Regained);
+  CHECK_FALSE(Path.isLost(Service));
+  CHECK_FALSE(Path.failAt(0, Start + milliseconds(10)));
+}
+
+TEST_CASE("A connection made before the loss does not bring the path back") {
+  watched_path Path = lostPath();
+  Path.onConnected(Service, Start);
+  CHECK(Path.isLost(Service));
+}
