LibRelay: Serve callers through peers while the path to a service is lost

Cause: a VM had no other way than its own connections; it went from endpoint to endpoint, 400 ms each, while its peers reached all of them. Change: while the path is known to be lost, a request is forwarded to a peer that reaches the service, the least loaded one, and at most to a second if that refuses it as not run. It is forwarded as its caller sent it, over HTTP to a port of its own, so that the peer applies everything that it applies to callers: key and configuration (the older of the two refuses), quarantine, roll-out and session pins, limits, attempts and inspections. With it go the rest of the deadline, the runs so far (max_attempts), and the last event of a stream that goes on. The peer bills; the request counts once towards the retry budget; a caller that leaves closes both connections. Never forwarded twice: a peer that is cut itself refuses. Failures of a VM without a path are no crashes of endpoints and no outcomes of a release. Connections that live on are used to their end; a stream is given up for a peer only if nothing has come from its endpoint since the loss. Ruled out: FlatBuffers frames between VMs for requests (a second protocol for streams, back pressure and cancelling, all of which HTTP has here already).

--- a/Libraries/LibDispatch/dispatch_request.h
+++ b/Libraries/LibDispatch/dispatch_request.h
@@ -16,6 +16,13 @@
   std::uint32_t Tokens = 0;
 };
 
+/// The VM that has forwarded a caller's request to this one.
+struct forwarding_origin {
+  vm_id Vm;
+  /// Attempts there that endpoints may have executed.
+  int RunCount = 0;
+};
+
 /// The properties of a request that placement and retry decisions use.
 struct dispatch_request {
   request_id Id;
@@ -35,6 +42,8 @@
   std::string Session;
   /// Id of the last event of this stream that the caller received.
   std::optional<std::uint64_t> LastEventId;
+  /// Nullopt if the request comes from its caller.
+  std::optional<forwarding_origin> Origin;
 
   bool acceptsAnyModel() const { return RequestedModel == "*"; }
 };
--- a/Libraries/LibFleet/member_entry.cpp
+++ b/Libraries/LibFleet/member_entry.cpp
@@ -7,12 +7,14 @@
 std::string memberKey(const vm_id &Vm) { return MemberKeyPrefix + Vm.text(); }
 
 std::string encodeMember(const member_entry &Member) {
-  return nlohmann::json{{"vm", Member.Vm.text()},
-                        {"failure_domain", Member.Domain.text()},
-                        {"caller_address", Member.CallerAddress.text()},
-                        {"peer_address", Member.PeerAddress.text()},
-                        {"incarnation", Member.Incarnation}}
-      .dump();
+  nlohmann::json Object = {{"vm", Member.Vm.text()},
+                           {"failure_domain", Member.Domain.text()},
+                           {"caller_address", Member.CallerAddress.text()},
+                           {"peer_address", Member.PeerAddress.text()},
+                           {"incarnation", Member.Incarnation}};
+  if (Member.ForwardingAddress.Port != 0)
+    Object["forwarding_address"] = Member.ForwardingAddress.text();
+  return Object.dump();
 }
 
 result<member_entry> decodeMember(const std::string &Text) {
@@ -31,6 +33,11 @@
   Member.Domain = failure_domain_id(TextOf("failure_domain"));
   TRY(Member.CallerAddress, parseNetworkAddress(TextOf("caller_address")));
   TRY(Member.PeerAddress, parseNetworkAddress(TextOf("peer_address")));
+  // Processes that take no forwarded requests have none.
+  if (const std::string Address = TextOf("forwarding_address");
+      !Address.empty()) {
+    TRY(Member.ForwardingAddress, parseNetworkAddress(Address));
+  }
   auto Incarnation = Object.find("incarnation");
   if (Member.Vm.empty() || Incarnation == Object.end() ||
       !Incarnation->is_number_unsigned())
--- a/Libraries/LibFleet/member_entry.h
+++ b/Libraries/LibFleet/member_entry.h
@@ -19,6 +19,9 @@
   network_address PeerAddress;
   /// Distinguishes process starts.
   std::uint64_t Incarnation = 0;
+  /// The address to which other entry processes forward requests of callers;
+  /// its port is 0 if the process takes none.
+  network_address ForwardingAddress{};
 };
 
 /// Prefix of the store keys of members.
--- a/Libraries/LibRelay/attempt_recorder.h
+++ b/Libraries/LibRelay/attempt_recorder.h
@@ -28,6 +28,8 @@
 
   /// Counts the attempt, which has succeeded or failed.
   void record(bool HasFailed, steady_time Now);
+  /// Ends the attempt without counting it: it tells nothing of the release.
+  void drop() { IsRunning = false; }
   /// Counts the attempt as slow if that is certain before it ends. An attempt
   /// that ends without a result, for example because its caller has left, tells
   /// nothing else.
--- a/Libraries/LibRelay/endpoint_attempt.cpp
+++ b/Libraries/LibRelay/endpoint_attempt.cpp
@@ -15,11 +15,12 @@
 } // namespace
 
 endpoint_attempt::endpoint_attempt(relay_context &Context,
+                                   attempt_target Target,
                                    std::shared_ptr<endpoint_record> Endpoint,
                                    request_id Id, double PromptWork,
                                    std::weak_ptr<attempt_observer> Observer)
-    : Context(Context), Endpoint(std::move(Endpoint)), Id(std::move(Id)),
-      Observer(std::move(Observer)), PromptWork(PromptWork) {
+    : Context(Context), Target(Target), Endpoint(std::move(Endpoint)),
+      Id(std::move(Id)), Observer(std::move(Observer)), PromptWork(PromptWork) {
   ++this->Endpoint->InFlight;
   this->Endpoint->PromptWork += PromptWork;
 }
@@ -136,7 +137,8 @@
   const steady_time Now = Context.Clock.now();
   const decoded_response_head Response =
       Context.Codec.decodeResponseHead(Head, Now);
-  applyEndpointState(Response, Now);
+  if (isToEndpoint())
+    applyEndpointState(Response, Now);
   IdleLimit = Response.IdleLimit;
   if (Response.EchoedRequestId && *Response.EchoedRequestId != Id)
     return head_verdict::SkipResponse;
@@ -150,7 +152,8 @@
 void endpoint_attempt::onResponseBody(std::string Bytes) {
   const steady_time Now = Context.Clock.now();
   Endpoint->LastReceivedAt = Now;
-  Context.Fleet.Paths.onReceived(Endpoint->Descriptor.Service, Now);
+  if (isToEndpoint())
+    Context.Fleet.Paths.onReceived(Endpoint->Descriptor.Service, Now);
   removePromptWork();
   if (auto Receiver = Observer.lock())
     Receiver->onAttemptResponseBody(std::move(Bytes));
@@ -168,13 +171,13 @@
 }
 
 void endpoint_attempt::onRequestSent() {
-  if (std::exchange(IsConnecting, false))
+  if (std::exchange(IsConnecting, false) && isToEndpoint())
     recordConnected(Context, *Endpoint, Context.Clock.now());
 }
 
 void endpoint_attempt::onExchangeFailed(const http_failure &Failure) {
   removeFromLoad();
-  if (Failure.Delivery == delivery::NotSent)
+  if (Failure.Delivery == delivery::NotSent && isToEndpoint())
     recordUnreachable(Context, *Endpoint, Context.Clock.now());
   auto Receiver = Observer.lock();
   if (!Receiver)
--- a/Libraries/LibRelay/endpoint_attempt.h
+++ b/Libraries/LibRelay/endpoint_attempt.h
@@ -20,6 +20,13 @@
                                const std::string &Reason) = 0;
 };
 
+/// What a request is sent to.
+enum class attempt_target {
+  Endpoint,
+  /// Another VM, which serves the request on behalf of this one.
+  Vm,
+};
+
 /// Sends a request to one endpoint once and reports the response. The request
 /// counts towards the endpoint's load until the attempt ends.
 class endpoint_attempt : public exchange_observer,
@@ -27,7 +34,7 @@
 public:
   /// PromptWork: work that the prompt causes on the endpoint before its first
   /// event, in tokens of the smallest model.
-  endpoint_attempt(relay_context &Context,
+  endpoint_attempt(relay_context &Context, attempt_target Target,
                    std::shared_ptr<endpoint_record> Endpoint, request_id Id,
                    double PromptWork, std::weak_ptr<attempt_observer> Observer);
   ~endpoint_attempt() override;
@@ -58,7 +65,10 @@
   void removeFromLoad();
   void removePromptWork();
 
+  bool isToEndpoint() const { return Target == attempt_target::Endpoint; }
+
   relay_context &Context;
+  const attempt_target Target;
   const std::shared_ptr<endpoint_record> Endpoint;
   const request_id Id;
   const std::weak_ptr<attempt_observer> Observer;
--- a/Libraries/LibRelay/liveness_monitor.cpp
+++ b/Libraries/LibRelay/liveness_monitor.cpp
@@ -56,6 +56,8 @@
     return scheduleCheck();
   }
   if (IdleTime >= EngineIdleTimeout) {
+    if (isCutOff())
+      return reportUnresponsive("the path to the service is lost");
     evaluateReport(Now);
     if (!Handler)
       return;
@@ -70,6 +72,13 @@
   scheduleCheck();
 }
 
+bool liveness_monitor::isCutOff() const {
+  const auto LostSince =
+      Context.Fleet.Paths.lostSince(Endpoint->Descriptor.Service);
+  // Connections that were open before may still work.
+  return LostSince && Endpoint->LastReceivedAt < *LostSince;
+}
+
 void liveness_monitor::evaluateReport(steady_time Now) {
   // A report counts only if the engine made it after the last progress.
   const bool IsConclusive =
--- a/Libraries/LibRelay/liveness_monitor.h
+++ b/Libraries/LibRelay/liveness_monitor.h
@@ -35,6 +35,9 @@
   void scheduleCheck();
   void check();
   void inspectEngine();
+  /// Whether the path to the service is lost, and nothing has come from the
+  /// endpoint since.
+  bool isCutOff() const;
   void evaluateReport(steady_time Now);
   void evaluateFailedInspection();
   void reportUnresponsive(const std::string &Reason);
--- a/Libraries/LibRelay/relay.cpp
+++ b/Libraries/LibRelay/relay.cpp
@@ -82,6 +82,15 @@
   if (isError(Decoded))
     return refuse({}, *Caller, 400, std::nullopt, "malformed_request");
   dispatch_request &Request = valueOf(Decoded);
+  if (Source == request_source::Vm) {
+    auto Origin = Context.Codec.decodeOrigin(Incoming.Head);
+    if (isError(Origin))
+      return refuse(Request, *Caller, 400, std::nullopt, "malformed_origin");
+    Request.Origin = valueOf(Origin);
+    Context.Log.write(
+        log_level::Info, "forwarded_request_received",
+        {{"request", Request.Id.text()}, {"from", Request.Origin->Vm.text()}});
+  }
   if (!Fleet.Routes)
     return refuse(Request, *Caller, 503, UnconfiguredRetryAfter,
                   "no_configuration");
--- a/Libraries/LibRelay/relay.h
+++ b/Libraries/LibRelay/relay.h
@@ -7,6 +7,7 @@
 #include "LibRelay/bill_journal.h"
 #include "LibRelay/engine_inspector.h"
 #include "LibRelay/fleet_state.h"
+#include "LibRelay/forwarding_peers.h"
 #include "LibRelay/wire_codec.h"
 #include "LibTypes/clock_source.h"
 
@@ -40,6 +41,14 @@
   std::set<active_request *> ActiveRequests{};
   /// Bytes of responses that are buffered until they are complete.
   std::size_t BufferedResponseBytes = 0;
+  forwarding_peers ForwardingPeers{};
+};
+
+/// Who sends the requests of a listener.
+enum class request_source {
+  Caller,
+  /// Another VM, which forwards requests of its callers.
+  Vm,
 };
 
 /// Sends nothing more to the endpoint's process start, which has said that it
@@ -51,7 +60,9 @@
 /// starts a relayed_request for each admitted one.
 class relay : public request_handler {
 public:
-  explicit relay(relay_context &Context) : Context(Context) {}
+  explicit relay(relay_context &Context,
+                 request_source Source = request_source::Caller)
+      : Context(Context), Source(Source) {}
 
   void onRequest(incoming_request Request,
                  std::shared_ptr<caller_connection> Caller) override;
@@ -65,6 +76,7 @@
               const char *Reason);
 
   relay_context &Context;
+  const request_source Source;
 };
 
 } // namespace azurehaven
--- a/Libraries/LibRelay/relay_node.cpp
+++ b/Libraries/LibRelay/relay_node.cpp
@@ -18,6 +18,8 @@
 constexpr milliseconds SyncInterval{200};
 /// File descriptors reserved for files, the store, peers and endpoints.
 constexpr std::size_t ReservedDescriptors = 400;
+/// One in so many descriptors is for requests that other VMs forward.
+constexpr std::size_t ForwardingDescriptorPart = 8;
 /// For this long after a stop begins, the process does not exit or close idle
 /// connections: a caller may cache a directory response for three times its
 /// time to live.
@@ -29,10 +31,15 @@
 /// killed.
 constexpr milliseconds FinalResponseMargin{800};
 
+std::size_t maxForwardingConnections(const relay_settings &Settings) {
+  return Settings.DescriptorLimit / ForwardingDescriptorPart;
+}
+
 std::size_t maxCallerConnections(const relay_settings &Settings) {
   const std::size_t Limit = Settings.DescriptorLimit;
-  return Limit > 2 * ReservedDescriptors ? Limit - ReservedDescriptors
-                                         : Limit / 2;
+  const std::size_t Callers =
+      Limit > 2 * ReservedDescriptors ? Limit - ReservedDescriptors : Limit / 2;
+  return Callers - maxForwardingConnections(Settings);
 }
 
 } // namespace
@@ -53,8 +60,8 @@
       Connections(Loop.get_executor(), EndpointTiming),
       Context{Loop.get_executor(), Clock,   Codec,  Log, Metrics, Fleet,
               Connections,         nullptr, nullptr},
-      Relay(Context), PathProber(Context),
-      StateUpdater(Fleet, Clock, Log, Metrics),
+      Relay(Context), ForwardingRelay(Context, request_source::Vm),
+      PathProber(Context), StateUpdater(Fleet, Clock, Log, Metrics),
       Scheduler(Loop.get_executor(), Clock), Signals(Loop, SIGTERM, SIGINT),
       Incarnation(static_cast<std::uint64_t>(Clock.wallNow().count())) {
   Fleet.StopGrace = Settings.StopGrace;
@@ -77,8 +84,8 @@
 }
 
 member_entry relay_node::selfEntry() const {
-  return {Settings.Vm, Settings.Domain, Settings.CallerAddress,
-          Settings.PeerAddress, Incarnation};
+  return {Settings.Vm,          Settings.Domain, Settings.CallerAddress,
+          Settings.PeerAddress, Incarnation,     Settings.ForwardingAddress};
 }
 
 bool relay_node::isReady() const {
@@ -134,6 +141,12 @@
   Rollouts = std::make_unique<rollout_driver>(Fleet, Clock, Log, Publisher);
   TRY(Listener, connection_listener::listen(Loop, Settings.CallerAddress, Relay,
                                             maxCallerConnections(Settings)));
+  if (Settings.ForwardingAddress.Port != 0) {
+    TRY(ForwardingListener,
+        connection_listener::listen(Loop, Settings.ForwardingAddress,
+                                    ForwardingRelay,
+                                    maxForwardingConnections(Settings)));
+  }
   Registration->start();
   waitForSignal();
   runPeriodicTasks();
@@ -205,6 +218,8 @@
   if (SinceStop < std::min(AcceptTimeDuringStop, Settings.StopGrace / 2))
     return;
   Listener->closeIdle();
+  if (ForwardingListener)
+    ForwardingListener->closeIdle();
   Context.Bills->flush();
   const bool MustFinishRequests =
       SinceStop > Settings.StopGrace - FinalResponseMargin;
@@ -215,7 +230,9 @@
   }
   const bool IsGraceOver = SinceStop > Settings.StopGrace - ExitMargin;
   const bool HasWork =
-      Listener->busyCount() > 0 || Context.Bills->pendingBillCount() > 0;
+      Listener->busyCount() > 0 ||
+      (ForwardingListener && ForwardingListener->busyCount() > 0) ||
+      Context.Bills->pendingBillCount() > 0;
   if (HasWork && !IsGraceOver)
     return;
   Log.write(
--- a/Libraries/LibRelay/relay_node.h
+++ b/Libraries/LibRelay/relay_node.h
@@ -64,11 +64,14 @@
   connection_pool Connections;
   relay_context Context;
   relay Relay;
+  /// Serves requests that other VMs forward.
+  relay ForwardingRelay;
   path_prober PathProber;
   fleet_state_updater StateUpdater;
   asio_scheduler Scheduler;
   asio::signal_set Signals;
   std::unique_ptr<connection_listener> Listener;
+  std::unique_ptr<connection_listener> ForwardingListener;
   member_registration *Registration = nullptr;
   store_mirror *Mirror = nullptr;
   std::unique_ptr<peer_network> Peers;
--- a/Libraries/LibRelay/relay_settings.h
+++ b/Libraries/LibRelay/relay_settings.h
@@ -16,6 +16,8 @@
   failure_domain_id Domain;
   network_address CallerAddress;
   network_address PeerAddress;
+  /// Where peers forward requests of callers; with port 0 nowhere.
+  network_address ForwardingAddress;
   /// Maximum number of open file descriptors.
   std::size_t DescriptorLimit = 1024;
   /// Time from the stop signal until the process is killed.
--- a/Libraries/LibRelay/relayed_request.cpp
+++ b/Libraries/LibRelay/relayed_request.cpp
@@ -23,6 +23,8 @@
 /// Prompts on small models take a tenth of the time, so admitting them first
 /// delays the others little. The default urgency is 5.
 constexpr int SmallModelUrgency = 3;
+/// VMs that one request is forwarded to, one after the other.
+constexpr std::size_t MaxForwardingPeers = 2;
 /// For a resumed stream: the caller has already received a part of it.
 constexpr int ContinuationUrgency = 2;
 
@@ -48,6 +50,14 @@
   return std::max(Limit, milliseconds(1));
 }
 
+/// Whether another VM has refused a forwarded request, which then has not run
+/// there. Only responses of endpoints are signed.
+bool isRefusalByVm(const decoded_response_head &Response) {
+  return !Response.IsSigned &&
+         (Response.Status == 503 ||
+          (Response.Status >= 400 && Response.Status < 500));
+}
+
 } // namespace
 
 relayed_request::relayed_request(relay_context &Context,
@@ -69,6 +79,8 @@
       Recorder(Context.Fleet, Context.Log, Admitted),
       Crashes(Context.Fleet, Context.Log, Admitted),
       Logged(Context.Log, Admitted) {
+  if (Request.Origin)
+    RunCount = Request.Origin->RunCount;
   Context.ActiveRequests.insert(this);
 }
 
@@ -93,7 +105,9 @@
         if (!Code)
           Self->onDeadline();
       });
-  Context.Fleet.Retries.recordRequest(Admitted.Service, ArrivedAt);
+  // The VM that forwards a request has recorded it.
+  if (!Request.Origin)
+    Context.Fleet.Retries.recordRequest(Admitted.Service, ArrivedAt);
   startNextAttempt();
 }
 
@@ -108,16 +122,20 @@
       ModelIndex = Context.Fleet.Models.firstModel(Route, Request);
     Model = Route.ModelsBySize[*ModelIndex];
   }
-  const auto Target =
-      placeRequest(Context.Fleet, Admitted, Tried, ModelIndex, Now);
-  if (!Target)
-    return handleMissingEndpoint(Now);
   // The process may have been suspended since the request arrived, so that the
   // configuration is no longer current.
   const bool NeedsKey = Admitted.Routes->needsKeys() && !Route.IsPublic;
   if (NeedsKey && !Context.Fleet.Confirmation.isCurrent(Now))
     return refuse(
         errorResponseFor(RunCount > 0, "configuration_not_confirmed"));
+  if (const auto Peer = selectForwardingPeer(Now))
+    return forwardTo(Peer);
+  const auto Target =
+      placeRequest(Context.Fleet, Admitted, Tried, ModelIndex, Now);
+  // Endpoints that other VMs have not reached for this request are not tried
+  // over a lost path.
+  if (!Target || !TriedPeers.empty())
+    return handleMissingEndpoint(Now);
   startAttemptOn(Target);
 }
 
@@ -134,10 +152,48 @@
   });
 }
 
+std::shared_ptr<endpoint_record>
+relayed_request::selectForwardingPeer(steady_time Now) {
+  const bool MayForward = Context.Fleet.Paths.isLost(Admitted.Service) &&
+                          !Request.Origin &&
+                          TriedPeers.size() < MaxForwardingPeers;
+  if (!MayForward)
+    return nullptr;
+  return Context.ForwardingPeers.select(Context.Fleet, Admitted.Service,
+                                        TriedPeers, Now);
+}
+
+void relayed_request::forwardTo(const std::shared_ptr<endpoint_record> &Peer) {
+  const steady_time Now = Context.Clock.now();
+  Endpoint = Peer;
+  IsForwarding = true;
+  TriedPeers.insert(Peer->Descriptor.Id);
+  ++SendCount;
+  forwarding_parameters Parameters;
+  Parameters.Origin = {Context.Fleet.Self, RunCount};
+  Parameters.TimeLeft = timeLeft(Now);
+  Parameters.ResumeAfter = Splicer.lastEventId();
+  Parameters.BodySize = Body->size();
+  Logged.onForwarded(Peer->Descriptor.Id, SendCount, Parameters.TimeLeft);
+  Context.Metrics.increment("azurehaven_forwarded_requests_total");
+  Crashes.onSent(Peer->Descriptor, Splicer.eventCount());
+  Attempt = std::make_shared<endpoint_attempt>(
+      Context, attempt_target::Vm, Peer, Request.Id, /*PromptWork=*/0,
+      std::weak_ptr<attempt_observer>(shared_from_this()));
+  outgoing_request Outgoing;
+  Outgoing.Head = Context.Codec.encodeForwardedHead(Head, Parameters);
+  Outgoing.Body = Body;
+  Outgoing.IsHead = Head.Method == "HEAD";
+  Attempt->start(std::move(Outgoing), Route.allowsReexecution()
+                                          ? connection_reuse::AnyIdle
+                                          : connection_reuse::RecentlyUsed);
+}
+
 void relayed_request::startAttemptOn(
     const std::shared_ptr<endpoint_record> &Target) {
   const steady_time Now = Context.Clock.now();
   Endpoint = Target;
+  IsForwarding = false;
   Tried.insert(Target->Descriptor.Id);
   ++SendCount;
   attempt_parameters Parameters;
@@ -158,7 +214,7 @@
       promptWorkOn(Context.Fleet, Admitted, ModelIndex, *Target, Now);
   PromptWorkAhead = pendingPromptWork(*Target) + OwnWork;
   Attempt = std::make_shared<endpoint_attempt>(
-      Context, Target, Request.Id, OwnWork,
+      Context, attempt_target::Endpoint, Target, Request.Id, OwnWork,
       std::weak_ptr<attempt_observer>(shared_from_this()));
   outgoing_request Outgoing;
   Outgoing.Head = Context.Codec.encodeRequestHead(Head, Request, Parameters);
@@ -213,11 +269,14 @@
   if (!IsAttributable || !IsForwardable)
     return head_verdict::Reject;
   const steady_time Now = Context.Clock.now();
-  Recorder.onHead(Now);
-  if (ModelIndex && isSuccess(NewResponse.Status))
-    Context.Fleet.PrefillTimes.add(PromptWorkAhead, Recorder.msSinceSent(Now));
-  if (tryEscalate(NewResponse))
-    return head_verdict::Reject;
+  if (!IsForwarding) {
+    Recorder.onHead(Now);
+    if (ModelIndex && isSuccess(NewResponse.Status))
+      Context.Fleet.PrefillTimes.add(PromptWorkAhead,
+                                     Recorder.msSinceSent(Now));
+    if (tryEscalate(NewResponse))
+      return head_verdict::Reject;
+  }
   Crashes.onHead();
   ResponseHead = NewHead;
   Response = NewResponse;
@@ -310,6 +369,10 @@
 void relayed_request::onAttemptResponseEnd() {
   if (IsFinished)
     return;
+  if (IsForwarding && isRefusalByVm(Response))
+    return retryOrRefuse(attempt_failure::NotSent,
+                         "the VM refused with status " +
+                             std::to_string(Response.Status));
   if (Response.WasNotExecuted || Response.IsMisdirected) {
     if (Response.IsMisdirected)
       recordIdentityMismatch(*Endpoint, Context.Clock.now());
@@ -327,7 +390,8 @@
   recordSuccess(*Endpoint);
   Crashes.onComplete(Now);
   Recorder.record(/*HasFailed=*/false, Now);
-  refreshSessionPin(Context.Fleet, Admitted, *Endpoint, Now);
+  if (!IsForwarding)
+    refreshSessionPin(Context.Fleet, Admitted, *Endpoint, Now);
   if (Route.Kind == route_kind::Stream)
     return finishStream();
   Caller->sendResponse(ResponseHead.Status,
@@ -361,7 +425,8 @@
 
 void relayed_request::handleErrorStatus() {
   const steady_time Now = Context.Clock.now();
-  recordErrorResponse(*Endpoint, Now);
+  if (!IsForwarding || !Response.IsSigned)
+    recordErrorResponse(*Endpoint, Now);
   Recorder.record(/*HasFailed=*/true, Now);
   const bool MayRetry = isRetryAllowed(Route, attempt_failure::ErrorResponse) &&
                         RunCount < Route.MaxAttempts && !ResponseStarted;
@@ -395,13 +460,19 @@
   recordFailure(*Endpoint, Now);
   if (Failure == attempt_failure::NoValidResponse) {
     ++RunCount;
-    if (recordCrash(*Endpoint, Now))
-      Recorder.record(/*HasFailed=*/true, Now);
-    Crashes.recordCrash(Now);
+    recordCrashOfEndpoint(Now);
   }
   retryOrRefuse(Failure, Reason);
 }
 
+void relayed_request::recordCrashOfEndpoint(steady_time Now) {
+  if (IsForwarding || Context.Fleet.Paths.isLost(Admitted.Service))
+    return Recorder.drop();
+  if (recordCrash(*Endpoint, Now))
+    Recorder.record(/*HasFailed=*/true, Now);
+  Crashes.recordCrash(Now);
+}
+
 bool relayed_request::mayRetryAfter(attempt_failure Failure,
                                     steady_time Now) const {
   return isRetryAllowed(Route, Failure) && RunCount < Route.MaxAttempts &&
@@ -415,10 +486,9 @@
   Logged.onAttemptFailed(Endpoint->Descriptor.Id, Failure, Reason, SendCount);
   const bool IsAllowed = mayRetryAfter(Failure, Now);
   const bool HasBudget =
-      IsAllowed &&
-      (Failure == attempt_failure::NotSent ||
-       Context.Fleet.Retries.tryConsume(Endpoint->Descriptor.Service,
-                                        Context.Fleet.Members.size(), Now));
+      IsAllowed && (Failure == attempt_failure::NotSent ||
+                    Context.Fleet.Retries.tryConsume(
+                        Admitted.Service, Context.Fleet.Members.size(), Now));
   if (HasBudget) {
     if (ResponseStarted)
       Context.Metrics.increment("azurehaven_resumed_streams_total");
@@ -498,7 +568,8 @@
   Context.Metrics.increment("azurehaven_requests_total", Labels);
   Context.Metrics.observe("azurehaven_request_ms", Labels, Took);
   const bool IsAnswered = std::string_view(Outcome) == "answered";
-  if (IsAnswered)
+  // The VM that a request was forwarded to bills it.
+  if (IsAnswered && !IsForwarding)
     recordBill();
   Logged.onFinished(Outcome, IsAnswered, Endpoint.get(), Model, SendCount,
                     TimeToFirstEvent, Took);
--- a/Libraries/LibRelay/relayed_request.h
+++ b/Libraries/LibRelay/relayed_request.h
@@ -54,6 +54,13 @@
   void startNextAttempt();
   /// Waits or refuses, as no endpoint takes the request now.
   void handleMissingEndpoint(steady_time Now);
+  /// The VM that serves the request on behalf of this one, which has lost its
+  /// path to the service; null if there is none or need not be one.
+  std::shared_ptr<endpoint_record> selectForwardingPeer(steady_time Now);
+  void forwardTo(const std::shared_ptr<endpoint_record> &Peer);
+  /// Counts a response that is missing or truncated, unless this VM has lost
+  /// its path.
+  void recordCrashOfEndpoint(steady_time Now);
   void startAttemptOn(const std::shared_ptr<endpoint_record> &Endpoint);
   void onDeadline();
   void forwardStreamBytes(std::string Bytes);
@@ -95,6 +102,10 @@
   std::optional<std::size_t> ModelIndex;
   model_id Model;
   std::set<endpoint_id> Tried;
+  /// VMs that the request was forwarded to, and whether the current attempt is
+  /// at one.
+  std::set<endpoint_id> TriedPeers;
+  bool IsForwarding = false;
   /// Attempts so far, and those of them that the endpoint may have executed.
   int SendCount = 0;
   int RunCount = 0;
--- a/Libraries/LibRelay/request_log.cpp
+++ b/Libraries/LibRelay/request_log.cpp
@@ -15,6 +15,17 @@
              {"time_left_ms", std::to_string(TimeLeft.count())}});
 }
 
+void request_log::onForwarded(const endpoint_id &Vm, int SendCount,
+                              milliseconds TimeLeft) const {
+  Log.write(log_level::Info, "request_forwarded",
+            {{"request", Admitted.Request.Id.text()},
+             {"route", Admitted.Route->Name},
+             {"service", Admitted.Service.text()},
+             {"to", Vm.text()},
+             {"send", std::to_string(SendCount)},
+             {"time_left_ms", std::to_string(TimeLeft.count())}});
+}
+
 void request_log::onJudged(const model_id &Model, int Confidence,
                            milliseconds Backlog, bool IsEscalated) const {
   Log.write(log_level::Info, "answer_judged",
--- a/Libraries/LibRelay/request_log.h
+++ b/Libraries/LibRelay/request_log.h
@@ -15,6 +15,8 @@
 
   void onSent(const endpoint_record &Endpoint, const model_id &Model,
               int SendCount, milliseconds TimeLeft) const;
+  void onForwarded(const endpoint_id &Vm, int SendCount,
+                   milliseconds TimeLeft) const;
   void onJudged(const model_id &Model, int Confidence, milliseconds Backlog,
                 bool IsEscalated) const;
   void onAttemptFailed(const endpoint_id &Endpoint, attempt_failure Failure,
--- a/Libraries/LibRelay/wire_codec.h
+++ b/Libraries/LibRelay/wire_codec.h
@@ -26,6 +26,15 @@
   std::size_t BodySize = 0;
 };
 
+/// Parameters that the relay adds to a request that it forwards to another VM.
+struct forwarding_parameters {
+  forwarding_origin Origin;
+  milliseconds TimeLeft{0};
+  /// As for an attempt.
+  std::optional<std::uint64_t> ResumeAfter;
+  std::size_t BodySize = 0;
+};
+
 /// The decoded head of an endpoint's response.
 struct decoded_response_head {
   int Status = 0;
@@ -69,6 +78,13 @@
   virtual std::string
   encodeRequestHead(const request_head &Head, const dispatch_request &Request,
                     const attempt_parameters &Parameters) const = 0;
+  virtual std::string
+  encodeForwardedHead(const request_head &Head,
+                      const forwarding_parameters &Parameters) const = 0;
+  /// Reads what another VM has added to a request that it forwards. Errors:
+  /// InvalidInput if that is missing or malformed.
+  virtual result<forwarding_origin>
+  decodeOrigin(const request_head &Head) const = 0;
   virtual decoded_response_head decodeResponseHead(const response_head &Head,
                                                    steady_time Now) const = 0;
   /// The fields of an endpoint's response that are forwarded to the caller.
--- a/Tests/LibRelay/lost_path_test.cpp
+++ b/Tests/LibRelay/lost_path_test.cpp
@@ -1,3 +1,4 @@
+#include "LibRelay/path_prober.h"
 #include "relay_fleet_fixture.h"
 
 #include <doctest/doctest.h>
@@ -73,3 +74,208 @@
     CHECK(Fleet.Answered[Index] == Fleet.Sent[Index]);
   }
 }
+
+namespace {
+
+/// A fleet in which CutVm knows that it has lost its path.
+struct cut_fleet : path_fleet {
+  explicit cut_fleet(std::size_t VmCount = 4) : path_fleet(VmCount) {
+    serveFor(milliseconds(500));
+    losePath(CutVm);
+    serveFor(NoticeTime);
+    received().clear();
+  }
+  relay_fixture &cutVm() { return vm(CutVm); }
+};
+
+} // namespace
+
+TEST_CASE("A forwarded request reaches one endpoint once, unchanged, with the "
+          "rest of its deadline") {
+  cut_fleet Fleet;
+  const auto Response =
+      Fleet.cutVm().sendRequest("/once/y?q", "Deadline: 5000\r\n", "body");
+  CHECK(statusOf(Response) == 200);
+  CHECK(bodyOf(Response) == "body!");
+  CHECK(fieldOf(Response, "Signed") == "x");
+  REQUIRE(Fleet.received().size() == 1);
+  const received_request &Request = Fleet.received().front();
+  CHECK(Request.Head.Target == "/once/y?q");
+  CHECK(headerValue(Request.Head.Headers, "Id") == "r1");
+  CHECK(headerValue(Request.Head.Headers, "From-Vm").empty());
+}
+
+TEST_CASE("An error response of an endpoint comes back through a peer") {
+  cut_fleet Fleet;
+  Fleet.setScript([](std::size_t, const received_request &Request) {
+    return scripted_response{
+        wholeResponse(500, signedFields(Request), "failed")};
+  });
+  const auto Response = Fleet.cutVm().sendRequest("/once/x");
+  CHECK(statusOf(Response) == 500);
+  CHECK(bodyOf(Response) == "failed");
+  CHECK(Fleet.received().size() == 1);
+}
+
+TEST_CASE("A forwarded request that may have run ends with 502") {
+  cut_fleet Fleet;
+  Fleet.setScript([](std::size_t, const received_request &) {
+    return scripted_response{"", after_response::Reset};
+  });
+  CHECK(statusOf(Fleet.cutVm().sendRequest("/once/x")) == 502);
+  CHECK(Fleet.received().size() == 1);
+}
+
+TEST_CASE("A stream that is cut off with the path goes on through a peer") {
+  cut_fleet Fleet;
+  Fleet.setScript([](std::size_t, const received_request &Request) {
+    const std::string Head = "HTTP/1.1 200 OK\r\n" + signedFields(Request) +
+                             "Transfer-Encoding: chunked\r\n\r\n";
+    if (headerValue(Request.Head.Headers, "After") == "2")
+      return scripted_response{Head + chunk(event(3) + event(4)) + "0\r\n\r\n"};
+    return scripted_response{Head + chunk(event(1) + event(2)),
+                             after_response::Reset};
+  });
+  const auto Response = Fleet.cutVm().sendRequest("/stream/x");
+  CHECK(statusOf(Response) == 200);
+  CHECK(bodyOf(Response) == event(1) + event(2) + event(3) + event(4));
+}
+
+TEST_CASE("A request is not forwarded twice") {
+  cut_fleet Fleet(3);
+  for (const std::size_t Vm : {0, 1})
+    Fleet.losePath(Vm);
+  // Both of them have reached the service a moment ago.
+  for (int Count = 0; Count < 3; ++Count) {
+    Fleet.exchangeNotices();
+    const auto Response = Fleet.cutVm().sendRequest("/once/x");
+    CHECK(statusOf(Response) == 503);
+    CHECK(Fleet.cutVm().Context.ActiveRequests.empty());
+  }
+  CHECK(Fleet.received().empty());
+}
+
+TEST_CASE("A VM without peers that reach the service refuses as not run") {
+  path_fleet Fleet(1);
+  Fleet.losePath(0);
+  CHECK(statusOf(Fleet.vm(0).sendRequest("/once/x")) == 503);
+  CHECK_FALSE(Fleet.vm(0).Fleet.Paths.isLost(service_id("s")));
+}
+
+TEST_CASE("A peer whose configuration no longer has the key refuses a "
+          "forwarded request, which is then refused as not run") {
+  cut_fleet Fleet;
+  for (std::size_t Index = 0; Index < Fleet.size(); ++Index) {
+    relay_fixture &Vm = Fleet.vm(Index);
+    Vm.Content.NeedsKeys = true;
+    if (Index == CutVm)
+      Vm.Content.AccountsByKey["key"] = {client_account_id("a")};
+    Vm.applyRoutes();
+  }
+  const auto Response = Fleet.cutVm().sendRequest("/once/x", "Key: key\r\n");
+  CHECK(statusOf(Response) == 503);
+  CHECK(Fleet.received().empty());
+}
+
+TEST_CASE("A caller that leaves ends its forwarded request at the endpoint") {
+  cut_fleet Fleet;
+  Fleet.setScript([](std::size_t, const received_request &) {
+    return scripted_response{"", after_response::Hang};
+  });
+  relay_fixture &First = Fleet.vm(0);
+  const std::size_t ClosedBefore = First.ClosedByRelay;
+  auto Connection =
+      Fleet.cutVm().startRequest("/once/z", [](const call_result &) {});
+  First.runUntil([&] { return !Fleet.received().empty(); });
+  Connection->abort();
+  First.runUntil([&] { return First.ClosedByRelay > ClosedBefore; });
+  for (std::size_t Index = 0; Index < Fleet.size(); ++Index)
+    First.runUntil(
+        [&] { return Fleet.vm(Index).Context.ActiveRequests.empty(); });
+}
+
+TEST_CASE("Requests that fail with the path are no crashes of endpoints") {
+  cut_fleet Fleet;
+  CHECK_FALSE(Fleet.cutVm().Fleet.Quarantine.isQuarantined(
+      requestFingerprint("/many/x", client_account_id(), "body")));
+  CHECK(Fleet.cutVm()
+            .Fleet.ReleaseStatistics.countsOf(service_id("s"), "")
+            .Failures == 0);
+  // A peer that fails is not an endpoint either.
+  Fleet.setScript([](std::size_t, const received_request &) {
+    return scripted_response{"", after_response::Reset};
+  });
+  CHECK(statusOf(Fleet.cutVm().sendRequest("/once/x")) == 502);
+  CHECK(Fleet.cutVm().Fleet.Quarantine.takeUnsent().empty());
+}
+
+TEST_CASE("A forwarded request counts once towards the retry budget") {
+  cut_fleet Fleet;
+  relay_fixture &Peer = Fleet.vm(0);
+  Peer.Fleet.Retries = fleet_retry_budget({1, milliseconds(10000), 0});
+  for (int Count = 0; Count < 20; ++Count)
+    CHECK(statusOf(Fleet.cutVm().sendRequest("/many/x")) == 200);
+  CHECK_FALSE(
+      Peer.Fleet.Retries.tryConsume(service_id("s"), 4, Peer.Clock.now()));
+}
+
+TEST_CASE("A VM uses endpoints itself again as soon as its path is back") {
+  cut_fleet Fleet;
+  relay_fixture &Cut = Fleet.cutVm();
+  Fleet.regainPath(CutVm);
+  path_prober Prober(Cut.Context);
+  while (Cut.Fleet.Paths.isLost(service_id("s"))) {
+    Prober.advance(Cut.Clock.now());
+    Cut.Loop.run_one_for(milliseconds(10));
+    Cut.Clock.skip(milliseconds(50));
+  }
+  for (const auto &[Id, Endpoint] : Cut.Fleet.Endpoints.all())
+    CHECK(Endpoint->isUsable(Cut.Clock.now()));
+  // Its peers are gone, so that it must have reached an endpoint itself.
+  for (std::size_t Index = 0; Index < Fleet.size(); ++Index)
+    Cut.Fleet.Members.remove(Fleet.vm(Index).Fleet.Self);
+  CHECK(statusOf(Cut.sendRequest("/once/x")) == 200);
+}
+
+TEST_CASE("A stream on a connection that hangs goes on through a peer as soon "
+          "as the path is known to be lost") {
+  path_fleet Fleet;
+  for (std::size_t Index = 0; Index < Fleet.size(); ++Index) {
+    Fleet.vm(Index).Content.Pools.front().Engine = engine_pool_settings();
+    Fleet.vm(Index).applyRoutes();
+  }
+  Fleet.serveFor(milliseconds(500));
+  bool IsCut = false;
+  Fleet.setScript([&](std::size_t, const received_request &Request) {
+    const std::string Head = "HTTP/1.1 200 OK\r\n" + signedFields(Request) +
+                             "Transfer-Encoding: chunked\r\n\r\n";
+    return IsCut ? scripted_response{Head + chunk(event(3)) + "0\r\n\r\n"}
+                 : scripted_response{Head + chunk(event(1) + event(2)),
+                                     after_response::Hang};
+  });
+  relay_fixture &Cut = Fleet.vm(CutVm);
+  Fleet.received().clear();
+  call_result Result;
+  bool IsDone = false;
+  Cut.startRequest("/stream/x", [&](call_result NewResult) {
+    Result = std::move(NewResult);
+    IsDone = true;
+  });
+  Cut.runUntil([&] { return !Fleet.received().empty(); });
+  Cut.Loop.run_for(milliseconds(20));
+  IsCut = true;
+  Fleet.losePath(CutVm);
+  Fleet.exchangeNotices();
+  for (int Count = 0; Count < 3; ++Count)
+    Cut.sendRequest("/once/x");
+  REQUIRE(Cut.Fleet.Paths.isLost(service_id("s")));
+  Cut.Clock.skip(milliseconds(800));
+  Fleet.exchangeNotices();
+  for (std::size_t Index = 0; Index < Fleet.size(); ++Index)
+    if (Index != CutVm)
+      Cut.Fleet.Paths.onPeerReached(Fleet.vm(Index).Fleet.Self, service_id("s"),
+                                    Cut.Clock.now());
+  Cut.runUntil([&] { return IsDone; });
+  CHECK(statusOf(Result) == 200);
+  CHECK(bodyOf(Result) == event(1) + event(2) + event(3));
+}
--- a/Tests/LibRelay/plain_codec.h
+++ b/Tests/LibRelay/plain_codec.h
@@ -47,6 +47,30 @@
       Text += "\r\nModel: " + Parameters.Model->text();
     return Text + "\r\n\r\n";
   }
+  std::string
+  encodeForwardedHead(const request_head &Head,
+                      const forwarding_parameters &Parameters) const override {
+    std::string Text = Head.Method + " " + Head.Target + " HTTP/1.1\r\n";
+    for (const auto &[Name, Value] : Head.Headers)
+      if (Name != "Content-Length" && Name != "Deadline" &&
+          !(Parameters.ResumeAfter && Name == "After"))
+        Text += Name + ": " + Value + "\r\n";
+    if (Parameters.ResumeAfter)
+      Text += "After: " + std::to_string(*Parameters.ResumeAfter) + "\r\n";
+    return Text + "Deadline: " + std::to_string(Parameters.TimeLeft.count()) +
+           "\r\nFrom-Vm: " + Parameters.Origin.Vm.text() +
+           "\r\nRuns: " + std::to_string(Parameters.Origin.RunCount) +
+           "\r\nContent-Length: " + std::to_string(Parameters.BodySize) +
+           "\r\n\r\n";
+  }
+  result<forwarding_origin>
+  decodeOrigin(const request_head &Head) const override {
+    const std::string Vm = headerValue(Head.Headers, "From-Vm");
+    if (Vm.empty())
+      return error{error_code::InvalidInput, "no origin"};
+    return forwarding_origin{vm_id(Vm),
+                             std::stoi(headerValue(Head.Headers, "Runs"))};
+  }
   decoded_response_head decodeResponseHead(const response_head &Head,
                                            steady_time) const override {
     decoded_response_head Response;
--- a/Tests/LibRelay/relay_fixture.cpp
+++ b/Tests/LibRelay/relay_fixture.cpp
@@ -120,10 +120,11 @@
       Connections(Loop.get_executor(), connection_timeouts{}),
       Context{Loop.get_executor(), Clock,   Codec,  Log, Metrics, Fleet,
               Connections,         nullptr, nullptr},
-      Relay(Context) {
+      Relay(Context), ForwardingRelay(Context, request_source::Vm) {
   Content.Version = 1;
   Content.Pools.push_back({service_id("s"), 64, std::nullopt});
-  listen();
+  Listener = listen(Relay, CallerAddress);
+  ForwardingListener = listen(ForwardingRelay, ForwardingAddress);
 }
 
 relay_fixture::relay_fixture(std::size_t EndpointCount)
@@ -147,14 +148,16 @@
     Fleet.Endpoints.put(Endpoint->Descriptor);
 }
 
-void relay_fixture::listen() {
-  for (std::uint16_t Port = 43000; Port < 44000 && !Listener; ++Port) {
-    CallerAddress = {"127.0.0.1", Port};
-    auto Result = connection_listener::listen(Loop, CallerAddress, Relay, 100);
+std::unique_ptr<connection_listener>
+relay_fixture::listen(request_handler &Handler, network_address &Address) {
+  for (std::uint16_t Port = 43000; Port < 44000; ++Port) {
+    Address = {"127.0.0.1", Port};
+    auto Result = connection_listener::listen(Loop, Address, Handler, 100);
     if (!isError(Result))
-      Listener = std::move(valueOf(Result));
+      return std::move(valueOf(Result));
   }
-  REQUIRE(Listener);
+  FAIL("no free port");
+  return nullptr;
 }
 
 relay_fixture::~relay_fixture() {
@@ -162,6 +165,7 @@
   for (active_request *Request : std::set(Context.ActiveRequests))
     Request->endForShutdown();
   Listener.reset();
+  ForwardingListener.reset();
   Loop.restart();
   Loop.poll();
 }
--- a/Tests/LibRelay/relay_fixture.h
+++ b/Tests/LibRelay/relay_fixture.h
@@ -94,6 +94,8 @@
   connection_pool Connections;
   relay_context Context;
   relay Relay;
+  relay ForwardingRelay;
+  network_address ForwardingAddress;
   std::vector<received_request> Received;
   /// Bytes that endpoints have sent by scripted_response::Endless.
   std::size_t EndlessBytesSent = 0;
@@ -105,9 +107,11 @@
 private:
   class scripted_endpoint;
   relay_fixture(std::shared_ptr<shared_parts> Shared, const std::string &Vm);
-  void listen();
+  std::unique_ptr<connection_listener> listen(request_handler &Handler,
+                                              network_address &Address);
   network_address CallerAddress;
   std::unique_ptr<connection_listener> Listener;
+  std::unique_ptr<connection_listener> ForwardingListener;
   std::list<std::unique_ptr<scripted_endpoint>> Endpoints;
   script Script;
 };
--- a/Tests/LibRelay/relay_fleet_fixture.cpp
+++ b/Tests/LibRelay/relay_fleet_fixture.cpp
@@ -41,8 +41,11 @@
     Vms.push_back(
         std::make_unique<relay_fixture>(*Vms.front(), vmName(Vms.size())));
   for (auto &Vm : Vms) {
-    for (std::size_t Index = 0; Index < VmCount; ++Index)
-      Vm->Fleet.Members.put(testMember(vmName(Index)));
+    for (std::size_t Index = 0; Index < VmCount; ++Index) {
+      member_entry Member = testMember(vmName(Index));
+      Member.ForwardingAddress = Vms[Index]->ForwardingAddress;
+      Vm->Fleet.Members.put(Member);
+    }
     Networks.push_back(std::make_unique<memory_network>(*this, Vm->Fleet.Self));
     Syncs.push_back(std::make_unique<peer_state_sync>(Vm->Fleet, Vm->Clock,
                                                       *Networks.back(), 1));
--- a/Tests/platform/header_codec_test.cpp
+++ b/Tests/platform/header_codec_test.cpp
@@ -1,5 +1,7 @@
 #include "platform/header_codec.h"
 
+#include "LibConnection/request_parser.h"
+
 #include <doctest/doctest.h>
 
 using namespace azurehaven;
@@ -206,3 +208,62 @@
     CHECK(Decode(Value).MalformedField);
   }
 }
+
+namespace {
+
+/// The head of a request that another VM forwards, as this one reads it.
+request_head forwardedHead(const forwarding_parameters &Parameters) {
+  request_head Head = callerHead();
+  Head.Headers.emplace_back("Forwarded-By-Vm", "forged");
+  Head.Headers.emplace_back("Forwarded-Run-Count", "7");
+  request_parser Parser{caller_limits()};
+  Parser.consume(header_codec().encodeForwardedHead(Head, Parameters));
+  REQUIRE(Parser.isHeadComplete());
+  return Parser.head();
+}
+
+} // namespace
+
+TEST_CASE(
+    "A forwarded request keeps what its caller sent, with the rest of the "
+    "deadline") {
+  forwarding_parameters Parameters;
+  Parameters.Origin = {vm_id("vm-2"), 1};
+  Parameters.TimeLeft = milliseconds(900);
+  Parameters.ResumeAfter = 15;
+  const request_head Head = forwardedHead(Parameters);
+  const auto Decoded = header_codec().decodeRequest(Head);
+  REQUIRE_FALSE(isError(Decoded));
+  const dispatch_request &Request = valueOf(Decoded);
+  CHECK(Request.Id == request_id("id1"));
+  CHECK(Request.ApiKey == "key1");
+  CHECK(Request.RequestedModel == "*");
+  CHECK(Request.Prompt.size() == 3);
+  CHECK(Request.Deadline == milliseconds(900));
+  CHECK(Request.LastEventId == 15);
+  CHECK(Head.Target == "/p/x?q=1");
+  CHECK(headerValue(Head.Headers, "X-Own") == "kept");
+  CHECK(headerValue(Head.Headers, "X-Hop").empty());
+  const auto Origin = header_codec().decodeOrigin(Head);
+  REQUIRE_FALSE(isError(Origin));
+  CHECK(valueOf(Origin).Vm == vm_id("vm-2"));
+  CHECK(valueOf(Origin).RunCount == 1);
+}
+
+TEST_CASE("What a VM adds to a forwarded request is not sent to endpoints") {
+  const std::string Head = header_codec().encodeRequestHead(
+      forwardedHead({}), {}, attemptParameters());
+  CHECK(Head.find("Forwarded-") == std::string::npos);
+}
+
+TEST_CASE("A forwarded request without its origin is malformed") {
+  CHECK(isError(header_codec().decodeOrigin(callerHead())));
+  request_head Head = callerHead();
+  Head.Headers.emplace_back("Forwarded-By-Vm", "vm-2");
+  for (const char *Count : {"", "-1", "one", "1 1"}) {
+    CAPTURE(Count);
+    request_head Malformed = Head;
+    Malformed.Headers.emplace_back("Forwarded-Run-Count", Count);
+    CHECK(isError(header_codec().decodeOrigin(Malformed)));
+  }
+}
--- a/Tests/platform/node_file_test.cpp
+++ b/Tests/platform/node_file_test.cpp
@@ -38,6 +38,7 @@
   CHECK(Settings.Relay.Vm == vm_id("front-a-1"));
   CHECK(Settings.Relay.Domain == failure_domain_id("a"));
   CHECK(Settings.Relay.PeerAddress.text() == "10.1.0.40:7340");
+  CHECK(Settings.Relay.ForwardingAddress.text() == "10.1.0.40:7341");
   CHECK(Settings.Relay.StopGrace == milliseconds(8000));
   CHECK(Settings.Relay.RevokeBound == milliseconds(5000));
   CHECK(Settings.Relay.Retries.Window == milliseconds(10000));
