LibEntry: Serve callers through other entry VMs while none of the endpoints is reached

Change: if no endpoint has answered its latest poll, a chat request or a call goes to a serving entry VM, to a second one if the first says that it has not run, and then to the VM's own endpoints; never twice (X-Forwarded-By-Vm). The other VM checks, claims, admits and bills it. The poller logs the loss and the return; a VM that reaches nothing counts no crash. Not covered: a response under way when the path is lost goes on only on the VM's own engines, as text that the caller has cannot be passed to another entry VM.

--- a/Libraries/LibEntry/caller_api.cpp
+++ b/Libraries/LibEntry/caller_api.cpp
@@ -32,6 +32,20 @@
   std::shared_ptr<std::atomic<std::size_t>> Count;
 };
 
+/// A body whose request is in flight until its end.
+class guarded_body : public body_source {
+public:
+  guarded_body(std::unique_ptr<body_source> Source,
+               std::unique_ptr<in_flight_guard> Guard)
+      : Guard(std::move(Guard)), Source(std::move(Source)) {}
+  std::optional<std::string> next() override { return Source->next(); }
+  bool isComplete() const override { return Source->isComplete(); }
+
+private:
+  std::unique_ptr<in_flight_guard> Guard;
+  std::unique_ptr<body_source> Source;
+};
+
 json makeChunk(const chat_run &Run, const json &Delta, const json &Finish) {
   return {{"id", Run.request().Id.text()},
           {"object", "chat.completion.chunk"},
@@ -126,7 +140,7 @@
 } // namespace
 
 caller_api::caller_api(const entry_services &Services)
-    : Services(Services), Relay(Services),
+    : Services(Services), Relay(Services), Forwarder(Services),
       InFlight(std::make_shared<std::atomic<std::size_t>>(0)) {}
 
 std::string caller_api::issueRequestId() {
@@ -166,7 +180,12 @@
   if (auto *Refusal = std::get_if<refusal>(&Identified))
     return respondWith(*Refusal, Issued);
   auto &Identity = std::get<caller_identity>(Identified);
-  if (Request.Path == "/v1/chat/completions" && Request.Method == "POST")
+  const bool IsChat =
+      Request.Path == "/v1/chat/completions" && Request.Method == "POST";
+  if (IsChat || Request.Path.starts_with("/v1/services/"))
+    if (auto Response = serveByPeer(Request, Identity.Id))
+      return std::move(*Response);
+  if (IsChat)
     return serveChat(Request, std::move(Identity), std::move(Current));
   if (Request.Path.starts_with("/v1/services/")) {
     in_flight_guard Guard(InFlight);
@@ -184,6 +203,19 @@
                      Issued);
 }
 
+std::optional<served_response>
+caller_api::serveByPeer(const served_request &Request, const request_id &Id) {
+  if (peer_forwarder::isForwarded(Request) ||
+      !Services.Router.reachesNoEndpoint())
+    return std::nullopt;
+  auto Guard = std::make_unique<in_flight_guard>(InFlight);
+  auto Response = Forwarder.forward(Request, Id.text());
+  if (Response && Response->Source)
+    Response->Source = std::make_unique<guarded_body>(
+        std::move(Response->Source), std::move(Guard));
+  return Response;
+}
+
 served_response caller_api::serveDiscovery() {
   auto Serving = Services.Members.servingEntries(Services.Clock.now());
   // Rotates the list on each call to distribute the callers evenly.
--- a/Libraries/LibEntry/caller_api.h
+++ b/Libraries/LibEntry/caller_api.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "LibEntry/entry_services.h"
+#include "LibEntry/peer_forwarder.h"
 #include "LibEntry/service_relay.h"
 
 #include <atomic>
@@ -23,8 +24,14 @@
                             std::shared_ptr<const configuration> Current);
   std::string issueRequestId();
 
+  /// The response of another VM if this one reaches no endpoint; nullopt if it
+  /// does, or if no other VM takes the request.
+  std::optional<served_response> serveByPeer(const served_request &Request,
+                                             const request_id &Id);
+
   const entry_services &Services;
   service_relay Relay;
+  peer_forwarder Forwarder;
   std::atomic<std::uint64_t> NextRequest = 1;
   std::atomic<std::uint64_t> NextDiscovery = 0;
   /// Shared with the responses that are still being streamed.
--- a/Libraries/LibEntry/crash_detector.cpp
+++ b/Libraries/LibEntry/crash_detector.cpp
@@ -58,7 +58,8 @@
   const bool HasCrashed = isError(Report)
                               ? errorOf(Report).Code == error_code::Unavailable
                               : valueOf(Report).BootId != BootId;
-  if (!HasCrashed)
+  // A VM that reaches no endpoint at all can't tell.
+  if (!HasCrashed || Services.Router.reachesNoEndpoint())
     return false;
   const steady_time Now = Services.Clock.now();
   Services.Router.addCrash({Request.CrashFingerprint, Engine.Id}, Now);
--- a/Libraries/LibEntry/endpoint_poller.cpp
+++ b/Libraries/LibEntry/endpoint_poller.cpp
@@ -47,6 +47,16 @@
     Thread.join();
   if (HadList)
     HasReports = true;
+  logPathChange();
+}
+
+void endpoint_poller::logPathChange() {
+  const bool ReachesNone = Services.Router.reachesNoEndpoint();
+  if (std::exchange(HasLostPath, ReachesNone) == ReachesNone)
+    return;
+  Services.Log.write(
+      ReachesNone ? log_level::Warning : log_level::Info,
+      ReachesNone ? "endpoint_path_lost" : "endpoint_path_regained", {});
 }
 
 void endpoint_poller::pollEndpoint(const chosen_endpoint &Endpoint) {
--- a/Libraries/LibEntry/endpoint_poller.h
+++ b/Libraries/LibEntry/endpoint_poller.h
@@ -23,12 +23,15 @@
   bool hasReports() const { return HasReports; }
 
 private:
+  /// Logs that this VM has lost or regained its path to the endpoints.
+  void logPathChange();
   void pollEndpoint(const chosen_endpoint &Endpoint);
 
   const entry_services &Services;
   vm_list &List;
   std::atomic<bool> HasList = false;
   std::atomic<bool> HasReports = false;
+  bool HasLostPath = false;
 };
 
 } // namespace azurehaven
--- a/Libraries/LibRouting/endpoint_table.cpp
+++ b/Libraries/LibRouting/endpoint_table.cpp
@@ -64,6 +64,7 @@
   endpoint &Endpoint = Found->second;
   Endpoint.Report = Report;
   Endpoint.HasReport = true;
+  Endpoint.HasFailedPoll = false;
   Endpoint.ReportCutoff = RequestedAt;
   Endpoint.InFlightChangeSinceReport = 0;
   Endpoint.RateLimit.observe(Report.RequestsPerSecond, RequestedAt,
@@ -79,6 +80,7 @@
   if (Found == Endpoints.end())
     return;
   ++Found->second.ConsecutiveFailures;
+  Found->second.HasFailedPoll = true;
   Found->second.ReportCutoff = std::max(Found->second.ReportCutoff, Now);
   ejectIfUnhealthy(Found->second, Now);
 }
@@ -395,6 +397,13 @@
       });
 }
 
+bool endpoint_table::reachesNone() const {
+  return !Endpoints.empty() &&
+         std::all_of(Endpoints.begin(), Endpoints.end(), [](const auto &Entry) {
+           return Entry.second.HasFailedPoll;
+         });
+}
+
 std::string endpoint_table::bootIdOf(const endpoint_id &Id) const {
   auto Found = Endpoints.find(Id);
   return Found == Endpoints.end() ? std::string() : Found->second.Report.BootId;
--- a/Libraries/LibRouting/endpoint_table.h
+++ b/Libraries/LibRouting/endpoint_table.h
@@ -81,6 +81,9 @@
   /// Total number of slots of the usable endpoints of a version.
   std::uint32_t slotsOf(const version_id &Version, steady_time Now) const;
   bool hasUsableEndpoint(const version_id &Version, steady_time Now) const;
+  /// Whether no endpoint has responded to its latest poll, so that this VM has
+  /// probably lost its path to them. False if there is none.
+  bool reachesNone() const;
   std::string bootIdOf(const endpoint_id &Id) const;
   /// Endpoints without a report, and those whose last report or failed poll is
   /// at least MaximumAge old.
@@ -95,6 +98,7 @@
     listed_vm Listed;
     endpoint_report Report;
     bool HasReport = false;
+    bool HasFailedPoll = false;
     bool IsLeaving = false;
     /// Reports requested earlier are ignored: the time at which the stored
     /// report was requested, or of a later failed poll or crash.
--- a/Libraries/LibRouting/router.cpp
+++ b/Libraries/LibRouting/router.cpp
@@ -343,6 +343,11 @@
   return Endpoints.endpointsDueForPoll(MaximumAge, Now);
 }
 
+bool router::reachesNoEndpoint() {
+  std::lock_guard Lock(Mutex);
+  return Endpoints.reachesNone();
+}
+
 std::string router::bootIdOf(const endpoint_id &Id) {
   std::lock_guard Lock(Mutex);
   return Endpoints.bootIdOf(Id);
--- a/Libraries/LibRouting/router.h
+++ b/Libraries/LibRouting/router.h
@@ -126,6 +126,8 @@
   void markEndpointLeaving(const endpoint_id &Id);
   std::vector<chosen_endpoint> endpointsDueForPoll(milliseconds MaximumAge,
                                                    steady_time Now);
+  /// See endpoint_table::reachesNone().
+  bool reachesNoEndpoint();
   std::string bootIdOf(const endpoint_id &Id);
 
   /// Requests in flight on this VM by account, for the heartbeats.
--- a/Tests/LibEntry/chat_run_fixture.cpp
+++ b/Tests/LibEntry/chat_run_fixture.cpp
@@ -86,9 +86,11 @@
 
 } // namespace
 
-open_result scripted_engines::open(const network_address &,
+open_result scripted_engines::open(const network_address &To,
                                    const http_request &Request,
                                    const http_timeouts &) {
+  if (PeerScript && To.Host == PeerHost)
+    return PeerScript(To, Request);
   ++OpenedCount;
   const engine_script Chosen = Script(Request.Body);
   if (Chosen.End == response_end::Crash)
@@ -113,6 +115,7 @@
                                          PromptCrashes, Gate,    Decisions,
                                          Bills,         Claims,  RequestIds,
                                          Store,         Ratings, [] {}} {
+  Settings.Vm = vm_id("vm");
   Configuration.replaceIfNewer(makeConfiguration());
   std::vector<listed_vm> List = {makeEngine(LargerEngine, 1000)};
   for (int Number = 0; Number < EngineCount; ++Number)
@@ -161,6 +164,35 @@
   Router.markEndpointLeaving(LargerEngine);
 }
 
+void chat_run_fixture::addPeers(const std::vector<vm_id> &Vms) {
+  std::vector<listed_vm> List;
+  for (const vm_id &Vm : Vms) {
+    listed_vm Entry;
+    Entry.Vm = Vm;
+    Entry.Address = {PeerHost, static_cast<std::uint16_t>(1 + List.size())};
+    List.push_back(Entry);
+  }
+  Members.applyList(List, Clock.Now);
+  for (const vm_id &Vm : Vms) {
+    Members.recordContact(Vm, 1, Clock.Now);
+    Members.merge({Vm, 1, member_state::Serving, {}});
+  }
+}
+
+void chat_run_fixture::losePath() {
+  Router.recordEndpointPollFailure(LargerEngine, Clock.Now);
+  for (int Number = 0; Number < EngineCount; ++Number)
+    Router.recordEndpointPollFailure(engineId(Number), Clock.Now);
+}
+
+void chat_run_fixture::addKey(const std::string &Key) {
+  configuration Changed = *Configuration.current();
+  ++Changed.Version;
+  Changed.Accounts.begin()->second.KeyHash = hashAccountKey(Key);
+  Configuration.replaceIfNewer(Changed);
+  Freshness.recordStoreConfirmation(Changed.Version, Clock.Now);
+}
+
 chat_request
 chat_run_fixture::makeRequest(const std::vector<std::string> &SharedMessages) {
   Freshness.recordStoreConfirmation(Configuration.current()->Version,
--- a/Tests/LibEntry/chat_run_fixture.h
+++ b/Tests/LibEntry/chat_run_fixture.h
@@ -31,6 +31,9 @@
   double Confidence = 1;
 };
 
+/// Host of the addresses of other entry VMs.
+constexpr const char *PeerHost = "127.0.0.9";
+
 /// Engines that respond as a script says. An engine that crashes has restarted
 /// by the time of the next request.
 class scripted_engines : public http_transport {
@@ -40,6 +43,9 @@
   /// Replaces the responses to requests for the status, if set. Argument: the
   /// number of earlier ones.
   std::function<send_result(std::size_t)> StatusScript;
+  /// Responds to requests to the addresses of other entry VMs, if set.
+  std::function<open_result(const network_address &, const http_request &)>
+      PeerScript;
   std::size_t StatusCount = 0;
   std::size_t OpenedCount = 0;
   std::size_t CrashCount = 0;
@@ -67,6 +73,12 @@
   /// responses of low confidence are escalated to it.
   void addLargerVersion();
   void loseLargerVersion();
+  /// Lists entry VMs that serve callers.
+  void addPeers(const std::vector<vm_id> &Vms);
+  /// Polls of all engines fail from now on.
+  void losePath();
+  /// Gives the account of makeRequest() an API key.
+  void addKey(const std::string &Key);
 
   chat_clock Clock;
   scripted_engines Engines;
