LibRelay: Learn of a lost path from inspections that fail

A failed inspection of a silent engine now tells of the path as well, if nothing has come from any endpoint of the service for half a second. Test in lost_path_test. The fleet fixture no longer moves from a message in a loop (clang-tidy).

--- a/Libraries/LibDispatch/service_paths.cpp
+++ b/Libraries/LibDispatch/service_paths.cpp
@@ -115,6 +115,11 @@
          Now - Reached->second <= PeerReachLifetime;
 }
 
+steady_time service_paths::lastReceived(const service_id &Service) const {
+  auto Found = Paths.find(Service);
+  return Found == Paths.end() ? steady_time() : Found->second.LastReceivedAt;
+}
+
 std::map<service_id, steady_time> service_paths::lastReceived() const {
   std::map<service_id, steady_time> Received;
   for (const auto &[Service, Path] : Paths)
--- a/Libraries/LibDispatch/service_paths.h
+++ b/Libraries/LibDispatch/service_paths.h
@@ -52,7 +52,9 @@
   /// Whether the VM has received something from the service lately.
   bool isReachedBy(const vm_id &Vm, const service_id &Service,
                    steady_time Now) const;
-  /// When this VM last received something, by service.
+  /// When this VM last received something from the service.
+  steady_time lastReceived(const service_id &Service) const;
+  /// The same for all services.
   std::map<service_id, steady_time> lastReceived() const;
 
 private:
--- a/Libraries/LibRelay/liveness_monitor.cpp
+++ b/Libraries/LibRelay/liveness_monitor.cpp
@@ -1,5 +1,7 @@
 #include "LibRelay/liveness_monitor.h"
 
+#include "LibRelay/path_watch.h"
+
 namespace azurehaven {
 
 namespace {
@@ -13,9 +15,22 @@
 /// inspection does not show a failure.
 constexpr unsigned FailedInspectionLimit = 2;
 constexpr milliseconds CheckInterval{150};
+/// Time without a byte from any endpoint of a service after which a failed
+/// inspection tells something of the path to it.
+constexpr milliseconds ServiceIdleTimeout{500};
 /// Maximum age of an engine's report on arrival.
 constexpr milliseconds MaxReportAge{600};
 
+/// A path that is lost may leave connections hanging, so that it takes long
+/// until a new one has to be made for a request.
+void recordFailedInspection(relay_context &Context,
+                            const endpoint_record &Endpoint, steady_time Now) {
+  const steady_time LastReceived =
+      Context.Fleet.Paths.lastReceived(Endpoint.Descriptor.Service);
+  if (Now - LastReceived >= ServiceIdleTimeout)
+    recordUnreachable(Context, Endpoint, Now);
+}
+
 } // namespace
 
 liveness_monitor::liveness_monitor(relay_context &Context,
@@ -133,6 +148,7 @@
         }
         Endpoint->Report = nullptr;
         ++Endpoint->FailedInspections;
+        recordFailedInspection(Context, *Endpoint, Endpoint->ReportAt);
         if (auto Self = Weak.lock())
           Self->evaluateFailedInspection();
       });
--- a/Tests/LibRelay/lost_path_test.cpp
+++ b/Tests/LibRelay/lost_path_test.cpp
@@ -279,3 +279,35 @@
   CHECK(statusOf(Result) == 200);
   CHECK(bodyOf(Result) == event(1) + event(2) + event(3));
 }
+
+TEST_CASE("Engines that hang and fail their inspections show that the path is "
+          "lost, and are not taken for crashed") {
+  struct failing_inspector : engine_inspector {
+    void inspect(const endpoint_descriptor &,
+                 std::function<void(result<engine_report>)> Handler) override {
+      Handler(error{error_code::Unavailable, "timed out"});
+    }
+  } Inspector;
+  path_fleet Fleet(2, 2);
+  relay_fixture &Cut = Fleet.vm(1);
+  Cut.Content.Pools.front().Engine = engine_pool_settings();
+  Cut.applyRoutes();
+  Cut.Context.Inspector = &Inspector;
+  Fleet.setScript([](std::size_t, const received_request &) {
+    return scripted_response{"", after_response::Hang};
+  });
+  std::vector<std::shared_ptr<endpoint_connection>> Connections;
+  for (int Count = 0; Count < 2; ++Count) {
+    Connections.push_back(
+        Cut.startRequest("/stream/x", [](const call_result &) {}));
+    const std::size_t Wanted = Connections.size();
+    Cut.runUntil([&] { return Fleet.received().size() == Wanted; });
+  }
+  Cut.Clock.skip(milliseconds(900));
+  Cut.Fleet.Paths.onPeerReached(Fleet.vm(0).Fleet.Self, service_id("s"),
+                                Cut.Clock.now());
+  Cut.runUntil([&] { return Cut.Fleet.Paths.isLost(service_id("s")); });
+  CHECK(Cut.Fleet.Quarantine.takeUnsent().empty());
+  for (auto &Connection : Connections)
+    Connection->abort();
+}
--- a/Tests/LibRelay/relay_fleet_fixture.cpp
+++ b/Tests/LibRelay/relay_fleet_fixture.cpp
@@ -23,9 +23,10 @@
   void send(const vm_id &To, peer_message Message) override {
     if (Fleet.Isolated.contains(Self) || Fleet.Isolated.contains(To))
       return;
+    const peer_frame Frame{Self, 1, std::move(Message)};
     for (std::size_t Index = 0; Index < Fleet.Vms.size(); ++Index)
       if (Fleet.Vms[Index]->Fleet.Self == To)
-        Fleet.Syncs[Index]->onFrame({Self, 1, std::move(Message)});
+        Fleet.Syncs[Index]->onFrame(Frame);
   }
   peer_traffic traffic() const override { return {}; }
 
