LibSocket: Let a connection live until its last keep-alive probe

New on the users' pages: as on Linux, TCP_USER_TIMEOUT decides when keep-alive probes give up, whatever their count. Cause: connections to the store have a user timeout of 1.5 s beside probes each second, two of which may stay unanswered: the first lost packet ended a watch. Change: setKeepAlive raises a shorter user timeout to the time of the last probe, 3 s here. Calls to the store have a timeout of their own (1.2 s), and a watch is given up when it is late. Connections to endpoints and callers have no probes. socket_options_test fails without it (1500 >= 3000).

--- a/Libraries/LibSocket/socket_options.cpp
+++ b/Libraries/LibSocket/socket_options.cpp
@@ -9,6 +9,21 @@
 /// Keep-alive probes without a response after which a connection is lost.
 constexpr int UnansweredProbes = 2;
 
+using user_timeout_option =
+    asio::detail::socket_option::integer<IPPROTO_TCP, TCP_USER_TIMEOUT>;
+
+/// Linux gives up on probes once TCP_USER_TIMEOUT has passed, whatever their
+/// number (tcp(7)), so that a single lost packet could end a connection.
+void raiseUserTimeout(asio::ip::tcp::socket &Socket,
+                      std::chrono::seconds Minimum) {
+  asio::error_code Ignored;
+  user_timeout_option Timeout;
+  Socket.get_option(Timeout, Ignored);
+  const int MinimumMs = static_cast<int>(milliseconds(Minimum).count());
+  if (Timeout.value() > 0 && Timeout.value() < MinimumMs)
+    Socket.set_option(user_timeout_option(MinimumMs), Ignored);
+}
+
 } // namespace
 
 void setConnectionOptions(asio::ip::tcp::socket &Socket,
@@ -17,8 +32,6 @@
   // small packets or detects a failure later.
   asio::error_code Ignored;
   Socket.set_option(asio::ip::tcp::no_delay(true), Ignored);
-  using user_timeout_option =
-      asio::detail::socket_option::integer<IPPROTO_TCP, TCP_USER_TIMEOUT>;
   Socket.set_option(user_timeout_option(static_cast<int>(UserTimeout.count())),
                     Ignored);
 }
@@ -33,6 +46,7 @@
   Socket.set_option(integer<IPPROTO_TCP, TCP_KEEPINTVL>(Seconds), Ignored);
   Socket.set_option(integer<IPPROTO_TCP, TCP_KEEPCNT>(UnansweredProbes),
                     Ignored);
+  raiseUserTimeout(Socket, Idle * (1 + UnansweredProbes));
 }
 
 void resetConnection(asio::ip::tcp::socket &Socket) {
