LibRelay: Take no plain endpoint for crashed because it is silent

What callers saw: a request that found three plain endpoints silent, itself sent again by its caller, was refused for a minute as one that breaks endpoints. Cause: 300 ms without progress counted as a crash under the request. Engines are inspected before that, twice over 2 s; nothing is asked of plain endpoints. Change: silence is a failure of its own kind: the request is tried elsewhere as before and counts for the release, but not for the quarantine. The test in relay_refusal_test failed before (503).

--- a/Libraries/LibDispatch/attempt_policy.h
+++ b/Libraries/LibDispatch/attempt_policy.h
@@ -14,13 +14,17 @@
   NotExecuted,
   /// The endpoint returned an error response.
   ErrorResponse,
-  /// The response was truncated, malformed, late or missing.
+  /// The response was truncated, malformed or missing.
   NoValidResponse,
+  /// The connection is open, but the response makes no progress. The endpoint
+  /// may be silent for a moment only.
+  Silent,
 };
 
 constexpr bool mayHaveRun(attempt_failure Failure) {
   return Failure == attempt_failure::ErrorResponse ||
-         Failure == attempt_failure::NoValidResponse;
+         Failure == attempt_failure::NoValidResponse ||
+         Failure == attempt_failure::Silent;
 }
 
 /// Whether the request may be retried at another endpoint after this failure.
--- a/Libraries/LibRelay/relayed_request.cpp
+++ b/Libraries/LibRelay/relayed_request.cpp
@@ -246,9 +246,9 @@
         // endpoint is unresponsive. The current attempt counts as executed
         // here.
         if (Self && Self->RunCount + 1 < Self->Route.MaxAttempts &&
-            Self->mayRetryAfter(attempt_failure::NoValidResponse,
+            Self->mayRetryAfter(attempt_failure::Silent,
                                 Self->Context.Clock.now()))
-          Self->onAttemptFailed(attempt_failure::NoValidResponse, Reason);
+          Self->onAttemptFailed(Self->failureOfUnresponsive(), Reason);
       });
   Liveness->start();
 }
@@ -458,19 +458,28 @@
   Attempt->cancel();
   const steady_time Now = Context.Clock.now();
   recordFailure(*Endpoint, Now);
-  if (Failure == attempt_failure::NoValidResponse) {
+  if (mayHaveRun(Failure)) {
     ++RunCount;
-    recordCrashOfEndpoint(Now);
+    recordCrashOfEndpoint(Failure, Now);
   }
   retryOrRefuse(Failure, Reason);
 }
 
-void relayed_request::recordCrashOfEndpoint(steady_time Now) {
+attempt_failure relayed_request::failureOfUnresponsive() const {
+  // An engine is inspected before it counts as unresponsive; nothing tells
+  // whether a plain endpoint still runs.
+  return Admitted.isForEngines() ? attempt_failure::NoValidResponse
+                                 : attempt_failure::Silent;
+}
+
+void relayed_request::recordCrashOfEndpoint(attempt_failure Failure,
+                                            steady_time Now) {
   if (IsForwarding || Context.Fleet.Paths.isLost(Admitted.Service))
     return Recorder.drop();
   if (recordCrash(*Endpoint, Now))
     Recorder.record(/*HasFailed=*/true, Now);
-  Crashes.recordCrash(Now);
+  if (Failure != attempt_failure::Silent)
+    Crashes.recordCrash(Now);
 }
 
 bool relayed_request::mayRetryAfter(attempt_failure Failure,
--- a/Libraries/LibRelay/relayed_request.h
+++ b/Libraries/LibRelay/relayed_request.h
@@ -60,7 +60,8 @@
   void forwardTo(const std::shared_ptr<endpoint_record> &Peer);
   /// Counts a response that is missing or truncated, unless this VM has lost
   /// its path.
-  void recordCrashOfEndpoint(steady_time Now);
+  void recordCrashOfEndpoint(attempt_failure Failure, steady_time Now);
+  attempt_failure failureOfUnresponsive() const;
   void startAttemptOn(const std::shared_ptr<endpoint_record> &Endpoint);
   void onDeadline();
   void forwardStreamBytes(std::string Bytes);
--- a/Tests/LibRelay/relay_refusal_test.cpp
+++ b/Tests/LibRelay/relay_refusal_test.cpp
@@ -185,3 +185,23 @@
   }
   CHECK(Fixture.Received.size() == 2);
 }
+
+TEST_CASE("Plain endpoints that are silent for a moment are not taken for "
+          "crashed") {
+  relay_fixture Fixture(6);
+  Fixture.addRoute("/p/", route_kind::Idempotent);
+  Fixture.applyRoutes();
+  bool IsSilent = true;
+  Fixture.setScript([&](std::size_t, const received_request &) {
+    return IsSilent ? scripted_response{"", after_response::Hang}
+                    : scripted_response{wholeResponse(
+                          200, "Id: r1\r\nSigned: x\r\n", "ok")};
+  });
+  // The caller asks again in vain.
+  for (int Count = 0; Count < 2; ++Count)
+    Fixture.sendRequest("/p/x", "Deadline: 1500\r\n");
+  REQUIRE(Fixture.Received.size() >= 4);
+  IsSilent = false;
+  Fixture.Clock.skip(milliseconds(5000));
+  CHECK(statusOf(Fixture.sendRequest("/p/x", "Deadline: 1500\r\n")) == 200);
+}
