LibRelay: Make no attempts after those of the VM that a request was forwarded to

The peer had made both attempts that the route allows and passed the error response on; the VM without a path took it for one failed attempt and forwarded the request to another peer. An error response that comes through a peer is final now. lost_path_test failed before (5 endpoints of 3).

--- a/Libraries/LibRelay/relayed_request.cpp
+++ b/Libraries/LibRelay/relayed_request.cpp
@@ -428,7 +428,9 @@
   if (!IsForwarding || !Response.IsSigned)
     recordErrorResponse(*Endpoint, Now);
   Recorder.record(/*HasFailed=*/true, Now);
-  const bool MayRetry = isRetryAllowed(Route, attempt_failure::ErrorResponse) &&
+  // Another VM has made all the attempts that the route allows.
+  const bool MayRetry = !IsForwarding &&
+                        isRetryAllowed(Route, attempt_failure::ErrorResponse) &&
                         RunCount < Route.MaxAttempts && !ResponseStarted;
   if (MayRetry)
     return retryOrRefuse(attempt_failure::ErrorResponse,
--- a/Tests/LibRelay/lost_path_test.cpp
+++ b/Tests/LibRelay/lost_path_test.cpp
@@ -311,3 +311,14 @@
   for (auto &Connection : Connections)
     Connection->abort();
 }
+
+TEST_CASE(
+    "A forwarded request runs on no more endpoints than its route allows") {
+  cut_fleet Fleet;
+  Fleet.setScript([](std::size_t, const received_request &Request) {
+    return scripted_response{
+        wholeResponse(500, signedFields(Request), "failed")};
+  });
+  CHECK(statusOf(Fleet.cutVm().sendRequest("/many/x")) == 500);
+  CHECK(Fleet.received().size() <= 3);
+}
