--- a/Libraries/LibDispatch/crash_quarantine.cpp
+++ b/Libraries/LibDispatch/crash_quarantine.cpp
@@ -28,6 +28,14 @@
   History.Endpoints.insert(Endpoint);
 }
 
+void crash_quarantine::withdrawUnsent() {
+  for (const crash_record &Record : takeUnsent()) {
+    auto Found = ByFingerprint.find(Record.Fingerprint);
+    if (Found != ByFingerprint.end())
+      Found->second.Endpoints.erase(Record.Endpoint);
+  }
+}
+
 bool crash_quarantine::isQuarantined(std::uint64_t Fingerprint) const {
   auto Found = ByFingerprint.find(Fingerprint);
   return Found != ByFingerprint.end() &&
--- a/Libraries/LibDispatch/prompt_quarantine.cpp
+++ b/Libraries/LibDispatch/prompt_quarantine.cpp
@@ -132,6 +132,18 @@
   });
 }
 
+void prompt_quarantine::withdrawUnsent() {
+  for (const crash_record &Record : takeUnsentCrashes()) {
+    auto Found = Suspects.find(Record.Segment);
+    if (Found == Suspects.end())
+      continue;
+    Found->second.Endpoints.erase(Record.Endpoint);
+    if (Found->second.Endpoints.empty())
+      Suspects.erase(Found);
+  }
+  updateGroups();
+}
+
 std::vector<prompt_quarantine::crash_record>
 prompt_quarantine::takeUnsentCrashes() {
   return std::exchange(UnsentCrashes, {});
--- a/Tests/LibDispatch/crash_quarantine_test.cpp
+++ b/Tests/LibDispatch/crash_quarantine_test.cpp
@@ -50,3 +50,20 @@
   CHECK(requestFingerprint("/p", Account, "b") !=
         requestFingerprint("/p", client_account_id("x"), "b"));
 }
+
+TEST_CASE("Crashes that turn out to have another cause are forgotten unless "
+          "other VMs know them") {
+  crash_quarantine Quarantine;
+  const steady_time Now{std::chrono::hours(1)};
+  Quarantine.addLocal(1, endpoint_id("a"), Now);
+  Quarantine.takeUnsent();
+  for (const char *Endpoint : {"b", "c"})
+    Quarantine.addLocal(1, endpoint_id(Endpoint), Now);
+  REQUIRE(Quarantine.isQuarantined(1));
+  Quarantine.withdrawUnsent();
+  CHECK_FALSE(Quarantine.isQuarantined(1));
+  CHECK(Quarantine.takeUnsent().empty());
+  for (const char *Endpoint : {"b", "c"})
+    Quarantine.addLocal(1, endpoint_id(Endpoint), Now);
+  CHECK(Quarantine.isQuarantined(1));
+}
--- a/Tests/LibDispatch/prompt_quarantine_test.cpp
+++ b/Tests/LibDispatch/prompt_quarantine_test.cpp
@@ -123,3 +123,14 @@
   crash(Quarantine, {6000}, 1, 3);
   CHECK(Quarantine.isQuarantined({6000}));
 }
+
+TEST_CASE("Crashes that turn out to have another cause clear their segments") {
+  prompt_quarantine Quarantine;
+  const steady_time Now{std::chrono::hours(1)};
+  for (const char *Endpoint : {"a", "b", "c"})
+    Quarantine.addLocal({7}, endpoint_id(Endpoint), Now);
+  REQUIRE(Quarantine.isQuarantined({7}));
+  Quarantine.withdrawUnsent();
+  CHECK_FALSE(Quarantine.isQuarantined({7}));
+  CHECK(Quarantine.takeUnsentCrashes().empty());
+}
--- a/Tests/LibRelay/lost_path_test.cpp
+++ b/Tests/LibRelay/lost_path_test.cpp
@@ -322,3 +322,20 @@
   CHECK(statusOf(Fleet.cutVm().sendRequest("/many/x")) == 500);
   CHECK(Fleet.received().size() <= 3);
 }
+
+TEST_CASE("Connections that break with the path do not have sound requests "
+          "refused") {
+  path_fleet Fleet;
+  relay_fixture &Cut = Fleet.vm(CutVm);
+  const std::uint64_t Fingerprint =
+      requestFingerprint("/many/x", client_account_id(), "body");
+  Fleet.serveFor(milliseconds(500));
+  for (const char *Endpoint : {"e0", "e1", "e2"})
+    Cut.Fleet.Quarantine.addLocal(Fingerprint, endpoint_id(Endpoint),
+                                  Cut.Clock.now());
+  Fleet.losePath(CutVm);
+  for (int Count = 0; Count < 3; ++Count)
+    Cut.sendRequest("/once/x");
+  CHECK(Cut.Fleet.Paths.isLost(service_id("s")));
+  CHECK_FALSE(Cut.Fleet.Quarantine.isQuarantined(Fingerprint));
+}
--- a/Tests/LibRelay/relay_refusal_test.cpp
+++ b/Tests/LibRelay/relay_refusal_test.cpp
@@ -194,8 +194,8 @@
   bool IsSilent = true;
   Fixture.setScript([&](std::size_t, const received_request &) {
     return IsSilent ? scripted_response{"", after_response::Hang}
-                    : scripted_response{wholeResponse(
-                          200, "Id: r1\r\nSigned: x\r\n", "ok")};
+                    : scripted_response{
+                          wholeResponse(200, "Id: r1\r\nSigned: x\r\n", "ok")};
   });
   // The caller asks again in vain.
   for (int Count = 0; Count < 2; ++Count)
