LibRelay: End the monitor of an attempt before the next one starts

What callers saw: a repeatable request that an endpoint refused after 0.25 s was given up on the next endpoint 0.05 s later and sent a third time. Cause: the monitor of an attempt that ended with a refusal kept running, with the time of its own start, and ended whatever attempt was under way; a forwarded request would have been ended by it as well. The test in relayed_request_test failed before (3 sends).

--- a/Libraries/LibRelay/relayed_request.cpp
+++ b/Libraries/LibRelay/relayed_request.cpp
@@ -117,6 +117,9 @@
 
 void relayed_request::startNextAttempt() {
   const steady_time Now = Context.Clock.now();
+  // The monitor of the attempt before would end the next one.
+  if (Liveness)
+    Liveness->stop();
   if (Request.acceptsAnyModel() && !Route.ModelsBySize.empty()) {
     if (!ModelIndex)
       ModelIndex = Context.Fleet.Models.firstModel(Route, Request);
--- a/Tests/LibRelay/relayed_request_test.cpp
+++ b/Tests/LibRelay/relayed_request_test.cpp
@@ -351,3 +351,20 @@
   });
   CHECK(bodyOf(Fixture.sendRequest("/p/")) == "other");
 }
+
+TEST_CASE("An endpoint is not given up for the time that one before it took to "
+          "refuse") {
+  relay_fixture Fixture(3);
+  Fixture.addRoute("/p/", route_kind::Idempotent);
+  Fixture.applyRoutes();
+  constexpr milliseconds Delay{250};
+  Fixture.setScript([&](std::size_t Number, const received_request &) {
+    return Number == 0
+               ? scripted_response{wholeResponse(503, "Not-Run: 1\r\n", ""),
+                                   after_response::Keep, Delay}
+               : scripted_response{wholeResponse(200, Good, "ok"),
+                                   after_response::Keep, Delay};
+  });
+  CHECK(statusOf(Fixture.sendRequest("/p/x")) == 200);
+  CHECK(Fixture.Received.size() == 2);
+}
