LibRelay: Part what the fleet learns of attempts from relayed_request

attempt_observations knows which of them were forwarded or fell to a lost path; the request no longer asks at each place.

--- /dev/null
+++ b/Libraries/LibRelay/attempt_observations.cpp
@@ -0,0 +1,87 @@
+#include "LibRelay/attempt_observations.h"
+
+#include "LibDispatch/endpoint_health.h"
+#include "LibRelay/request_placement.h"
+
+namespace azurehaven {
+
+void attempt_observations::onSent(std::shared_ptr<endpoint_record> NewEndpoint,
+                                  const model_id &Model,
+                                  std::optional<std::size_t> NewModelIndex,
+                                  std::uint64_t KnownEvents,
+                                  double NewPromptWorkAhead, steady_time Now) {
+  Endpoint = std::move(NewEndpoint);
+  ModelIndex = NewModelIndex;
+  PromptWorkAhead = NewPromptWorkAhead;
+  IsForwarded = false;
+  Recorder.onSent(Endpoint->Descriptor, Model,
+                  isPromptCached(Admitted, ModelIndex, *Endpoint, Now),
+                  KnownEvents, Now);
+  Crashes.onSent(Endpoint->Descriptor, KnownEvents);
+  recordSend(Fleet, Admitted, ModelIndex, *Endpoint, Now);
+}
+
+void attempt_observations::onForwarded(std::shared_ptr<endpoint_record> Peer,
+                                       std::uint64_t KnownEvents) {
+  Endpoint = std::move(Peer);
+  IsForwarded = true;
+  Crashes.onSent(Endpoint->Descriptor, KnownEvents);
+}
+
+void attempt_observations::onHead(bool IsSuccess, steady_time Now) {
+  Crashes.onHead();
+  if (IsForwarded)
+    return;
+  Recorder.onHead(Now);
+  if (ModelIndex && IsSuccess)
+    Fleet.PrefillTimes.add(PromptWorkAhead, Recorder.msSinceSent(Now));
+}
+
+void attempt_observations::onEvents(std::uint64_t EventCount, steady_time Now) {
+  Crashes.onEvents(EventCount, Now);
+  Recorder.onEvents(EventCount, Now);
+}
+
+void attempt_observations::onDropped(steady_time Now) {
+  recordSuccess(*Endpoint);
+  Recorder.record(/*HasFailed=*/false, Now);
+}
+
+void attempt_observations::onComplete(steady_time Now) {
+  recordSuccess(*Endpoint);
+  Crashes.onComplete(Now);
+  Recorder.record(/*HasFailed=*/false, Now);
+  // The VM that has served a forwarded request pins its session.
+  if (!IsForwarded)
+    refreshSessionPin(Fleet, Admitted, *Endpoint, Now);
+}
+
+void attempt_observations::onErrorResponse(bool IsSigned, steady_time Now) {
+  // A signed one comes from an endpoint behind the VM.
+  if (!IsForwarded || !IsSigned)
+    recordErrorResponse(*Endpoint, Now);
+  Recorder.record(/*HasFailed=*/true, Now);
+}
+
+void attempt_observations::onMisdirected(steady_time Now) {
+  recordIdentityMismatch(*Endpoint, Now);
+}
+
+void attempt_observations::onFailed(attempt_failure Failure, steady_time Now) {
+  recordFailure(*Endpoint, Now);
+  if (mayHaveRun(Failure))
+    recordMissingResponse(Failure, Now);
+}
+
+void attempt_observations::recordMissingResponse(attempt_failure Failure,
+                                                 steady_time Now) {
+  // Neither another VM nor a lost path tells anything of endpoints.
+  if (IsForwarded || Fleet.Paths.isLost(Admitted.Service))
+    return Recorder.drop();
+  if (recordCrash(*Endpoint, Now))
+    Recorder.record(/*HasFailed=*/true, Now);
+  if (Failure != attempt_failure::Silent)
+    Crashes.recordCrash(Now);
+}
+
+} // namespace azurehaven
--- a/Libraries/LibRelay/relayed_request.cpp
+++ b/Libraries/LibRelay/relayed_request.cpp
@@ -76,8 +76,7 @@
       TimeLimit(timeLimitOf(Request, Route)), Deadline(Context.Executor),
       PlacementWait(Context.Executor), Splicer(Request.LastEventId),
       ResponseBody(Context.BufferedResponseBytes),
-      Recorder(Context.Fleet, Context.Log, Admitted),
-      Crashes(Context.Fleet, Context.Log, Admitted),
+      Observed(Context.Fleet, Context.Log, Admitted),
       Logged(Context.Log, Admitted) {
   if (Request.Origin)
     RunCount = Request.Origin->RunCount;
@@ -169,7 +168,6 @@
 void relayed_request::forwardTo(const std::shared_ptr<endpoint_record> &Peer) {
   const steady_time Now = Context.Clock.now();
   Endpoint = Peer;
-  IsForwarding = true;
   TriedPeers.insert(Peer->Descriptor.Id);
   ++SendCount;
   forwarding_parameters Parameters;
@@ -179,7 +177,7 @@
   Parameters.BodySize = Body->size();
   Logged.onForwarded(Peer->Descriptor.Id, SendCount, Parameters.TimeLeft);
   Context.Metrics.increment("azurehaven_forwarded_requests_total");
-  Crashes.onSent(Peer->Descriptor, Splicer.eventCount());
+  Observed.onForwarded(Peer, Splicer.eventCount());
   Attempt = std::make_shared<endpoint_attempt>(
       Context, attempt_target::Vm, Peer, Request.Id, /*PromptWork=*/0,
       std::weak_ptr<attempt_observer>(shared_from_this()));
@@ -196,7 +194,6 @@
     const std::shared_ptr<endpoint_record> &Target) {
   const steady_time Now = Context.Clock.now();
   Endpoint = Target;
-  IsForwarding = false;
   Tried.insert(Target->Descriptor.Id);
   ++SendCount;
   attempt_parameters Parameters;
@@ -215,7 +212,7 @@
   Logged.onSent(*Target, Model, SendCount, Parameters.TimeLeft);
   const double OwnWork =
       promptWorkOn(Context.Fleet, Admitted, ModelIndex, *Target, Now);
-  PromptWorkAhead = pendingPromptWork(*Target) + OwnWork;
+  const double PromptWorkAhead = pendingPromptWork(*Target) + OwnWork;
   Attempt = std::make_shared<endpoint_attempt>(
       Context, attempt_target::Endpoint, Target, Request.Id, OwnWork,
       std::weak_ptr<attempt_observer>(shared_from_this()));
@@ -223,12 +220,9 @@
   Outgoing.Head = Context.Codec.encodeRequestHead(Head, Request, Parameters);
   Outgoing.Body = Body;
   Outgoing.IsHead = Head.Method == "HEAD";
-  Recorder.onSent(Target->Descriptor, Model,
-                  isPromptCached(Admitted, ModelIndex, *Target, Now),
-                  Splicer.eventCount(), Now);
-  Crashes.onSent(Target->Descriptor, Splicer.eventCount());
+  Observed.onSent(Target, Model, ModelIndex, Splicer.eventCount(),
+                  PromptWorkAhead, Now);
   Cost += attemptCost(Admitted, ModelIndex);
-  recordSend(Context.Fleet, Admitted, ModelIndex, *Target, Now);
   Attempt->start(std::move(Outgoing), Route.allowsReexecution()
                                           ? connection_reuse::AnyIdle
                                           : connection_reuse::RecentlyUsed);
@@ -257,7 +251,7 @@
 }
 
 void relayed_request::recordIfSlow(steady_time Now) {
-  Recorder.recordIfSlow(Now);
+  Observed.recordIfSlow(Now);
 }
 
 head_verdict relayed_request::onAttemptResponseHead(
@@ -272,15 +266,9 @@
   if (!IsAttributable || !IsForwardable)
     return head_verdict::Reject;
   const steady_time Now = Context.Clock.now();
-  if (!IsForwarding) {
-    Recorder.onHead(Now);
-    if (ModelIndex && isSuccess(NewResponse.Status))
-      Context.Fleet.PrefillTimes.add(PromptWorkAhead,
-                                     Recorder.msSinceSent(Now));
-    if (tryEscalate(NewResponse))
-      return head_verdict::Reject;
-  }
-  Crashes.onHead();
+  Observed.onHead(isSuccess(NewResponse.Status), Now);
+  if (tryEscalate(NewResponse))
+    return head_verdict::Reject;
   ResponseHead = NewHead;
   Response = NewResponse;
   ResponseBody.clear();
@@ -288,7 +276,8 @@
 }
 
 bool relayed_request::tryEscalate(const decoded_response_head &NewResponse) {
-  if (!ModelIndex || !NewResponse.Confidence ||
+  // The VM that a request was forwarded to has chosen the model.
+  if (!ModelIndex || !NewResponse.Confidence || Observed.isForwarded() ||
       !isSuccess(NewResponse.Status) || ResponseStarted ||
       RunCount + 1 >= Route.MaxAttempts)
     return false;
@@ -309,10 +298,9 @@
     return false;
   ModelIndex = Larger;
   ++RunCount;
-  recordSuccess(*Endpoint);
   if (Liveness)
     Liveness->stop();
-  Recorder.record(/*HasFailed=*/false, Now);
+  Observed.onDropped(Now);
   Tried.erase(Endpoint->Descriptor.Id);
   // The next attempt starts from the event loop, after this one has ended.
   Attempt->cancel();
@@ -339,11 +327,10 @@
   const steady_time Now = Context.Clock.now();
   const std::uint64_t EventsBefore = Splicer.eventCount();
   const std::string Events = Splicer.add(Bytes);
-  Crashes.onEvents(Splicer.eventCount(), Now);
   if (Liveness && Splicer.eventCount() > EventsBefore)
     Liveness->onProgress(Now);
   if (!Events.empty()) {
-    Recorder.onEvents(Splicer.eventCount(), Now);
+    Observed.onEvents(Splicer.eventCount(), Now);
     if (!ResponseStarted) {
       ResponseStarted = true;
       TimeToFirstEvent =
@@ -372,13 +359,13 @@
 void relayed_request::onAttemptResponseEnd() {
   if (IsFinished)
     return;
-  if (IsForwarding && isRefusalByVm(Response))
+  if (Observed.isForwarded() && isRefusalByVm(Response))
     return retryOrRefuse(attempt_failure::NotSent,
                          "the VM refused with status " +
                              std::to_string(Response.Status));
   if (Response.WasNotExecuted || Response.IsMisdirected) {
     if (Response.IsMisdirected)
-      recordIdentityMismatch(*Endpoint, Context.Clock.now());
+      Observed.onMisdirected(Context.Clock.now());
     return retryOrRefuse(attempt_failure::NotExecuted,
                          "status " + std::to_string(Response.Status));
   }
@@ -389,12 +376,7 @@
     --RunCount; // onAttemptFailed() counts this attempt.
     return onAttemptFailed(attempt_failure::NoValidResponse, Reason);
   }
-  const steady_time Now = Context.Clock.now();
-  recordSuccess(*Endpoint);
-  Crashes.onComplete(Now);
-  Recorder.record(/*HasFailed=*/false, Now);
-  if (!IsForwarding)
-    refreshSessionPin(Context.Fleet, Admitted, *Endpoint, Now);
+  Observed.onComplete(Context.Clock.now());
   if (Route.Kind == route_kind::Stream)
     return finishStream();
   Caller->sendResponse(ResponseHead.Status,
@@ -412,7 +394,7 @@
   // also what a crash at its beginning looks like. Only a caller that has had
   // events before may get none.
   const bool MayBeEmpty = Request.LastEventId && !ResponseStarted;
-  if (isEndedByClose(ResponseHead) && Crashes.attemptEvents() == 0 &&
+  if (isEndedByClose(ResponseHead) && Observed.attemptEvents() == 0 &&
       !MayBeEmpty)
     return "the stream ended before its first event";
   return nullptr;
@@ -427,12 +409,9 @@
 }
 
 void relayed_request::handleErrorStatus() {
-  const steady_time Now = Context.Clock.now();
-  if (!IsForwarding || !Response.IsSigned)
-    recordErrorResponse(*Endpoint, Now);
-  Recorder.record(/*HasFailed=*/true, Now);
+  Observed.onErrorResponse(Response.IsSigned, Context.Clock.now());
   // Another VM has made all the attempts that the route allows.
-  const bool MayRetry = !IsForwarding &&
+  const bool MayRetry = !Observed.isForwarded() &&
                         isRetryAllowed(Route, attempt_failure::ErrorResponse) &&
                         RunCount < Route.MaxAttempts && !ResponseStarted;
   if (MayRetry)
@@ -461,12 +440,9 @@
   if (Liveness)
     Liveness->stop();
   Attempt->cancel();
-  const steady_time Now = Context.Clock.now();
-  recordFailure(*Endpoint, Now);
-  if (mayHaveRun(Failure)) {
+  Observed.onFailed(Failure, Context.Clock.now());
+  if (mayHaveRun(Failure))
     ++RunCount;
-    recordCrashOfEndpoint(Failure, Now);
-  }
   retryOrRefuse(Failure, Reason);
 }
 
@@ -477,21 +453,11 @@
                                  : attempt_failure::Silent;
 }
 
-void relayed_request::recordCrashOfEndpoint(attempt_failure Failure,
-                                            steady_time Now) {
-  if (IsForwarding || Context.Fleet.Paths.isLost(Admitted.Service))
-    return Recorder.drop();
-  if (recordCrash(*Endpoint, Now))
-    Recorder.record(/*HasFailed=*/true, Now);
-  if (Failure != attempt_failure::Silent)
-    Crashes.recordCrash(Now);
-}
-
 bool relayed_request::mayRetryAfter(attempt_failure Failure,
                                     steady_time Now) const {
   return isRetryAllowed(Route, Failure) && RunCount < Route.MaxAttempts &&
          SendCount < Route.MaxAttempts + MaxExtraSends &&
-         !Crashes.isQuarantined() && timeLeft(Now).count() > 0;
+         !Observed.isQuarantined() && timeLeft(Now).count() > 0;
 }
 
 void relayed_request::retryOrRefuse(attempt_failure Failure,
@@ -538,7 +504,7 @@
     // A response that has not started by the deadline counts as a failure of
     // the endpoint's release.
     if (!ResponseStarted)
-      Recorder.record(/*HasFailed=*/true, Context.Clock.now());
+      Observed.onDeadline(Context.Clock.now());
   }
   refuse(deadlineErrorResponse(SendCount > 0));
 }
@@ -575,7 +541,7 @@
   if (Liveness)
     Liveness->stop();
   const steady_time Now = Context.Clock.now();
-  Recorder.recordIfSlow(Now);
+  Observed.recordIfSlow(Now);
   const auto Took = std::chrono::duration_cast<milliseconds>(Now - ArrivedAt);
   const std::string Labels = std::string("kind=\"") + nameOf(Route.Kind) +
                              "\",outcome=\"" + Outcome + "\"";
@@ -583,7 +549,7 @@
   Context.Metrics.observe("azurehaven_request_ms", Labels, Took);
   const bool IsAnswered = std::string_view(Outcome) == "answered";
   // The VM that a request was forwarded to bills it.
-  if (IsAnswered && !IsForwarding)
+  if (IsAnswered && !Observed.isForwarded())
     recordBill();
   Logged.onFinished(Outcome, IsAnswered, Endpoint.get(), Model, SendCount,
                     TimeToFirstEvent, Took);
--- a/Libraries/LibRelay/relayed_request.h
+++ b/Libraries/LibRelay/relayed_request.h
@@ -4,9 +4,8 @@
 #include "LibDispatch/event_splicer.h"
 #include "LibDispatch/placement.h"
 #include "LibRelay/admitted_request.h"
-#include "LibRelay/attempt_recorder.h"
+#include "LibRelay/attempt_observations.h"
 #include "LibRelay/buffered_body.h"
-#include "LibRelay/crash_recorder.h"
 #include "LibRelay/endpoint_attempt.h"
 #include "LibRelay/liveness_monitor.h"
 #include "LibRelay/placement_wait.h"
@@ -58,9 +57,6 @@
   /// path to the service; null if there is none or need not be one.
   std::shared_ptr<endpoint_record> selectForwardingPeer(steady_time Now);
   void forwardTo(const std::shared_ptr<endpoint_record> &Peer);
-  /// Counts a response that is missing or truncated, unless this VM has lost
-  /// its path.
-  void recordCrashOfEndpoint(attempt_failure Failure, steady_time Now);
   attempt_failure failureOfUnresponsive() const;
   void startAttemptOn(const std::shared_ptr<endpoint_record> &Endpoint);
   void onDeadline();
@@ -103,10 +99,8 @@
   std::optional<std::size_t> ModelIndex;
   model_id Model;
   std::set<endpoint_id> Tried;
-  /// VMs that the request was forwarded to, and whether the current attempt is
-  /// at one.
+  /// VMs that the request was forwarded to.
   std::set<endpoint_id> TriedPeers;
-  bool IsForwarding = false;
   /// Attempts so far, and those of them that the endpoint may have executed.
   int SendCount = 0;
   int RunCount = 0;
@@ -118,14 +112,10 @@
   response_head ResponseHead;
   decoded_response_head Response;
   buffered_body ResponseBody;
-  attempt_recorder Recorder;
-  crash_recorder Crashes;
+  attempt_observations Observed;
   const request_log Logged;
   /// Total model cost of all attempts.
   micro_euros Cost{0};
-  /// Prompt work queued on the endpoint when this request was sent, its own
-  /// included.
-  double PromptWorkAhead = 0;
   std::optional<milliseconds> TimeToFirstEvent;
 };
 
