LibDispatch: Tell crashes of several endpoints from a lost path

Two endpoints are enough only if nothing has come from the service since the first of them; while older connections still deliver, a third of the endpoints is needed. Tests in service_paths_test.

--- a/Libraries/LibDispatch/service_paths.cpp
+++ b/Libraries/LibDispatch/service_paths.cpp
@@ -1,14 +1,21 @@
 #include "LibDispatch/service_paths.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace azurehaven {
 
 namespace {
 
-/// Endpoints that can't be connected to before the path is suspected; a single
-/// one may have crashed.
-constexpr std::size_t UnreachableEndpoints = 2;
+/// Endpoints that can't be connected to before the path is suspected, if
+/// nothing comes from the service any more; a single one may have crashed.
+constexpr std::size_t UnreachableWhileSilent = 2;
+/// The same while older connections still deliver something, so that the others
+/// may have crashed: a part of all endpoints, and this many.
+constexpr double UnreachablePart = 1.0 / 3;
+constexpr std::size_t UnreachableWhileReceiving = 3;
+/// Bytes may have been under way when the path was lost.
+constexpr milliseconds TransitTime{100};
 /// A failed connection counts for this long.
 constexpr milliseconds UnreachableLifetime{2500};
 /// Another VM reaches the service if it received something within this time,
@@ -18,8 +25,25 @@
 /// lets single ones through.
 constexpr std::size_t ProbesToRegain = 2;
 
+std::size_t unreachableNeeded(std::size_t EndpointCount, bool IsSilent) {
+  if (IsSilent)
+    return std::min(UnreachableWhileSilent, EndpointCount);
+  const double Part = UnreachablePart * static_cast<double>(EndpointCount);
+  return std::min(std::max(static_cast<std::size_t>(std::ceil(Part)),
+                           UnreachableWhileReceiving),
+                  EndpointCount);
+}
+
 } // namespace
 
+bool service_paths::path_state::isSilent() const {
+  const auto First = std::min_element(
+      Unreachable.begin(), Unreachable.end(),
+      [](const auto &A, const auto &B) { return A.second < B.second; });
+  return First == Unreachable.end() ||
+         LastReceivedAt < First->second + TransitTime;
+}
+
 void service_paths::onReceived(const service_id &Service, steady_time Now) {
   Paths[Service].LastReceivedAt = Now;
 }
@@ -41,7 +65,8 @@
     return Now - Entry.second > UnreachableLifetime;
   });
   Path.Unreachable[Endpoint] = Now;
-  if (Path.Unreachable.size() < std::min(UnreachableEndpoints, EndpointCount))
+  if (Path.Unreachable.size() <
+      unreachableNeeded(EndpointCount, Path.isSilent()))
     return std::nullopt;
   const auto Witness = std::max_element(
       Path.PeerReachedAt.begin(), Path.PeerReachedAt.end(),
--- a/Libraries/LibDispatch/service_paths.h
+++ b/Libraries/LibDispatch/service_paths.h
@@ -66,6 +66,10 @@
     std::optional<steady_time> LostSince;
     /// Endpoints that probes have reached, one after the other.
     std::vector<endpoint_id> Probed;
+
+    /// Whether nothing has come from the service since the first endpoint could
+    /// not be connected to.
+    bool isSilent() const;
   };
 
   std::map<service_id, path_state> Paths;
--- a/Tests/LibDispatch/service_paths_test.cpp
+++ b/Tests/LibDispatch/service_paths_test.cpp
@@ -97,3 +97,26 @@
   Path.onConnected(Service, Start);
   CHECK(Path.isLost(Service));
 }
+
+TEST_CASE("Crashes of some endpoints of many are no lost path while others "
+          "respond on older connections") {
+  watched_path Path;
+  for (int Number = 0; Number < 6; ++Number) {
+    const steady_time Now = Start + milliseconds(200 * Number);
+    Path.onPeerReached(Peer, Service, Now);
+    Path.onReceived(Service, Now);
+    CHECK_FALSE(Path.onUnreachable(Service, idOf(Number), 40, Now));
+  }
+}
+
+TEST_CASE("The path is lost although older connections live on, if a third of "
+          "the endpoints can't be connected to") {
+  watched_path Path;
+  for (int Number = 0; Number < 4; ++Number) {
+    const steady_time Now = Start + milliseconds(200 * Number);
+    Path.onPeerReached(Peer, Service, Now);
+    Path.onReceived(Service, Now);
+    CHECK(Path.onUnreachable(Service, idOf(Number), 12, Now).has_value() ==
+          (Number == 3));
+  }
+}
