LibRelay: Let a request use its path again after a peer has failed

Found by reading: once a request had been forwarded, it was never placed on an endpoint again, so that a stream that a peer broke off after the path was back ended, though any endpoint could have gone on. Only refusals of peers over a lost path end it now. Test in lost_path_test, which failed before.

--- a/Libraries/LibRelay/relayed_request.cpp
+++ b/Libraries/LibRelay/relayed_request.cpp
@@ -134,9 +134,10 @@
     return forwardTo(Peer);
   const auto Target =
       placeRequest(Context.Fleet, Admitted, Tried, ModelIndex, Now);
-  // Endpoints that other VMs have not reached for this request are not tried
-  // over a lost path.
-  if (!Target || !TriedPeers.empty())
+  // What peers have refused is not tried over a lost path.
+  const bool IsRefusedByPeers =
+      !TriedPeers.empty() && Context.Fleet.Paths.isLost(Admitted.Service);
+  if (!Target || IsRefusedByPeers)
     return handleMissingEndpoint(Now);
   startAttemptOn(Target);
 }
--- a/Tests/LibRelay/lost_path_test.cpp
+++ b/Tests/LibRelay/lost_path_test.cpp
@@ -339,3 +339,29 @@
   CHECK(Cut.Fleet.Paths.isLost(service_id("s")));
   CHECK_FALSE(Cut.Fleet.Quarantine.isQuarantined(Fingerprint));
 }
+
+TEST_CASE(
+    "A stream that a peer breaks off goes on at an endpoint if the path is "
+    "back") {
+  cut_fleet Fleet;
+  relay_fixture &Cut = Fleet.cutVm();
+  Fleet.setScript([&](std::size_t, const received_request &Request) {
+    const std::string Head = "HTTP/1.1 200 OK\r\n" + signedFields(Request) +
+                             "Transfer-Encoding: chunked\r\n\r\n";
+    if (headerValue(Request.Head.Headers, "After") == "2")
+      return scripted_response{Head + chunk(event(3)) + "0\r\n\r\n"};
+    // The path is back, and no peer takes another request.
+    Fleet.regainPath(CutVm);
+    for (int Probe = 0; Probe < 2; ++Probe)
+      Cut.Fleet.Paths.onProbed(service_id("s"), endpoint_id("e0"), true);
+    for (std::size_t Index = 0; Index < Fleet.size(); ++Index)
+      if (Index != CutVm)
+        Fleet.vm(Index).Fleet.Retries =
+            fleet_retry_budget({0, milliseconds(10000), 0});
+    return scripted_response{Head + chunk(event(1) + event(2)),
+                             after_response::Reset};
+  });
+  const auto Response = Cut.sendRequest("/stream/x");
+  CHECK(statusOf(Response) == 200);
+  CHECK(bodyOf(Response) == event(1) + event(2) + event(3));
+}
