--- a/Libraries/LibRelay/endpoint_shares.cpp
+++ b/Libraries/LibRelay/endpoint_shares.cpp
@@ -36,6 +36,9 @@
 }
 
 void updateBrittleQuotas(const fleet_state &Fleet) {
+  // Hardly ever is there anything to share out, ten times a second.
+  if (Fleet.BrittleServices.statements().empty())
+    return;
   const std::size_t VmCount = vmCount(Fleet);
   const std::size_t VmIndex = ownIndex(Fleet);
   for (const auto &[Service, Statement] : Fleet.BrittleServices.statements()) {
