--- a/Libraries/LibDispatch/crash_quarantine.h
+++ b/Libraries/LibDispatch/crash_quarantine.h
@@ -36,8 +36,8 @@
   /// Returns the local crashes that are not yet sent to the other VMs, and
   /// clears the queue.
   std::vector<crash_record> takeUnsent() { return std::exchange(Unsent, {}); }
-  /// Forgets the local crashes that the other VMs have not been told of yet: they
-  /// had another cause.
+  /// Forgets the local crashes that the other VMs have not been told of yet:
+  /// they had another cause.
   void withdrawUnsent();
   /// Whether the request is refused because too many endpoints crashed on it.
   bool isQuarantined(std::uint64_t Fingerprint) const;
--- a/Libraries/LibDispatch/prompt_quarantine.h
+++ b/Libraries/LibDispatch/prompt_quarantine.h
@@ -46,8 +46,8 @@
   /// Number of segments, or groups of them, that are quarantined.
   std::size_t quarantinedCount() const { return Groups.size(); }
 
-  /// Forgets the local crashes that the other VMs have not been told of yet: they
-  /// had another cause.
+  /// Forgets the local crashes that the other VMs have not been told of yet:
+  /// they had another cause.
   void withdrawUnsent();
   /// The records for the other VMs; clears the queue.
   std::vector<crash_record> takeUnsentCrashes();
--- a/Libraries/LibSocket/socket_options.h
+++ b/Libraries/LibSocket/socket_options.h
@@ -17,8 +17,8 @@
 
 /// Probes the connection while it carries no bytes, so that the loss of the
 /// path is noticed although nothing is sent. Idle: time until the first probe
-/// and between probes. Raises a shorter TCP_USER_TIMEOUT to the time of the last
-/// probe, as it would end the connection before that.
+/// and between probes. Raises a shorter TCP_USER_TIMEOUT to the time of the
+/// last probe, as it would end the connection before that.
 void setKeepAlive(asio::ip::tcp::socket &Socket, std::chrono::seconds Idle);
 /// Closes the connection with a TCP reset, so that the peer detects the close
 /// even if it hasn't read all bytes sent before.
