LibEntry: Spread forwarded requests over all other entry VMs

A VM that reached no endpoint forwarded everything to the first two of the list. The peers are taken in turn from a hash of the request id now.

--- a/Libraries/LibEntry/peer_forwarder.cpp
+++ b/Libraries/LibEntry/peer_forwarder.cpp
@@ -1,6 +1,9 @@
 #include "LibEntry/peer_forwarder.h"
 
 #include "LibEntry/refusal.h"
+#include "LibTypes/fingerprint.h"
+
+#include <strings.h>
 
 #include <algorithm>
 #include <array>
@@ -21,20 +24,20 @@
 constexpr int StatusUnavailable = 503;
 constexpr int StatusTooManyRequests = 429;
 
-bool isAnyOf(const std::string &Name,
-             const std::array<const char *, 6> &Names) {
-  return std::any_of(Names.begin(), Names.end(), [&](const char *Other) {
-    // headerValue() compares names regardless of case.
-    return !headerValue({{Name, "x"}}, Other).empty();
-  });
+/// Names of header fields do not depend on case (RFC 9110, section 5.1).
+bool hasName(const http_headers::value_type &Field, const char *Name) {
+  return strcasecmp(Field.first.c_str(), Name) == 0;
+}
+
+bool isForwardedField(const http_headers::value_type &Field) {
+  return std::none_of(UnforwardedFields.begin(), UnforwardedFields.end(),
+                      [&](const char *Name) { return hasName(Field, Name); });
 }
 
 http_headers forwardedFields(const http_headers &Fields) {
   http_headers Forwarded;
   std::copy_if(Fields.begin(), Fields.end(), std::back_inserter(Forwarded),
-               [](const auto &Field) {
-                 return !isAnyOf(Field.first, UnforwardedFields);
-               });
+               isForwardedField);
   return Forwarded;
 }
 
@@ -63,11 +66,11 @@
 served_response makeResponseHead(const http_stream &Stream) {
   served_response Response;
   Response.Status = Stream.status();
-  for (const auto &[Name, Value] : Stream.headers()) {
-    if (!headerValue({{Name, "x"}}, "Content-Type").empty())
-      Response.ContentType = Value;
-    else if (Name.starts_with("X-") || Name == "Retry-After")
-      Response.Headers.emplace_back(Name, Value);
+  for (const auto &Field : Stream.headers()) {
+    if (hasName(Field, "Content-Type"))
+      Response.ContentType = Field.second;
+    else if (Field.first.starts_with("X-") || hasName(Field, "Retry-After"))
+      Response.Headers.push_back(Field);
   }
   return Response;
 }
@@ -109,16 +112,17 @@
 
 std::optional<served_response>
 peer_forwarder::forward(const served_request &Request, const std::string &Id) {
-  std::size_t Tried = 0;
-  for (const auto &Peer :
-       Services.Members.servingEntries(Services.Clock.now())) {
-    if (Peer.Vm == Services.Settings.Vm)
-      continue;
-    if (Tried++ == MaximumPeers)
-      break;
-    if (auto Response = forwardTo(Peer, Request, Id))
+  auto Peers = Services.Members.servingEntries(Services.Clock.now());
+  std::erase_if(Peers, [&](const entry_address &Entry) {
+    return Entry.Vm == Services.Settings.Vm;
+  });
+  // Spreads the requests over all VMs.
+  const std::uint64_t First = fingerprintOf(Id);
+  const std::size_t Count = std::min(MaximumPeers, Peers.size());
+  for (std::size_t Index = 0; Index < Count; ++Index)
+    if (auto Response =
+            forwardTo(Peers[(First + Index) % Peers.size()], Request, Id))
       return Response;
-  }
   return std::nullopt;
 }
 
--- a/Tests/LibEntry/peer_forwarder_test.cpp
+++ b/Tests/LibEntry/peer_forwarder_test.cpp
@@ -174,3 +174,18 @@
            crash_status::Clear) == IsCut);
   }
 }
+
+TEST_CASE("Forwarded requests are spread over all other entry VMs") {
+  forwarding_fixture Fixture;
+  Fixture.losePath();
+  std::map<std::uint16_t, int> ByPort;
+  Fixture.Response = [&](const network_address &To) -> open_result {
+    ++ByPort[To.Port];
+    return std::make_unique<peer_response>(200, std::vector<std::string>{});
+  };
+  for (int Count = 0; Count < 60; ++Count)
+    Fixture.serve();
+  CHECK(ByPort.size() == 3);
+  for (const auto &[Port, Count] : ByPort)
+    CHECK(Count > 5);
+}
