LibDispatch, LibRelay: Log why a request goes to a release during a roll-out

release_chosen has the session, its pin with source and age, phase, share, sample and reason; it is written while a roll-out of the service is undecided, or when a session moves, once for each attempt. rollout_phase_changed tells when a VM goes to another phase or holds its shift. No logic changes.

--- a/Libraries/LibDispatch/release_rule.cpp
+++ b/Libraries/LibDispatch/release_rule.cpp
@@ -2,28 +2,64 @@
 
 namespace azurehaven {
 
-release_choice chooseRelease(const release_rule &Rule,
-                             const std::optional<std::string> &Pinned,
-                             double Sample) {
+const char *nameOf(rollout_phase Phase) {
+  switch (Phase) {
+  case rollout_phase::None:
+    return "none";
+  case rollout_phase::Trial:
+    return "trial";
+  case rollout_phase::Shift:
+    return "shift";
+  case rollout_phase::Completed:
+    return "completed";
+  case rollout_phase::RolledBack:
+    return "rolled_back";
+  }
+  return "unknown";
+}
+
+const char *nameOf(release_reason Reason) {
+  switch (Reason) {
+  case release_reason::NoRollout:
+    return "no_rollout";
+  case release_reason::SessionOnTarget:
+    return "session_on_target";
+  case release_reason::SessionPinned:
+    return "session_pinned";
+  case release_reason::InShare:
+    return "in_share";
+  case release_reason::OutsideShare:
+    return "outside_share";
+  case release_reason::Completed:
+    return "completed";
+  case release_reason::RolledBack:
+    return "rolled_back";
+  }
+  return "unknown";
+}
+
+release_decision chooseRelease(const release_rule &Rule,
+                               const std::optional<std::string> &Pinned,
+                               double Sample) {
   const bool IsOnTarget = Pinned && *Pinned == Rule.Target;
   switch (Rule.Phase) {
   case rollout_phase::None:
-    return release_choice::Any;
+    return {};
   case rollout_phase::Completed:
-    return release_choice::Target;
+    return {release_choice::Target, release_reason::Completed};
   case rollout_phase::RolledBack:
-    return release_choice::NotTarget;
+    return {release_choice::NotTarget, release_reason::RolledBack};
   case rollout_phase::Trial:
   case rollout_phase::Shift:
     break;
   }
   if (IsOnTarget)
-    return release_choice::Target;
+    return {release_choice::Target, release_reason::SessionOnTarget};
   if (Pinned && Rule.PinsSessions)
-    return release_choice::NotTarget;
-  return Sample < Rule.TargetShare * Rule.RouteFactor
-             ? release_choice::Target
-             : release_choice::NotTarget;
+    return {release_choice::NotTarget, release_reason::SessionPinned};
+  if (Sample < Rule.TargetShare * Rule.RouteFactor)
+    return {release_choice::Target, release_reason::InShare};
+  return {release_choice::NotTarget, release_reason::OutsideShare};
 }
 
 } // namespace azurehaven
--- a/Libraries/LibDispatch/release_rule.h
+++ b/Libraries/LibDispatch/release_rule.h
@@ -30,13 +30,38 @@
   bool PinsSessions = false;
 };
 
+/// The phase's name in logs.
+const char *nameOf(rollout_phase Phase);
+
 enum class release_choice { Any, Target, NotTarget };
 
+/// What decided the release of a request.
+enum class release_reason {
+  NoRollout,
+  /// Its session is on the target already.
+  SessionOnTarget,
+  /// Its session must stay on its release for now.
+  SessionPinned,
+  /// The sample is in, or outside, the target's share.
+  InShare,
+  OutsideShare,
+  Completed,
+  RolledBack,
+};
+
+/// The reason's name in logs.
+const char *nameOf(release_reason Reason);
+
+struct release_decision {
+  release_choice Choice = release_choice::Any;
+  release_reason Reason = release_reason::NoRollout;
+};
+
 /// Selects the release for one request. Pinned is the release that its session
 /// uses; Sample is a pseudo-random number in [0, 1), equal for requests that
 /// have to move to the target together.
-release_choice chooseRelease(const release_rule &Rule,
-                             const std::optional<std::string> &Pinned,
-                             double Sample);
+release_decision chooseRelease(const release_rule &Rule,
+                               const std::optional<std::string> &Pinned,
+                               double Sample);
 
 } // namespace azurehaven
--- a/Libraries/LibDispatch/rollout_controller.cpp
+++ b/Libraries/LibDispatch/rollout_controller.cpp
@@ -155,6 +155,15 @@
   return Rule;
 }
 
+std::vector<rollout_controller::rollout_summary>
+rollout_controller::summaries(steady_time Now) const {
+  std::vector<rollout_summary> Summaries;
+  for (const auto &[Service, Rollout] : Rollouts)
+    Summaries.push_back({Service, ruleFor(Service, Now), elapsed(Rollout, Now),
+                         Rollout.Verdict, Rollout.IsShiftHeld});
+  return Summaries;
+}
+
 void rollout_controller::observe(rollout &Rollout,
                                  const release_statistics &Statistics,
                                  steady_time Now) const {
--- a/Libraries/LibDispatch/rollout_controller.h
+++ b/Libraries/LibDispatch/rollout_controller.h
@@ -72,6 +72,15 @@
   /// rejected.
   bool isAnyUndecided() const;
   release_rule ruleFor(const service_id &Service, steady_time Now) const;
+  /// A roll-out as this VM sees it, for logs.
+  struct rollout_summary {
+    service_id Service;
+    release_rule Rule;
+    milliseconds Elapsed{0};
+    release_verdict Verdict = release_verdict::Sound;
+    bool IsShiftHeld = false;
+  };
+  std::vector<rollout_summary> summaries(steady_time Now) const;
   /// Factor of the trial's share for a route. Above 1 while the target has got
   /// less than its share of the route's requests, below 1 while it has got
   /// more.
--- a/Libraries/LibDispatch/session_pins.cpp
+++ b/Libraries/LibDispatch/session_pins.cpp
@@ -13,13 +13,17 @@
 
 } // namespace
 
+const char *nameOf(pin_source Source) {
+  return Source == pin_source::ThisVm ? "this_vm" : "peer";
+}
+
 session_pins::session_pins(milliseconds SessionGap)
     : RetentionTime(static_cast<std::int64_t>(
           static_cast<double>(SessionGap.count()) * RetentionFactor)) {}
 
 void session_pins::addLocal(std::uint64_t Session, const std::string &Release,
                             steady_time Now) {
-  const session_pin Pin{Session, Release, Now};
+  const session_pin Pin{Session, Release, Now, pin_source::ThisVm};
   merge(Pin);
   Unsent[Session] = Pin;
 }
@@ -34,12 +38,18 @@
   }
 }
 
-std::optional<std::string> session_pins::releaseOf(std::uint64_t Session,
-                                                   steady_time Now) const {
+std::optional<session_pin> session_pins::find(std::uint64_t Session,
+                                              steady_time Now) const {
   auto Found = Pins.find(Session);
   if (Found == Pins.end() || Now - Found->second.SeenAt > RetentionTime)
     return std::nullopt;
-  return Found->second.Release;
+  return Found->second;
+}
+
+std::optional<std::string> session_pins::releaseOf(std::uint64_t Session,
+                                                   steady_time Now) const {
+  const auto Pin = find(Session, Now);
+  return Pin ? std::optional(Pin->Release) : std::nullopt;
 }
 
 std::vector<session_pin> session_pins::takeUnsent() {
--- a/Libraries/LibDispatch/session_pins.h
+++ b/Libraries/LibDispatch/session_pins.h
@@ -10,11 +10,18 @@
 
 namespace azurehaven {
 
+/// The VM that sent the request from which a pin comes.
+enum class pin_source { ThisVm, Peer };
+
+/// The source's name in logs.
+const char *nameOf(pin_source Source);
+
 /// The release that a session's latest request was sent to.
 struct session_pin {
   std::uint64_t Session = 0;
   std::string Release;
   steady_time SeenAt;
+  pin_source Source = pin_source::Peer;
 };
 
 /// Keeps the release that each session is pinned to, until no request has
@@ -31,6 +38,7 @@
   /// Records a pin of another VM. An older one than the known pin has no
   /// effect.
   void merge(const session_pin &Pin);
+  std::optional<session_pin> find(std::uint64_t Session, steady_time Now) const;
   std::optional<std::string> releaseOf(std::uint64_t Session,
                                        steady_time Now) const;
   std::vector<session_pin> takeUnsent();
--- a/Libraries/LibRelay/peer_state_sync.cpp
+++ b/Libraries/LibRelay/peer_state_sync.cpp
@@ -164,7 +164,8 @@
         {{Release.Service, Release.Release, Release.Route},
          {Release.Requests, Release.Failures, Release.Slow, Release.Attempts}});
   for (const auto &SessionRelease : Notice->SessionReleases)
-    Fleet.Pins.merge({SessionRelease.Session, SessionRelease.Release, Now});
+    Fleet.Pins.merge({SessionRelease.Session, SessionRelease.Release, Now,
+                      pin_source::Peer});
   for (const auto &Crash : Notice->Crashes)
     Fleet.Quarantine.merge(Crash.Fingerprint, Crash.Endpoint, Now);
   for (const auto &Crash : Notice->SegmentCrashes)
--- a/Libraries/LibRelay/relayed_request.cpp
+++ b/Libraries/LibRelay/relayed_request.cpp
@@ -132,13 +132,15 @@
         errorResponseFor(RunCount > 0, "configuration_not_confirmed"));
   if (const auto Peer = selectForwardingPeer(Now))
     return forwardTo(Peer);
-  const auto Target =
+  const request_placement Placement =
       placeRequest(Context.Fleet, Admitted, Tried, ModelIndex, Now);
+  const auto &Target = Placement.Endpoint;
   // What peers have refused is not tried over a lost path.
   const bool IsRefusedByPeers =
       !TriedPeers.empty() && Context.Fleet.Paths.isLost(Admitted.Service);
   if (!Target || IsRefusedByPeers)
     return handleMissingEndpoint(Now);
+  Logged.onReleaseChosen(Placement, SendCount + 1, Now);
   startAttemptOn(Target);
 }
 
--- a/Libraries/LibRelay/request_log.cpp
+++ b/Libraries/LibRelay/request_log.cpp
@@ -15,6 +15,40 @@
              {"time_left_ms", std::to_string(TimeLeft.count())}});
 }
 
+void request_log::onReleaseChosen(const request_placement &Placement,
+                                  int SendCount, steady_time Now) const {
+  const auto &Pin = Placement.Pin;
+  const std::string &Release = Placement.Endpoint->Descriptor.Release;
+  const rollout_phase Phase = Placement.Rule.Phase;
+  const bool IsUndecided =
+      Phase == rollout_phase::Trial || Phase == rollout_phase::Shift;
+  const bool HasMoved = Pin && Pin->Release != Release;
+  if (!IsUndecided && !HasMoved)
+    return;
+  const bool IsFallback =
+      (Release == Placement.Rule.Target) !=
+          (Placement.Decision.Choice == release_choice::Target) &&
+      Placement.Decision.Choice != release_choice::Any;
+  Log.write(
+      log_level::Info, "release_chosen",
+      {{"request", Admitted.Request.Id.text()},
+       {"session", std::to_string(Admitted.Session)},
+       {"send", std::to_string(SendCount)},
+       {"release", Release},
+       {"reason", IsFallback ? "unusable" : nameOf(Placement.Decision.Reason)},
+       {"phase", nameOf(Phase)},
+       {"share", std::to_string(Placement.Rule.TargetShare *
+                                Placement.Rule.RouteFactor)},
+       {"sample", std::to_string(Placement.Sample)},
+       {"pin", Pin ? Pin->Release : "none"},
+       {"pin_source", Pin ? nameOf(Pin->Source) : "none"},
+       {"pin_age_ms",
+        Pin ? std::to_string(
+                  std::chrono::duration_cast<milliseconds>(Now - Pin->SeenAt)
+                      .count())
+            : "none"}});
+}
+
 void request_log::onForwarded(const endpoint_id &Vm, int SendCount,
                               milliseconds TimeLeft) const {
   Log.write(log_level::Info, "request_forwarded",
--- a/Libraries/LibRelay/request_log.h
+++ b/Libraries/LibRelay/request_log.h
@@ -4,6 +4,7 @@
 #include "LibDispatch/endpoint_registry.h"
 #include "LibLog/event_log.h"
 #include "LibRelay/admitted_request.h"
+#include "LibRelay/request_placement.h"
 
 namespace azurehaven {
 
@@ -15,6 +16,9 @@
 
   void onSent(const endpoint_record &Endpoint, const model_id &Model,
               int SendCount, milliseconds TimeLeft) const;
+  /// Written while a roll-out is undecided, and when a session moves.
+  void onReleaseChosen(const request_placement &Placement, int SendCount,
+                       steady_time Now) const;
   void onForwarded(const endpoint_id &Vm, int SendCount,
                    milliseconds TimeLeft) const;
   void onJudged(const model_id &Model, int Confidence, milliseconds Backlog,
--- a/Libraries/LibRelay/request_placement.cpp
+++ b/Libraries/LibRelay/request_placement.cpp
@@ -31,10 +31,11 @@
 
 } // namespace
 
-std::shared_ptr<endpoint_record>
-placeRequest(const fleet_state &Fleet, const admitted_request &Admitted,
-             const std::set<endpoint_id> &Tried,
-             std::optional<std::size_t> ModelIndex, steady_time Now) {
+request_placement placeRequest(const fleet_state &Fleet,
+                               const admitted_request &Admitted,
+                               const std::set<endpoint_id> &Tried,
+                               std::optional<std::size_t> ModelIndex,
+                               steady_time Now) {
   placement_parameters Parameters;
   Parameters.OwnDomain = Fleet.Domain;
   Parameters.Tried = Tried;
@@ -43,17 +44,23 @@
     Parameters.WorkPerToken =
         Fleet.Models.workPerToken(*Admitted.Route, *ModelIndex);
   const endpoint_list Endpoints = Fleet.Endpoints.endpointsOf(Admitted.Service);
-  release_rule Rule = Fleet.Rollouts.ruleFor(Admitted.Service, Now);
+  request_placement Placement;
+  release_rule &Rule = Placement.Rule;
+  Rule = Fleet.Rollouts.ruleFor(Admitted.Service, Now);
   if (Rule.Phase == rollout_phase::Trial)
     Rule.RouteFactor =
         Fleet.Rollouts.routeFactor(Admitted.Service, Admitted.Route->Name);
-  const release_choice Choice =
-      chooseRelease(Rule, Fleet.Pins.releaseOf(Admitted.Session, Now),
-                    rolloutSample(Admitted));
-  const endpoint_list Candidates = candidatesFor(Endpoints, Rule, Choice, Now);
-  return Admitted.isForEngines()
-             ? selectEngine(Admitted.Request, Candidates, Parameters, Now)
-             : selectLeastLoaded(Candidates, Parameters, Now);
+  Placement.Pin = Fleet.Pins.find(Admitted.Session, Now);
+  Placement.Sample = rolloutSample(Admitted);
+  Placement.Decision = chooseRelease(
+      Rule, Fleet.Pins.releaseOf(Admitted.Session, Now), Placement.Sample);
+  const endpoint_list Candidates =
+      candidatesFor(Endpoints, Rule, Placement.Decision.Choice, Now);
+  Placement.Endpoint =
+      Admitted.isForEngines()
+          ? selectEngine(Admitted.Request, Candidates, Parameters, Now)
+          : selectLeastLoaded(Candidates, Parameters, Now);
+  return Placement;
 }
 
 bool isPromptCached(const admitted_request &Admitted,
--- a/Libraries/LibRelay/request_placement.h
+++ b/Libraries/LibRelay/request_placement.h
@@ -9,14 +9,25 @@
 
 namespace azurehaven {
 
+/// The endpoint of an attempt, and what decided its release.
+struct request_placement {
+  /// Null if no endpoint accepts new requests.
+  std::shared_ptr<endpoint_record> Endpoint;
+  release_rule Rule;
+  /// The pin of the request's session, if it has one.
+  std::optional<session_pin> Pin;
+  double Sample = 0;
+  release_decision Decision;
+};
+
 /// Selects the endpoint of the next attempt by the placement rules of
-/// LibDispatch: by roll-out, load and cached prompts. Returns null if none
-/// accepts new requests. ModelIndex is the index of the model in the route;
-/// nullopt if the caller selected the model.
-std::shared_ptr<endpoint_record>
-placeRequest(const fleet_state &Fleet, const admitted_request &Admitted,
-             const std::set<endpoint_id> &Tried,
-             std::optional<std::size_t> ModelIndex, steady_time Now);
+/// LibDispatch: by roll-out, load and cached prompts. ModelIndex is the index
+/// of the model in the route; nullopt if the caller selected the model.
+request_placement placeRequest(const fleet_state &Fleet,
+                               const admitted_request &Admitted,
+                               const std::set<endpoint_id> &Tried,
+                               std::optional<std::size_t> ModelIndex,
+                               steady_time Now);
 
 /// Work that the request's prompt causes on the endpoint, in tokens of the
 /// smallest model; 0 if the caller chose the model.
--- a/Libraries/LibRelay/rollout_driver.cpp
+++ b/Libraries/LibRelay/rollout_driver.cpp
@@ -50,6 +50,7 @@
 void rollout_driver::advance() {
   const steady_time Now = Clock.now();
   Fleet.Rollouts.judge(Fleet.ReleaseStatistics, surroundings(), Now);
+  logPhaseChanges(Now);
   // A stopping process may exit before the store responds.
   if (Fleet.IsStopping)
     return;
@@ -69,6 +70,26 @@
   }
 }
 
+void rollout_driver::logPhaseChanges(steady_time Now) {
+  for (const auto &Summary : Fleet.Rollouts.summaries(Now)) {
+    const logged_state State{Summary.Rule.Target, Summary.Rule.Phase,
+                             Summary.IsShiftHeld};
+    logged_state &Logged = LoggedStates[Summary.Service];
+    if (Logged == State)
+      continue;
+    Log.write(log_level::Info, "rollout_phase_changed",
+              {{"service", Summary.Service.text()},
+               {"target", State.Target},
+               {"phase", nameOf(State.Phase)},
+               {"before", nameOf(Logged.Phase)},
+               {"shift_held", State.IsShiftHeld ? "yes" : "no"},
+               {"verdict", nameOf(Summary.Verdict)},
+               {"share", std::to_string(Summary.Rule.TargetShare)},
+               {"elapsed_ms", std::to_string(Summary.Elapsed.count())}});
+    Logged = State;
+  }
+}
+
 void rollout_driver::publish(const rollout_controller::outcome_update &Due,
                              steady_time Now) {
   const service_id Service = Due.Order.Service;
--- a/Libraries/LibRelay/rollout_driver.h
+++ b/Libraries/LibRelay/rollout_driver.h
@@ -54,14 +54,23 @@
     bool IsPublishing = false;
     steady_time RetryAt;
   };
+  /// What the log says of a roll-out.
+  struct logged_state {
+    std::string Target;
+    rollout_phase Phase = rollout_phase::None;
+    bool IsShiftHeld = false;
+    bool operator==(const logged_state &) const = default;
+  };
   rollout_surroundings surroundings() const;
   void publish(const rollout_controller::outcome_update &Due, steady_time Now);
+  void logPhaseChanges(steady_time Now);
 
   fleet_state &Fleet;
   const clock_source &Clock;
   const event_log &Log;
   rollout_publisher &Publisher;
   std::map<service_id, pending_outcome> Pending;
+  std::map<service_id, logged_state> LoggedStates;
 };
 
 } // namespace azurehaven
--- a/Tests/LibDispatch/rollout_controller_test.cpp
+++ b/Tests/LibDispatch/rollout_controller_test.cpp
@@ -106,14 +106,16 @@
 TEST_CASE("Sessions keep their release in the first half of a roll-out") {
   const rollout_controller Controller = controllerWithOrder();
   const release_rule First = Controller.ruleFor(Service, Start);
-  CHECK(chooseRelease(First, "v1", 0.0) == release_choice::NotTarget);
-  CHECK(chooseRelease(First, "v2", 0.99) == release_choice::Target);
-  CHECK(chooseRelease(First, std::nullopt, 0.0) == release_choice::Target);
-  CHECK(chooseRelease(First, std::nullopt, 0.99) == release_choice::NotTarget);
+  CHECK(chooseRelease(First, "v1", 0.0).Choice == release_choice::NotTarget);
+  CHECK(chooseRelease(First, "v2", 0.99).Choice == release_choice::Target);
+  CHECK(chooseRelease(First, std::nullopt, 0.0).Choice ==
+        release_choice::Target);
+  CHECK(chooseRelease(First, std::nullopt, 0.99).Choice ==
+        release_choice::NotTarget);
   const release_rule Later =
       Controller.ruleFor(Service, Start + Schedule.ShiftEnd);
-  CHECK(chooseRelease(Later, "v1", 0.99) == release_choice::Target);
-  CHECK(chooseRelease(Later, "v2", 0.99) == release_choice::Target);
+  CHECK(chooseRelease(Later, "v1", 0.99).Choice == release_choice::Target);
+  CHECK(chooseRelease(Later, "v2", 0.99).Choice == release_choice::Target);
 }
 
 TEST_CASE(
--- a/Tests/LibDispatch/rollout_coverage_test.cpp
+++ b/Tests/LibDispatch/rollout_coverage_test.cpp
@@ -37,7 +37,8 @@
         Rule.RouteFactor = Controller.routeFactor(Service, Route);
         const double Prompt = Samples[Random() % Samples.size()];
         const bool IsTarget =
-            chooseRelease(Rule, std::nullopt, Prompt) == release_choice::Target;
+            chooseRelease(Rule, std::nullopt, Prompt).Choice ==
+            release_choice::Target;
         Statistics.addLocal({Service, IsTarget ? "v2" : "v1", Route},
                             {1, 0, 0, 1});
         Exposed[Route] += IsTarget;
--- a/Tests/LibDispatch/rollout_exposure_test.cpp
+++ b/Tests/LibDispatch/rollout_exposure_test.cpp
@@ -63,7 +63,7 @@
          NextRequestMs += Gap(Random) * 1000) {
       const release_rule Rule = Controller.ruleFor(Service, Now);
       const release_choice Choice =
-          chooseRelease(Rule, std::nullopt, Sample(Random));
+          chooseRelease(Rule, std::nullopt, Sample(Random)).Choice;
       const bool IsTarget = Choice == release_choice::Target;
       Statistics.addLocal({Service, IsTarget ? "v2" : "v1", "r"}, {1, 0, 0, 1});
       const bool IsLoaded = IsTarget && Rule.TargetShare >= FullLoadShare;
