Tests/LibRelay: Play a roll-out on several VMs in virtual time, red

Placement, pins, verdicts and publication are the product's own code; store and network are simulated.

--- /dev/null
+++ b/Tests/LibRelay/pinned_sessions_test.cpp
@@ -0,0 +1,83 @@
+#include "rollout_simulation.h"
+
+#include <doctest/doctest.h>
+
+#include <string>
+
+using namespace azurehaven;
+
+namespace {
+
+constexpr unsigned SeedCount = 12;
+/// So many requests may run on another release than the one before them.
+constexpr int AllowedMoves = 3;
+
+/// Plays the day with several seeds and checks each.
+void checkSessionsStay(const simulated_day &Day,
+                       rollout_outcome ExpectedOutcome) {
+  for (unsigned Seed = 0; Seed < SeedCount; ++Seed) {
+    const simulation_result Result = simulateRollout(Day, Seed);
+    CAPTURE(Seed);
+    CAPTURE(Result.MovedBack);
+    CAPTURE(Result.MovedEarly);
+    CHECK(Result.MovedBack + Result.MovedEarly <= AllowedMoves);
+    CHECK(std::string(nameOf(Result.Outcome)) == nameOf(ExpectedOutcome));
+    CHECK(Result.TargetRequests <=
+          Day.Exposure.Share * Result.Requests + Day.Exposure.Slack);
+  }
+}
+
+} // namespace
+
+TEST_CASE("Sessions stay on the new release while all notices arrive at once") {
+  checkSessionsStay({}, rollout_outcome::Completed);
+}
+
+TEST_CASE("No session returns to the old release while all notices arrive at "
+          "once") {
+  for (unsigned Seed = 0; Seed < SeedCount; ++Seed)
+    CHECK(simulateRollout({}, Seed).MovedBack == 0);
+}
+
+TEST_CASE("Sessions stay on the new release where VMs have different traffic") {
+  simulated_day Day;
+  Day.Unevenness = 3;
+  checkSessionsStay(Day, rollout_outcome::Completed);
+}
+
+TEST_CASE("Sessions stay on the new release while notices are late and "
+          "overtake each other") {
+  simulated_day Day;
+  Day.NoticeDelay = milliseconds(700);
+  checkSessionsStay(Day, rollout_outcome::Completed);
+}
+
+TEST_CASE("Sessions stay on the new release while notices are lost") {
+  simulated_day Day;
+  Day.NoticeLoss = 0.3;
+  checkSessionsStay(Day, rollout_outcome::Completed);
+}
+
+TEST_CASE("Sessions stay on the new release while one VM doubts it just before "
+          "the shift") {
+  simulated_day Day;
+  Day.FailuresOfFirstVm = 4;
+  Day.FailuresAt = scheduleFor(Day.TimeLimit).ShiftStart - milliseconds(60);
+  Day.NoticeDelay = milliseconds(300);
+  checkSessionsStay(Day, rollout_outcome::Completed);
+}
+
+TEST_CASE("Sessions stay on the new release until its roll-back is in the "
+          "store") {
+  simulated_day Day;
+  Day.FailuresOfFirstVm = 60;
+  Day.FailuresAt = scheduleFor(Day.TimeLimit).ShiftStart + milliseconds(600);
+  Day.WriteDelay = milliseconds(300);
+  checkSessionsStay(Day, rollout_outcome::RolledBack);
+}
+
+TEST_CASE("Sessions stay on their release when a VM starts without pins") {
+  simulated_day Day;
+  Day.RestartAt = milliseconds(6000);
+  checkSessionsStay(Day, rollout_outcome::Completed);
+}
--- /dev/null
+++ b/Tests/LibRelay/rollout_simulation.h
@@ -0,0 +1,59 @@
+#pragma once
+
+#include "LibDispatch/release_rule.h"
+#include "LibDispatch/rollout_controller.h"
+
+#include <memory>
+#include <vector>
+
+namespace azurehaven {
+
+/// A roll-out in a simulated fleet, and what goes wrong meanwhile.
+struct simulated_day {
+  std::size_t VmCount = 8;
+  double RequestsPerSecond = 200;
+  /// Sessions that are active at the same time.
+  std::size_t SessionCount = 150;
+  milliseconds TimeLimit{20000};
+  exposure_limits Exposure{0.15, 30};
+  /// The longest time that a notice between VMs takes; they overtake each
+  /// other.
+  milliseconds NoticeDelay{8};
+  double NoticeLoss = 0;
+  /// The longest time until a VM sees a change of the store.
+  milliseconds WatchDelay{400};
+  /// The time that a write to the store takes.
+  milliseconds WriteDelay{8};
+  /// Traffic of the busiest VM divided by that of the least busy one.
+  double Unevenness = 1;
+  /// Share of the target's requests that fail.
+  double TargetFailures = 0;
+  /// Failures of the target that only the first VM sees, at this time.
+  std::uint32_t FailuresOfFirstVm = 0;
+  milliseconds FailuresAt{0};
+  /// When the first VM restarts without any pins; never if zero.
+  milliseconds RestartAt{0};
+};
+
+/// What callers saw.
+struct simulation_result {
+  int Requests = 0;
+  int TargetRequests = 0;
+  /// Requests on the old release after one of the same session on the target,
+  /// before a roll-back was in the store.
+  int MovedBack = 0;
+  /// Requests on the target after one of the same session on the old release,
+  /// in the first half of the time limit.
+  int MovedEarly = 0;
+  /// Requests that still ran on the old endpoints as these stopped.
+  int CutByCompletion = 0;
+  rollout_outcome Outcome = rollout_outcome::InProgress;
+  /// From the order to the final outcome.
+  milliseconds DecidedAt{0};
+};
+
+/// Plays a roll-out on a fleet of VMs, each with its own view of the fleet, in
+/// virtual time.
+simulation_result simulateRollout(const simulated_day &Day, unsigned Seed);
+
+} // namespace azurehaven
