LibDispatch: Keep pins of a session side by side

session_pins now holds one pin for each release of a session, and only their times grow, so that pins can be joined in any order, twice or late. A pin to the target counts before the others if it was seen since the roll-out began; one from an earlier roll-out to the same target does not.

releaseOf() is replaced by find(), its test cases by ones with the same checks through find().

--- a/Libraries/LibDispatch/release_rule.h
+++ b/Libraries/LibDispatch/release_rule.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "LibTypes/units.h"
+
 #include <optional>
 #include <string>
 
@@ -28,6 +30,8 @@
   double RouteFactor = 1;
   /// Whether sessions on the old release must stay there for now.
   bool PinsSessions = false;
+  /// When the roll-out began.
+  steady_time Since{};
 };
 
 /// The phase's name in logs.
--- a/Libraries/LibDispatch/rollout_controller.cpp
+++ b/Libraries/LibDispatch/rollout_controller.cpp
@@ -133,6 +133,7 @@
   const rollout &Rollout = Found->second;
   release_rule Rule;
   Rule.Target = Rollout.Order.Target;
+  Rule.Since = Rollout.BeganAt;
   const rollout_schedule Schedule = scheduleOf(Rollout);
   const milliseconds Elapsed = elapsed(Rollout, Now);
   // The endpoints of the old release are gone once completion is published,
--- a/Libraries/LibDispatch/session_pins.cpp
+++ b/Libraries/LibDispatch/session_pins.cpp
@@ -1,5 +1,7 @@
 #include "LibDispatch/session_pins.h"
 
+#include <algorithm>
+
 namespace azurehaven {
 
 namespace {
@@ -11,6 +13,17 @@
 /// memory of a VM.
 constexpr std::size_t MaximumPins = 200000;
 
+void addTo(std::vector<session_pin> &Pins, const session_pin &Pin) {
+  const auto Known =
+      std::find_if(Pins.begin(), Pins.end(), [&](const session_pin &Other) {
+        return Other.Release == Pin.Release;
+      });
+  if (Known == Pins.end())
+    Pins.push_back(Pin);
+  else if (Known->SeenAt <= Pin.SeenAt)
+    *Known = Pin;
+}
+
 } // namespace
 
 const char *nameOf(pin_source Source) {
@@ -25,46 +38,51 @@
                             steady_time Now) {
   const session_pin Pin{Session, Release, Now, pin_source::ThisVm};
   merge(Pin);
-  Unsent[Session] = Pin;
+  addTo(Unsent[Session], Pin);
 }
 
 void session_pins::merge(const session_pin &Pin) {
   auto Found = Pins.find(Pin.Session);
-  if (Found != Pins.end()) {
-    if (Found->second.SeenAt <= Pin.SeenAt)
-      Found->second = Pin;
-  } else if (Pins.size() < MaximumPins) {
-    Pins.emplace(Pin.Session, Pin);
-  }
+  if (Found != Pins.end())
+    addTo(Found->second, Pin);
+  else if (Pins.size() < MaximumPins)
+    Pins.emplace(Pin.Session, pin_list{Pin});
 }
 
 std::optional<session_pin> session_pins::find(std::uint64_t Session,
+                                              const std::string &Target,
+                                              steady_time Since,
                                               steady_time Now) const {
   auto Found = Pins.find(Session);
-  if (Found == Pins.end() || Now - Found->second.SeenAt > RetentionTime)
+  if (Found == Pins.end())
     return std::nullopt;
-  return Found->second;
-}
-
-std::optional<std::string> session_pins::releaseOf(std::uint64_t Session,
-                                                   steady_time Now) const {
-  const auto Pin = find(Session, Now);
-  return Pin ? std::optional(Pin->Release) : std::nullopt;
+  const session_pin *Latest = nullptr;
+  for (const session_pin &Pin : Found->second) {
+    if (isExpired(Pin, Now))
+      continue;
+    if (Pin.Release == Target && Pin.SeenAt >= Since)
+      return Pin;
+    if (!Latest || Latest->SeenAt < Pin.SeenAt)
+      Latest = &Pin;
+  }
+  return Latest ? std::optional(*Latest) : std::nullopt;
 }
 
 std::vector<session_pin> session_pins::takeUnsent() {
   std::vector<session_pin> Taken;
   Taken.reserve(Unsent.size());
-  for (auto &[Session, Pin] : Unsent)
-    Taken.push_back(std::move(Pin));
+  for (auto &[Session, List] : Unsent)
+    std::move(List.begin(), List.end(), std::back_inserter(Taken));
   Unsent.clear();
   return Taken;
 }
 
 void session_pins::expire(steady_time Now) {
-  std::erase_if(Pins, [&](const auto &Entry) {
-    return Now - Entry.second.SeenAt > RetentionTime;
-  });
+  for (auto Entry = Pins.begin(); Entry != Pins.end();) {
+    std::erase_if(Entry->second,
+                  [&](const session_pin &Pin) { return isExpired(Pin, Now); });
+    Entry = Entry->second.empty() ? Pins.erase(Entry) : std::next(Entry);
+  }
 }
 
 } // namespace azurehaven
--- a/Libraries/LibRelay/request_placement.cpp
+++ b/Libraries/LibRelay/request_placement.cpp
@@ -50,10 +50,13 @@
   if (Rule.Phase == rollout_phase::Trial)
     Rule.RouteFactor =
         Fleet.Rollouts.routeFactor(Admitted.Service, Admitted.Route->Name);
-  Placement.Pin = Fleet.Pins.find(Admitted.Session, Now);
+  Placement.Pin =
+      Fleet.Pins.find(Admitted.Session, Rule.Target, Rule.Since, Now);
   Placement.Sample = rolloutSample(Admitted);
   Placement.Decision = chooseRelease(
-      Rule, Fleet.Pins.releaseOf(Admitted.Session, Now), Placement.Sample);
+      Rule,
+      Placement.Pin ? std::optional(Placement.Pin->Release) : std::nullopt,
+      Placement.Sample);
   const endpoint_list Candidates =
       candidatesFor(Endpoints, Rule, Placement.Decision.Choice, Now);
   Placement.Endpoint =
--- a/Tests/LibRelay/peer_state_sync_test.cpp
+++ b/Tests/LibRelay/peer_state_sync_test.cpp
@@ -66,7 +66,10 @@
   CHECK(
       Second.Fleet.ReleaseStatistics.countsOf(service_id("s"), "v2").Requests ==
       4);
-  CHECK(Second.Fleet.Pins.releaseOf(9, Start) == "v2");
+  const auto Pin = Second.Fleet.Pins.find(9, "v2", Start, Start);
+  REQUIRE(Pin);
+  CHECK(Pin->Release == "v2");
+  CHECK(Pin->Source == pin_source::Peer);
   CHECK(Second.Fleet.Quarantine.isQuarantined(7));
 }
 
