LibDispatch: Keep sessions on a rejected release until its roll-back is published

The phase rejected stands between: no session moves to the target any more, and those on it stay until the roll-back is in the store.

Tests: 'Sessions stay on a rejected release until its roll-back is published' failed before. Three tests expected the phase rolled_back at once; they now expect rejected, that no new session gets to the target, and rolled_back with the publication or after the limit.

--- a/Libraries/LibDispatch/candidate_filter.cpp
+++ b/Libraries/LibDispatch/candidate_filter.cpp
@@ -46,7 +46,9 @@
   const bool WantsTarget = Choice == release_choice::Target;
   endpoint_list Candidates =
       usableEndpoints(Endpoints, Rule.Target, WantsTarget, Now);
-  if (WantsTarget && Rule.Phase == rollout_phase::Trial)
+  const bool IsOnTrial = Rule.Phase == rollout_phase::Trial ||
+                         Rule.Phase == rollout_phase::Rejected;
+  if (WantsTarget && IsOnTrial)
     limitToTrialEndpoints(Candidates, Rule.TargetShare);
   if (!Candidates.empty())
     return Candidates;
--- a/Libraries/LibDispatch/release_rule.cpp
+++ b/Libraries/LibDispatch/release_rule.cpp
@@ -10,6 +10,8 @@
     return "trial";
   case rollout_phase::Shift:
     return "shift";
+  case rollout_phase::Rejected:
+    return "rejected";
   case rollout_phase::Completed:
     return "completed";
   case rollout_phase::RolledBack:
@@ -30,6 +32,8 @@
     return "in_share";
   case release_reason::OutsideShare:
     return "outside_share";
+  case release_reason::Rejected:
+    return "rejected";
   case release_reason::Completed:
     return "completed";
   case release_reason::RolledBack:
@@ -51,10 +55,13 @@
     return {release_choice::NotTarget, release_reason::RolledBack};
   case rollout_phase::Trial:
   case rollout_phase::Shift:
+  case rollout_phase::Rejected:
     break;
   }
   if (IsOnTarget)
     return {release_choice::Target, release_reason::SessionOnTarget};
+  if (Rule.Phase == rollout_phase::Rejected)
+    return {release_choice::NotTarget, release_reason::Rejected};
   if (Pinned && Rule.PinsSessions)
     return {release_choice::NotTarget, release_reason::SessionPinned};
   if (Sample < Rule.TargetShare * Rule.RouteFactor)
--- a/Libraries/LibDispatch/release_rule.h
+++ b/Libraries/LibDispatch/release_rule.h
@@ -13,6 +13,9 @@
   Trial,
   /// A growing share of the requests, up to all of them, goes to the target.
   Shift,
+  /// The fleet has found the target to be worse. No session moves to it, and
+  /// those on it stay until its roll-back is published.
+  Rejected,
   /// Only the target gets requests.
   Completed,
   /// The target gets no requests.
@@ -49,6 +52,7 @@
   /// The sample is in, or outside, the target's share.
   InShare,
   OutsideShare,
+  Rejected,
   Completed,
   RolledBack,
 };
--- a/Libraries/LibDispatch/rollout_controller.cpp
+++ b/Libraries/LibDispatch/rollout_controller.cpp
@@ -17,6 +17,10 @@
 constexpr double MinimumRouteFactor = 0.25;
 constexpr double MaximumRouteFactor = 16;
 
+/// Sessions leave a rejected target after this time though its roll-back could
+/// not be published: callers must not depend on the store to get away from it.
+constexpr milliseconds UnpublishedRejectionLimit{3000};
+
 /// Fraction of the requests beyond the trial's that have moved to the target.
 double shiftedFraction(const rollout_schedule &Schedule, milliseconds Elapsed) {
   if (Elapsed >= Schedule.ShiftEnd)
@@ -121,10 +125,28 @@
 
 bool rollout_controller::isAnyUndecided() const {
   return std::any_of(Rollouts.begin(), Rollouts.end(), [](const auto &Entry) {
-    return !Entry.second.FinalOutcome && !Entry.second.IsRejected;
+    return !Entry.second.FinalOutcome && !Entry.second.RejectedAt;
   });
 }
 
+rollout_phase rollout_controller::phaseOf(const rollout &Rollout,
+                                          steady_time Now) const {
+  // The endpoints of the old release are gone once completion is published,
+  // whatever this VM has found.
+  if (Rollout.FinalOutcome == rollout_outcome::Completed)
+    return rollout_phase::Completed;
+  const bool IsOverdue = Rollout.RejectedAt &&
+                         Now - *Rollout.RejectedAt >= UnpublishedRejectionLimit;
+  if (Rollout.FinalOutcome == rollout_outcome::RolledBack || IsOverdue)
+    return rollout_phase::RolledBack;
+  if (Rollout.RejectedAt)
+    return rollout_phase::Rejected;
+  const bool HasShifted =
+      !Rollout.IsShiftHeld &&
+      elapsed(Rollout, Now) >= scheduleOf(Rollout).ShiftStart;
+  return HasShifted ? rollout_phase::Shift : rollout_phase::Trial;
+}
+
 release_rule rollout_controller::ruleFor(const service_id &Service,
                                          steady_time Now) const {
   auto Found = Rollouts.find(Service);
@@ -136,19 +158,9 @@
   Rule.Since = Rollout.BeganAt;
   const rollout_schedule Schedule = scheduleOf(Rollout);
   const milliseconds Elapsed = elapsed(Rollout, Now);
-  // The endpoints of the old release are gone once completion is published,
-  // whatever this VM has found.
-  if (Rollout.FinalOutcome == rollout_outcome::Completed)
-    Rule.Phase = rollout_phase::Completed;
-  else if (Rollout.FinalOutcome == rollout_outcome::RolledBack ||
-           Rollout.IsRejected)
-    Rule.Phase = rollout_phase::RolledBack;
-  else if (Elapsed >= Schedule.ShiftStart && !Rollout.IsShiftHeld)
-    Rule.Phase = rollout_phase::Shift;
-  else
-    Rule.Phase = rollout_phase::Trial;
+  Rule.Phase = phaseOf(Rollout, Now);
   Rule.TargetShare = trialShare(Rollout);
-  if (Rule.Phase == rollout_phase::Shift) {
+  if (Elapsed >= Schedule.ShiftStart && !Rollout.IsShiftHeld) {
     Rule.TargetShare +=
         shiftedFraction(Schedule, Elapsed) * (1 - Rule.TargetShare);
   }
@@ -250,15 +262,18 @@
                                const rollout_surroundings &Surroundings,
                                steady_time Now) {
   for (auto &[Service, Rollout] : Rollouts) {
-    if (Rollout.FinalOutcome || Rollout.IsRejected)
+    if (Rollout.FinalOutcome || Rollout.RejectedAt)
       continue;
     if (Surroundings.PlainServices.contains(Service))
       Rollout.Shift = shift_kind::Immediate;
     observe(Rollout, Statistics, Now);
     limitExposure(Rollout, Statistics, Surroundings, Now);
     const bool IsDue = elapsed(Rollout, Now) >= scheduleOf(Rollout).Completion;
-    Rollout.IsRejected = Rollout.Verdict == release_verdict::Worse ||
-                         (IsDue && Rollout.Verdict != release_verdict::Sound);
+    const bool IsRejected =
+        Rollout.Verdict == release_verdict::Worse ||
+        (IsDue && Rollout.Verdict != release_verdict::Sound);
+    if (IsRejected)
+      Rollout.RejectedAt = Now;
   }
 }
 
@@ -269,7 +284,7 @@
     rollout_outcome Wanted = rollout_outcome::InProgress;
     if (Rollout.FinalOutcome)
       Wanted = *Rollout.FinalOutcome;
-    else if (Rollout.IsRejected)
+    else if (Rollout.RejectedAt)
       Wanted = rollout_outcome::RolledBack;
     else if (elapsed(Rollout, Now) >= scheduleOf(Rollout).Completion)
       Wanted = rollout_outcome::Completed;
--- a/Libraries/LibDispatch/rollout_controller.h
+++ b/Libraries/LibDispatch/rollout_controller.h
@@ -51,8 +51,8 @@
 /// gradual shift of all requests shortly before the time limit, then
 /// completion. What a target gets until then stays within the limits of its
 /// exposure, whatever is known of it: faults may show under a later load only.
-/// Rolls back as soon as the target is significantly worse than the old
-/// release. Not thread-safe.
+/// Rejects the target as soon as it is significantly worse than the old
+/// release; sessions leave it when the roll-back is published. Not thread-safe.
 class rollout_controller {
 public:
   explicit rollout_controller(const exposure_limits &Exposure)
@@ -110,7 +110,8 @@
     /// The service's totals when the roll-out was first evaluated.
     std::optional<service_totals> TotalsBefore;
     release_verdict Verdict = release_verdict::Sound;
-    bool IsRejected = false;
+    /// When this VM found the target to be worse, or not sound in time.
+    std::optional<steady_time> RejectedAt;
     steady_time ObservedSince;
     exposure_counts AttemptsBefore;
     /// Share of the trial; unset until the rate of requests is known.
@@ -138,6 +139,7 @@
   static bool isRepeated(const rollout &Rollout, const rollout_order &Order,
                          order_origin Origin);
   void applyPublishedOutcome(rollout &Rollout) const;
+  rollout_phase phaseOf(const rollout &Rollout, steady_time Now) const;
   static milliseconds elapsed(const rollout &Rollout, steady_time Now);
   static rollout_schedule scheduleOf(const rollout &Rollout) {
     return scheduleFor(Rollout.Order.TimeLimit, Rollout.Shift);
--- a/Tests/LibDispatch/rollout_controller_test.cpp
+++ b/Tests/LibDispatch/rollout_controller_test.cpp
@@ -78,12 +78,39 @@
   Controller.judge(Statistics, {}, Start);
   Statistics.addLocal({Service, "v2", "r"}, {10, 6, 0});
   Controller.judge(Statistics, {}, Start);
-  CHECK(Controller.ruleFor(Service, Start).Phase == rollout_phase::RolledBack);
+  const release_rule Rejected = Controller.ruleFor(Service, Start);
+  CHECK(Rejected.Phase == rollout_phase::Rejected);
+  for (const double Sample : {0.0, 0.99})
+    for (const std::optional<std::string> &Pinned :
+         {std::optional<std::string>(), std::optional<std::string>("v1")})
+      CHECK(chooseRelease(Rejected, Pinned, Sample).Choice ==
+            release_choice::NotTarget);
   CHECK(dueOutcomeAt(Controller, milliseconds(0)) ==
         rollout_outcome::RolledBack);
   Controller.judge(release_statistics(), {}, Start);
   CHECK(Controller.ruleFor(Service, Start + TimeLimit).Phase ==
         rollout_phase::RolledBack);
+  Controller.onOutcome(Service, "v2", rollout_outcome::RolledBack, at(11));
+  CHECK(Controller.ruleFor(Service, Start).Phase == rollout_phase::RolledBack);
+}
+
+TEST_CASE("Sessions stay on a rejected release until its roll-back is "
+          "published") {
+  rollout_controller Controller = controllerWithOrder();
+  Controller.onOutcome(Service, "v2", rollout_outcome::InProgress, at(11));
+  release_statistics Statistics;
+  Statistics.addLocal({Service, "v1", "r"}, {100, 1, 0});
+  Controller.judge(Statistics, {}, Start);
+  Statistics.addLocal({Service, "v2", "r"}, {10, 6, 0});
+  Controller.judge(Statistics, {}, Start);
+  const auto ChoiceOfSession = [&] {
+    const release_rule Rule =
+        Controller.ruleFor(Service, Start + milliseconds(1000));
+    return chooseRelease(Rule, "v2", 0.99).Choice;
+  };
+  CHECK(ChoiceOfSession() == release_choice::Target);
+  Controller.onOutcome(Service, "v2", rollout_outcome::RolledBack, at(12));
+  CHECK(ChoiceOfSession() == release_choice::NotTarget);
 }
 
 TEST_CASE("An outcome published before the order is not applied to it") {
@@ -192,7 +219,9 @@
   Controller.onStoreRestored();
   Controller.onOrder({Service, "v2", TimeLimit, afterRestoration(9)},
                      order_origin::MaybeRepeated, milliseconds(0), Start);
-  CHECK(Controller.ruleFor(Service, Start).Phase == rollout_phase::RolledBack);
+  CHECK(Controller.ruleFor(Service, Start).Phase == rollout_phase::Rejected);
+  CHECK(Controller.ruleFor(Service, Start + TimeLimit).Phase ==
+        rollout_phase::RolledBack);
   CHECK(dueOutcomeAt(Controller, milliseconds(0)) ==
         rollout_outcome::RolledBack);
 }
--- a/Tests/LibDispatch/rollout_evidence_test.cpp
+++ b/Tests/LibDispatch/rollout_evidence_test.cpp
@@ -98,7 +98,7 @@
   Controller.judge(Statistics, {}, Start);
   Statistics.addLocal({Service, "v2", "r"}, {10, 9, 0, 10});
   Controller.judge(Statistics, {}, Start);
-  CHECK(Controller.ruleFor(Service, Start).Phase == rollout_phase::RolledBack);
+  CHECK(Controller.ruleFor(Service, Start).Phase == rollout_phase::Rejected);
   Controller.onOutcome(Service, "v2", rollout_outcome::Completed, {{}, 12});
   CHECK(Controller.ruleFor(Service, Start).Phase == rollout_phase::Completed);
 }
