--- a/Libraries/LibDispatch/candidate_filter.cpp
+++ b/Libraries/LibDispatch/candidate_filter.cpp
@@ -49,7 +49,8 @@
   const bool IsOnTrial = Rule.Phase == rollout_phase::Trial ||
                          Rule.Phase == rollout_phase::Rejected;
   if (WantsTarget && IsOnTrial)
-    limitToTrialEndpoints(Candidates, Rule.TargetShare);
+    limitToTrialEndpoints(Candidates,
+                          std::max(Rule.TrialEndpointShare, Rule.ShiftedShare));
   if (!Candidates.empty())
     return Candidates;
   const bool MayFallBack =
--- a/Libraries/LibDispatch/exposure_budget.cpp
+++ b/Libraries/LibDispatch/exposure_budget.cpp
@@ -20,12 +20,10 @@
 } // namespace
 
 exposure_budget::exposure_budget(const exposure_limits &Limits,
-                                 std::size_t VmCount,
                                  const exposure_counts &Counts,
                                  milliseconds Observed,
                                  milliseconds UntilTimeLimit)
-    : Limits(Limits), VmCount(std::max<std::size_t>(VmCount, 1)),
-      Counts(Counts), Observed(Observed),
+    : Limits(Limits), Counts(Counts), Observed(Observed),
       UntilTimeLimit(std::max(UntilTimeLimit, milliseconds(0))) {
   if (hasRate())
     RatePerMs = Counts.All / asDouble(Observed);
@@ -37,20 +35,18 @@
 
 double exposure_budget::allowanceBefore(milliseconds FullTime) const {
   const double Expected = Counts.All + RatePerMs * asDouble(UntilTimeLimit);
-  const double Vms = static_cast<double>(VmCount);
   const double FullRequests = RatePerMs * asDouble(FullTime);
-  // Errors of all VMs' forecasts partly cancel out.
-  const double Margin = ForecastDeviations * std::sqrt(FullRequests / Vms);
-  return Limits.Share * Expected + Limits.Slack / Vms - Counts.Target -
-         FullRequests - Margin;
+  const double Margin = ForecastDeviations * std::sqrt(FullRequests);
+  return Limits.Share * Expected + Limits.Slack - FullRequests - Margin -
+         MovedFraction * Counts.InFlight;
 }
 
 bool exposure_budget::allowsAll(milliseconds FullTime) const {
-  return allowanceBefore(FullTime) >= MovedFraction * Counts.InFlight;
+  return allowanceBefore(FullTime) >= Counts.Target;
 }
 
-double exposure_budget::shareBefore(milliseconds FullTime,
-                                    milliseconds TrialTime) const {
+double exposure_budget::plannedShare(milliseconds FullTime,
+                                     milliseconds TrialTime) const {
   const double TrialRequests = RatePerMs * asDouble(TrialTime);
   return TrialRequests > 0 ? allowanceBefore(FullTime) / TrialRequests : 0;
 }
--- a/Libraries/LibDispatch/exposure_budget.h
+++ b/Libraries/LibDispatch/exposure_budget.h
@@ -2,7 +2,6 @@
 
 #include "LibTypes/units.h"
 
-#include <cstddef>
 #include <cstdint>
 
 namespace azurehaven {
@@ -16,7 +15,7 @@
   double Slack = 0;
 };
 
-/// Attempts that this VM has sent since it began to observe a roll-out.
+/// Attempts that all VMs have sent since this VM began to observe a roll-out.
 struct exposure_counts {
   std::uint32_t Target = 0;
   /// To all releases of the service.
@@ -25,13 +24,12 @@
   std::uint32_t InFlight = 0;
 };
 
-/// This VM's part of a roll-out's exposure. The VMs need no common counter:
-/// each allows the share of its own requests plus an equal part of the slack.
+/// What is left of a roll-out's exposure, by the counts of all VMs as far as
+/// this one knows them.
 class exposure_budget {
 public:
-  exposure_budget(const exposure_limits &Limits, std::size_t VmCount,
-                  const exposure_counts &Counts, milliseconds Observed,
-                  milliseconds UntilTimeLimit);
+  exposure_budget(const exposure_limits &Limits, const exposure_counts &Counts,
+                  milliseconds Observed, milliseconds UntilTimeLimit);
 
   /// Whether the rate of requests is known.
   bool hasRate() const;
@@ -40,16 +38,16 @@
   /// endpoints stop.
   bool allowsAll(milliseconds FullTime) const;
   /// The share of the requests that the target may get for TrialTime, if it
-  /// gets all of them for FullTime after it. Not limited to [0, 1].
-  double shareBefore(milliseconds FullTime, milliseconds TrialTime) const;
+  /// gets all of them for FullTime after it; whatever it has got so far. Not
+  /// limited to [0, 1].
+  double plannedShare(milliseconds FullTime, milliseconds TrialTime) const;
 
 private:
-  /// Attempts that the target may still get until the time limit, less those of
-  /// the time in which it gets all of them.
+  /// Attempts that the target may get until the time limit, less those of the
+  /// time in which it gets all of them and those in flight that move to it.
   double allowanceBefore(milliseconds FullTime) const;
 
   const exposure_limits Limits;
-  const std::size_t VmCount;
   const exposure_counts Counts;
   const milliseconds Observed;
   const milliseconds UntilTimeLimit;
--- a/Libraries/LibDispatch/release_rule.cpp
+++ b/Libraries/LibDispatch/release_rule.cpp
@@ -28,10 +28,12 @@
     return "session_on_target";
   case release_reason::SessionPinned:
     return "session_pinned";
-  case release_reason::InShare:
-    return "in_share";
-  case release_reason::OutsideShare:
-    return "outside_share";
+  case release_reason::InTrial:
+    return "in_trial";
+  case release_reason::Shifted:
+    return "shifted";
+  case release_reason::NotSelected:
+    return "not_selected";
   case release_reason::Rejected:
     return "rejected";
   case release_reason::Completed:
@@ -44,7 +46,7 @@
 
 release_decision chooseRelease(const release_rule &Rule,
                                const std::optional<std::string> &Pinned,
-                               double Sample) {
+                               const release_samples &Samples) {
   const bool IsOnTarget = Pinned && *Pinned == Rule.Target;
   switch (Rule.Phase) {
   case rollout_phase::None:
@@ -64,9 +66,11 @@
     return {release_choice::NotTarget, release_reason::Rejected};
   if (Pinned && Rule.PinsSessions)
     return {release_choice::NotTarget, release_reason::SessionPinned};
-  if (Sample < Rule.TargetShare * Rule.RouteFactor)
-    return {release_choice::Target, release_reason::InShare};
-  return {release_choice::NotTarget, release_reason::OutsideShare};
+  if (Samples.Session < Rule.TrialShare)
+    return {release_choice::Target, release_reason::InTrial};
+  if (Samples.Prompt < Rule.ShiftedShare)
+    return {release_choice::Target, release_reason::Shifted};
+  return {release_choice::NotTarget, release_reason::NotSelected};
 }
 
 } // namespace azurehaven
--- a/Libraries/LibDispatch/release_rule.h
+++ b/Libraries/LibDispatch/release_rule.h
@@ -26,15 +26,23 @@
 struct release_rule {
   rollout_phase Phase = rollout_phase::None;
   std::string Target;
-  /// Fraction of the requests that go to the target, apart from those of
-  /// sessions that keep their release.
-  double TargetShare = 0;
-  /// Multiplies the share for the request's route.
-  double RouteFactor = 1;
+  /// Fraction of the sessions that the trial gets.
+  double TrialShare = 0;
+  /// Fraction of the prompts that have moved to the target since the shift
+  /// began.
+  double ShiftedShare = 0;
+  /// Fraction of the target's endpoints that the trial uses.
+  double TrialEndpointShare = 0;
   /// Whether sessions on the old release must stay there for now.
   bool PinsSessions = false;
   /// When the roll-out began.
   steady_time Since{};
+
+  /// Fraction of the requests that go to the target, apart from those of
+  /// sessions that keep their release.
+  double targetShare() const {
+    return TrialShare + (1 - TrialShare) * ShiftedShare;
+  }
 };
 
 /// The phase's name in logs.
@@ -49,9 +57,11 @@
   SessionOnTarget,
   /// Its session must stay on its release for now.
   SessionPinned,
-  /// The sample is in, or outside, the target's share.
-  InShare,
-  OutsideShare,
+  /// Its session belongs to the trial.
+  InTrial,
+  /// Its prompt has been shifted.
+  Shifted,
+  NotSelected,
   Rejected,
   Completed,
   RolledBack,
@@ -65,11 +75,21 @@
   release_reason Reason = release_reason::NoRollout;
 };
 
+/// Pseudo-random numbers in [0, 1) by which requests are divided between the
+/// releases, the same on all VMs.
+struct release_samples {
+  /// Equal for the requests of a session, so that the trial gets its share of
+  /// every route.
+  double Session = 0;
+  /// Equal for requests with a common prompt prefix, so that they are shifted
+  /// together and the prefix stays cached.
+  double Prompt = 0;
+};
+
 /// Selects the release for one request. Pinned is the release that its session
-/// uses; Sample is a pseudo-random number in [0, 1), equal for requests that
-/// have to move to the target together.
+/// uses.
 release_decision chooseRelease(const release_rule &Rule,
                                const std::optional<std::string> &Pinned,
-                               double Sample);
+                               const release_samples &Samples);
 
 } // namespace azurehaven
--- /dev/null
+++ b/Libraries/LibDispatch/rollout.cpp
@@ -0,0 +1,289 @@
+#include "LibDispatch/rollout.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace azurehaven {
+
+namespace {
+
+/// Fractions of the exposure share that a trial uses, at least and at most. A
+/// larger trial finds faults sooner; the shift needs its part as well.
+constexpr double MinimumTrialFraction = 0.15;
+constexpr double MaximumTrialFraction = 0.6;
+/// The trial's share is raised in steps of this fraction of the exposure
+/// share, so that the VMs seldom have something to agree on.
+constexpr double TrialShareStep = 0.05;
+/// The share is not raised when less time than this is left to the trial.
+constexpr milliseconds MinimumRaisedTime{2000};
+
+/// A route's share is raised once the trial should have got so many of its
+/// requests and has got less than this part of them.
+constexpr double ExpectedRouteRequests = 4;
+constexpr double MissedRoutePart = 1.0 / 3;
+/// A raised share, as a multiple of the trial's share.
+constexpr double RaisedRouteFactor = 3;
+
+/// A postponement is decided so long before the shift, so that all VMs know of
+/// it before the first of them shifts.
+constexpr milliseconds PostponementNotice{1000};
+constexpr milliseconds PostponementStep{300};
+
+/// After this time, a VM that has just started has received the counts of all
+/// others; see peer_state_sync.
+constexpr milliseconds CountsArrivalTime{2500};
+
+/// Sessions leave a rejected target after this time though its roll-back could
+/// not be published: callers must not depend on the store to get away from it.
+constexpr milliseconds UnpublishedRejectionLimit{3000};
+
+/// Fraction of the prompts that have moved to the target.
+double shiftedFraction(const rollout_schedule &Schedule, milliseconds Elapsed) {
+  if (Elapsed < Schedule.ShiftStart)
+    return 0;
+  if (Elapsed >= Schedule.ShiftEnd)
+    return 1;
+  const std::chrono::duration<double> SinceStart =
+      Elapsed - Schedule.ShiftStart;
+  return SinceStart / (Schedule.ShiftEnd - Schedule.ShiftStart);
+}
+
+/// Attempts by route, to the target and in all.
+std::map<std::string, exposure_counts>
+attemptsByRoute(const service_totals &Totals, const service_totals &Before,
+                const std::string &Target) {
+  std::map<std::string, exposure_counts> Attempts;
+  for (const auto &[Key, Counts] : Totals) {
+    const auto Known = Before.find(Key);
+    const std::uint32_t Since =
+        Counts.Attempts - (Known == Before.end() ? 0 : Known->second.Attempts);
+    Attempts[Key.Route].All += Since;
+    if (Key.Release == Target)
+      Attempts[Key.Route].Target += Since;
+  }
+  return Attempts;
+}
+
+} // namespace
+
+const char *nameOf(rollout_outcome Outcome) {
+  switch (Outcome) {
+  case rollout_outcome::InProgress:
+    return "in_progress";
+  case rollout_outcome::Completed:
+    return "completed";
+  case rollout_outcome::RolledBack:
+    return "rolled_back";
+  }
+  return "unknown";
+}
+
+rollout::rollout(const rollout_order &Order, const exposure_limits &Exposure,
+                 milliseconds Elapsed, start_source Source, steady_time Now)
+    : Order(Order), BeganAt(Now - Elapsed), Source(Source),
+      HasSeenOrder(Source == start_source::Observed), JoinedAt(Now) {
+  Agreement.TrialShare = Exposure.Share * MinimumTrialFraction;
+}
+
+milliseconds rollout::elapsed(steady_time Now) const {
+  return std::chrono::duration_cast<milliseconds>(Now - BeganAt);
+}
+
+rollout_schedule rollout::unpostponedSchedule() const {
+  return scheduleFor(Order.TimeLimit, Shift);
+}
+
+rollout_schedule rollout::schedule() const {
+  return unpostponedSchedule().withShiftAt(Agreement.ShiftStart);
+}
+
+bool rollout::isShiftPostponed() const {
+  return Agreement.ShiftStart > unpostponedSchedule().ShiftStart;
+}
+
+rollout_phase rollout::phase(steady_time Now) const {
+  // The endpoints of the old release are gone once completion is published,
+  // whatever this VM has found.
+  if (Agreement.Outcome == rollout_outcome::Completed)
+    return rollout_phase::Completed;
+  const bool IsOverdue =
+      RejectedAt && Now - *RejectedAt >= UnpublishedRejectionLimit;
+  if (Agreement.Outcome == rollout_outcome::RolledBack || IsOverdue)
+    return rollout_phase::RolledBack;
+  if (Agreement.IsRejected)
+    return rollout_phase::Rejected;
+  return elapsed(Now) >= schedule().ShiftStart ? rollout_phase::Shift
+                                               : rollout_phase::Trial;
+}
+
+release_rule rollout::rule(const std::string &Route, steady_time Now) const {
+  const rollout_schedule Schedule = schedule();
+  const milliseconds Elapsed = elapsed(Now);
+  release_rule Rule;
+  Rule.Phase = phase(Now);
+  Rule.Target = Order.Target;
+  Rule.Since = BeganAt;
+  if (Elapsed >= Schedule.TrialStart)
+    Rule.TrialShare = Agreement.trialShareOf(Route);
+  Rule.TrialEndpointShare = Agreement.TrialShare;
+  Rule.ShiftedShare = shiftedFraction(Schedule, Elapsed);
+  Rule.PinsSessions = Elapsed < Schedule.SessionMove;
+  return Rule;
+}
+
+rollout_outcome rollout::wantedOutcome(steady_time Now) const {
+  if (Agreement.Outcome)
+    return *Agreement.Outcome;
+  if (Agreement.IsRejected)
+    return rollout_outcome::RolledBack;
+  return elapsed(Now) >= schedule().Completion ? rollout_outcome::Completed
+                                               : rollout_outcome::InProgress;
+}
+
+void rollout::setOutcome(rollout_outcome Outcome) {
+  if (!Agreement.Outcome && Outcome != rollout_outcome::InProgress)
+    Agreement.Outcome = Outcome;
+}
+
+rollout_state rollout::state(steady_time Now) const {
+  return {Order.Target, Order.Revision.Number, elapsed(Now), Source, Agreement};
+}
+
+void rollout::join(const rollout_state &Other, steady_time Now) {
+  const bool IsSame = Other.Target == Order.Target &&
+                      Other.OrderNumber == Order.Revision.Number;
+  if (!IsSame)
+    return;
+  joinStart(Other, Now);
+  join(Other.Agreement, Now);
+}
+
+void rollout::join(const rollout_agreement &Other, steady_time Now) {
+  Agreement.join(Other);
+  if (Agreement.IsRejected && !RejectedAt)
+    RejectedAt = Now;
+}
+
+void rollout::joinStart(const rollout_state &Other, steady_time Now) {
+  if (Other.Source == start_source::Estimated &&
+      Source == start_source::Observed)
+    return;
+  const steady_time OtherBeganAt = Now - Other.Elapsed;
+  const bool IsBetter = Other.Source == start_source::Observed &&
+                        Source == start_source::Estimated;
+  // Nobody can observe the order before it is written.
+  BeganAt = IsBetter ? OtherBeganAt : std::min(BeganAt, OtherBeganAt);
+  Source = Other.Source;
+}
+
+void rollout::observe(const service_totals &Totals, steady_time Now) {
+  if (!TotalsBefore)
+    TotalsBefore = Totals;
+  const bool HasCounts = HasSeenOrder || Now - JoinedAt >= CountsArrivalTime;
+  if (!Reference && HasCounts)
+    Reference = {Totals, Now};
+  Verdict = judgeRelease(Totals, *TotalsBefore, Order.Target);
+}
+
+std::optional<exposure_budget> rollout::budget(const service_totals &Totals,
+                                               const exposure_limits &Exposure,
+                                               std::uint32_t InFlight,
+                                               steady_time Now) const {
+  if (!Reference)
+    return std::nullopt;
+  exposure_counts Sent;
+  for (const auto &[Route, Counts] :
+       attemptsByRoute(Totals, Reference->Totals, Order.Target)) {
+    Sent.All += Counts.All;
+    Sent.Target += Counts.Target;
+  }
+  Sent.InFlight = InFlight;
+  const exposure_budget Budget(
+      Exposure, Sent,
+      std::chrono::duration_cast<milliseconds>(Now - Reference->At),
+      Order.TimeLimit - elapsed(Now));
+  return Budget.hasRate() ? std::optional(Budget) : std::nullopt;
+}
+
+bool rollout::mayRaiseShares(steady_time Now) const {
+  const rollout_schedule Schedule = schedule();
+  const milliseconds Elapsed = elapsed(Now);
+  // A session that is new to one VM may have begun elsewhere a moment ago. With
+  // a raised share it would move, which it must not do in the first half.
+  return Elapsed < Schedule.TrialStart ||
+         (Elapsed >= Schedule.SessionMove &&
+          Elapsed < Schedule.ShiftStart - MinimumRaisedTime);
+}
+
+void rollout::raiseTrialShare(const exposure_budget &Budget,
+                              const exposure_limits &Exposure) {
+  const rollout_schedule Schedule = schedule();
+  const milliseconds TrialTime = Schedule.ShiftStart - Schedule.TrialStart;
+  const double Allowed =
+      std::min(Budget.plannedShare(Schedule.fullExposure(), TrialTime),
+               Exposure.Share * MaximumTrialFraction);
+  const double Step = Exposure.Share * TrialShareStep;
+  if (Allowed > 0 && Step > 0)
+    Agreement.raiseTrialShare(std::floor(Allowed / Step) * Step);
+}
+
+void rollout::raiseRouteShares(const service_totals &Totals) {
+  for (const auto &[Route, Counts] :
+       attemptsByRoute(Totals, Reference->Totals, Order.Target)) {
+    const double Expected = Agreement.TrialShare * Counts.All;
+    const bool IsMissed = Expected >= ExpectedRouteRequests &&
+                          Counts.Target < MissedRoutePart * Expected;
+    if (IsMissed)
+      Agreement.raiseRouteShare(Route,
+                                RaisedRouteFactor * Agreement.TrialShare);
+  }
+}
+
+void rollout::postponeShift(const std::optional<exposure_budget> &Budget,
+                            steady_time Now) {
+  const rollout_schedule Schedule = schedule();
+  const milliseconds Elapsed = elapsed(Now);
+  const bool IsDue = Elapsed >= Schedule.ShiftStart - PostponementNotice &&
+                     Elapsed < Schedule.ShiftStart;
+  if (!IsDue)
+    return;
+  // The exposure is not limited after the time limit.
+  const bool IsLimited =
+      Budget && Elapsed + PostponementNotice < Order.TimeLimit;
+  const bool MayShift =
+      Verdict != release_verdict::Suspect &&
+      (!IsLimited || Budget->allowsAll(Schedule.fullExposure()));
+  if (!MayShift)
+    Agreement.postponeShift(Elapsed + PostponementNotice + PostponementStep);
+}
+
+void rollout::reject(steady_time Now) {
+  Agreement.IsRejected = true;
+  RejectedAt = Now;
+}
+
+void rollout::judge(const release_statistics &Statistics,
+                    const rollout_surroundings &Surroundings,
+                    const exposure_limits &Exposure, steady_time Now) {
+  if (!isUndecided())
+    return;
+  if (Surroundings.PlainServices.contains(Order.Service))
+    Shift = shift_kind::Immediate;
+  const service_totals Totals = Statistics.totals(Order.Service);
+  observe(Totals, Now);
+  const auto InFlight = Surroundings.InFlight.find(Order.Service);
+  const auto Budget = budget(
+      Totals, Exposure,
+      InFlight == Surroundings.InFlight.end() ? 0 : InFlight->second, Now);
+  if (Budget && mayRaiseShares(Now)) {
+    raiseTrialShare(*Budget, Exposure);
+    raiseRouteShares(Totals);
+  }
+  postponeShift(Budget, Now);
+  const bool IsLate = elapsed(Now) >= unpostponedSchedule().Completion;
+  if (Verdict == release_verdict::Worse ||
+      (IsLate && Verdict != release_verdict::Sound))
+    reject(Now);
+}
+
+} // namespace azurehaven
--- /dev/null
+++ b/Libraries/LibDispatch/rollout.h
@@ -0,0 +1,100 @@
+#pragma once
+
+#include "LibDispatch/exposure_budget.h"
+#include "LibDispatch/release_rule.h"
+#include "LibDispatch/release_verdict.h"
+#include "LibDispatch/rollout_agreement.h"
+#include "LibDispatch/rollout_order.h"
+#include "LibDispatch/rollout_schedule.h"
+
+#include <map>
+#include <optional>
+#include <set>
+
+namespace azurehaven {
+
+/// The fleet as one VM sees it.
+struct rollout_surroundings {
+  /// Services whose endpoints cache no prompts.
+  std::set<service_id> PlainServices{};
+  /// Attempts of all VMs that run now.
+  std::map<service_id, std::uint32_t> InFlight{};
+};
+
+/// One roll-out of a service: a trial with a small share of the sessions, a
+/// shift of all requests shortly before the time limit, then completion. Its
+/// times and its agreement are the fleet's; this VM adds its own findings to
+/// the agreement and takes over those of the others. Not thread-safe.
+class rollout {
+public:
+  /// Elapsed: time since the roll-out began.
+  rollout(const rollout_order &Order, const exposure_limits &Exposure,
+          milliseconds Elapsed, start_source Source, steady_time Now);
+
+  const rollout_order &order() const { return Order; }
+  /// The restored store has repeated the order under another revision.
+  void renewOrder(store_revision Revision) { Order.Revision = Revision; }
+  const rollout_agreement &agreement() const { return Agreement; }
+  release_verdict verdict() const { return Verdict; }
+  milliseconds elapsed(steady_time Now) const;
+  rollout_schedule schedule() const;
+  bool isShiftPostponed() const;
+  /// Whether there is neither a final outcome nor a rejection yet.
+  bool isUndecided() const {
+    return !Agreement.Outcome && !Agreement.IsRejected;
+  }
+  rollout_phase phase(steady_time Now) const;
+  release_rule rule(const std::string &Route, steady_time Now) const;
+  rollout_outcome wantedOutcome(steady_time Now) const;
+
+  /// Evaluates the target. It is rejected if it is found to be worse, or is
+  /// not found to be sound in time. The shift is postponed while the target is
+  /// suspect, or while all requests would exceed its exposure.
+  void judge(const release_statistics &Statistics,
+             const rollout_surroundings &Surroundings,
+             const exposure_limits &Exposure, steady_time Now);
+  void setOutcome(rollout_outcome Outcome);
+  rollout_state state(steady_time Now) const;
+  /// Takes over what another VM knows.
+  void join(const rollout_state &Other, steady_time Now);
+  void join(const rollout_agreement &Other, steady_time Now);
+
+private:
+  /// The counts from which on this VM accounts for the exposure.
+  struct exposure_reference {
+    service_totals Totals;
+    steady_time At;
+  };
+
+  rollout_schedule unpostponedSchedule() const;
+  void joinStart(const rollout_state &Other, steady_time Now);
+  void observe(const service_totals &Totals, steady_time Now);
+  std::optional<exposure_budget> budget(const service_totals &Totals,
+                                        const exposure_limits &Exposure,
+                                        std::uint32_t InFlight,
+                                        steady_time Now) const;
+  bool mayRaiseShares(steady_time Now) const;
+  void raiseTrialShare(const exposure_budget &Budget,
+                       const exposure_limits &Exposure);
+  void raiseRouteShares(const service_totals &Totals);
+  void postponeShift(const std::optional<exposure_budget> &Budget,
+                     steady_time Now);
+  void reject(steady_time Now);
+
+  rollout_order Order;
+  steady_time BeganAt;
+  start_source Source;
+  /// Whether this VM has read the order as it was written.
+  const bool HasSeenOrder;
+  steady_time JoinedAt;
+  shift_kind Shift = shift_kind::Gradual;
+  rollout_agreement Agreement;
+  /// When this VM learned of the rejection.
+  std::optional<steady_time> RejectedAt;
+  release_verdict Verdict = release_verdict::Sound;
+  /// The service's totals when the roll-out was first evaluated.
+  std::optional<service_totals> TotalsBefore;
+  std::optional<exposure_reference> Reference;
+};
+
+} // namespace azurehaven
--- a/Libraries/LibDispatch/rollout_schedule.cpp
+++ b/Libraries/LibDispatch/rollout_schedule.cpp
@@ -21,13 +21,28 @@
 /// immediate shift, more of the exposure goes to the time before completion.
 constexpr milliseconds GradualCompletionMargin{1000};
 constexpr milliseconds ImmediateCompletionMargin{500};
+/// After this time all VMs have read the order and know the rate of requests.
+constexpr milliseconds OrderSpreadTime{1500};
 /// The times above are shortened for a shorter time limit.
 constexpr milliseconds UnshortenedTimeLimit{10000};
 
 } // namespace
 
 milliseconds rollout_schedule::fullExposure() const {
-  return TimeLimit - ShiftEnd + (ShiftEnd - ShiftStart) / 2;
+  const milliseconds Full = TimeLimit - ShiftEnd + (ShiftEnd - ShiftStart) / 2;
+  return std::max(Full, milliseconds(0));
+}
+
+rollout_schedule rollout_schedule::withShiftAt(milliseconds Start) const {
+  if (Start <= ShiftStart)
+    return *this;
+  const milliseconds Drain = std::min(Completion - ShiftEnd, DrainTime);
+  rollout_schedule Postponed = *this;
+  Postponed.ShiftStart = Start;
+  Postponed.ShiftEnd = std::max(Start, std::min(Start + (ShiftEnd - ShiftStart),
+                                                LatestCompletion - Drain));
+  Postponed.Completion = std::max(Completion, Postponed.ShiftEnd + Drain);
+  return Postponed;
 }
 
 rollout_schedule scheduleFor(milliseconds TimeLimit, shift_kind Kind) {
@@ -42,6 +57,8 @@
   Schedule.TimeLimit = TimeLimit;
   Schedule.SessionMove = milliseconds(std::llround(
       static_cast<double>(TimeLimit.count()) * SessionMoveProgress));
+  Schedule.TrialStart = Scaled(OrderSpreadTime);
+  Schedule.LatestCompletion = TimeLimit - Scaled(ImmediateCompletionMargin);
   const bool IsGradual = Kind == shift_kind::Gradual;
   Schedule.Completion =
       TimeLimit -
--- a/Libraries/LibDispatch/rollout_schedule.h
+++ b/Libraries/LibDispatch/rollout_schedule.h
@@ -18,15 +18,22 @@
 struct rollout_schedule {
   /// Until then, sessions keep the release that they use.
   milliseconds SessionMove{0};
+  /// The trial begins: all VMs have read the order and agree on its share.
+  milliseconds TrialStart{0};
   milliseconds ShiftStart{0};
   /// All requests go to the target from then on.
   milliseconds ShiftEnd{0};
   milliseconds Completion{0};
+  /// A later completion might not be in the store by the time limit.
+  milliseconds LatestCompletion{0};
   milliseconds TimeLimit{0};
 
   /// The time during which the target gets all requests, if the time of the
   /// gradual shift counts half.
   milliseconds fullExposure() const;
+  /// The schedule with a shift that was postponed to this time, and shortened
+  /// if the time is short. No change if that is not later.
+  rollout_schedule withShiftAt(milliseconds Start) const;
 };
 
 rollout_schedule scheduleFor(milliseconds TimeLimit,
--- a/Libraries/LibDispatch/session_pins.cpp
+++ b/Libraries/LibDispatch/session_pins.cpp
@@ -77,6 +77,17 @@
   return Taken;
 }
 
+std::vector<session_pin> session_pins::localPins(steady_time Now) const {
+  std::vector<session_pin> Local;
+  for (const auto &[Session, List] : Pins)
+    std::copy_if(List.begin(), List.end(), std::back_inserter(Local),
+                 [&](const session_pin &Pin) {
+                   return Pin.Source == pin_source::ThisVm &&
+                          !isExpired(Pin, Now);
+                 });
+  return Local;
+}
+
 void session_pins::expire(steady_time Now) {
   for (auto Entry = Pins.begin(); Entry != Pins.end();) {
     std::erase_if(Entry->second,
--- a/Libraries/LibDispatch/session_pins.h
+++ b/Libraries/LibDispatch/session_pins.h
@@ -46,6 +46,8 @@
                                   steady_time Now) const;
   /// The queued pins, each once.
   std::vector<session_pin> takeUnsent();
+  /// All pins that come from this VM.
+  std::vector<session_pin> localPins(steady_time Now) const;
   void expire(steady_time Now);
   /// Number of pinned sessions.
   std::size_t size() const { return Pins.size(); }
--- a/Libraries/LibPeer/frame_codec.cpp
+++ b/Libraries/LibPeer/frame_codec.cpp
@@ -12,6 +12,9 @@
 using flatbuffers::FlatBufferBuilder;
 using flatbuffers::Offset;
 
+/// No roll-out takes longer than a week; later times are malformed.
+constexpr std::uint64_t MaximumRolloutTimeMs = 7ull * 24 * 3600 * 1000;
+
 flatbuffers::Offset<wire::Member> encodeMember(FlatBufferBuilder &Builder,
                                                const member_notice &Notice) {
   return wire::CreateMemberDirect(
@@ -37,6 +40,20 @@
       &Latencies);
 }
 
+Offset<wire::Rollout> encodeRollout(FlatBufferBuilder &Builder,
+                                    const rollout_notice &Notice) {
+  std::vector<Offset<wire::RouteShare>> RouteShares;
+  for (const auto &Share : Notice.RouteShares)
+    RouteShares.push_back(wire::CreateRouteShareDirect(
+        Builder, Share.Route.c_str(), Share.Share));
+  return wire::CreateRolloutDirect(
+      Builder, Notice.Service.text().c_str(), Notice.Target.c_str(),
+      Notice.OrderNumber, static_cast<std::uint64_t>(Notice.Elapsed.count()),
+      Notice.IsElapsedEstimated, Notice.TrialShare, &RouteShares,
+      static_cast<std::uint64_t>(Notice.ShiftStart.count()), Notice.IsRejected,
+      static_cast<std::uint8_t>(Notice.Result));
+}
+
 /// Encodes the body of one message and sets Type to its wire type.
 class body_encoder {
 public:
@@ -115,7 +132,8 @@
     std::vector<Offset<wire::SessionSighting>> SessionReleases;
     for (const auto &SessionRelease : Message.SessionReleases)
       SessionReleases.push_back(wire::CreateSessionSightingDirect(
-          Builder, SessionRelease.Session, SessionRelease.Release.c_str()));
+          Builder, SessionRelease.Session, SessionRelease.Release.c_str(),
+          static_cast<std::uint32_t>(SessionRelease.Age.count())));
     const auto Crashes = encodeCrashes(Message.Crashes);
     const auto SegmentCrashes = encodeCrashes(Message.SegmentCrashes);
     std::vector<Offset<wire::LeavingEndpoint>> Leaving;
@@ -139,6 +157,9 @@
       Reached.push_back(wire::CreateReachedServiceDirect(
           Builder, Notice.Service.text().c_str(),
           static_cast<std::uint32_t>(Notice.Age.count())));
+    std::vector<Offset<wire::Rollout>> Rollouts;
+    for (const auto &Notice : Message.Rollouts)
+      Rollouts.push_back(encodeRollout(Builder, Notice));
     std::optional<wire::PassedConfirmation> Confirmation;
     if (Message.Confirmation)
       Confirmation.emplace(Message.Confirmation->Version,
@@ -149,7 +170,7 @@
                Builder, &Releases, &SessionReleases, &Crashes, &Leaving, &Loads,
                static_cast<std::uint64_t>(Message.ClockReading.count()),
                Confirmation ? &*Confirmation : nullptr, &SegmentCrashes,
-               &Message.ClearedSegments, &Rates, &Brittle, &Reached)
+               &Message.ClearedSegments, &Rates, &Brittle, &Reached, &Rollouts)
         .Union();
   }
 
@@ -272,6 +293,36 @@
   return Notice;
 }
 
+bool isValidShare(double Share) {
+  return std::isfinite(Share) && Share >= 0 && Share <= 1;
+}
+
+/// Returns nullopt for a state that no roll-out can be in.
+std::optional<rollout_notice> decodeRollout(const wire::Rollout &Item) {
+  const bool IsValid =
+      isValidShare(Item.trial_share()) &&
+      Item.elapsed_ms() <= MaximumRolloutTimeMs &&
+      Item.shift_start_ms() <= MaximumRolloutTimeMs &&
+      Item.result() <= static_cast<std::uint8_t>(rollout_result::RolledBack);
+  if (!IsValid)
+    return std::nullopt;
+  rollout_notice Notice;
+  Notice.Service = service_id(Item.service()->str());
+  Notice.Target = Item.target()->str();
+  Notice.OrderNumber = Item.order_number();
+  Notice.Elapsed = milliseconds(Item.elapsed_ms());
+  Notice.IsElapsedEstimated = Item.is_elapsed_estimated();
+  Notice.TrialShare = Item.trial_share();
+  if (Item.route_shares())
+    for (const wire::RouteShare *Share : *Item.route_shares())
+      if (isValidShare(Share->share()))
+        Notice.RouteShares.push_back({Share->route()->str(), Share->share()});
+  Notice.ShiftStart = milliseconds(Item.shift_start_ms());
+  Notice.IsRejected = Item.is_rejected();
+  Notice.Result = static_cast<rollout_result>(Item.result());
+  return Notice;
+}
+
 fleet_notice decodeFleetNotice(const wire::FleetNotice &Source) {
   fleet_notice Message;
   Message.ClockReading = milliseconds(Source.clock_ms());
@@ -291,6 +342,10 @@
     for (const wire::BrittleService *Item : *Source.brittle())
       if (auto Notice = decodeBrittleService(*Item))
         Message.BrittleServices.push_back(std::move(*Notice));
+  if (Source.rollouts())
+    for (const wire::Rollout *Item : *Source.rollouts())
+      if (auto Notice = decodeRollout(*Item))
+        Message.Rollouts.push_back(std::move(*Notice));
   Message.ReachedServices =
       decodeAll(Source.reached(), [](const wire::ReachedService &Item) {
         return reached_service_notice{service_id(Item.service()->str()),
@@ -308,7 +363,8 @@
       });
   Message.SessionReleases =
       decodeAll(Source.sightings(), [](const wire::SessionSighting &Item) {
-        return session_release_notice{Item.session(), Item.release()->str()};
+        return session_release_notice{Item.session(), Item.release()->str(),
+                                      milliseconds(Item.age_ms())};
       });
   Message.Crashes = decodeAll(Source.crashes(), decodeCrash);
   Message.SegmentCrashes = decodeAll(Source.segment_crashes(), decodeCrash);
--- a/Libraries/LibPeer/peer_message.h
+++ b/Libraries/LibPeer/peer_message.h
@@ -127,6 +127,8 @@
 struct session_release_notice {
   std::uint64_t Session = 0;
   std::string Release;
+  /// Time since then.
+  milliseconds Age{0};
 };
 
 /// An endpoint's process start that has said in a response that it is leaving.
@@ -173,6 +175,37 @@
   milliseconds Age{0};
 };
 
+/// The share of a route's sessions that a roll-out's trial gets.
+struct route_share_notice {
+  std::string Route;
+  double Share = 0;
+};
+
+enum class rollout_result : std::uint8_t {
+  None = 0,
+  Completed = 1,
+  RolledBack = 2,
+};
+
+/// What the sender knows of a roll-out that the whole fleet has to agree on.
+struct rollout_notice {
+  service_id Service;
+  std::string Target;
+  /// The store's number of the order's revision.
+  std::uint64_t OrderNumber = 0;
+  /// Time since the roll-out began.
+  milliseconds Elapsed{0};
+  /// Whether the sender has not read the order as it was written.
+  bool IsElapsedEstimated = false;
+  double TrialShare = 0;
+  std::vector<route_share_notice> RouteShares;
+  /// Counted from the start of the roll-out; zero if it was not postponed.
+  milliseconds ShiftStart{0};
+  bool IsRejected = false;
+  /// The outcome that the sender knows to be in the store.
+  rollout_result Result = rollout_result::None;
+};
+
 /// Endpoint load and outcomes of the sender's requests, sent several times a
 /// second.
 struct fleet_notice {
@@ -191,6 +224,7 @@
   std::vector<endpoint_rate_notice> Rates;
   std::vector<brittle_service_notice> BrittleServices;
   std::vector<reached_service_notice> ReachedServices;
+  std::vector<rollout_notice> Rollouts;
 };
 
 using peer_message =
--- a/Libraries/LibRelay/fleet_state_updater.cpp
+++ b/Libraries/LibRelay/fleet_state_updater.cpp
@@ -122,11 +122,11 @@
   Log.write(log_level::Info, "member_unlisted", {{"member", Vm.text()}});
 }
 
-milliseconds
+std::optional<milliseconds>
 fleet_state_updater::elapsedTimeOf(const rollout_order &Order) const {
   auto Known = RolloutRecords.find(Order.Service);
   if (Known == RolloutRecords.end() || Known->second.Target != Order.Target)
-    return milliseconds(0);
+    return std::nullopt;
   // The wall clocks of two VMs differ and may jump, so limit the difference.
   const auto Elapsed = Clock.wallNow() - Known->second.BeganAt;
   return std::clamp(milliseconds(Elapsed.count()), milliseconds(0),
@@ -141,13 +141,15 @@
 }
 
 void fleet_state_updater::onRolloutOrder(const rollout_order &Order) {
-  const milliseconds Elapsed = elapsedTimeOf(Order);
+  const auto Elapsed = elapsedTimeOf(Order);
   Fleet.Rollouts.onOrder(Order, originOf(Order.Revision), Elapsed, Clock.now());
+  if (Elapsed)
+    applyRecord(Order.Service);
   Log.write(log_level::Info, "rollout_ordered",
             {{"service", Order.Service.text()},
              {"target", Order.Target},
              {"time_limit_ms", std::to_string(Order.TimeLimit.count())},
-             {"elapsed_ms", std::to_string(Elapsed.count())}});
+             {"elapsed_ms", Elapsed ? std::to_string(Elapsed->count()) : "0"}});
 }
 
 void fleet_state_updater::onRolloutOutcome(const service_id &Service,
@@ -164,6 +166,13 @@
 void fleet_state_updater::onRolloutRecord(const service_id &Service,
                                           const rollout_record &Record) {
   RolloutRecords[Service] = Record;
+  applyRecord(Service);
+}
+
+void fleet_state_updater::applyRecord(const service_id &Service) {
+  const rollout_record &Record = RolloutRecords.at(Service);
+  Fleet.Rollouts.onRecordedShift(Service, Record.Target, Record.ShiftStart,
+                                 Clock.now());
 }
 
 void fleet_state_updater::onConfirmed(steady_time At) {
--- a/Libraries/LibRelay/fleet_state_updater.h
+++ b/Libraries/LibRelay/fleet_state_updater.h
@@ -53,7 +53,9 @@
   /// Applies the entries that were held back and that nobody has removed since.
   void applyHeldEntries();
 
-  milliseconds elapsedTimeOf(const rollout_order &Order) const;
+  /// Time since the roll-out began as told by its record; nullopt without one.
+  std::optional<milliseconds> elapsedTimeOf(const rollout_order &Order) const;
+  void applyRecord(const service_id &Service);
   /// Until when entries whose leases expired during an outage may be renewed.
   steady_time renewalDeadline() const;
 
--- a/Libraries/LibRelay/peer_state_sync.cpp
+++ b/Libraries/LibRelay/peer_state_sync.cpp
@@ -1,6 +1,7 @@
 #include "LibRelay/peer_state_sync.h"
 
 #include "LibRelay/endpoint_shares.h"
+#include "LibRelay/rollout_notices.h"
 #include "LibTypes/verify.h"
 
 #include <algorithm>
@@ -14,6 +15,8 @@
 constexpr milliseconds PeerLoadTimeToLive{1500};
 /// One in this many notices has all release counts.
 constexpr std::uint64_t NoticesPerFullCounts = 10;
+/// During a roll-out, one in this many notices has all pins of this VM.
+constexpr std::uint64_t NoticesPerFullPins = 5;
 /// Notices tell that a limit has ended for this long; one of them may be lost.
 constexpr milliseconds EndedLimitNoticeTime{3000};
 /// Notices tell for this long that a service has sent something.
@@ -79,6 +82,36 @@
   return Notices;
 }
 
+std::vector<session_release_notice> peer_state_sync::sessionReleases() {
+  const steady_time Now = Clock.now();
+  std::vector<session_pin> Pins = Fleet.Pins.takeUnsent();
+  const bool IsDue =
+      NoticeCount % NoticesPerFullPins == 0 || std::exchange(HasNewPeer, false);
+  const bool SendsAll = IsDue && Fleet.Rollouts.isAnyUndecided();
+  if (SendsAll)
+    Pins = Fleet.Pins.localPins(Now);
+  std::vector<session_release_notice> Notices;
+  Notices.reserve(Pins.size());
+  for (const auto &Pin : Pins)
+    Notices.push_back(
+        {Pin.Session, Pin.Release,
+         std::chrono::duration_cast<milliseconds>(Now - Pin.SeenAt)});
+  return Notices;
+}
+
+std::vector<rollout_notice> peer_state_sync::rolloutNotices() const {
+  std::vector<rollout_notice> Notices;
+  for (const auto &[Service, State] : Fleet.Rollouts.states(Clock.now()))
+    Notices.push_back(noticeOf(Service, State));
+  return Notices;
+}
+
+void peer_state_sync::applyRollouts(const std::vector<rollout_notice> &Notices,
+                                    steady_time Now) {
+  for (const auto &Notice : Notices)
+    Fleet.Rollouts.join(Notice.Service, rolloutStateOf(Notice), Now);
+}
+
 void peer_state_sync::applyRates(const std::vector<endpoint_rate_notice> &Rates,
                                  steady_time Now) {
   if (Rates.empty())
@@ -108,8 +141,8 @@
   Notice.Rates = rateNotices();
   Notice.BrittleServices = brittleNotices();
   Notice.ReachedServices = reachedNotices();
-  for (const auto &Pin : Fleet.Pins.takeUnsent())
-    Notice.SessionReleases.push_back({Pin.Session, Pin.Release});
+  Notice.Rollouts = rolloutNotices();
+  Notice.SessionReleases = sessionReleases();
   for (const auto &Crash : Fleet.Quarantine.takeUnsent())
     Notice.Crashes.push_back({Crash.Fingerprint, Crash.Endpoint});
   for (const auto &Crash : Fleet.PromptQuarantine.takeUnsentCrashes())
@@ -144,6 +177,8 @@
   if (!Notice)
     return;
   const steady_time Now = Clock.now();
+  HasNewPeer |= std::exchange(KnownIncarnations[Frame.Sender],
+                              Frame.Incarnation) != Frame.Incarnation;
   peer_loads &Reported = PeerLoads[Frame.Sender];
   Reported.At = Now;
   removeFromTotals(Reported.Loads);
@@ -164,8 +199,9 @@
         {{Release.Service, Release.Release, Release.Route},
          {Release.Requests, Release.Failures, Release.Slow, Release.Attempts}});
   for (const auto &SessionRelease : Notice->SessionReleases)
-    Fleet.Pins.merge({SessionRelease.Session, SessionRelease.Release, Now,
-                      pin_source::Peer});
+    Fleet.Pins.merge({SessionRelease.Session, SessionRelease.Release,
+                      Now - SessionRelease.Age, pin_source::Peer});
+  applyRollouts(Notice->Rollouts, Now);
   for (const auto &Crash : Notice->Crashes)
     Fleet.Quarantine.merge(Crash.Fingerprint, Crash.Endpoint, Now);
   for (const auto &Crash : Notice->SegmentCrashes)
--- a/Libraries/LibRelay/peer_state_sync.h
+++ b/Libraries/LibRelay/peer_state_sync.h
@@ -3,6 +3,7 @@
 #include "LibLog/event_log.h"
 #include "LibPeer/peer_network.h"
 #include "LibRelay/fleet_state.h"
+#include "LibRelay/rollout_driver.h"
 #include "LibTypes/clock_source.h"
 
 #include <unordered_map>
@@ -12,7 +13,7 @@
 /// Sends this VM's endpoint load, release statistics, session pins, crash
 /// reports and confirmations of the configuration to the other VMs and applies
 /// theirs. Called on the event loop.
-class peer_state_sync {
+class peer_state_sync : public fleet_announcer {
 public:
   peer_state_sync(fleet_state &Fleet, const clock_source &Clock,
                   peer_network &Peers, std::uint64_t Incarnation)
@@ -20,6 +21,7 @@
 
   /// Sends one notice to each other member.
   void broadcast();
+  void announce() override { broadcast(); }
   void onFrame(const peer_frame &Frame);
   /// Drops the endpoint load reported by VMs that have stopped sending.
   void expire();
@@ -41,6 +43,13 @@
   void applyBrittleServices(const std::vector<brittle_service_notice> &Services,
                             steady_time Now);
   std::vector<reached_service_notice> reachedNotices() const;
+  /// The pins that the others have not been told of; at times during a
+  /// roll-out all of this VM's, since a notice may be lost and a VM may have
+  /// just started.
+  std::vector<session_release_notice> sessionReleases();
+  std::vector<rollout_notice> rolloutNotices() const;
+  void applyRollouts(const std::vector<rollout_notice> &Notices,
+                     steady_time Now);
   void applyRates(const std::vector<endpoint_rate_notice> &Rates,
                   steady_time Now);
   /// The release counts that have changed since the last notice; at times all
@@ -63,6 +72,9 @@
   std::unordered_map<std::uint64_t, total_load> Totals;
   std::map<release_key, release_counts> SentCounts;
   std::uint64_t NoticeCount = 0;
+  /// The latest process start of each VM that has sent a notice.
+  std::map<vm_id, std::uint64_t> KnownIncarnations;
+  bool HasNewPeer = false;
 };
 
 } // namespace azurehaven
--- a/Libraries/LibRelay/relay_node.cpp
+++ b/Libraries/LibRelay/relay_node.cpp
@@ -138,7 +138,8 @@
                                }));
   PeerSync =
       std::make_unique<peer_state_sync>(Fleet, Clock, *Peers, Incarnation);
-  Rollouts = std::make_unique<rollout_driver>(Fleet, Clock, Log, Publisher);
+  Rollouts =
+      std::make_unique<rollout_driver>(Fleet, Clock, Log, Publisher, *PeerSync);
   TRY(Listener, connection_listener::listen(Loop, Settings.CallerAddress, Relay,
                                             maxCallerConnections(Settings)));
   if (Settings.ForwardingAddress.Port != 0) {
--- a/Libraries/LibRelay/request_log.cpp
+++ b/Libraries/LibRelay/request_log.cpp
@@ -20,8 +20,9 @@
   const auto &Pin = Placement.Pin;
   const std::string &Release = Placement.Endpoint->Descriptor.Release;
   const rollout_phase Phase = Placement.Rule.Phase;
-  const bool IsUndecided =
-      Phase == rollout_phase::Trial || Phase == rollout_phase::Shift;
+  const bool IsUndecided = Phase == rollout_phase::Trial ||
+                           Phase == rollout_phase::Shift ||
+                           Phase == rollout_phase::Rejected;
   const bool HasMoved = Pin && Pin->Release != Release;
   if (!IsUndecided && !HasMoved)
     return;
@@ -37,9 +38,10 @@
        {"release", Release},
        {"reason", IsFallback ? "unusable" : nameOf(Placement.Decision.Reason)},
        {"phase", nameOf(Phase)},
-       {"share", std::to_string(Placement.Rule.TargetShare *
-                                Placement.Rule.RouteFactor)},
-       {"sample", std::to_string(Placement.Sample)},
+       {"trial_share", std::to_string(Placement.Rule.TrialShare)},
+       {"shifted_share", std::to_string(Placement.Rule.ShiftedShare)},
+       {"session_sample", std::to_string(Placement.Samples.Session)},
+       {"prompt_sample", std::to_string(Placement.Samples.Prompt)},
        {"pin", Pin ? Pin->Release : "none"},
        {"pin_source", Pin ? nameOf(Pin->Source) : "none"},
        {"pin_age_ms",
--- a/Libraries/LibRelay/request_placement.cpp
+++ b/Libraries/LibRelay/request_placement.cpp
@@ -9,8 +9,7 @@
 
 namespace {
 
-/// Number of distinct samples by which requests are split between the shares of
-/// a roll-out.
+/// Number of distinct samples by which requests are divided between releases.
 constexpr std::uint64_t SampleSteps = 100003;
 
 model_id modelOf(const admitted_request &Admitted,
@@ -18,17 +17,19 @@
   return ModelIndex ? Admitted.Route->ModelsBySize[*ModelIndex] : model_id();
 }
 
-/// Returns a value in [0, 1). Requests with the same prompt prefix, or else
-/// of the same session, get the same value, so that they move to a new release
-/// together and their prompts stay cached.
-double rolloutSample(const admitted_request &Admitted) {
-  const auto &Prompt = Admitted.Request.Prompt;
-  const std::uint64_t Key = Prompt.size() < 2
-                                ? Admitted.Session
-                                : fingerprintOf(Prompt[Prompt.size() - 2].Id);
+double sampleOf(std::uint64_t Key) {
   return static_cast<double>(Key % SampleSteps) / SampleSteps;
 }
 
+release_samples samplesOf(const admitted_request &Admitted) {
+  const auto &Prompt = Admitted.Request.Prompt;
+  const double Session = sampleOf(Admitted.Session);
+  // The last segment is specific to the request or its session.
+  if (Prompt.size() < 2)
+    return {Session, Session};
+  return {Session, sampleOf(fingerprintOf(Prompt[Prompt.size() - 2].Id))};
+}
+
 } // namespace
 
 request_placement placeRequest(const fleet_state &Fleet,
@@ -46,17 +47,14 @@
   const endpoint_list Endpoints = Fleet.Endpoints.endpointsOf(Admitted.Service);
   request_placement Placement;
   release_rule &Rule = Placement.Rule;
-  Rule = Fleet.Rollouts.ruleFor(Admitted.Service, Now);
-  if (Rule.Phase == rollout_phase::Trial)
-    Rule.RouteFactor =
-        Fleet.Rollouts.routeFactor(Admitted.Service, Admitted.Route->Name);
+  Rule = Fleet.Rollouts.ruleFor(Admitted.Service, Admitted.Route->Name, Now);
   Placement.Pin =
       Fleet.Pins.find(Admitted.Session, Rule.Target, Rule.Since, Now);
-  Placement.Sample = rolloutSample(Admitted);
+  Placement.Samples = samplesOf(Admitted);
   Placement.Decision = chooseRelease(
       Rule,
       Placement.Pin ? std::optional(Placement.Pin->Release) : std::nullopt,
-      Placement.Sample);
+      Placement.Samples);
   const endpoint_list Candidates =
       candidatesFor(Endpoints, Rule, Placement.Decision.Choice, Now);
   Placement.Endpoint =
--- a/Libraries/LibRelay/request_placement.h
+++ b/Libraries/LibRelay/request_placement.h
@@ -16,7 +16,7 @@
   release_rule Rule;
   /// The pin of the request's session, if it has one.
   std::optional<session_pin> Pin;
-  double Sample = 0;
+  release_samples Samples;
   release_decision Decision;
 };
 
--- a/Libraries/LibRelay/rollout_driver.cpp
+++ b/Libraries/LibRelay/rollout_driver.cpp
@@ -2,21 +2,27 @@
 
 #include <nlohmann/json.hpp>
 
+#include <algorithm>
+
 namespace azurehaven {
 
 namespace {
 
 /// The other VMs publish an outcome too if the preferred VM has not done so
-/// within this time.
-constexpr milliseconds FallbackPublishDelay{300};
+/// within this time. It tells them at once of a final one; the beginning they
+/// read from the store.
+constexpr milliseconds FinalFallbackDelay{300};
+constexpr milliseconds BeginningFallbackDelay{700};
 constexpr milliseconds RetryDelay{300};
 
 } // namespace
 
 std::string encodeRolloutRecord(const rollout_record &Record) {
-  return nlohmann::json{{"target", Record.Target},
-                        {"began_unix_ms", Record.BeganAt.count()}}
-      .dump();
+  nlohmann::json Object{{"target", Record.Target},
+                        {"began_unix_ms", Record.BeganAt.count()}};
+  if (Record.ShiftStart.count() > 0)
+    Object["shift_start_ms"] = Record.ShiftStart.count();
+  return Object.dump();
 }
 
 result<rollout_record> decodeRolloutRecord(const std::string &Text) {
@@ -28,16 +34,21 @@
   if (!IsRecord)
     return error{error_code::InvalidInput,
                  "roll-out record lacks a valid 'target' or 'began_unix_ms'"};
-  return rollout_record{
+  rollout_record Record{
       Object["target"].get<std::string>(),
       unix_millis(Object["began_unix_ms"].get<std::int64_t>())};
+  const auto ShiftStart = Object.find("shift_start_ms");
+  if (ShiftStart != Object.end() && ShiftStart->is_number_integer())
+    Record.ShiftStart = std::max(milliseconds(0),
+                                 milliseconds(ShiftStart->get<std::int64_t>()));
+  return Record;
 }
 
 rollout_surroundings rollout_driver::surroundings() const {
   rollout_surroundings Surroundings;
-  Surroundings.VmCount = Fleet.Members.size();
   for (const auto &[Id, Endpoint] : Fleet.Endpoints.all())
-    Surroundings.InFlight[Endpoint->Descriptor.Service] += Endpoint->InFlight;
+    Surroundings.InFlight[Endpoint->Descriptor.Service] +=
+        Endpoint->InFlight + Endpoint->PeersInFlight;
   for (const auto &[Service, InFlight] : Surroundings.InFlight) {
     const endpoint_pool *Pool =
         Fleet.Routes ? Fleet.Routes->pool(Service) : nullptr;
@@ -51,20 +62,27 @@
   const steady_time Now = Clock.now();
   Fleet.Rollouts.judge(Fleet.ReleaseStatistics, surroundings(), Now);
   logPhaseChanges(Now);
+  announceNews();
   // A stopping process may exit before the store responds.
   if (Fleet.IsStopping)
     return;
   const auto Due = Fleet.Rollouts.outcomeUpdates(Now);
   for (const auto &Entry : Due) {
     pending_outcome &State = Pending[Entry.Order.Service];
-    if (State.Outcome != Entry.Outcome || State.DueSince == steady_time()) {
+    const bool IsKnown = State.DueSince != steady_time() &&
+                         State.Outcome == Entry.Outcome &&
+                         State.ShiftStart == Entry.ShiftStart;
+    if (!IsKnown) {
       const bool IsPublishing = State.IsPublishing;
-      State = {Entry.Outcome, Now, IsPublishing, Now};
+      State = {Entry.Outcome, Now, Entry.ShiftStart, IsPublishing, Now};
     }
     const bool IsPreferredPublisher = Fleet.Members.isPreferredFor(
         RolloutPrefix + Entry.Order.Service.text(), Fleet.Self);
+    const milliseconds FallbackDelay =
+        Entry.Outcome == rollout_outcome::InProgress ? BeginningFallbackDelay
+                                                     : FinalFallbackDelay;
     const bool MayPublish =
-        IsPreferredPublisher || Now - State.DueSince >= FallbackPublishDelay;
+        IsPreferredPublisher || Now - State.DueSince >= FallbackDelay;
     if (MayPublish && !State.IsPublishing && Now >= State.RetryAt)
       publish(Entry, Now);
   }
@@ -73,7 +91,7 @@
 void rollout_driver::logPhaseChanges(steady_time Now) {
   for (const auto &Summary : Fleet.Rollouts.summaries(Now)) {
     const logged_state State{Summary.Rule.Target, Summary.Rule.Phase,
-                             Summary.IsShiftHeld};
+                             Summary.IsShiftPostponed};
     logged_state &Logged = LoggedStates[Summary.Service];
     if (Logged == State)
       continue;
@@ -82,9 +100,10 @@
                {"target", State.Target},
                {"phase", nameOf(State.Phase)},
                {"before", nameOf(Logged.Phase)},
-               {"shift_held", State.IsShiftHeld ? "yes" : "no"},
+               {"shift_postponed", State.IsShiftPostponed ? "yes" : "no"},
                {"verdict", nameOf(Summary.Verdict)},
-               {"share", std::to_string(Summary.Rule.TargetShare)},
+               {"trial_share", std::to_string(Summary.Rule.TrialShare)},
+               {"shift_start_ms", std::to_string(Summary.ShiftStart.count())},
                {"elapsed_ms", std::to_string(Summary.Elapsed.count())}});
     Logged = State;
   }
@@ -97,7 +116,8 @@
   State.IsPublishing = true;
   State.RetryAt = Now + RetryDelay;
   const rollout_record Record{
-      Due.Order.Target, Clock.wallNow() - unix_millis(Due.Elapsed.count())};
+      Due.Order.Target, Clock.wallNow() - unix_millis(Due.Elapsed.count()),
+      Due.ShiftStart};
   const release_counts Counts =
       Fleet.ReleaseStatistics.countsOf(Service, Due.Order.Target);
   const release_counts All = Fleet.ReleaseStatistics.countsOf(Service);
@@ -118,14 +138,34 @@
   Publisher.publish(
       Due.Order, Due.Outcome, Due.PublishedRevision,
       {{RolloutPrefix + Service.text(), encodeRolloutRecord(Record), NoLease}},
-      [this, Service, Outcome = Due.Outcome](result<store_revision> Result) {
-        Pending[Service].IsPublishing = false;
-        if (isError(Result))
-          Log.write(log_level::Warning, "rollout_not_published",
-                    {{"service", Service.text()},
-                     {"outcome", nameOf(Outcome)},
-                     {"reason", errorOf(Result).Message}});
+      [this, Due](const result<store_revision> &Result) {
+        onPublished(Due, Result);
       });
 }
 
+void rollout_driver::onPublished(
+    const rollout_controller::outcome_update &Update,
+    const result<store_revision> &Result) {
+  const service_id &Service = Update.Order.Service;
+  Pending[Service].IsPublishing = false;
+  if (isError(Result)) {
+    Log.write(log_level::Warning, "rollout_not_published",
+              {{"service", Service.text()},
+               {"outcome", nameOf(Update.Outcome)},
+               {"reason", errorOf(Result).Message}});
+    return;
+  }
+  // The watch delivers the change later.
+  Fleet.Rollouts.onOutcome(Service, Update.Order.Target, Update.Outcome,
+                           valueOf(Result));
+  Fleet.Rollouts.onRecordedShift(Service, Update.Order.Target,
+                                 Update.ShiftStart, Clock.now());
+  announceNews();
+}
+
+void rollout_driver::announceNews() {
+  if (Fleet.Rollouts.takeNews())
+    Announcer.announce();
+}
+
 } // namespace azurehaven
--- a/Libraries/LibRelay/rollout_driver.h
+++ b/Libraries/LibRelay/rollout_driver.h
@@ -23,6 +23,13 @@
                        store_handler<store_revision> Handler) = 0;
 };
 
+/// Tells the other VMs at once what this one knows.
+class fleet_announcer {
+public:
+  virtual ~fleet_announcer() = default;
+  virtual void announce() = 0;
+};
+
 /// Prefix of the roll-out records in the store, from which a VM that has just
 /// started reads how long a roll-out has been running.
 constexpr const char *RolloutPrefix = "azurehaven/rollouts/";
@@ -30,19 +37,23 @@
 struct rollout_record {
   std::string Target;
   unix_millis BeganAt;
+  /// Counted from the start of the roll-out; zero if it was not postponed.
+  milliseconds ShiftStart{0};
 };
 
 std::string encodeRolloutRecord(const rollout_record &Record);
 result<rollout_record> decodeRolloutRecord(const std::string &Text);
 
-/// Evaluates roll-outs and publishes their outcomes. All VMs reach the same
-/// decision; one preferred VM publishes it, the others only if it fails to.
+/// Evaluates roll-outs, publishes their outcomes and tells the other VMs. One
+/// preferred VM publishes, the others only if it fails to.
 /// Used on the event loop only.
 class rollout_driver {
 public:
   rollout_driver(fleet_state &Fleet, const clock_source &Clock,
-                 const event_log &Log, rollout_publisher &Publisher)
-      : Fleet(Fleet), Clock(Clock), Log(Log), Publisher(Publisher) {}
+                 const event_log &Log, rollout_publisher &Publisher,
+                 fleet_announcer &Announcer)
+      : Fleet(Fleet), Clock(Clock), Log(Log), Publisher(Publisher),
+        Announcer(Announcer) {}
 
   /// Must be called several times per second.
   void advance();
@@ -51,6 +62,7 @@
   struct pending_outcome {
     rollout_outcome Outcome = rollout_outcome::InProgress;
     steady_time DueSince;
+    milliseconds ShiftStart{0};
     bool IsPublishing = false;
     steady_time RetryAt;
   };
@@ -58,17 +70,21 @@
   struct logged_state {
     std::string Target;
     rollout_phase Phase = rollout_phase::None;
-    bool IsShiftHeld = false;
+    bool IsShiftPostponed = false;
     bool operator==(const logged_state &) const = default;
   };
   rollout_surroundings surroundings() const;
   void publish(const rollout_controller::outcome_update &Due, steady_time Now);
+  void onPublished(const rollout_controller::outcome_update &Update,
+                   const result<store_revision> &Result);
+  void announceNews();
   void logPhaseChanges(steady_time Now);
 
   fleet_state &Fleet;
   const clock_source &Clock;
   const event_log &Log;
   rollout_publisher &Publisher;
+  fleet_announcer &Announcer;
   std::map<service_id, pending_outcome> Pending;
   std::map<service_id, logged_state> LoggedStates;
 };
--- /dev/null
+++ b/Libraries/LibRelay/rollout_notices.h
@@ -0,0 +1,12 @@
+#pragma once
+
+#include "LibDispatch/rollout_agreement.h"
+#include "LibPeer/peer_message.h"
+
+namespace azurehaven {
+
+/// The state of a roll-out as it is told to the other VMs, and back.
+rollout_notice noticeOf(const service_id &Service, const rollout_state &State);
+rollout_state rolloutStateOf(const rollout_notice &Notice);
+
+} // namespace azurehaven
--- a/Tests/LibRelay/rollout_simulation.cpp
+++ b/Tests/LibRelay/rollout_simulation.cpp
@@ -37,8 +37,10 @@
 /// Sends a VM's notices through the simulation.
 class simulated_network : public peer_network {
 public:
-  simulated_network(simulation &Simulation, vm_id Self)
-      : Simulation(Simulation), Self(std::move(Self)) {}
+  simulated_network(simulation &Simulation, vm_id Self,
+                    std::uint64_t Incarnation)
+      : Simulation(Simulation), Self(std::move(Self)),
+        Incarnation(Incarnation) {}
   void setPeers(const std::map<vm_id, network_address> &) override {}
   void send(const vm_id &To, peer_message Message) override;
   peer_traffic traffic() const override { return {}; }
@@ -46,6 +48,7 @@
 private:
   simulation &Simulation;
   const vm_id Self;
+  const std::uint64_t Incarnation;
 };
 
 class simulated_publisher : public rollout_publisher {
@@ -62,10 +65,13 @@
 
 struct simulated_vm {
   simulated_vm(simulation &Simulation, const clock_source &Clock,
-               const event_log &Log, const std::string &Name)
-      : Fleet(testFleet(Name, std::nullopt)), Network(Simulation, Fleet.Self),
-        Publisher(Simulation), Updater(Fleet, Clock, Log, Metrics),
-        Sync(Fleet, Clock, Network, 1), Driver(Fleet, Clock, Log, Publisher) {}
+               const event_log &Log, const std::string &Name,
+               std::uint64_t Incarnation)
+      : Fleet(testFleet(Name, std::nullopt)),
+        Network(Simulation, Fleet.Self, Incarnation), Publisher(Simulation),
+        Updater(Fleet, Clock, Log, Metrics),
+        Sync(Fleet, Clock, Network, Incarnation),
+        Driver(Fleet, Clock, Log, Publisher, Sync) {}
 
   fleet_state Fleet;
   metrics Metrics;
@@ -102,7 +108,7 @@
 public:
   simulation(const simulated_day &Day, unsigned Seed);
   simulation_result run();
-  void deliver(const vm_id &From, const vm_id &To, peer_message Message);
+  void deliver(const peer_frame &Frame, const vm_id &To);
   void write(const rollout_order &Order, rollout_outcome Outcome,
              store_revision Revision, std::vector<store_put> ExtraPuts,
              store_handler<store_revision> Handler);
@@ -153,6 +159,7 @@
   std::vector<std::unique_ptr<simulated_vm>> StoppedVms;
   std::multimap<steady_time, action> Events;
   std::vector<std::uint64_t> Sessions;
+  std::uint64_t LastIncarnation = 0;
   std::uint64_t NextSession = 1;
   std::uint64_t NextRequest = 1;
   std::map<std::uint64_t, session_record> SessionRecords;
@@ -165,7 +172,7 @@
 };
 
 void simulated_network::send(const vm_id &To, peer_message Message) {
-  Simulation.deliver(Self, To, std::move(Message));
+  Simulation.deliver({Self, Incarnation, std::move(Message)}, To);
 }
 
 void simulated_publisher::publish(const rollout_order &Order,
@@ -204,7 +211,8 @@
 }
 
 std::unique_ptr<simulated_vm> simulation::makeVm(const std::string &Name) {
-  auto Vm = std::make_unique<simulated_vm>(*this, Clock, Log, Name);
+  auto Vm = std::make_unique<simulated_vm>(*this, Clock, Log, Name,
+                                           ++LastIncarnation);
   Vm->Fleet.Routes = Routes;
   Vm->Fleet.Rollouts.setExposureLimits(Day.Exposure);
   for (std::size_t Index = 0; Index < Day.VmCount; ++Index)
@@ -244,11 +252,9 @@
   after(NoticeInterval, [this, &Vm] { notify(Vm); });
 }
 
-void simulation::deliver(const vm_id &From, const vm_id &To,
-                         peer_message Message) {
+void simulation::deliver(const peer_frame &Frame, const vm_id &To) {
   if (uniform() < Day.NoticeLoss)
     return;
-  const peer_frame Frame{From, 1, std::move(Message)};
   after(milliseconds(1) + upTo(Day.NoticeDelay), [this, To, Frame] {
     for (auto &Vm : Vms)
       if (Vm->Fleet.Self == To)
