LibRelay: Begin a roll-out anew when its target is ordered again

A release that is ordered a second time, after it was rolled back, took over the start of its first roll-out: the record in the store was told apart by its target only. The second roll-out was due at once, on VMs that had read the record, without a trial.

A record now counts for an order only if it was written after it.

Found by reading, with the users' question on a second order; no play has shown it. 'A release that is ordered again does not continue its earlier roll-out' fails without the condition (phase shift, 8 s elapsed).

--- a/Libraries/LibDispatch/rollout_controller.cpp
+++ b/Libraries/LibDispatch/rollout_controller.cpp
@@ -101,9 +101,13 @@
 void rollout_controller::onRecordedShift(const service_id &Service,
                                          const std::string &Target,
                                          milliseconds ShiftStart,
+                                         store_revision Revision,
                                          steady_time Now) {
   auto Found = Rollouts.find(Service);
-  if (Found == Rollouts.end() || Found->second.Rollout.order().Target != Target)
+  if (Found == Rollouts.end())
+    return;
+  const rollout_order &Order = Found->second.Rollout.order();
+  if (Order.Target != Target || Order.Revision >= Revision)
     return;
   tracked_rollout &Tracked = Found->second;
   Tracked.RecordedShiftStart = std::max(Tracked.RecordedShiftStart, ShiftStart);
--- a/Libraries/LibDispatch/rollout_controller.h
+++ b/Libraries/LibDispatch/rollout_controller.h
@@ -23,9 +23,11 @@
                std::optional<milliseconds> Elapsed, steady_time Now);
   void onOutcome(const service_id &Service, const std::string &Target,
                  rollout_outcome Outcome, store_revision Revision);
-  /// A record in the store has this postponed start of the shift.
+  /// A record in the store has this postponed start of the shift. Revision: the
+  /// record's; one from before the order has no effect.
   void onRecordedShift(const service_id &Service, const std::string &Target,
-                       milliseconds ShiftStart, steady_time Now);
+                       milliseconds ShiftStart, store_revision Revision,
+                       steady_time Now);
   /// Forgets what is published: the store was restored from an older copy. The
   /// decisions stay, and are published again where the copy lacks them.
   void onStoreRestored();
--- a/Libraries/LibRelay/fleet_state_updater.cpp
+++ b/Libraries/LibRelay/fleet_state_updater.cpp
@@ -122,13 +122,24 @@
   Log.write(log_level::Info, "member_unlisted", {{"member", Vm.text()}});
 }
 
+const rollout_record *
+fleet_state_updater::recordOf(const rollout_order &Order) const {
+  const auto Known = RolloutRecords.find(Order.Service);
+  // A record written before the order belongs to an earlier roll-out, which may
+  // have had the same target.
+  const bool IsOfOrder = Known != RolloutRecords.end() &&
+                         Known->second.Record.Target == Order.Target &&
+                         Known->second.Revision > Order.Revision;
+  return IsOfOrder ? &Known->second.Record : nullptr;
+}
+
 std::optional<milliseconds>
 fleet_state_updater::elapsedTimeOf(const rollout_order &Order) const {
-  auto Known = RolloutRecords.find(Order.Service);
-  if (Known == RolloutRecords.end() || Known->second.Target != Order.Target)
+  const rollout_record *Record = recordOf(Order);
+  if (!Record)
     return std::nullopt;
   // The wall clocks of two VMs differ and may jump, so limit the difference.
-  const auto Elapsed = Clock.wallNow() - Known->second.BeganAt;
+  const auto Elapsed = Clock.wallNow() - Record->BeganAt;
   return std::clamp(milliseconds(Elapsed.count()), milliseconds(0),
                     2 * Order.TimeLimit);
 }
@@ -143,8 +154,7 @@
 void fleet_state_updater::onRolloutOrder(const rollout_order &Order) {
   const auto Elapsed = elapsedTimeOf(Order);
   Fleet.Rollouts.onOrder(Order, originOf(Order.Revision), Elapsed, Clock.now());
-  if (Elapsed)
-    applyRecord(Order.Service);
+  applyRecord(Order.Service);
   Log.write(log_level::Info, "rollout_ordered",
             {{"service", Order.Service.text()},
              {"target", Order.Target},
@@ -164,15 +174,19 @@
 }
 
 void fleet_state_updater::onRolloutRecord(const service_id &Service,
-                                          const rollout_record &Record) {
-  RolloutRecords[Service] = Record;
+                                          const rollout_record &Record,
+                                          store_revision Revision) {
+  RolloutRecords[Service] = {Record, Revision};
   applyRecord(Service);
 }
 
 void fleet_state_updater::applyRecord(const service_id &Service) {
-  const rollout_record &Record = RolloutRecords.at(Service);
+  const auto Known = RolloutRecords.find(Service);
+  if (Known == RolloutRecords.end())
+    return;
+  const rollout_record &Record = Known->second.Record;
   Fleet.Rollouts.onRecordedShift(Service, Record.Target, Record.ShiftStart,
-                                 Clock.now());
+                                 Known->second.Revision, Clock.now());
 }
 
 void fleet_state_updater::onConfirmed(steady_time At) {
--- a/Libraries/LibRelay/fleet_state_updater.h
+++ b/Libraries/LibRelay/fleet_state_updater.h
@@ -26,7 +26,8 @@
   void onRolloutOrder(const rollout_order &Order);
   void onRolloutOutcome(const service_id &Service, const std::string &Target,
                         rollout_outcome Outcome, store_revision Revision);
-  void onRolloutRecord(const service_id &Service, const rollout_record &Record);
+  void onRolloutRecord(const service_id &Service, const rollout_record &Record,
+                       store_revision Revision);
   void onMemberGone(const vm_id &Vm, removal_cause Cause);
   void onConfirmed(steady_time At);
   void onStoreReachable();
@@ -53,13 +54,19 @@
   /// Applies the entries that were held back and that nobody has removed since.
   void applyHeldEntries();
 
+  struct stored_record {
+    rollout_record Record;
+    store_revision Revision;
+  };
+  /// The record of this order's roll-out; null if there is none.
+  const rollout_record *recordOf(const rollout_order &Order) const;
+  void applyRecord(const service_id &Service);
   /// Time since the roll-out began as told by its record; nullopt without one.
   std::optional<milliseconds> elapsedTimeOf(const rollout_order &Order) const;
-  void applyRecord(const service_id &Service);
   /// Until when entries whose leases expired during an outage may be renewed.
   steady_time renewalDeadline() const;
 
-  std::map<service_id, rollout_record> RolloutRecords;
+  std::map<service_id, stored_record> RolloutRecords;
   store_restoration Restoration;
   departed_entries DepartedEndpoints;
   departed_entries DepartedMembers;
--- a/Libraries/LibRelay/rollout_driver.cpp
+++ b/Libraries/LibRelay/rollout_driver.cpp
@@ -159,7 +159,8 @@
   Fleet.Rollouts.onOutcome(Service, Update.Order.Target, Update.Outcome,
                            valueOf(Result));
   Fleet.Rollouts.onRecordedShift(Service, Update.Order.Target,
-                                 Update.ShiftStart, Clock.now());
+                                 Update.ShiftStart, valueOf(Result),
+                                 Clock.now());
   announceNews();
 }
 
--- a/Tests/LibRelay/fleet_state_updater_test.cpp
+++ b/Tests/LibRelay/fleet_state_updater_test.cpp
@@ -87,14 +87,44 @@
 TEST_CASE("A running roll-out resumes at the elapsed time of its record") {
   updater_fixture Fixture;
   const service_id Service("s");
-  Fixture.StateUpdater.onRolloutRecord(Service,
-                                       {"v2", unix_millis(1000000 - 8000)});
+  Fixture.StateUpdater.onRolloutRecord(
+      Service, {"v2", unix_millis(1000000 - 8000)}, {{}, 6});
   Fixture.StateUpdater.onRolloutOrder(
       {Service, "v2", milliseconds(10000), {{}, 5}});
   CHECK(Fixture.Fleet.Rollouts.ruleFor(Service, Fixture.Clock.Now).Phase ==
         rollout_phase::Shift);
 }
 
+TEST_CASE("A release that is ordered again does not continue its earlier "
+          "roll-out") {
+  updater_fixture Fixture;
+  const service_id Service("s");
+  Fixture.StateUpdater.onRolloutRecord(
+      Service, {"v2", unix_millis(1000000 - 8000), milliseconds(9500)},
+      {{}, 6});
+  Fixture.StateUpdater.onRolloutOrder(
+      {Service, "v2", milliseconds(10000), {{}, 7}});
+  const auto Summary =
+      Fixture.Fleet.Rollouts.summaries(Fixture.Clock.Now).front();
+  CHECK(Summary.Rule.Phase == rollout_phase::Trial);
+  CHECK(Summary.Elapsed == milliseconds(0));
+  CHECK_FALSE(Summary.IsShiftPostponed);
+}
+
+TEST_CASE("A VM that starts in a roll-out takes over its postponed shift") {
+  updater_fixture Fixture;
+  const service_id Service("s");
+  Fixture.StateUpdater.onRolloutRecord(
+      Service, {"v2", unix_millis(1000000 - 8000), milliseconds(9500)},
+      {{}, 6});
+  Fixture.StateUpdater.onRolloutOrder(
+      {Service, "v2", milliseconds(10000), {{}, 5}});
+  const auto Summary =
+      Fixture.Fleet.Rollouts.summaries(Fixture.Clock.Now).front();
+  CHECK(Summary.Rule.Phase == rollout_phase::Trial);
+  CHECK(Summary.ShiftStart == milliseconds(9500));
+}
+
 namespace {
 
 constexpr store_era NewEra{1};
--- a/Tests/LibRelay/rollout_simulation.cpp
+++ b/Tests/LibRelay/rollout_simulation.cpp
@@ -166,6 +166,7 @@
   std::vector<std::shared_ptr<simulated_request>> Running;
   std::uint64_t Revision = 10;
   store_revision OrderRevision;
+  unix_millis OrderedAt;
   store_revision StatusRevision;
   bool OldEndpointsStopped = false;
   simulation_result Result;
@@ -273,6 +274,7 @@
 
 void simulation::order() {
   OrderRevision = {{}, ++Revision};
+  OrderedAt = Clock.Wall;
   const rollout_order Order{Service, "v2", Day.TimeLimit, OrderRevision};
   watch([Order](simulated_vm &Vm) {
     Vm.Updater.onRolloutOrder(Order);
@@ -308,7 +310,7 @@
     if (Outcome == rollout_outcome::Completed)
       stopOldEndpoints();
     watch([=](simulated_vm &Vm) {
-      Vm.Updater.onRolloutRecord(Service, valueOf(Record));
+      Vm.Updater.onRolloutRecord(Service, valueOf(Record), Written);
       Vm.Updater.onRolloutOutcome(Service, Order.Target, Outcome, Written);
     });
     after(Day.WriteDelay / 2, [=] { Handler(Written); });
@@ -343,8 +345,8 @@
   });
   StoppedVms.push_back(std::move(Vms.front()));
   Vms.front() = makeVm(Name);
-  Vms.front()->Updater.onRolloutRecord(
-      Service, {"v2", unix_millis(Clock.Wall.count() + OrderAt.count())});
+  Vms.front()->Updater.onRolloutRecord(Service, {"v2", OrderedAt},
+                                       StatusRevision);
   Vms.front()->Updater.onRolloutOrder(
       {Service, "v2", Day.TimeLimit, OrderRevision});
   Vms.front()->Updater.onRolloutOutcome(
