LibRelay: Keep a session pinned while one of its requests runs

The pin of a session was written when a request was sent and when it ended. A stream that runs for longer than the session gap let the pin expire meanwhile, so that the next request of its session could go to another release.

While a roll-out is undecided, a running request refreshes its session's pin once a second, and the other VMs learn of it.

--- a/Libraries/LibRelay/attempt_observations.cpp
+++ b/Libraries/LibRelay/attempt_observations.cpp
@@ -5,6 +5,13 @@
 
 namespace azurehaven {
 
+namespace {
+
+/// How often a running request tells of its session.
+constexpr milliseconds PinRefreshInterval{1000};
+
+} // namespace
+
 void attempt_observations::onSent(std::shared_ptr<endpoint_record> NewEndpoint,
                                   const model_id &Model,
                                   std::optional<std::size_t> NewModelIndex,
@@ -53,7 +60,18 @@
   Recorder.record(/*HasFailed=*/false, Now);
   // The VM that has served a forwarded request pins its session.
   if (!IsForwarded)
-    refreshSessionPin(Fleet, Admitted, *Endpoint, Now);
+    pinSession(Fleet, Admitted, *Endpoint, Now);
+}
+
+void attempt_observations::refreshSessionPin(steady_time Now) {
+  if (IsForwarded || !Recorder.isRunning())
+    return;
+  const auto Pin = Fleet.Pins.find(
+      Admitted.Session, Endpoint->Descriptor.Release, steady_time::min(), Now);
+  const bool IsFresh = Pin && Pin->Release == Endpoint->Descriptor.Release &&
+                       Now - Pin->SeenAt < PinRefreshInterval;
+  if (!IsFresh)
+    pinSession(Fleet, Admitted, *Endpoint, Now);
 }
 
 void attempt_observations::onErrorResponse(bool IsSigned, steady_time Now) {
--- a/Libraries/LibRelay/attempt_observations.h
+++ b/Libraries/LibRelay/attempt_observations.h
@@ -42,6 +42,8 @@
   /// The deadline has passed before the response began.
   void onDeadline(steady_time Now) { Recorder.record(/*HasFailed=*/true, Now); }
   void recordIfSlow(steady_time Now) { Recorder.recordIfSlow(Now); }
+  /// The attempt runs on, so that its session does.
+  void refreshSessionPin(steady_time Now);
 
   /// Whether the current attempt is at another VM.
   bool isForwarded() const { return IsForwarded; }
--- a/Libraries/LibRelay/attempt_recorder.h
+++ b/Libraries/LibRelay/attempt_recorder.h
@@ -26,6 +26,8 @@
   void onEvents(std::uint64_t EventCount, steady_time Now);
   double msSinceSent(steady_time Now) const { return Timing.msSinceSent(Now); }
 
+  bool isRunning() const { return IsRunning; }
+
   /// Counts the attempt, which has succeeded or failed.
   void record(bool HasFailed, steady_time Now);
   /// Ends the attempt without counting it: it tells nothing of the release.
--- a/Libraries/LibRelay/relay.h
+++ b/Libraries/LibRelay/relay.h
@@ -25,6 +25,8 @@
   /// Counts the running attempt as slow in the statistics of its release if
   /// that is certain before it ends.
   virtual void recordIfSlow(steady_time Now) = 0;
+  /// Keeps the session on the release of the running attempt.
+  virtual void refreshSessionPin(steady_time Now) = 0;
 };
 
 /// Dependencies and state shared by the requests of one event loop.
--- a/Libraries/LibRelay/relay_node.cpp
+++ b/Libraries/LibRelay/relay_node.cpp
@@ -173,19 +173,21 @@
   updateShares(Fleet, Clock.now());
   PathProber.advance(Clock.now());
   Connections.closeExpired(Clock.now());
-  recordSlowAttempts();
+  observeRunningRequests();
   Rollouts->advance();
   if (Fleet.IsStopping)
     advanceStop();
   Scheduler.runAfter(TickInterval, [this] { runPeriodicTasks(); });
 }
 
-void relay_node::recordSlowAttempts() {
+void relay_node::observeRunningRequests() {
   if (!Fleet.Rollouts.isAnyUndecided())
     return;
   const steady_time Now = Clock.now();
   for (active_request *Request : Context.ActiveRequests)
     Request->recordIfSlow(Now);
+  for (active_request *Request : Context.ActiveRequests)
+    Request->refreshSessionPin(Now);
 }
 
 void relay_node::syncPeers() {
--- a/Libraries/LibRelay/relay_node.h
+++ b/Libraries/LibRelay/relay_node.h
@@ -49,8 +49,9 @@
   /// Decides whether this VM asks the store for confirmations of the
   /// configuration or relies on the other VMs.
   void updateConfirmationSource();
-  /// While a roll-out is undecided, counts slow attempts before they end.
-  void recordSlowAttempts();
+  /// While a roll-out is undecided, counts slow attempts before they end, and
+  /// keeps the sessions of running requests on their releases.
+  void observeRunningRequests();
   void syncPeers();
   void waitForSignal();
   void beginStop();
--- a/Libraries/LibRelay/relayed_request.cpp
+++ b/Libraries/LibRelay/relayed_request.cpp
@@ -257,6 +257,11 @@
   Observed.recordIfSlow(Now);
 }
 
+void relayed_request::refreshSessionPin(steady_time Now) {
+  if (Attempt)
+    Observed.refreshSessionPin(Now);
+}
+
 head_verdict relayed_request::onAttemptResponseHead(
     const response_head &NewHead, const decoded_response_head &NewResponse) {
   if (IsFinished)
--- a/Libraries/LibRelay/relayed_request.h
+++ b/Libraries/LibRelay/relayed_request.h
@@ -32,6 +32,7 @@
 
   void endForShutdown() override;
   void recordIfSlow(steady_time Now) override;
+  void refreshSessionPin(steady_time Now) override;
   void onCallerDisconnected() override;
   void onSendBufferDrained() override;
 
--- a/Libraries/LibRelay/request_placement.cpp
+++ b/Libraries/LibRelay/request_placement.cpp
@@ -102,7 +102,7 @@
     recordSentPrefix(
         Endpoint,
         sharedPrefixKey(Admitted.Request, modelOf(Admitted, ModelIndex)), Now);
-  refreshSessionPin(Fleet, Admitted, Endpoint, Now);
+  pinSession(Fleet, Admitted, Endpoint, Now);
   release_counts Counts;
   Counts.Attempts = 1;
   Fleet.ReleaseStatistics.addLocal(
@@ -110,8 +110,8 @@
       Counts);
 }
 
-void refreshSessionPin(fleet_state &Fleet, const admitted_request &Admitted,
-                       const endpoint_record &Endpoint, steady_time Now) {
+void pinSession(fleet_state &Fleet, const admitted_request &Admitted,
+                const endpoint_record &Endpoint, steady_time Now) {
   if (!Admitted.Request.Session.empty())
     Fleet.Pins.addLocal(Admitted.Session, Endpoint.Descriptor.Release, Now);
 }
--- a/Libraries/LibRelay/request_placement.h
+++ b/Libraries/LibRelay/request_placement.h
@@ -54,7 +54,7 @@
 
 /// Pins the request's session, if it has one, to the endpoint's release from
 /// now on.
-void refreshSessionPin(fleet_state &Fleet, const admitted_request &Admitted,
-                       const endpoint_record &Endpoint, steady_time Now);
+void pinSession(fleet_state &Fleet, const admitted_request &Admitted,
+                const endpoint_record &Endpoint, steady_time Now);
 
 } // namespace azurehaven
--- a/Tests/LibRelay/pinned_sessions_test.cpp
+++ b/Tests/LibRelay/pinned_sessions_test.cpp
@@ -1,4 +1,6 @@
+#include "LibRelay/attempt_observations.h"
 #include "rollout_simulation.h"
+#include "test_fleet.h"
 
 #include <doctest/doctest.h>
 
@@ -84,3 +86,28 @@
   Day.RestartAt = milliseconds(6000);
   checkSessionsStay(Day, rollout_outcome::Completed);
 }
+
+TEST_CASE("A session stays pinned while one of its requests runs for longer "
+          "than the session gap") {
+  const steady_time Start{std::chrono::hours(1)};
+  fleet_state Fleet = testFleet();
+  const null_event_log Log;
+  route Route;
+  Route.Kind = route_kind::Stream;
+  admitted_request Admitted;
+  Admitted.Route = &Route;
+  Admitted.Request.Session = "s";
+  Admitted.Session = 7;
+  auto Endpoint = std::make_shared<endpoint_record>();
+  Endpoint->Descriptor.Release = "v1";
+  attempt_observations Observed(Fleet, Log, Admitted);
+  Observed.onSent(Endpoint, model_id(), std::nullopt, 0, 0, Start);
+  steady_time Now = Start;
+  for (; Now < Start + milliseconds(15000); Now += milliseconds(100))
+    Observed.refreshSessionPin(Now);
+  CHECK(Fleet.Pins.find(7, "v2", Start, Now));
+  Observed.onComplete(Now);
+  for (; Now < Start + milliseconds(30000); Now += milliseconds(100))
+    Observed.refreshSessionPin(Now);
+  CHECK_FALSE(Fleet.Pins.find(7, "v2", Start, Now));
+}
