LibDispatch: Do not take streams that are slow together for independent evidence

All were slow between events, in groups on one of two engines within some ten milliseconds: a long prompt that an engine reads delays every stream that runs there. The test took them for independent, so that four standard deviations meant about two.

The variance of slow responses counts three times now. A release of which 45 of 100 are slow is still worse. The exposure of a trial does not depend on it: it is kept by the account.

Test: 'A good release is not rolled back because long prompts delay several of its streams at once' (worse before).

--- a/Libraries/LibDispatch/release_verdict.cpp
+++ b/Libraries/LibDispatch/release_verdict.cpp
@@ -21,6 +21,9 @@
   /// The same number where bad outcomes are rare on the other releases; nullopt
   /// if these are compared at the usual rate.
   std::optional<std::uint32_t> MinimumRareSuspect;
+  /// Variance of the number of bad outcomes, as a multiple of that of
+  /// independent ones.
+  double Dispersion;
 };
 
 constexpr outcome_limits FailureLimits{.WorseDeviations = 4,
@@ -28,15 +31,17 @@
                                        .SuspectDeviations = 2,
                                        .SuspectRouteDeviations = 3,
                                        .MinimumSuspect = 2,
-                                       .MinimumRareSuspect = 4};
-/// Slow responses come together when an endpoint is busy for a moment, as with
-/// the first prompts of a trial.
+                                       .MinimumRareSuspect = 4,
+                                       .Dispersion = 1};
+/// Slow responses come together: a long prompt delays all streams that run on
+/// its endpoint.
 constexpr outcome_limits SlowLimits{.WorseDeviations = 4,
                                     .MinimumWorse = 6,
                                     .SuspectDeviations = 2.5,
                                     .SuspectRouteDeviations = 4,
                                     .MinimumSuspect = 4,
-                                    .MinimumRareSuspect = std::nullopt};
+                                    .MinimumRareSuspect = std::nullopt,
+                                    .Dispersion = 3};
 
 /// Lower bounds of the baseline rate, as a few bad outcomes happen to any
 /// release: by itself, and where they are rare on the other releases.
@@ -79,9 +84,10 @@
 }
 
 bad_outcomes badOutcomes(const release_counts &Counts, double BaselineRate,
-                         std::uint32_t release_counts::*Bad) {
+                         std::uint32_t release_counts::*Bad,
+                         double Dispersion) {
   return {Counts.*Bad, Counts.Requests * BaselineRate,
-          Counts.Requests * BaselineRate * (1 - BaselineRate)};
+          Dispersion * Counts.Requests * BaselineRate * (1 - BaselineRate)};
 }
 
 /// The verdict from one kind of bad outcome. A route that fails often on any
@@ -109,9 +115,9 @@
     const double Rate = baselineRate(
         Known == Baselines.end() ? route_baseline{} : Known->second, Bad);
     const bad_outcomes AtUsualRate =
-        badOutcomes(Counts, std::max(Rate, UsualRate), Bad);
+        badOutcomes(Counts, std::max(Rate, UsualRate), Bad, Limits.Dispersion);
     const bad_outcomes AtRareRate =
-        badOutcomes(Counts, std::max(Rate, RareRate), Bad);
+        badOutcomes(Counts, std::max(Rate, RareRate), Bad, Limits.Dispersion);
     if (IsBad(AtUsualRate, Limits.MinimumWorse, Limits.WorseDeviations))
       return release_verdict::Worse;
     IsSuspect |=
--- a/Tests/LibDispatch/rollout_evidence_test.cpp
+++ b/Tests/LibDispatch/rollout_evidence_test.cpp
@@ -114,3 +114,17 @@
   Statistics.addLocal({Service, "v2", "r"}, {6, 0, 4, 6});
   CHECK(Judge() == release_verdict::Worse);
 }
+
+TEST_CASE(
+    "A good release is not rolled back because long prompts delay several "
+    "of its streams at once") {
+  release_statistics Statistics;
+  Statistics.addLocal({Service, "v1", "r"}, {7453, 0, 954, 7453});
+  Statistics.addLocal({Service, "v2", "r"}, {100, 0, 28, 100});
+  const auto Judge = [&] {
+    return judgeRelease(Statistics.totals(Service), {}, "v2");
+  };
+  CHECK(Judge() != release_verdict::Worse);
+  Statistics.addLocal({Service, "v2", "r"}, {0, 0, 17, 0});
+  CHECK(Judge() == release_verdict::Worse);
+}
