LibDispatch: Complete a sound roll-out in time, and keep its shares in the first half

The share of a route is raised in the second half only: before the trial began, it looked as if every route had been missed, so that the trial got three times its share on two engines.

--- a/Libraries/LibDispatch/candidate_filter.cpp
+++ b/Libraries/LibDispatch/candidate_filter.cpp
@@ -22,11 +22,12 @@
   return Usable;
 }
 
-/// A trial restricts the endpoints to the same fraction as the requests, so
-/// that each of them has about the load that it will have after the roll-out.
+/// A trial restricts the endpoints to about the same fraction as the requests,
+/// so that each of them has the load that it will have after the roll-out.
 void limitToTrialEndpoints(endpoint_list &Targets, double Share) {
   const auto TrialCount = std::max<std::size_t>(
-      1, std::llround(static_cast<double>(Targets.size()) * Share));
+      1, static_cast<std::size_t>(
+             std::ceil(static_cast<double>(Targets.size()) * Share)));
   if (Targets.size() <= TrialCount)
     return;
   std::sort(Targets.begin(), Targets.end(), [](const auto &A, const auto &B) {
--- a/Libraries/LibDispatch/rollout.cpp
+++ b/Libraries/LibDispatch/rollout.cpp
@@ -24,6 +24,10 @@
 /// A raised share, as a multiple of the trial's share.
 constexpr double RaisedRouteFactor = 3;
 
+/// Engines that start without cached prompts read more of each prompt than
+/// those of the old release.
+constexpr double ColdCacheFactor = 1.5;
+
 /// A postponement is decided so long before the shift, so that all VMs know of
 /// it before the first of them shifts.
 constexpr milliseconds PostponementNotice{1000};
@@ -125,7 +129,9 @@
   Rule.Since = BeganAt;
   if (Elapsed >= Schedule.TrialStart)
     Rule.TrialShare = Agreement.trialShareOf(Route);
-  Rule.TrialEndpointShare = Agreement.TrialShare;
+  Rule.TrialEndpointShare =
+      Agreement.TrialShare *
+      (Shift == shift_kind::Gradual ? ColdCacheFactor : 1);
   Rule.ShiftedShare = shiftedFraction(Schedule, Elapsed);
   Rule.PinsSessions = Elapsed < Schedule.SessionMove;
   return Rule;
@@ -205,14 +211,20 @@
   return Budget.hasRate() ? std::optional(Budget) : std::nullopt;
 }
 
-bool rollout::mayRaiseShares(steady_time Now) const {
+void rollout::raiseShares(const exposure_budget &Budget,
+                          const exposure_limits &Exposure,
+                          const service_totals &Totals, steady_time Now) {
   const rollout_schedule Schedule = schedule();
   const milliseconds Elapsed = elapsed(Now);
   // A session that is new to one VM may have begun elsewhere a moment ago. With
   // a raised share it would move, which it must not do in the first half.
-  return Elapsed < Schedule.TrialStart ||
-         (Elapsed >= Schedule.SessionMove &&
-          Elapsed < Schedule.ShiftStart - MinimumRaisedTime);
+  const bool IsBeforeTrial = Elapsed < Schedule.TrialStart;
+  const bool IsInSecondHalf = Elapsed >= Schedule.SessionMove &&
+                              Elapsed < Schedule.ShiftStart - MinimumRaisedTime;
+  if (IsBeforeTrial || IsInSecondHalf)
+    raiseTrialShare(Budget, Exposure);
+  if (IsInSecondHalf)
+    raiseRouteShares(Totals);
 }
 
 void rollout::raiseTrialShare(const exposure_budget &Budget,
@@ -247,14 +259,14 @@
                      Elapsed < Schedule.ShiftStart;
   if (!IsDue)
     return;
-  // The exposure is not limited after the time limit.
-  const bool IsLimited =
-      Budget && Elapsed + PostponementNotice < Order.TimeLimit;
-  const bool MayShift =
-      Verdict != release_verdict::Suspect &&
-      (!IsLimited || Budget->allowsAll(Schedule.fullExposure()));
-  if (!MayShift)
-    Agreement.postponeShift(Elapsed + PostponementNotice + PostponementStep);
+  const milliseconds Next = Elapsed + PostponementNotice + PostponementStep;
+  if (Verdict == release_verdict::Suspect)
+    return Agreement.postponeShift(Next);
+  // A sound target completes in time, if need be without a gradual shift: the
+  // exposure is left for targets that are not sound.
+  const bool MayWait = Schedule.ShiftStart < Schedule.latestShift();
+  if (MayWait && Budget && !Budget->allowsAll(Schedule.fullExposure()))
+    Agreement.postponeShift(std::min(Next, Schedule.latestShift()));
 }
 
 void rollout::reject(steady_time Now) {
@@ -275,10 +287,8 @@
   const auto Budget = budget(
       Totals, Exposure,
       InFlight == Surroundings.InFlight.end() ? 0 : InFlight->second, Now);
-  if (Budget && mayRaiseShares(Now)) {
-    raiseTrialShare(*Budget, Exposure);
-    raiseRouteShares(Totals);
-  }
+  if (Budget)
+    raiseShares(*Budget, Exposure, Totals, Now);
   postponeShift(Budget, Now);
   const bool IsLate = elapsed(Now) >= unpostponedSchedule().Completion;
   if (Verdict == release_verdict::Worse ||
--- a/Libraries/LibDispatch/rollout.h
+++ b/Libraries/LibDispatch/rollout.h
@@ -73,7 +73,9 @@
                                         const exposure_limits &Exposure,
                                         std::uint32_t InFlight,
                                         steady_time Now) const;
-  bool mayRaiseShares(steady_time Now) const;
+  void raiseShares(const exposure_budget &Budget,
+                   const exposure_limits &Exposure,
+                   const service_totals &Totals, steady_time Now);
   void raiseTrialShare(const exposure_budget &Budget,
                        const exposure_limits &Exposure);
   void raiseRouteShares(const service_totals &Totals);
--- a/Libraries/LibDispatch/rollout_schedule.cpp
+++ b/Libraries/LibDispatch/rollout_schedule.cpp
@@ -33,15 +33,22 @@
   return std::max(Full, milliseconds(0));
 }
 
+milliseconds rollout_schedule::latestShift() const {
+  return LatestCompletion - drain();
+}
+
+milliseconds rollout_schedule::drain() const {
+  return std::min(Completion - ShiftEnd, DrainTime);
+}
+
 rollout_schedule rollout_schedule::withShiftAt(milliseconds Start) const {
   if (Start <= ShiftStart)
     return *this;
-  const milliseconds Drain = std::min(Completion - ShiftEnd, DrainTime);
   rollout_schedule Postponed = *this;
   Postponed.ShiftStart = Start;
-  Postponed.ShiftEnd = std::max(Start, std::min(Start + (ShiftEnd - ShiftStart),
-                                                LatestCompletion - Drain));
-  Postponed.Completion = std::max(Completion, Postponed.ShiftEnd + Drain);
+  Postponed.ShiftEnd =
+      std::max(Start, std::min(Start + (ShiftEnd - ShiftStart), latestShift()));
+  Postponed.Completion = std::max(Completion, Postponed.ShiftEnd + drain());
   return Postponed;
 }
 
--- a/Libraries/LibDispatch/rollout_schedule.h
+++ b/Libraries/LibDispatch/rollout_schedule.h
@@ -31,9 +31,16 @@
   /// The time during which the target gets all requests, if the time of the
   /// gradual shift counts half.
   milliseconds fullExposure() const;
+  /// The latest start of a shift after which the old endpoints are given the
+  /// time to finish their last requests.
+  milliseconds latestShift() const;
   /// The schedule with a shift that was postponed to this time, and shortened
   /// if the time is short. No change if that is not later.
   rollout_schedule withShiftAt(milliseconds Start) const;
+
+private:
+  /// From the end of a postponed shift to completion.
+  milliseconds drain() const;
 };
 
 rollout_schedule scheduleFor(milliseconds TimeLimit,
