--- a/Tests/platform/Soak/main.cpp
+++ b/Tests/platform/Soak/main.cpp
@@ -21,6 +21,8 @@
 
 Options:
   --product=FILE  The program azurehaven
+  --previous=FILE An earlier build of it, which each VM runs until its first
+                  restart; a roll-out is ordered at the start
   --seed=N        What the faults are drawn from [default: 1]
   --faults=N      How many faults [default: 30]
   --net=N         Third number of the loopback addresses, 1 to 254 [default: 1]
@@ -32,6 +34,8 @@
 /// (`recovery_s`).
 constexpr milliseconds RecoveryBound{15000};
 constexpr milliseconds RetryInterval{200};
+/// Ends while the VMs are restarted one after the other.
+constexpr milliseconds RolloutTimeLimit{8000};
 /// The entry processes are documented to serve requests only some seconds after
 /// their start.
 constexpr milliseconds StartTimeout{14000};
@@ -55,8 +59,20 @@
   return true;
 }
 
-status play(soak_cluster &Cluster, std::uint64_t Seed, std::size_t Faults,
+bool isRolloutDecided(soak_cluster &Cluster) {
+  const std::string State = Cluster.rolloutState();
+  return State == "completed" || State == "rolled_back";
+}
+
+struct play_settings {
+  std::uint64_t Seed = 0;
+  std::size_t Faults = 0;
+  bool HasRollout = false;
+};
+
+status play(soak_cluster &Cluster, const play_settings &Settings,
             soak_history &History, std::vector<std::string> &Violations) {
+  const std::uint64_t Seed = Settings.Seed;
   caller_load Probe(Cluster, Seed * 1000 + 999);
   if (!serveAll(Probe, std::chrono::steady_clock::now() + StartTimeout))
     return error{error_code::Unavailable,
@@ -64,10 +80,14 @@
   caller_load Load(Cluster, Seed);
   fault_schedule Schedule(Cluster, Seed);
   Load.start(Callers);
-  TRY_STATUS(Schedule.play(Faults));
+  if (Settings.HasRollout)
+    Cluster.orderRollout(RolloutTimeLimit);
+  TRY_STATUS(Schedule.play(Settings.Faults));
   if (!serveAll(Probe, std::chrono::steady_clock::now() + RecoveryBound))
     Violations.push_back("requests are not served again after the last fault");
   TRY_STATUS(Schedule.restartOneByOne());
+  if (Settings.HasRollout && !isRolloutDecided(Cluster))
+    Violations.push_back("the roll-out has no outcome");
   History.Records = Load.stop();
   TRY_STATUS(Schedule.stopAll());
   Schedule.recordEvents(History);
@@ -114,9 +134,11 @@
     }
   const std::string Folder = std::filesystem::absolute(*Line.text("--logs"));
   std::filesystem::create_directories(Folder);
-  auto Cluster =
-      soak_cluster::create({std::filesystem::absolute(*Line.text("--product")),
-                            Folder, static_cast<int>(valueOf(Net))});
+  const auto Previous = Line.text("--previous");
+  auto Cluster = soak_cluster::create(
+      {std::filesystem::absolute(*Line.text("--product")),
+       Previous ? std::filesystem::absolute(*Previous).string() : "", Folder,
+       static_cast<int>(valueOf(Net))});
   if (isError(Cluster)) {
     std::cerr << errorOf(Cluster).Message << "\n";
     return ExitFailure;
@@ -124,8 +146,10 @@
   soak_history History;
   std::vector<std::string> Violations;
   const auto Played =
-      play(*valueOf(Cluster), static_cast<std::uint64_t>(valueOf(Seed)),
-           static_cast<std::size_t>(valueOf(Faults)), History, Violations);
+      play(*valueOf(Cluster),
+           {static_cast<std::uint64_t>(valueOf(Seed)),
+            static_cast<std::size_t>(valueOf(Faults)), Previous.has_value()},
+           History, Violations);
   if (isError(Played))
     Violations.push_back(errorOf(Played).Message);
   History.Runs = valueOf(Cluster)->Runs.all();
--- a/Tests/platform/Soak/soak_cluster.cpp
+++ b/Tests/platform/Soak/soak_cluster.cpp
@@ -49,7 +49,8 @@
 
 soak_cluster::soak_cluster(soak_settings InitialSettings)
     : Settings(std::move(InitialSettings)), Work(Loop.get_executor()),
-      Processes(Settings.Folder), EndpointStartCounts(EndpointCount) {}
+      Processes(Settings.Folder), EndpointStartCounts(EndpointCount),
+      EndpointReleases(EndpointCount, "v1") {}
 
 soak_cluster::~soak_cluster() {
   // Makes pending watch calls of the store double return.
@@ -153,11 +154,15 @@
 }
 
 status soak_cluster::startEntry(std::size_t Index) {
-  TRY_STATUS(Processes.start(entryName(Index),
-                             {"/usr/bin/env",
-                              "AZUREHAVEN_NODE_FILE=" + Settings.Folder + "/" +
-                                  entryName(Index) + ".yaml",
-                              Settings.Product, "platform-entry"}));
+  const bool IsFirstStart = StartedEntries.insert(Index).second;
+  const bool IsPrevious = IsFirstStart && !Settings.PreviousProduct.empty();
+  TRY_STATUS(
+      Processes.start(entryName(Index),
+                      {"/usr/bin/env",
+                       "AZUREHAVEN_NODE_FILE=" + Settings.Folder + "/" +
+                           entryName(Index) + ".yaml",
+                       IsPrevious ? Settings.PreviousProduct : Settings.Product,
+                       "platform-entry"}));
   // A signal that arrives before the program has installed its handlers ends
   // the process, so wait until the readiness port responds.
   return eventually([&]() -> status {
@@ -180,7 +185,7 @@
   Store.put("servers/" + Id, json{{"service", Endpoint.service()},
                                   {"address", Address.text()},
                                   {"zone", domainOf(Index)},
-                                  {"version", "v1"},
+                                  {"version", EndpointReleases[Index]},
                                   {"slots", 32},
                                   {"state", State},
                                   {"cold_left_ms", 0},
@@ -200,6 +205,27 @@
   registerEndpoint(Index, "ready");
 }
 
+void soak_cluster::orderRollout(milliseconds TimeLimit) {
+  const std::size_t Target = EndpointCount - 1;
+  unregisterEndpoint(Target);
+  EndpointReleases[Target] = "v2";
+  Store.put("op/rollout/engines",
+            json{{"service", "engines"},
+                 {"target", "v2"},
+                 {"duration_s", static_cast<double>(TimeLimit.count()) / 1000}}
+                .dump());
+  restartEndpoint(Target);
+}
+
+std::string soak_cluster::rolloutState() {
+  for (const auto &[Key, Value] : Store.values("status/rollout/engines")) {
+    const json Status = json::parse(Value, nullptr, false);
+    if (Status.is_object())
+      return Status.value("state", "");
+  }
+  return {};
+}
+
 void soak_cluster::writeConfiguration(bool HasRevocableKey) {
   json Stream = routeOf("stream", "streaming", "engines", 8000, 3);
   Stream["resumable"] = true;
--- a/Tests/platform/Soak/soak_cluster.h
+++ b/Tests/platform/Soak/soak_cluster.h
@@ -9,6 +9,7 @@
 
 #include <asio/executor_work_guard.hpp>
 
+#include <set>
 #include <thread>
 
 namespace azurehaven::platform {
@@ -25,6 +26,8 @@
 
 struct soak_settings {
   std::string Product;
+  /// Runs on every VM until its first restart; empty for the product itself.
+  std::string PreviousProduct;
   std::string Folder;
   /// Third octet of the loopback addresses.
   int Net = 1;
@@ -54,6 +57,10 @@
   std::string registerEndpoint(std::size_t Index, const char *State);
   void unregisterEndpoint(std::size_t Index);
   void restartEndpoint(std::size_t Index);
+  /// Starts an engine again as the target of a roll-out and orders it.
+  void orderRollout(milliseconds TimeLimit);
+  /// The state that the roll-out's status names; empty without one.
+  std::string rolloutState();
   /// Writes the next configuration version, with or without the API key of
   /// RevokedAccount.
   void writeConfiguration(bool HasRevocableKey);
@@ -76,6 +83,8 @@
   std::thread Thread;
   std::vector<std::unique_ptr<http_server>> Servers;
   std::vector<int> EndpointStartCounts;
+  std::vector<std::string> EndpointReleases;
+  std::set<std::size_t> StartedEntries;
   int ConfigurationVersion = 0;
 };
 
