--- a/Tests/LibRelay/rollout_driver_test.cpp
+++ b/Tests/LibRelay/rollout_driver_test.cpp
@@ -3,6 +3,7 @@
 #include "test_fleet.h"
 
 #include <doctest/doctest.h>
+#include <nlohmann/json.hpp>
 
 using namespace azurehaven;
 
@@ -129,3 +130,42 @@
     CHECK((Rule.targetShare() == doctest::Approx(1)) == IsPlain);
   }
 }
+
+TEST_CASE("A record of the build before is read, and the build before reads "
+          "ours") {
+  const auto Previous =
+      decodeRolloutRecord(R"({"began_unix_ms":1000,"target":"v2"})");
+  REQUIRE_FALSE(isError(Previous));
+  CHECK(valueOf(Previous).BeganAt == unix_millis(1000));
+  CHECK(valueOf(Previous).ShiftStart == milliseconds(0));
+  const std::string Text =
+      encodeRolloutRecord({"v2", unix_millis(1000), milliseconds(9000)});
+  const auto Object = nlohmann::json::parse(Text);
+  CHECK(Object["target"] == "v2");
+  CHECK(Object["began_unix_ms"] == 1000);
+  const auto Own = decodeRolloutRecord(Text);
+  REQUIRE_FALSE(isError(Own));
+  CHECK(valueOf(Own).ShiftStart == milliseconds(9000));
+}
+
+TEST_CASE("A VM tells the others at once of a rejection and of its "
+          "publication") {
+  driver_vm Vm("vm-1");
+  const auto AddTarget = [&](std::uint32_t Count, std::uint32_t Failures) {
+    Vm.Fleet.ReleaseStatistics.addLocal({service_id("s"), "v2", "r"},
+                                        {Count, Failures, 0, Count});
+  };
+  Vm.Fleet.Rollouts.onOutcome(service_id("s"), "v2",
+                              rollout_outcome::InProgress, {{}, 8});
+  Vm.advanceBy(milliseconds(2000));
+  const int Before = Vm.Announcer.Count;
+  AddTarget(20, 15);
+  Vm.advanceBy(milliseconds(100));
+  CHECK(Vm.Announcer.Count == Before + 1);
+  Vm.advanceBy(milliseconds(400));
+  REQUIRE(Vm.Publisher.Outcomes.size() == 1);
+  Vm.Publisher.Handler(store_revision{{}, 9});
+  CHECK(Vm.Announcer.Count == Before + 2);
+  CHECK(Vm.Fleet.Rollouts.ruleFor(service_id("s"), Vm.Clock.Now).Phase ==
+        rollout_phase::RolledBack);
+}
