--- a/Tests/LibPeer/previous_build_test.cpp
+++ b/Tests/LibPeer/previous_build_test.cpp
@@ -1,6 +1,6 @@
 #include "LibPeer/frame_codec.h"
 
-#include "generated/previous_peer_generated.h"
+#include <previous_peer_generated.h>
 
 #include <doctest/doctest.h>
 
