LibRelay, platform: Count the runs of a forwarded request along its hops

A peer that breaks off can't tell its runs. The VM now allows each peer a part of the runs that are left, half of them rounded up, and counts all of these when the peer breaks off. The limit goes along as Forwarded-Allowed-Runs; an earlier build does not read it, and is counted by the same rule.

That engines which refuse connections are taken for a lost path by several VMs at once is not mended here.

--- a/Libraries/LibDispatch/dispatch_request.h
+++ b/Libraries/LibDispatch/dispatch_request.h
@@ -21,6 +21,9 @@
   vm_id Vm;
   /// Attempts there that endpoints may have executed.
   int RunCount = 0;
+  /// How many more this VM may make; nullopt if that VM names no limit, as an
+  /// earlier build.
+  std::optional<int> AllowedRuns{};
 };
 
 /// The properties of a request that placement and retry decisions use.
--- a/Libraries/LibRelay/relayed_request.cpp
+++ b/Libraries/LibRelay/relayed_request.cpp
@@ -110,6 +110,13 @@
   startNextAttempt();
 }
 
+int relayed_request::maxRuns() const {
+  if (!Request.Origin || !Request.Origin->AllowedRuns)
+    return Route.MaxAttempts;
+  return std::min(Route.MaxAttempts,
+                  Request.Origin->RunCount + *Request.Origin->AllowedRuns);
+}
+
 milliseconds relayed_request::timeLeft(steady_time Now) const {
   return TimeLimit - std::chrono::duration_cast<milliseconds>(Now - ArrivedAt);
 }
@@ -174,7 +181,10 @@
   TriedPeers.insert(Peer->Descriptor.Id);
   ++SendCount;
   forwarding_parameters Parameters;
-  Parameters.Origin = {Context.Fleet.Self, RunCount};
+  // A peer that breaks off does not tell how often the request has run there,
+  // so that it gets a part of the runs and is taken to have used it.
+  PeerRuns = (maxRuns() - RunCount + 1) / 2;
+  Parameters.Origin = {Context.Fleet.Self, RunCount, PeerRuns};
   Parameters.TimeLeft = timeLeft(Now);
   Parameters.ResumeAfter = Splicer.lastEventId();
   Parameters.BodySize = Body->size();
@@ -245,7 +255,7 @@
         // A request that can't be retried is not ended merely because its
         // endpoint is unresponsive. The current attempt counts as executed
         // here.
-        if (Self && Self->RunCount + 1 < Self->Route.MaxAttempts &&
+        if (Self && Self->RunCount + 1 < Self->maxRuns() &&
             Self->mayRetryAfter(attempt_failure::Silent,
                                 Self->Context.Clock.now()))
           Self->onAttemptFailed(Self->failureOfUnresponsive(), Reason);
@@ -287,7 +297,7 @@
   // The VM that a request was forwarded to has chosen the model.
   if (!ModelIndex || !NewResponse.Confidence || Observed.isForwarded() ||
       !isSuccess(NewResponse.Status) || ResponseStarted ||
-      RunCount + 1 >= Route.MaxAttempts)
+      RunCount + 1 >= maxRuns())
     return false;
   fleet_state &Fleet = Context.Fleet;
   const steady_time Now = Context.Clock.now();
@@ -421,7 +431,7 @@
   // Another VM has made all the attempts that the route allows.
   const bool MayRetry = !Observed.isForwarded() &&
                         isRetryAllowed(Route, attempt_failure::ErrorResponse) &&
-                        RunCount < Route.MaxAttempts && !ResponseStarted;
+                        RunCount < maxRuns() && !ResponseStarted;
   if (MayRetry)
     return retryOrRefuse(attempt_failure::ErrorResponse,
                          "status " + std::to_string(Response.Status));
@@ -450,7 +460,7 @@
   Attempt->cancel();
   Observed.onFailed(Failure, Context.Clock.now());
   if (mayHaveRun(Failure))
-    ++RunCount;
+    RunCount += Observed.isForwarded() ? PeerRuns : 1;
   retryOrRefuse(Failure, Reason);
 }
 
@@ -463,7 +473,7 @@
 
 bool relayed_request::mayRetryAfter(attempt_failure Failure,
                                     steady_time Now) const {
-  return isRetryAllowed(Route, Failure) && RunCount < Route.MaxAttempts &&
+  return isRetryAllowed(Route, Failure) && RunCount < maxRuns() &&
          SendCount < Route.MaxAttempts + MaxExtraSends &&
          !Observed.isQuarantined() && timeLeft(Now).count() > 0;
 }
--- a/Libraries/LibRelay/relayed_request.h
+++ b/Libraries/LibRelay/relayed_request.h
@@ -76,6 +76,7 @@
   void finish(const char *Outcome);
   bool mayRetryAfter(attempt_failure Failure, steady_time Now) const;
   milliseconds timeLeft(steady_time Now) const;
+  int maxRuns() const;
   void startLivenessMonitor();
   bool tryEscalate(const decoded_response_head &NewResponse);
 
@@ -105,6 +106,8 @@
   /// Attempts so far, and those of them that the endpoint may have executed.
   int SendCount = 0;
   int RunCount = 0;
+  /// Runs that the peer of the current attempt may make.
+  int PeerRuns = 0;
   event_splicer Splicer;
   /// Whether a stream's response to the caller has begun.
   bool ResponseStarted = false;
--- a/Tests/LibRelay/lost_path_test.cpp
+++ b/Tests/LibRelay/lost_path_test.cpp
@@ -365,3 +365,16 @@
   CHECK(statusOf(Response) == 200);
   CHECK(bodyOf(Response) == event(1) + event(2) + event(3));
 }
+
+TEST_CASE("A stream that breaks at the endpoints of its peers runs on no more "
+          "endpoints than its route allows") {
+  cut_fleet Fleet;
+  Fleet.setScript([](std::size_t Index, const received_request &Request) {
+    const std::string Head = "HTTP/1.1 200 OK\r\n" + signedFields(Request) +
+                             "Transfer-Encoding: chunked\r\n\r\n";
+    return scripted_response{Head + chunk(event(static_cast<int>(Index) + 1)),
+                             after_response::Reset};
+  });
+  Fleet.cutVm().sendRequest("/stream/x");
+  CHECK(Fleet.received().size() <= 3);
+}
--- a/Tests/LibRelay/plain_codec.h
+++ b/Tests/LibRelay/plain_codec.h
@@ -60,6 +60,8 @@
     return Text + "Deadline: " + std::to_string(Parameters.TimeLeft.count()) +
            "\r\nFrom-Vm: " + Parameters.Origin.Vm.text() +
            "\r\nRuns: " + std::to_string(Parameters.Origin.RunCount) +
+           "\r\nAllowed-Runs: " +
+           std::to_string(Parameters.Origin.AllowedRuns.value_or(0)) +
            "\r\nContent-Length: " + std::to_string(Parameters.BodySize) +
            "\r\n\r\n";
   }
@@ -68,8 +70,9 @@
     const std::string Vm = headerValue(Head.Headers, "From-Vm");
     if (Vm.empty())
       return error{error_code::InvalidInput, "no origin"};
-    return forwarding_origin{vm_id(Vm),
-                             std::stoi(headerValue(Head.Headers, "Runs"))};
+    return forwarding_origin{
+        vm_id(Vm), std::stoi(headerValue(Head.Headers, "Runs")),
+        std::stoi(headerValue(Head.Headers, "Allowed-Runs"))};
   }
   decoded_response_head decodeResponseHead(const response_head &Head,
                                            steady_time) const override {
--- a/Tests/platform/header_codec_test.cpp
+++ b/Tests/platform/header_codec_test.cpp
@@ -248,6 +248,19 @@
   REQUIRE_FALSE(isError(Origin));
   CHECK(valueOf(Origin).Vm == vm_id("vm-2"));
   CHECK(valueOf(Origin).RunCount == 1);
+  CHECK_FALSE(valueOf(Origin).AllowedRuns);
+}
+
+TEST_CASE("The runs that a peer may make go along with a forwarded request") {
+  forwarding_parameters Parameters;
+  Parameters.Origin = {vm_id("vm-2"), 1, 2};
+  const request_head Head = forwardedHead(Parameters);
+  const auto Origin = header_codec().decodeOrigin(Head);
+  REQUIRE_FALSE(isError(Origin));
+  CHECK(valueOf(Origin).AllowedRuns == 2);
+  const std::string Sent =
+      header_codec().encodeRequestHead(Head, {}, attemptParameters());
+  CHECK(Sent.find("Forwarded-") == std::string::npos);
 }
 
 TEST_CASE("What a VM adds to a forwarded request is not sent to endpoints") {
