LibDispatch: Give trials of small fleets enough requests again

What streams in flight add to the exposure as the old engines stop had taken the room of the trial. The trial now gets up to 0.3 of the exposure share where a shift without a gradual part leaves room for it, at the price of the gradual part. The dispersion of slow responses grows with their number, by one for 50, as few of them have run at the same time: with 13 requests it counted three times the variance and passed 5 slow ones of 13.

--- a/Libraries/LibDispatch/release_verdict.cpp
+++ b/Libraries/LibDispatch/release_verdict.cpp
@@ -21,9 +21,9 @@
   /// The same number where bad outcomes are rare on the other releases; nullopt
   /// if these are compared at the usual rate.
   std::optional<std::uint32_t> MinimumRareSuspect;
-  /// Variance of the number of bad outcomes, as a multiple of that of
+  /// Largest variance of the number of bad outcomes, as a multiple of that of
   /// independent ones.
-  double Dispersion;
+  double MaximumDispersion;
 };
 
 constexpr outcome_limits FailureLimits{.WorseDeviations = 4,
@@ -32,7 +32,7 @@
                                        .SuspectRouteDeviations = 3,
                                        .MinimumSuspect = 2,
                                        .MinimumRareSuspect = 4,
-                                       .Dispersion = 1};
+                                       .MaximumDispersion = 1};
 /// Slow responses come together: a long prompt delays all streams that run on
 /// its endpoint.
 constexpr outcome_limits SlowLimits{.WorseDeviations = 4,
@@ -41,7 +41,11 @@
                                     .SuspectRouteDeviations = 4,
                                     .MinimumSuspect = 4,
                                     .MinimumRareSuspect = std::nullopt,
-                                    .Dispersion = 3};
+                                    .MaximumDispersion = 3};
+
+/// Requests by which the dispersion grows by one: the more of them are known,
+/// the more have run at the same time.
+constexpr double RequestsPerDispersion = 50;
 
 /// Lower bounds of the baseline rate, as a few bad outcomes happen to any
 /// release: by itself, and where they are rare on the other releases.
@@ -85,7 +89,9 @@
 
 bad_outcomes badOutcomes(const release_counts &Counts, double BaselineRate,
                          std::uint32_t release_counts::*Bad,
-                         double Dispersion) {
+                         double MaximumDispersion) {
+  const double Dispersion =
+      std::min(MaximumDispersion, 1 + Counts.Requests / RequestsPerDispersion);
   return {Counts.*Bad, Counts.Requests * BaselineRate,
           Dispersion * Counts.Requests * BaselineRate * (1 - BaselineRate)};
 }
@@ -114,10 +120,10 @@
     const auto Known = Baselines.find(Route);
     const double Rate = baselineRate(
         Known == Baselines.end() ? route_baseline{} : Known->second, Bad);
-    const bad_outcomes AtUsualRate =
-        badOutcomes(Counts, std::max(Rate, UsualRate), Bad, Limits.Dispersion);
-    const bad_outcomes AtRareRate =
-        badOutcomes(Counts, std::max(Rate, RareRate), Bad, Limits.Dispersion);
+    const bad_outcomes AtUsualRate = badOutcomes(
+        Counts, std::max(Rate, UsualRate), Bad, Limits.MaximumDispersion);
+    const bad_outcomes AtRareRate = badOutcomes(
+        Counts, std::max(Rate, RareRate), Bad, Limits.MaximumDispersion);
     if (IsBad(AtUsualRate, Limits.MinimumWorse, Limits.WorseDeviations))
       return release_verdict::Worse;
     IsSuspect |=
--- a/Libraries/LibDispatch/rollout.cpp
+++ b/Libraries/LibDispatch/rollout.cpp
@@ -11,6 +11,8 @@
 /// larger trial finds faults sooner; the shift needs its part as well.
 constexpr double MinimumTrialFraction = 0.15;
 constexpr double MaximumTrialFraction = 0.6;
+/// The fraction up to which a larger trial is worth a later shift.
+constexpr double SufficientTrialFraction = 0.3;
 /// The trial's share is raised in steps of this fraction of the exposure
 /// share, so that the VMs seldom have something to agree on.
 constexpr double TrialShareStep = 0.05;
@@ -52,6 +54,13 @@
   return SinceStart / (Schedule.ShiftEnd - Schedule.ShiftStart);
 }
 
+/// The trial's share if the shift takes place as scheduled.
+double plannedShare(const exposure_budget &Budget,
+                    const rollout_schedule &Schedule) {
+  return Budget.plannedShare(Schedule.fullExposure(),
+                             Schedule.ShiftStart - Schedule.TrialStart);
+}
+
 /// Attempts by route, to the target and in all.
 std::map<std::string, exposure_counts>
 attemptsByRoute(const service_totals &Totals, const service_totals &Before,
@@ -68,6 +77,15 @@
   return Attempts;
 }
 
+exposure_counts sumOf(const std::map<std::string, exposure_counts> &Attempts) {
+  exposure_counts Sum;
+  for (const auto &[Route, Counts] : Attempts) {
+    Sum.All += Counts.All;
+    Sum.Target += Counts.Target;
+  }
+  return Sum;
+}
+
 } // namespace
 
 const char *nameOf(rollout_outcome Outcome) {
@@ -197,12 +215,8 @@
                                                steady_time Now) const {
   if (!Reference)
     return std::nullopt;
-  exposure_counts Sent;
-  for (const auto &[Route, Counts] :
-       attemptsByRoute(Totals, Reference->Totals, Order.Target)) {
-    Sent.All += Counts.All;
-    Sent.Target += Counts.Target;
-  }
+  exposure_counts Sent =
+      sumOf(attemptsByRoute(Totals, Reference->Totals, Order.Target));
   Sent.InFlight = InFlight;
   const exposure_budget Budget(
       Exposure, Sent,
@@ -230,9 +244,15 @@
 void rollout::raiseTrialShare(const exposure_budget &Budget,
                               const exposure_limits &Exposure) {
   const rollout_schedule Schedule = schedule();
-  const milliseconds TrialTime = Schedule.ShiftStart - Schedule.TrialStart;
+  // A trial that tells something goes before a gradual shift.
+  const rollout_schedule Latest =
+      Shift == shift_kind::Gradual
+          ? Schedule.withShiftAt(Schedule.latestShift())
+          : Schedule;
   const double Allowed =
-      std::min(Budget.plannedShare(Schedule.fullExposure(), TrialTime),
+      std::min(std::max(plannedShare(Budget, Schedule),
+                        std::min(plannedShare(Budget, Latest),
+                                 Exposure.Share * SufficientTrialFraction)),
                Exposure.Share * MaximumTrialFraction);
   const double Step = Exposure.Share * TrialShareStep;
   if (Allowed > 0 && Step > 0)
