--- a/Libraries/LibDispatch/rollout.cpp
+++ b/Libraries/LibDispatch/rollout.cpp
@@ -88,18 +88,6 @@
 
 } // namespace
 
-const char *nameOf(rollout_outcome Outcome) {
-  switch (Outcome) {
-  case rollout_outcome::InProgress:
-    return "in_progress";
-  case rollout_outcome::Completed:
-    return "completed";
-  case rollout_outcome::RolledBack:
-    return "rolled_back";
-  }
-  return "unknown";
-}
-
 rollout::rollout(const rollout_order &Order, const exposure_limits &Exposure,
                  milliseconds Elapsed, start_source Source, steady_time Now)
     : Order(Order), BeganAt(Now - Elapsed), Source(Source),
@@ -160,8 +148,9 @@
     return *Agreement.Outcome;
   if (Agreement.IsRejected)
     return rollout_outcome::RolledBack;
-  return elapsed(Now) >= schedule().Completion ? rollout_outcome::Completed
-                                               : rollout_outcome::InProgress;
+  const bool IsDue = elapsed(Now) >= schedule().Completion;
+  return IsDue && mayDecide() ? rollout_outcome::Completed
+                              : rollout_outcome::InProgress;
 }
 
 void rollout::setOutcome(rollout_outcome Outcome) {
@@ -282,8 +271,8 @@
   const milliseconds Next = Elapsed + PostponementNotice + PostponementStep;
   if (Verdict == release_verdict::Suspect)
     return Agreement.postponeShift(Next);
-  // A sound target completes in time, if need be without a gradual shift: the
-  // exposure is left for targets that are not sound.
+  // A sound target is completed in time even if its exposure leaves no room for
+  // a gradual shift.
   const bool MayWait = Schedule.ShiftStart < Schedule.latestShift();
   if (MayWait && Budget && !Budget->allowsAll(Schedule.fullExposure()))
     Agreement.postponeShift(std::min(Next, Schedule.latestShift()));
@@ -310,6 +299,8 @@
   if (Budget)
     raiseShares(*Budget, Exposure, Totals, Now);
   postponeShift(Budget, Now);
+  if (!mayDecide())
+    return;
   const bool IsLate = elapsed(Now) >= unpostponedSchedule().Completion;
   if (Verdict == release_verdict::Worse ||
       (IsLate && Verdict != release_verdict::Sound))
--- a/Libraries/LibDispatch/rollout.h
+++ b/Libraries/LibDispatch/rollout.h
@@ -67,6 +67,9 @@
   };
 
   rollout_schedule unpostponedSchedule() const;
+  /// Whether this VM knows the counts of the others: it has seen the order, or
+  /// runs for long enough.
+  bool mayDecide() const { return HasSeenOrder || Reference; }
   void joinStart(const rollout_state &Other, steady_time Now);
   void observe(const service_totals &Totals, steady_time Now);
   std::optional<exposure_budget> budget(const service_totals &Totals,
--- a/Tests/LibDispatch/rollout_controller_test.cpp
+++ b/Tests/LibDispatch/rollout_controller_test.cpp
@@ -273,3 +273,21 @@
                      order_origin::Written, std::nullopt, Start);
   CHECK(Controller.ruleFor(Service, Start).Phase == rollout_phase::Trial);
 }
+
+TEST_CASE("A VM that has just started does not decide a roll-out before it "
+          "knows the counts of the others") {
+  rollout_controller Controller({0.15, 0});
+  Controller.onOrder({Service, "v2", TimeLimit, at(10)}, order_origin::Written,
+                     Schedule.Completion, Start);
+  Controller.onOutcome(Service, "v2", rollout_outcome::InProgress, at(11));
+  release_statistics Statistics;
+  Controller.judge(Statistics, {}, Start);
+  Statistics.addLocal({Service, "v1", "r"}, {500, 5, 0, 500});
+  Controller.judge(Statistics, {}, Start + milliseconds(100));
+  CHECK(Controller.isAnyUndecided());
+  CHECK(Controller.outcomeUpdates(Start + milliseconds(100)).empty());
+  Statistics.addLocal({Service, "v2", "r"}, {30, 0, 0, 30});
+  const milliseconds Later(2600);
+  Controller.judge(Statistics, {}, Start + Later);
+  CHECK(dueOutcomeAt(Controller, Later) == rollout_outcome::Completed);
+}
