Tests/Scenarios: Withdraw the version that the session has

Traced: the entry's log has the first request answered by ridge@1, and all later ones stayed there, as promised. The chooser explores a cheaper version with a few requests in a hundred, drawn anew at each start, and the scenario took summit@1 for granted.

The scenario now withdraws the version that gave the first answer (version-of:begin), whichever it is; its expectations are unchanged.

--- a/Tests/LibScenario/scenario_runner.cpp
+++ b/Tests/LibScenario/scenario_runner.cpp
@@ -219,6 +219,13 @@
                            json::parse(Statement.Words[1]));
 }
 
+std::string scenario_runner::versionNamed(const std::string &Word) const {
+  constexpr std::string_view Prefix = "version-of:";
+  if (!Word.starts_with(Prefix))
+    return Word;
+  return Record.Responses.at(Word.substr(Prefix.size())).Version;
+}
+
 json scenario_runner::changeBody(const statement &Statement) const {
   const std::string &Kind = Statement.Words[1];
   json Change = {{"change", Statement.Words[0]},
@@ -231,7 +238,8 @@
   auto State = States.find(Kind);
   if (State != States.end()) {
     Change["kind"] = "set_version_state";
-    Change["body"] = {{"id", Statement.Words[2]}, {"state", State->second}};
+    Change["body"] = {{"id", versionNamed(Statement.Words[2])},
+                      {"state", State->second}};
   } else {
     Change["kind"] = Kind;
     Change["body"] = json::parse(Statement.option("body"), nullptr, false);
--- a/Tests/LibScenario/scenario_runner.h
+++ b/Tests/LibScenario/scenario_runner.h
@@ -43,6 +43,9 @@
   status startCluster();
   void launch(const statement &Statement,
               std::function<caller_response()> Request);
+  /// The version that a word names: itself, or as version-of:NAME the one that
+  /// gave the response NAME.
+  std::string versionNamed(const std::string &Word) const;
   nlohmann::json changeBody(const statement &Statement) const;
 
   scenario_cluster &Cluster;
