review: Case 5, a restarted machine forgets prompts that crash servers

Cause: machines tell each other of a crash once, and tell a process that has just started nothing of the crashes before.

--- a/review/lib/standins.py
+++ b/review/lib/standins.py
@@ -448,7 +448,11 @@
             if fate == "silent":
                 await asyncio.sleep(30)
                 return
-            if fate == "crash":
+            if fate == "crash after its head":
+                writer.write(self.head(200, headers + [("Content-Type", "text/event-stream"),
+                                                       ("Azurehaven-Confidence", "95")]))
+                await asyncio.sleep(0.01)
+            if fate in ("crash", "crash after its head"):
                 asyncio.ensure_future(self.crash())
                 return
             after = int(request.get("Last-Event-Id", "0") or 0)
