--- a/review/lib/standins.py
+++ b/review/lib/standins.py
@@ -324,6 +324,9 @@
         self.running = {}
         self.state = "ready"
         self.extra = []  # headers added to all answers
+        self.sheds = lambda: False  # whether it turns the next request away for want of room
+        self.doubles = lambda: False  # whether it sends the next answer a second time, late
+        self.late = {}  # the second answers that are still to come, by channel
 
     async def start(self):
         self.lives += 1
@@ -378,6 +381,7 @@
             pass
         finally:
             self.writers.discard(writer)
+            self.late.pop(writer, None)
             writer.close()
 
     def head(self, status, headers, length=None):
@@ -400,6 +404,17 @@
             writer.write(self.head(421, [("Azurehaven-Attempt-Id", attempt),
                                          ("Azurehaven-Not-Executed", "1")], 0))
             return
+        if late := self.late.pop(writer, None):
+            # An extra response arrives late, at the point where the next one is expected.
+            self.fleet.record.write(f"server {self.id} sends a second copy of its last answer on a"
+                                    f" channel on which {attempt} has come")
+            writer.write(late)
+            await writer.drain()
+        if self.service not in self.fleet.engines and self.sheds():
+            # As `fleetbench wire` shows it: without an id.
+            self.answer(writer, self.head(503, [("Azurehaven-Not-Executed", "1")], 0))
+            self.fleet.record.write(f"server {self.id} turns {attempt} away: 503, not executed")
+            return
         self.fleet.on_run(self, attempt, request)
         headers = [("Azurehaven-Attempt-Id", attempt), ("Azurehaven-Response-Seal", f"seal.{attempt}"),
                    ("Azurehaven-Server-Load", f"{len(self.running)},0,{self.slots}")]
@@ -408,7 +423,12 @@
             return
         await asyncio.sleep(0.03)
         body = f"answer to {attempt}".encode("latin-1")
-        writer.write(self.head(200, headers, len(body)) + body)
+        self.answer(writer, self.head(200, headers, len(body)) + body)
+
+    def answer(self, writer, text):
+        writer.write(text)
+        if self.doubles():
+            self.late[writer] = text
 
     async def stream(self, request, attempt, headers, writer):
         fate = self.fleet.fate(self, request)
