LibRelay: Log crashes that are counted, not counted, sent and received

New lines: endpoint_crash_not_counted with the reason, request_quarantined, crashes_sent and crashes_received; endpoint_crash_counted names the fingerprint.

--- a/Libraries/LibRelay/attempt_observations.cpp
+++ b/Libraries/LibRelay/attempt_observations.cpp
@@ -94,12 +94,15 @@
 void attempt_observations::recordMissingResponse(attempt_failure Failure,
                                                  steady_time Now) {
   // Neither another VM nor a lost path tells anything of endpoints.
-  if (IsForwarded || Fleet.Paths.isLost(Admitted.Service))
+  if (IsForwarded || Fleet.Paths.isLost(Admitted.Service)) {
+    Crashes.recordUncounted(IsForwarded ? "forwarded" : "path_lost");
     return Recorder.drop();
+  }
   if (recordCrash(*Endpoint, Now))
     Recorder.record(/*HasFailed=*/true, Now);
-  if (Failure != attempt_failure::Silent)
-    Crashes.recordCrash(Now);
+  if (Failure == attempt_failure::Silent)
+    return Crashes.recordUncounted("silent");
+  Crashes.recordCrash(Now);
 }
 
 } // namespace azurehaven
--- a/Libraries/LibRelay/crash_recorder.cpp
+++ b/Libraries/LibRelay/crash_recorder.cpp
@@ -37,9 +37,21 @@
   Fleet.PromptQuarantine.clearLocal(Admitted.SharedSegments, Now);
 }
 
+endpoint_id crash_recorder::processStart() const {
+  return endpoint_id(Endpoint.Id.text() + "/" +
+                     std::to_string(Endpoint.Incarnation));
+}
+
+void crash_recorder::recordUncounted(const char *Reason) const {
+  Log.write(log_level::Info, "endpoint_crash_not_counted",
+            {{"request", Admitted.Request.Id.text()},
+             {"endpoint", processStart().text()},
+             {"reason", Reason}});
+}
+
 void crash_recorder::recordCrash(steady_time Now) {
-  const endpoint_id ProcessStart(Endpoint.Id.text() + "/" +
-                                 std::to_string(Endpoint.Incarnation));
+  const bool WasQuarantined = isQuarantined();
+  const endpoint_id ProcessStart = processStart();
   Fleet.Quarantine.addLocal(Admitted.Fingerprint, ProcessStart, Now);
   // A request that still waits on the endpoint has not caused its crash, nor
   // has one whose response made progress.
@@ -47,10 +59,15 @@
     Fleet.PromptQuarantine.addLocal(Admitted.SharedSegments, ProcessStart, Now);
   Log.write(log_level::Warning, "endpoint_crash_counted",
             {{"request", Admitted.Request.Id.text()},
+             {"fingerprint", std::to_string(Admitted.Fingerprint)},
              {"endpoint", ProcessStart.text()},
              {"prompt", describeSegments(Admitted.Request.Prompt)},
              {"response_begun", HasHead ? "yes" : "no"},
              {"events", std::to_string(Events)}});
+  if (!WasQuarantined && isQuarantined())
+    Log.write(log_level::Warning, "request_quarantined",
+              {{"request", Admitted.Request.Id.text()},
+               {"fingerprint", std::to_string(Admitted.Fingerprint)}});
 }
 
 bool crash_recorder::isQuarantined() const {
--- a/Libraries/LibRelay/crash_recorder.h
+++ b/Libraries/LibRelay/crash_recorder.h
@@ -24,6 +24,8 @@
   void onComplete(steady_time Now);
   /// Records that the attempt ended without a valid response.
   void recordCrash(steady_time Now);
+  /// Logs why an attempt without a valid response is no crash of the endpoint.
+  void recordUncounted(const char *Reason) const;
 
   /// Whether the request must not be sent again: endpoints crash under it.
   bool isQuarantined() const;
@@ -31,6 +33,8 @@
   std::uint64_t attemptEvents() const { return Events; }
 
 private:
+  endpoint_id processStart() const;
+
   fleet_state &Fleet;
   const event_log &Log;
   const admitted_request &Admitted;
--- a/Libraries/LibRelay/peer_state_sync.cpp
+++ b/Libraries/LibRelay/peer_state_sync.cpp
@@ -162,6 +162,7 @@
   if (Addresses.empty())
     return;
   fleet_notice Notice = buildNotice();
+  logCrashesSent(Notice, Addresses.size());
   Notice.ClockReading = clockReadingAt(Clock.now());
   for (const auto &[Vm, Address] : Addresses) {
     Notice.Confirmation.reset();
@@ -202,6 +203,7 @@
     Fleet.Pins.merge({SessionRelease.Session, SessionRelease.Release,
                       Now - SessionRelease.Age, pin_source::Peer});
   applyRollouts(Notice->Rollouts, Now);
+  logCrashesReceived(Frame.Sender, *Notice);
   for (const auto &Crash : Notice->Crashes)
     Fleet.Quarantine.merge(Crash.Fingerprint, Crash.Endpoint, Now);
   for (const auto &Crash : Notice->SegmentCrashes)
@@ -212,6 +214,26 @@
     Fleet.Endpoints.markLeaving({Leaving.Endpoint, Leaving.Incarnation}, Now);
 }
 
+void peer_state_sync::logCrashesSent(const fleet_notice &Notice,
+                                     std::size_t Recipients) const {
+  if (Notice.Crashes.empty() && Notice.SegmentCrashes.empty())
+    return;
+  Log.write(log_level::Info, "crashes_sent",
+            {{"requests", std::to_string(Notice.Crashes.size())},
+             {"segments", std::to_string(Notice.SegmentCrashes.size())},
+             {"vms", std::to_string(Recipients)}});
+}
+
+void peer_state_sync::logCrashesReceived(const vm_id &From,
+                                         const fleet_notice &Notice) const {
+  if (Notice.Crashes.empty() && Notice.SegmentCrashes.empty())
+    return;
+  Log.write(log_level::Info, "crashes_received",
+            {{"requests", std::to_string(Notice.Crashes.size())},
+             {"segments", std::to_string(Notice.SegmentCrashes.size())},
+             {"from", From.text()}});
+}
+
 void peer_state_sync::exchangeConfirmations(const peer_frame &Frame,
                                             const fleet_notice &Notice,
                                             steady_time Now) {
--- a/Libraries/LibRelay/peer_state_sync.h
+++ b/Libraries/LibRelay/peer_state_sync.h
@@ -16,8 +16,10 @@
 class peer_state_sync : public fleet_announcer {
 public:
   peer_state_sync(fleet_state &Fleet, const clock_source &Clock,
-                  peer_network &Peers, std::uint64_t Incarnation)
-      : Fleet(Fleet), Clock(Clock), Peers(Peers), Incarnation(Incarnation) {}
+                  const event_log &Log, peer_network &Peers,
+                  std::uint64_t Incarnation)
+      : Fleet(Fleet), Clock(Clock), Log(Log), Peers(Peers),
+        Incarnation(Incarnation) {}
 
   /// Sends one notice to each other member.
   void broadcast();
@@ -62,9 +64,12 @@
   void addToTotals(const std::vector<endpoint_load_notice> &Loads);
   void removeFromTotals(const std::vector<endpoint_load_notice> &Loads);
   void applyTotals();
+  void logCrashesSent(const fleet_notice &Notice, std::size_t Recipients) const;
+  void logCrashesReceived(const vm_id &From, const fleet_notice &Notice) const;
 
   fleet_state &Fleet;
   const clock_source &Clock;
+  const event_log &Log;
   peer_network &Peers;
   /// Of this process start.
   const std::uint64_t Incarnation;
--- a/Libraries/LibRelay/relay_node.cpp
+++ b/Libraries/LibRelay/relay_node.cpp
@@ -137,7 +137,7 @@
                                  });
                                }));
   PeerSync =
-      std::make_unique<peer_state_sync>(Fleet, Clock, *Peers, Incarnation);
+      std::make_unique<peer_state_sync>(Fleet, Clock, Log, *Peers, Incarnation);
   Rollouts =
       std::make_unique<rollout_driver>(Fleet, Clock, Log, Publisher, *PeerSync);
   TRY(Listener, connection_listener::listen(Loop, Settings.CallerAddress, Relay,
--- a/Tests/LibRelay/passed_confirmation_test.cpp
+++ b/Tests/LibRelay/passed_confirmation_test.cpp
@@ -138,7 +138,7 @@
       Fleet(testFleet("vm-" + std::to_string(Index), milliseconds(5000))),
       Store(Scheduler), Mirror(Store, Scheduler, Listener, {"", ""}),
       Link(std::make_unique<fleet_network::link>(Network, Fleet.Self)),
-      Sync(Fleet, Clock, *Link, 1) {
+      Sync(Fleet, Clock, Log, *Link, 1) {
   for (std::size_t Other = 0; Other < VmCount; ++Other)
     Fleet.Members.put(testMember("vm-" + std::to_string(Other)));
 }
--- a/Tests/LibRelay/peer_state_sync_test.cpp
+++ b/Tests/LibRelay/peer_state_sync_test.cpp
@@ -37,7 +37,8 @@
   test_clock Clock;
   recording_network Network;
   fleet_state Fleet;
-  peer_state_sync PeerSync{Fleet, Clock, Network, 1};
+  null_event_log Log;
+  peer_state_sync PeerSync{Fleet, Clock, Log, Network, 1};
 };
 
 void deliver(peer_vm &From, peer_vm &To) {
--- a/Tests/LibRelay/rollout_simulation.cpp
+++ b/Tests/LibRelay/rollout_simulation.cpp
@@ -70,7 +70,7 @@
       : Fleet(testFleet(Name, std::nullopt)),
         Network(Simulation, Fleet.Self, Incarnation), Publisher(Simulation),
         Updater(Fleet, Clock, Log, Metrics),
-        Sync(Fleet, Clock, Network, Incarnation),
+        Sync(Fleet, Clock, Log, Network, Incarnation),
         Driver(Fleet, Clock, Log, Publisher, Sync) {}
 
   fleet_state Fleet;
