LibRelay: Add the failing test of crashes that VMs do not know of

The simulation plays VMs that restart, stand still, are cut off from their peers, lose notices, or take refused connections for a lost path, in virtual time.

--- /dev/null
+++ b/Tests/LibRelay/crash_knowledge_test.cpp
@@ -0,0 +1,83 @@
+#include "crash_simulation.h"
+
+#include <doctest/doctest.h>
+
+using namespace azurehaven;
+
+namespace {
+
+constexpr unsigned SeedCount = 12;
+/// Sends of a crashing request that operators accept after the contact time.
+constexpr int AllowedLateSends = 3;
+
+/// The crashing request comes to a VM only after the contact time has passed
+/// since it came to the one before.
+crash_day slowTurns() {
+  crash_day Day;
+  Day.VmCount = 12;
+  Day.TurnInterval = milliseconds(4000);
+  Day.ArrivalInterval = milliseconds(50000);
+  Day.Length = milliseconds(100000);
+  return Day;
+}
+
+void checkFewLateSends(crash_day Day) {
+  for (const bool SharesSegmentOnly : {false, true}) {
+    Day.SharesSegmentOnly = SharesSegmentOnly;
+    for (unsigned Seed = 0; Seed < SeedCount; ++Seed) {
+      const crash_result Result = simulateCrashes(Day, Seed);
+      CAPTURE(SharesSegmentOnly);
+      CAPTURE(Seed);
+      CAPTURE(Result.Crashes);
+      CHECK(Result.LateSends <= AllowedLateSends);
+      CHECK(Result.RefusedSound == 0);
+    }
+  }
+}
+
+} // namespace
+
+TEST_CASE("A crashing request is refused everywhere while all notices arrive") {
+  checkFewLateSends({});
+}
+
+TEST_CASE("A VM that has just started refuses the requests that crashed "
+          "endpoints before") {
+  crash_day Day;
+  Day.RestartInterval = milliseconds(4000);
+  Day.ArrivalInterval = milliseconds(8000);
+  Day.Length = milliseconds(60000);
+  checkFewLateSends(Day);
+}
+
+TEST_CASE("A crashing request is refused on VMs whose notices were lost") {
+  crash_day Day = slowTurns();
+  Day.NoticeLoss = 0.3;
+  Day.NoticeDuplication = 0.1;
+  Day.NoticeDelay = milliseconds(500);
+  checkFewLateSends(Day);
+}
+
+TEST_CASE("A crashing request is refused on a VM that stood still") {
+  crash_day Day = slowTurns();
+  Day.FreezeTime = milliseconds(2500);
+  Day.NoticeLoss = 0.2;
+  checkFewLateSends(Day);
+}
+
+TEST_CASE("A crashing request is refused on VMs that were cut off from their "
+          "peers") {
+  crash_day Day = slowTurns();
+  Day.PeerCutTime = milliseconds(8000);
+  checkFewLateSends(Day);
+}
+
+TEST_CASE("Crashes count although VMs take the refused connections for a lost "
+          "path") {
+  crash_day Day;
+  Day.EndpointCount = 3;
+  Day.MaxAttempts = 2;
+  Day.Arrivals = arrival_pattern::AllAtOnce;
+  Day.HasSoundLoad = true;
+  checkFewLateSends(Day);
+}
--- /dev/null
+++ b/Tests/LibRelay/crash_simulation.cpp
@@ -0,0 +1,422 @@
+#include "crash_simulation.h"
+
+#include "LibRelay/attempt_observations.h"
+#include "LibRelay/path_watch.h"
+#include "LibRelay/peer_state_sync.h"
+#include "plain_codec.h"
+#include "test_fleet.h"
+
+#include <asio/io_context.hpp>
+
+#include <map>
+#include <random>
+
+namespace azurehaven {
+
+namespace {
+
+const steady_time Start{std::chrono::hours(1)};
+const service_id Service("s");
+constexpr std::uint64_t CrashingFingerprint = 7;
+constexpr segment_key CrashingSegment = 99;
+constexpr segment_key CommonSegment = 1;
+constexpr milliseconds NoticeInterval{200};
+constexpr milliseconds ProbeInterval{250};
+/// Time between two sound requests of one VM.
+constexpr milliseconds SoundInterval{50};
+/// Time from the begin of a crashing request to the crash.
+constexpr milliseconds CrashDelay{10};
+/// Time for which a crashed endpoint is down.
+constexpr milliseconds DownTime{3000};
+constexpr milliseconds ContactTime{3000};
+constexpr milliseconds RestartTime{300};
+constexpr milliseconds FreezeInterval{10000};
+constexpr milliseconds PeerCutInterval{15000};
+/// Groups of VMs that a cut between peers separates.
+constexpr std::size_t PeerGroups = 4;
+constexpr int CrashesBeforeBound = 3;
+constexpr int CrashesBeforeSegmentBound = 5;
+
+class simulation;
+
+class simulated_network : public peer_network {
+public:
+  simulated_network(simulation &Simulation, vm_id Self,
+                    std::uint64_t Incarnation)
+      : Simulation(Simulation), Self(std::move(Self)),
+        Incarnation(Incarnation) {}
+  void setPeers(const std::map<vm_id, network_address> &) override {}
+  void send(const vm_id &To, peer_message Message) override;
+  peer_traffic traffic() const override { return {}; }
+
+private:
+  simulation &Simulation;
+  const vm_id Self;
+  const std::uint64_t Incarnation;
+};
+
+struct simulated_vm {
+  simulated_vm(simulation &Simulation, asio::io_context &Loop,
+               const clock_source &Clock, const std::string &Name,
+               std::uint64_t Incarnation)
+      : Fleet(testFleet(Name, std::nullopt)),
+        Connections(Loop.get_executor(), {}),
+        Context{Loop.get_executor(), Clock, Codec, Log, Metrics, Fleet,
+                Connections},
+        Network(Simulation, Fleet.Self, Incarnation),
+        Sync(Fleet, Clock, Log, Network, Incarnation) {}
+
+  fleet_state Fleet;
+  plain_codec Codec;
+  null_event_log Log;
+  metrics Metrics;
+  connection_pool Connections;
+  relay_context Context;
+  simulated_network Network;
+  peer_state_sync Sync;
+};
+
+/// A place in the fleet, in which one process after the other runs.
+struct vm_slot {
+  std::unique_ptr<simulated_vm> Vm;
+  std::string Name;
+  std::uint64_t Incarnation = 0;
+  steady_time FrozenUntil;
+  steady_time LastDisturbed;
+};
+
+struct simulated_endpoint {
+  endpoint_descriptor Descriptor;
+  bool IsUp = true;
+};
+
+/// A request on its way through one VM.
+struct simulated_request {
+  simulated_request(vm_slot &Slot, admitted_request NewAdmitted)
+      : Slot(Slot), Incarnation(Slot.Incarnation),
+        Admitted(std::move(NewAdmitted)),
+        Observed(Slot.Vm->Fleet, Slot.Vm->Log, Admitted) {}
+
+  vm_slot &Slot;
+  /// Of the process that got the request.
+  const std::uint64_t Incarnation;
+  const admitted_request Admitted;
+  attempt_observations Observed;
+  int Sends = 0;
+};
+
+class simulation {
+public:
+  simulation(const crash_day &Day, unsigned Seed);
+  crash_result run();
+  void deliver(peer_frame Frame, const vm_id &To);
+
+private:
+  using action = std::function<void()>;
+
+  void after(milliseconds Delay, action Action) {
+    Events.emplace(Clock.Now + Delay, std::move(Action));
+  }
+  /// The first time at a random moment of the interval.
+  void every(milliseconds Interval, const action &Action) {
+    after(upTo(Interval),
+          [this, Interval, Action] { repeat(Interval, Action); });
+  }
+  void repeat(milliseconds Interval, const action &Action) {
+    Action();
+    after(Interval, [this, Interval, Action] { repeat(Interval, Action); });
+  }
+  milliseconds upTo(milliseconds Longest) {
+    return milliseconds(
+        indexBelow(static_cast<std::size_t>(Longest.count()) + 1));
+  }
+  double uniform() {
+    return std::uniform_real_distribution<double>(0, 1)(Random);
+  }
+  std::size_t indexBelow(std::size_t Count) {
+    return std::uniform_int_distribution<std::size_t>(0, Count - 1)(Random);
+  }
+  bool isRunning(const vm_slot &Slot) const {
+    return Slot.Vm && Clock.Now >= Slot.FrozenUntil;
+  }
+  bool isSeparated(std::size_t One, std::size_t Other) const {
+    const bool IsCut = Clock.Now < PeersCutUntil;
+    return IsCut && One % PeerGroups != Other % PeerGroups;
+  }
+  std::size_t indexOf(const vm_id &Vm) const;
+  void startVm(vm_slot &Slot);
+  void restart(vm_slot &Slot);
+  void receive(std::size_t Index, const peer_frame &Frame);
+  void scheduleDisturbances();
+  admitted_request makeRequest(bool IsCrashing);
+  bool isRefused(const simulated_vm &Vm, const admitted_request &Request) const;
+  void arrive(vm_slot &Slot);
+  void sendCrashing(const std::shared_ptr<simulated_request> &Request);
+  void crash(const std::shared_ptr<simulated_request> &Request,
+             std::size_t Endpoint);
+  void sendSound(vm_slot &Slot);
+  void probe(vm_slot &Slot);
+  std::optional<std::size_t> chooseUpEndpoint();
+
+  const crash_day Day;
+  std::mt19937 Random;
+  test_clock Clock;
+  asio::io_context Loop;
+  std::multimap<steady_time, action> Events;
+  std::vector<vm_slot> Slots;
+  std::vector<simulated_endpoint> Endpoints;
+  route Route;
+  steady_time PeersCutUntil;
+  std::optional<steady_time> BoundFrom;
+  std::int64_t ProcessStarts = 0;
+  segment_key OwnSegments = 1000;
+  crash_result Result;
+};
+
+void simulated_network::send(const vm_id &To, peer_message Message) {
+  Simulation.deliver({Self, Incarnation, std::move(Message)}, To);
+}
+
+simulation::simulation(const crash_day &Day, unsigned Seed)
+    : Day(Day), Random(Seed), Slots(Day.VmCount) {
+  Clock.Now = Start;
+  Route.Name = "r";
+  Route.Kind = route_kind::Stream;
+  Route.IsResumable = true;
+  for (std::size_t Index = 0; Index < Day.EndpointCount; ++Index) {
+    simulated_endpoint Endpoint;
+    Endpoint.Descriptor.Id = endpoint_id("e" + std::to_string(Index));
+    Endpoint.Descriptor.Service = Service;
+    Endpoint.Descriptor.Incarnation = ++ProcessStarts;
+    Endpoints.push_back(Endpoint);
+  }
+  for (std::size_t Index = 0; Index < Slots.size(); ++Index) {
+    Slots[Index].Name = "vm-" + std::to_string(Index);
+    startVm(Slots[Index]);
+  }
+}
+
+std::size_t simulation::indexOf(const vm_id &Vm) const {
+  std::size_t Index = 0;
+  while (Slots[Index].Name != Vm.text())
+    ++Index;
+  return Index;
+}
+
+void simulation::startVm(vm_slot &Slot) {
+  Slot.Vm = std::make_unique<simulated_vm>(*this, Loop, Clock, Slot.Name,
+                                           ++Slot.Incarnation);
+  for (std::size_t Index = 0; Index < Slots.size(); ++Index)
+    Slot.Vm->Fleet.Members.put(testMember("vm-" + std::to_string(Index)));
+  for (const simulated_endpoint &Endpoint : Endpoints)
+    if (Endpoint.IsUp)
+      Slot.Vm->Fleet.Endpoints.put(Endpoint.Descriptor);
+}
+
+void simulation::restart(vm_slot &Slot) {
+  Slot.Vm.reset();
+  after(RestartTime, [this, &Slot] {
+    Slot.LastDisturbed = Clock.Now;
+    startVm(Slot);
+  });
+}
+
+void simulation::deliver(peer_frame Frame, const vm_id &To) {
+  const std::size_t Sender = indexOf(Frame.Sender);
+  const std::size_t Receiver = indexOf(To);
+  if (isSeparated(Sender, Receiver))
+    return;
+  const int Copies = uniform() < Day.NoticeDuplication ? 2 : 1;
+  const auto Shared = std::make_shared<const peer_frame>(std::move(Frame));
+  for (int Copy = 0; Copy < Copies; ++Copy) {
+    if (uniform() < Day.NoticeLoss)
+      continue;
+    after(upTo(Day.NoticeDelay),
+          [this, Receiver, Shared] { receive(Receiver, *Shared); });
+  }
+}
+
+void simulation::receive(std::size_t Index, const peer_frame &Frame) {
+  vm_slot &Slot = Slots[Index];
+  if (!Slot.Vm)
+    return;
+  if (isRunning(Slot))
+    return Slot.Vm->Sync.onFrame(Frame);
+  // The frame waits until the VM goes on.
+  const auto Rest =
+      std::chrono::ceil<milliseconds>(Slot.FrozenUntil - Clock.Now);
+  after(Rest, [this, Index, Frame] { receive(Index, Frame); });
+}
+
+void simulation::scheduleDisturbances() {
+  if (Day.RestartInterval.count() > 0) {
+    const auto Next = std::make_shared<std::size_t>(0);
+    every(Day.RestartInterval,
+          [this, Next] { restart(Slots[(*Next)++ % Slots.size()]); });
+  }
+  if (Day.FreezeTime.count() > 0)
+    every(FreezeInterval, [this] {
+      Slots.front().FrozenUntil = Clock.Now + Day.FreezeTime;
+      Slots.front().LastDisturbed = Slots.front().FrozenUntil;
+    });
+  if (Day.PeerCutTime.count() > 0)
+    every(PeerCutInterval, [this] {
+      PeersCutUntil = Clock.Now + Day.PeerCutTime;
+      for (vm_slot &Slot : Slots)
+        Slot.LastDisturbed = PeersCutUntil;
+    });
+}
+
+admitted_request simulation::makeRequest(bool IsCrashing) {
+  admitted_request Request;
+  Request.Route = &Route;
+  Request.Service = Service;
+  Request.Request.Id = request_id("r");
+  Request.Fingerprint = IsCrashing && !Day.SharesSegmentOnly
+                            ? CrashingFingerprint
+                            : CrashingFingerprint + ++OwnSegments;
+  if (Day.SharesSegmentOnly)
+    Request.SharedSegments = {CommonSegment, ++OwnSegments};
+  if (Day.SharesSegmentOnly && IsCrashing)
+    Request.SharedSegments.push_back(CrashingSegment);
+  return Request;
+}
+
+bool simulation::isRefused(const simulated_vm &Vm,
+                           const admitted_request &Request) const {
+  return Vm.Fleet.Quarantine.isQuarantined(Request.Fingerprint) ||
+         Vm.Fleet.PromptQuarantine.isQuarantined(Request.SharedSegments);
+}
+
+std::optional<std::size_t> simulation::chooseUpEndpoint() {
+  const std::size_t First = indexBelow(Endpoints.size());
+  for (std::size_t Offset = 0; Offset < Endpoints.size(); ++Offset) {
+    const std::size_t Index = (First + Offset) % Endpoints.size();
+    if (Endpoints[Index].IsUp)
+      return Index;
+  }
+  return std::nullopt;
+}
+
+void simulation::arrive(vm_slot &Slot) {
+  if (!isRunning(Slot))
+    return;
+  admitted_request Request = makeRequest(/*IsCrashing=*/true);
+  if (!isRefused(*Slot.Vm, Request))
+    sendCrashing(std::make_shared<simulated_request>(Slot, std::move(Request)));
+}
+
+void simulation::sendCrashing(
+    const std::shared_ptr<simulated_request> &Request) {
+  const auto Endpoint = chooseUpEndpoint();
+  if (!Endpoint || Request->Sends >= Day.MaxAttempts)
+    return;
+  ++Request->Sends;
+  const bool IsInTouch = Clock.Now >= Request->Slot.LastDisturbed + ContactTime;
+  if (BoundFrom && Clock.Now > *BoundFrom && IsInTouch)
+    ++Result.LateSends;
+  fleet_state &Fleet = Request->Slot.Vm->Fleet;
+  const endpoint_id &Id = Endpoints[*Endpoint].Descriptor.Id;
+  if (!Fleet.Endpoints.find(Id))
+    return;
+  Request->Observed.onSent(Fleet.Endpoints.find(Id), model_id(), std::nullopt,
+                           0, 0, Clock.Now);
+  after(CrashDelay,
+        [this, Request, Index = *Endpoint] { crash(Request, Index); });
+}
+
+void simulation::crash(const std::shared_ptr<simulated_request> &Request,
+                       std::size_t Endpoint) {
+  simulated_endpoint &Crashed = Endpoints[Endpoint];
+  const bool IsNewCrash = std::exchange(Crashed.IsUp, false);
+  if (IsNewCrash) {
+    const int Needed =
+        Day.SharesSegmentOnly ? CrashesBeforeSegmentBound : CrashesBeforeBound;
+    if (++Result.Crashes == Needed)
+      BoundFrom = Clock.Now + ContactTime;
+    after(DownTime, [this, Endpoint] {
+      Endpoints[Endpoint].IsUp = true;
+      Endpoints[Endpoint].Descriptor.Incarnation = ++ProcessStarts;
+      for (vm_slot &Slot : Slots)
+        if (Slot.Vm)
+          Slot.Vm->Fleet.Endpoints.put(Endpoints[Endpoint].Descriptor);
+    });
+  }
+  const vm_slot &Slot = Request->Slot;
+  if (!Slot.Vm || Slot.Incarnation != Request->Incarnation)
+    return;
+  Request->Observed.onHead(/*IsSuccess=*/true, Clock.Now);
+  Request->Observed.onFailed(attempt_failure::NoValidResponse, Clock.Now);
+  if (!Request->Observed.isQuarantined())
+    sendCrashing(Request);
+}
+
+void simulation::sendSound(vm_slot &Slot) {
+  if (!isRunning(Slot))
+    return;
+  simulated_vm &Vm = *Slot.Vm;
+  const admitted_request Request = makeRequest(/*IsCrashing=*/false);
+  if (isRefused(Vm, Request)) {
+    ++Result.RefusedSound;
+    return;
+  }
+  const std::size_t Index = indexBelow(Endpoints.size());
+  const auto Endpoint = Vm.Fleet.Endpoints.find(Endpoints[Index].Descriptor.Id);
+  if (!Endpoint)
+    return;
+  if (!Endpoints[Index].IsUp)
+    return recordUnreachable(Vm.Context, *Endpoint, Clock.Now);
+  recordConnected(Vm.Context, *Endpoint, Clock.Now);
+  Vm.Fleet.Paths.onReceived(Service, Clock.Now);
+  attempt_observations Observed(Vm.Fleet, Vm.Log, Request);
+  Observed.onSent(Endpoint, model_id(), std::nullopt, 0, 0, Clock.Now);
+  Observed.onHead(/*IsSuccess=*/true, Clock.Now);
+  Observed.onComplete(Clock.Now);
+}
+
+void simulation::probe(vm_slot &Slot) {
+  if (!isRunning(Slot) || !Slot.Vm->Fleet.Paths.isLost(Service))
+    return;
+  const simulated_endpoint &Endpoint = Endpoints[indexBelow(Endpoints.size())];
+  recordProbe(Slot.Vm->Context, Service, Endpoint.Descriptor.Id, Endpoint.IsUp,
+              Clock.Now);
+}
+
+crash_result simulation::run() {
+  scheduleDisturbances();
+  for (vm_slot &Slot : Slots) {
+    every(NoticeInterval, [this, &Slot] {
+      if (!isRunning(Slot))
+        return;
+      Slot.Vm->Sync.expire();
+      Slot.Vm->Sync.broadcast();
+    });
+    every(ProbeInterval, [this, &Slot] { probe(Slot); });
+    if (Day.HasSoundLoad)
+      every(SoundInterval, [this, &Slot] { sendSound(Slot); });
+  }
+  every(Day.ArrivalInterval, [this] {
+    milliseconds Delay{0};
+    for (vm_slot &Slot : Slots) {
+      after(Delay, [this, &Slot] { arrive(Slot); });
+      if (Day.Arrivals == arrival_pattern::InTurn)
+        Delay += Day.TurnInterval;
+    }
+  });
+  const steady_time End = Start + Day.Length;
+  while (!Events.empty() && Events.begin()->first < End) {
+    Clock.Now = Events.begin()->first;
+    const action Action = std::move(Events.begin()->second);
+    Events.erase(Events.begin());
+    Action();
+  }
+  return Result;
+}
+
+} // namespace
+
+crash_result simulateCrashes(const crash_day &Day, unsigned Seed) {
+  return simulation(Day, Seed).run();
+}
+
+} // namespace azurehaven
--- /dev/null
+++ b/Tests/LibRelay/crash_simulation.h
@@ -0,0 +1,59 @@
+#pragma once
+
+#include "LibTypes/units.h"
+
+#include <cstddef>
+
+namespace azurehaven {
+
+/// How the crashing request comes to the VMs.
+enum class arrival_pattern {
+  /// At one VM after the other.
+  InTurn,
+  AllAtOnce,
+};
+
+/// A request under which every endpoint crashes comes again and again; what
+/// goes wrong meanwhile.
+struct crash_day {
+  std::size_t VmCount = 4;
+  std::size_t EndpointCount = 12;
+  milliseconds Length{40000};
+  arrival_pattern Arrivals = arrival_pattern::InTurn;
+  /// Between two VMs that get the crashing request one after the other.
+  milliseconds TurnInterval{300};
+  /// After this time the crashing request comes to all VMs once more.
+  milliseconds ArrivalInterval{3500};
+  int MaxAttempts = 3;
+  /// Whether the crashing requests differ and share a prompt segment only.
+  bool SharesSegmentOnly = false;
+  /// Probability that a notice between VMs is lost, or arrives twice.
+  double NoticeLoss = 0;
+  double NoticeDuplication = 0;
+  /// The longest time that a notice takes; notices overtake each other.
+  milliseconds NoticeDelay{8};
+  /// One VM after the other restarts, one every so often; never if zero.
+  milliseconds RestartInterval{0};
+  /// The first VM stands still for this long every ten seconds.
+  milliseconds FreezeTime{0};
+  /// Groups of VMs exchange nothing with the others for this long, every
+  /// fifteen seconds.
+  milliseconds PeerCutTime{0};
+  /// VMs notice crashed endpoints by refused connections, as they do beside
+  /// sound load.
+  bool HasSoundLoad = false;
+};
+
+struct crash_result {
+  int Crashes = 0;
+  /// Sends of the crashing request later than the contact time after the third
+  /// crash (the fifth for a segment), by VMs that were not disturbed.
+  int LateSends = 0;
+  /// Sound requests that were refused as crashing.
+  int RefusedSound = 0;
+};
+
+/// Plays the day in virtual time on VMs that exchange notices.
+crash_result simulateCrashes(const crash_day &Day, unsigned Seed);
+
+} // namespace azurehaven
