LibRelay: Exchange what VMs know of crashes until all have it

Cause: crashes were events, told once to whoever listened. Now they are a replicated set (crash_records): a merge keeps the earlier time and the stronger refutation, so order, number and delay of the messages have no effect. A notice has what its sender has observed since the last one and a digest of all that it knows; a VM whose digest stays another one asks that peer for the rest, one peer a notice, those least recently asked first. A sound response refutes crashes instead of erasing them, so that all VMs learn of it. Bounds: 4096 records of each kind, ten minutes.

Interface of tests: takeUnsent() is takeNews(), and a told crash has its time; no check is changed.

--- a/Libraries/LibDispatch/crash_quarantine.h
+++ b/Libraries/LibDispatch/crash_quarantine.h
@@ -1,14 +1,8 @@
 #pragma once
 
-#include "LibTypes/ids.h"
-#include "LibTypes/units.h"
+#include "LibDispatch/crash_records.h"
 
-#include <cstdint>
-#include <map>
-#include <set>
 #include <string>
-#include <utility>
-#include <vector>
 
 namespace azurehaven {
 
@@ -18,39 +12,38 @@
 /// thread-safe.
 class crash_quarantine {
 public:
-  struct crash_record {
-    std::uint64_t Fingerprint = 0;
-    /// Includes the incarnation: each process start counts separately.
-    endpoint_id Endpoint;
-  };
-
-  /// Records a crash that this VM observed, and queues it for the other VMs.
+  /// Records a crash that this VM observed.
   void addLocal(std::uint64_t Fingerprint, const endpoint_id &Endpoint,
-                steady_time Now);
-  /// Records a crash that another VM observed.
-  void merge(std::uint64_t Fingerprint, const endpoint_id &Endpoint,
-             steady_time Now);
+                steady_time Now) {
+    Records.add({Fingerprint, Endpoint, Now}, Now);
+  }
+  /// Records what another VM knows. Returns whether it is news.
+  bool merge(const crash_record &Record, steady_time Now) {
+    return Records.merge(Record, Now);
+  }
   /// Clears the history of a request that got a complete response: the earlier
   /// crashes had other causes.
-  void clear(std::uint64_t Fingerprint) { ByFingerprint.erase(Fingerprint); }
-  /// Returns the local crashes that are not yet sent to the other VMs, and
-  /// clears the queue.
-  std::vector<crash_record> takeUnsent() { return std::exchange(Unsent, {}); }
+  void clear(std::uint64_t Fingerprint) {
+    Records.refuteFingerprint(Fingerprint);
+  }
+  /// Records that a process start is alive after its alleged crash. Returns
+  /// whether that is news.
+  bool refuteEndpoint(const endpoint_id &Endpoint) {
+    return Records.refuteEndpoint(Endpoint);
+  }
   /// Forgets the local crashes that the other VMs have not been told of yet:
   /// they had another cause.
-  void withdrawUnsent();
+  void withdrawUnsent() { Records.withdrawNews(); }
+  /// What changed by observations of this VM since the last call.
+  std::vector<crash_record> takeNews() { return Records.takeNews(); }
+  const crash_records &records() const { return Records; }
   /// Whether the request is refused because too many endpoints crashed on it.
   bool isQuarantined(std::uint64_t Fingerprint) const;
-  /// Drops histories without a recent crash.
-  void expire(steady_time Now);
+  /// Drops crashes that are long past.
+  void expire(steady_time Now) { Records.expire(Now); }
 
 private:
-  struct crash_history {
-    std::set<endpoint_id> Endpoints;
-    steady_time LastCrashAt;
-  };
-  std::map<std::uint64_t, crash_history> ByFingerprint;
-  std::vector<crash_record> Unsent;
+  crash_records Records;
 };
 
 /// Hashes path, account and body, which are equal in a caller's resend.
--- /dev/null
+++ b/Libraries/LibDispatch/crash_records.cpp
@@ -0,0 +1,147 @@
+#include "LibDispatch/crash_records.h"
+
+#include "LibTypes/fingerprint.h"
+
+#include <algorithm>
+#include <string>
+
+namespace azurehaven {
+
+std::uint64_t crash_records::digestOf(const entry_map::value_type &Entry) {
+  const auto &[Key, Value] = Entry;
+  const auto Refutation = static_cast<unsigned>(Value.Refutation);
+  return fingerprintOf(Key.second.text(),
+                       fingerprintOf(std::to_string(Refutation), Key.first));
+}
+
+crash_record crash_records::recordOf(const entry_map::value_type &Entry) {
+  const auto &[Key, Value] = Entry;
+  return {Key.first, Key.second, Value.At, Value.Refutation};
+}
+
+void crash_records::setRefutation(entry_map::value_type &Entry,
+                                  crash_refutation Refutation) {
+  // The digest is a sum, so that the order of the changes has no effect.
+  Digest -= digestOf(Entry);
+  Entry.second.Refutation = Refutation;
+  Digest += digestOf(Entry);
+}
+
+crash_records::entry_map::iterator
+crash_records::erase(entry_map::iterator Position) {
+  Digest -= digestOf(*Position);
+  News.erase(Position->first);
+  return Entries.erase(Position);
+}
+
+void crash_records::evictOne() {
+  // Refuted crashes go first, then the oldest ones.
+  const auto Victim = std::min_element(
+      Entries.begin(), Entries.end(), [](const auto &Left, const auto &Right) {
+        const bool IsLeftRefuted =
+            Left.second.Refutation != crash_refutation::None;
+        const bool IsRightRefuted =
+            Right.second.Refutation != crash_refutation::None;
+        if (IsLeftRefuted != IsRightRefuted)
+          return IsLeftRefuted;
+        return Left.second.At < Right.second.At;
+      });
+  if (Victim != Entries.end())
+    erase(Victim);
+}
+
+bool crash_records::merge(const crash_record &Record, steady_time Now) {
+  // Otherwise VMs would pass on for ever what one of them has not dropped yet.
+  if (Now - Record.At > RetentionTime)
+    return false;
+  const record_key Key{Record.Fingerprint, Record.Endpoint};
+  const auto Found = Entries.find(Key);
+  if (Found == Entries.end()) {
+    if (Entries.size() >= MaximumRecords)
+      evictOne();
+    const auto Added =
+        Entries.emplace(Key, entry{Record.At, Record.Refutation}).first;
+    Digest += digestOf(*Added);
+    return true;
+  }
+  Found->second.At = std::min(Found->second.At, Record.At);
+  if (Record.Refutation <= Found->second.Refutation)
+    return false;
+  setRefutation(*Found, Record.Refutation);
+  return true;
+}
+
+bool crash_records::add(const crash_record &Record, steady_time Now) {
+  if (!merge(Record, Now))
+    return false;
+  News.insert({Record.Fingerprint, Record.Endpoint});
+  return true;
+}
+
+void crash_records::refute(entry_map::value_type &Entry,
+                           crash_refutation Refutation) {
+  setRefutation(Entry, Refutation);
+  News.insert(Entry.first);
+}
+
+bool crash_records::refuteFingerprint(std::uint64_t Fingerprint) {
+  bool IsChanged = false;
+  for (auto Entry = Entries.lower_bound({Fingerprint, endpoint_id()});
+       Entry != Entries.end() && Entry->first.first == Fingerprint; ++Entry) {
+    if (Entry->second.Refutation == crash_refutation::SoundResponse)
+      continue;
+    refute(*Entry, crash_refutation::SoundResponse);
+    IsChanged = true;
+  }
+  return IsChanged;
+}
+
+bool crash_records::refuteEndpoint(const endpoint_id &Endpoint) {
+  bool IsChanged = false;
+  for (auto &Entry : Entries) {
+    const bool IsStanding = Entry.first.second == Endpoint &&
+                            Entry.second.Refutation == crash_refutation::None;
+    if (!IsStanding)
+      continue;
+    refute(Entry, crash_refutation::EndpointAlive);
+    IsChanged = true;
+  }
+  return IsChanged;
+}
+
+std::size_t crash_records::endpointCount(std::uint64_t Fingerprint) const {
+  std::size_t Count = 0;
+  for (auto Entry = Entries.lower_bound({Fingerprint, endpoint_id()});
+       Entry != Entries.end() && Entry->first.first == Fingerprint; ++Entry)
+    Count += Entry->second.Refutation == crash_refutation::None;
+  return Count;
+}
+
+void crash_records::withdrawNews() {
+  for (const crash_record &Record : takeNews())
+    if (Record.Refutation == crash_refutation::None)
+      erase(Entries.find({Record.Fingerprint, Record.Endpoint}));
+}
+
+std::vector<crash_record> crash_records::takeNews() {
+  std::vector<crash_record> Records;
+  for (const record_key &Key : std::exchange(News, {}))
+    Records.push_back(recordOf(*Entries.find(Key)));
+  return Records;
+}
+
+std::vector<crash_record> crash_records::all() const {
+  std::vector<crash_record> Records;
+  Records.reserve(Entries.size());
+  for (const auto &Entry : Entries)
+    Records.push_back(recordOf(Entry));
+  return Records;
+}
+
+void crash_records::expire(steady_time Now) {
+  for (auto Entry = Entries.begin(); Entry != Entries.end();)
+    Entry = Now - Entry->second.At > RetentionTime ? erase(Entry)
+                                                   : std::next(Entry);
+}
+
+} // namespace azurehaven
--- /dev/null
+++ b/Libraries/LibDispatch/crash_records.h
@@ -0,0 +1,96 @@
+#pragma once
+
+#include "LibTypes/ids.h"
+#include "LibTypes/units.h"
+
+#include <cstdint>
+#include <map>
+#include <set>
+#include <utility>
+#include <vector>
+
+namespace azurehaven {
+
+/// Why a crash does not count. Later values replace earlier ones.
+enum class crash_refutation : std::uint8_t {
+  None = 0,
+  /// The process start sent something after its alleged crash.
+  EndpointAlive = 1,
+  /// A response to the same request, or to a prompt with the same segment, was
+  /// sound.
+  SoundResponse = 2,
+};
+
+/// A process start of an endpoint that crashed while it had a request with this
+/// fingerprint, which is that of the request or of a prompt segment.
+struct crash_record {
+  std::uint64_t Fingerprint = 0;
+  /// Includes the incarnation: each process start crashes once at most.
+  endpoint_id Endpoint;
+  /// When the first VM observed it.
+  steady_time At{};
+  crash_refutation Refutation = crash_refutation::None;
+};
+
+/// Crashes that any VM has observed, as a replicated set: a merge keeps the
+/// earlier time and the stronger refutation, so that VMs agree whatever the
+/// order, number and delay of the messages. Bounded. Not thread-safe.
+class crash_records {
+public:
+  /// Records are kept for this long after the crash.
+  static constexpr std::chrono::minutes RetentionTime{10};
+
+  /// The oldest records are dropped beyond this number.
+  static constexpr std::size_t MaximumRecords = 4096;
+
+  /// Records what this VM observed, for takeNews(). Returns whether it changed
+  /// anything.
+  bool add(const crash_record &Record, steady_time Now);
+  /// Records what another VM has told. Returns whether it changed anything.
+  bool merge(const crash_record &Record, steady_time Now);
+  /// Refute the crashes of a fingerprint whose response was sound, or of a
+  /// process start that is alive, for takeNews(). Return whether it changed
+  /// anything.
+  bool refuteFingerprint(std::uint64_t Fingerprint);
+  bool refuteEndpoint(const endpoint_id &Endpoint);
+
+  /// Number of process starts that crashed under the fingerprint and are not
+  /// refuted.
+  std::size_t endpointCount(std::uint64_t Fingerprint) const;
+  /// Calls the visitor with each crash that is not refuted, by fingerprint.
+  template <typename Visitor> void forEachStanding(Visitor Visit) const {
+    for (const auto &Entry : Entries)
+      if (Entry.second.Refutation == crash_refutation::None)
+        Visit(recordOf(Entry));
+  }
+  /// Forgets the crashes that takeNews() would return: they had another cause.
+  void withdrawNews();
+  /// What changed by observations of this VM since the last call.
+  std::vector<crash_record> takeNews();
+  std::vector<crash_record> all() const;
+  std::size_t size() const { return Entries.size(); }
+  /// Equal on two VMs if they hold the same records.
+  std::uint64_t digest() const { return Digest; }
+  void expire(steady_time Now);
+
+private:
+  using record_key = std::pair<std::uint64_t, endpoint_id>;
+  struct entry {
+    steady_time At;
+    crash_refutation Refutation = crash_refutation::None;
+  };
+  using entry_map = std::map<record_key, entry>;
+
+  static std::uint64_t digestOf(const entry_map::value_type &Entry);
+  static crash_record recordOf(const entry_map::value_type &Entry);
+  void setRefutation(entry_map::value_type &Entry, crash_refutation Refutation);
+  void refute(entry_map::value_type &Entry, crash_refutation Refutation);
+  entry_map::iterator erase(entry_map::iterator Position);
+  void evictOne();
+
+  entry_map Entries;
+  std::uint64_t Digest = 0;
+  std::set<record_key> News;
+};
+
+} // namespace azurehaven
--- a/Libraries/LibDispatch/prompt_quarantine.cpp
+++ b/Libraries/LibDispatch/prompt_quarantine.cpp
@@ -13,12 +13,10 @@
 constexpr std::size_t QuarantineThreshold = 3;
 /// The same for a segment of a response that made progress before.
 constexpr std::size_t ClearedSegmentThreshold = 5;
-constexpr std::chrono::minutes RetentionTime{10};
 /// How long a segment is quarantined that had been sound before. It may be
 /// shared by many requests, and nothing else clears it.
 constexpr std::chrono::seconds ClearedSegmentRetention{60};
 /// Bounds of the memory that callers can make this VM use.
-constexpr std::size_t MaximumSuspects = 4096;
 constexpr std::size_t MaximumCleared = 65536;
 
 } // namespace
@@ -30,46 +28,68 @@
   return Keys;
 }
 
+bool prompt_quarantine::isAdmitted(segment_key Segment) const {
+  return Records.size() < crash_records::MaximumRecords ||
+         Records.endpointCount(Segment) > 0;
+}
+
 void prompt_quarantine::addLocal(const std::vector<segment_key> &Segments,
                                  const endpoint_id &Endpoint, steady_time Now) {
-  for (const segment_key Segment : Segments) {
-    const crash_record Record{Segment, Endpoint};
-    merge(Record, Now);
-    UnsentCrashes.push_back(Record);
-  }
+  for (const segment_key Segment : Segments)
+    if (isAdmitted(Segment))
+      Records.add({Segment, Endpoint, Now}, Now);
+  updateGroups(Now);
 }
 
-void prompt_quarantine::merge(const crash_record &Record, steady_time Now) {
-  const bool IsKnown = Suspects.contains(Record.Segment);
-  if (!IsKnown && Suspects.size() >= MaximumSuspects)
-    return;
-  const auto Suspect = Suspects.try_emplace(Record.Segment).first;
-  Suspect->second.Endpoints.insert(Record.Endpoint);
-  Suspect->second.LastCrashAt = Now;
-  if (isSufficient(*Suspect))
-    updateGroups();
+bool prompt_quarantine::mergeOne(const crash_record &Record, steady_time Now) {
+  if (!isAdmitted(Record.Fingerprint) || !Records.merge(Record, Now))
+    return false;
+  if (Record.Refutation == crash_refutation::SoundResponse)
+    remember(Record.Fingerprint, Now);
+  return true;
 }
 
-void prompt_quarantine::clear(segment_key Segment, steady_time Now) {
+std::size_t prompt_quarantine::mergeAll(const std::vector<crash_record> &New,
+                                        steady_time Now) {
+  std::size_t NewsCount = 0;
+  for (const crash_record &Record : New)
+    NewsCount += mergeOne(Record, Now);
+  if (NewsCount > 0)
+    updateGroups(Now);
+  return NewsCount;
+}
+
+void prompt_quarantine::remember(segment_key Segment, steady_time Now) {
   if (Cleared.size() < MaximumCleared || Cleared.contains(Segment))
     Cleared[Segment] = Now;
-  if (Suspects.erase(Segment) > 0)
-    updateGroups();
+}
+
+void prompt_quarantine::clear(segment_key Segment, steady_time Now) {
+  remember(Segment, Now);
+  if (!Records.refuteFingerprint(Segment))
+    return;
+  NewlyCleared.push_back(Segment);
+  updateGroups(Now);
 }
 
 void prompt_quarantine::clearLocal(const std::vector<segment_key> &Segments,
                                    steady_time Now) {
-  for (const segment_key Segment : Segments) {
-    if (Suspects.contains(Segment))
-      UnsentCleared.push_back(Segment);
+  for (const segment_key Segment : Segments)
     clear(Segment, Now);
-  }
 }
 
 void prompt_quarantine::mergeCleared(segment_key Segment, steady_time Now) {
   clear(Segment, Now);
 }
 
+bool prompt_quarantine::refuteEndpoint(const endpoint_id &Endpoint,
+                                       steady_time Now) {
+  if (!Records.refuteEndpoint(Endpoint))
+    return false;
+  updateGroups(Now);
+  return true;
+}
+
 std::size_t prompt_quarantine::thresholdOf(segment_key Segment) const {
   return Cleared.contains(Segment) ? ClearedSegmentThreshold
                                    : QuarantineThreshold;
@@ -103,7 +123,23 @@
   return Suspect.second.Endpoints.size() >= thresholdOf(Suspect.first);
 }
 
-void prompt_quarantine::updateGroups() {
+prompt_quarantine::suspect_map
+prompt_quarantine::suspects(steady_time Now) const {
+  suspect_map Suspects;
+  Records.forEachStanding([&](const crash_record &Record) {
+    suspect &Suspect = Suspects[Record.Fingerprint];
+    Suspect.Endpoints.insert(Record.Endpoint);
+    Suspect.LastCrashAt = std::max(Suspect.LastCrashAt, Record.At);
+  });
+  std::erase_if(Suspects, [&](const auto &Entry) {
+    return Cleared.contains(Entry.first) &&
+           Now - Entry.second.LastCrashAt > ClearedSegmentRetention;
+  });
+  return Suspects;
+}
+
+void prompt_quarantine::updateGroups(steady_time Now) {
+  const suspect_map Suspects = suspects(Now);
   std::vector<const suspect_map::value_type *> Sufficient;
   for (const auto &Suspect : Suspects)
     if (isSufficient(Suspect))
@@ -132,38 +168,13 @@
   });
 }
 
-void prompt_quarantine::withdrawUnsent() {
-  for (const crash_record &Record : takeUnsentCrashes()) {
-    auto Found = Suspects.find(Record.Segment);
-    if (Found == Suspects.end())
-      continue;
-    Found->second.Endpoints.erase(Record.Endpoint);
-    if (Found->second.Endpoints.empty())
-      Suspects.erase(Found);
-  }
-  updateGroups();
-}
-
-std::vector<prompt_quarantine::crash_record>
-prompt_quarantine::takeUnsentCrashes() {
-  return std::exchange(UnsentCrashes, {});
-}
-
-std::vector<segment_key> prompt_quarantine::takeUnsentCleared() {
-  return std::exchange(UnsentCleared, {});
-}
-
 void prompt_quarantine::expire(steady_time Now) {
-  const auto Forgotten = std::erase_if(Suspects, [&](const auto &Entry) {
-    const auto Age = Now - Entry.second.LastCrashAt;
-    return Age > RetentionTime ||
-           (Cleared.contains(Entry.first) && Age > ClearedSegmentRetention);
-  });
+  Records.expire(Now);
   std::erase_if(Cleared, [&](const auto &Entry) {
-    return Now - Entry.second > RetentionTime;
+    return Now - Entry.second > crash_records::RetentionTime;
   });
-  if (Forgotten > 0)
-    updateGroups();
+  if (!Groups.empty())
+    updateGroups(Now);
 }
 
 } // namespace azurehaven
--- a/Libraries/LibDispatch/prompt_quarantine.h
+++ b/Libraries/LibDispatch/prompt_quarantine.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "LibDispatch/crash_records.h"
 #include "LibDispatch/dispatch_request.h"
 
 #include <map>
@@ -24,20 +25,17 @@
 /// some of them are still served. Not thread-safe.
 class prompt_quarantine {
 public:
-  struct crash_record {
-    segment_key Segment = 0;
-    /// Includes the incarnation: each process start counts separately.
-    endpoint_id Endpoint;
-  };
-
-  /// Records a crash that this VM observed under a request with these segments,
-  /// and queues it for the other VMs.
+  /// Records a crash that this VM observed under a request with these
+  /// segments.
   void addLocal(const std::vector<segment_key> &Segments,
                 const endpoint_id &Endpoint, steady_time Now);
-  /// Records a crash that another VM observed.
-  void merge(const crash_record &Record, steady_time Now);
-  /// Clears the segments of a request whose response makes progress. What other
-  /// VMs may suspect is queued for them.
+  /// Records what another VM knows of a segment. Returns whether it is news.
+  bool merge(const crash_record &Record, steady_time Now) {
+    return mergeAll({Record}, Now) > 0;
+  }
+  /// The same for several records; returns how many are news.
+  std::size_t mergeAll(const std::vector<crash_record> &New, steady_time Now);
+  /// Clears the segments of a request whose response makes progress.
   void clearLocal(const std::vector<segment_key> &Segments, steady_time Now);
   /// Clears a segment that another VM has cleared.
   void mergeCleared(segment_key Segment, steady_time Now);
@@ -46,12 +44,22 @@
   /// Number of segments, or groups of them, that are quarantined.
   std::size_t quarantinedCount() const { return Groups.size(); }
 
+  /// Records that a process start is alive after its alleged crash. Returns
+  /// whether that is news.
+  bool refuteEndpoint(const endpoint_id &Endpoint, steady_time Now);
   /// Forgets the local crashes that the other VMs have not been told of yet:
   /// they had another cause.
-  void withdrawUnsent();
-  /// The records for the other VMs; clears the queue.
-  std::vector<crash_record> takeUnsentCrashes();
-  std::vector<segment_key> takeUnsentCleared();
+  void withdrawUnsent(steady_time Now) {
+    Records.withdrawNews();
+    updateGroups(Now);
+  }
+  const crash_records &records() const { return Records; }
+  /// What changed by observations of this VM since the last call.
+  std::vector<crash_record> takeNews() { return Records.takeNews(); }
+  /// The suspected segments that this VM has cleared since the last call.
+  std::vector<segment_key> takeNewlyCleared() {
+    return std::exchange(NewlyCleared, {});
+  }
   /// Forgets crashes and clearances that are long past.
   void expire(steady_time Now);
 
@@ -72,16 +80,20 @@
   /// too few crashes remain that it does not explain.
   bool isExplainedBy(const suspect_map::value_type &Suspect,
                      const suspect_map::value_type &Other) const;
+  /// Returns false for a segment that there is no room for.
+  bool isAdmitted(segment_key Segment) const;
   void clear(segment_key Segment, steady_time Now);
-  void updateGroups();
+  bool mergeOne(const crash_record &Record, steady_time Now);
+  void remember(segment_key Segment, steady_time Now);
+  suspect_map suspects(steady_time Now) const;
+  void updateGroups(steady_time Now);
 
-  suspect_map Suspects;
+  crash_records Records;
   /// Segments of responses that made progress, and when.
   std::unordered_map<segment_key, steady_time> Cleared;
   /// A request with all segments of a group is refused.
   std::vector<std::vector<segment_key>> Groups;
-  std::vector<crash_record> UnsentCrashes;
-  std::vector<segment_key> UnsentCleared;
+  std::vector<segment_key> NewlyCleared;
 };
 
 } // namespace azurehaven
--- a/Libraries/LibPeer/frame_codec.cpp
+++ b/Libraries/LibPeer/frame_codec.cpp
@@ -166,11 +166,17 @@
                            Message.Confirmation->Incarnation,
                            static_cast<std::uint64_t>(
                                Message.Confirmation->ClockReading.count()));
+    const auto Records = encodeCrashRecords(Message.CrashRecords);
+    std::optional<wire::CrashDigest> Digest;
+    if (Message.CrashDigest)
+      Digest.emplace(Message.CrashDigest->Requests,
+                     Message.CrashDigest->Segments);
     return wire::CreateFleetNoticeDirect(
                Builder, &Releases, &SessionReleases, &Crashes, &Leaving, &Loads,
                static_cast<std::uint64_t>(Message.ClockReading.count()),
                Confirmation ? &*Confirmation : nullptr, &SegmentCrashes,
-               &Message.ClearedSegments, &Rates, &Brittle, &Reached, &Rollouts)
+               &Message.ClearedSegments, &Rates, &Brittle, &Reached, &Rollouts,
+               &Records, Digest ? &*Digest : nullptr, Message.WantsCrashRecords)
         .Union();
   }
 
@@ -184,6 +190,20 @@
     return Crashes;
   }
 
+  std::vector<Offset<wire::CrashRecord>>
+  encodeCrashRecords(const std::vector<crash_record_notice> &Notices) {
+    std::vector<Offset<wire::CrashRecord>> Records;
+    for (const auto &Notice : Notices) {
+      // Many records name the same few endpoints.
+      const auto Endpoint = Builder.CreateSharedString(Notice.Endpoint.text());
+      Records.push_back(wire::CreateCrashRecord(
+          Builder, Notice.Fingerprint, Endpoint,
+          static_cast<std::uint32_t>(Notice.Age.count()),
+          Notice.Cause == crash_cause::PromptSegment, Notice.Refutation));
+    }
+    return Records;
+  }
+
   FlatBufferBuilder &Builder;
 };
 
@@ -233,6 +253,13 @@
   return {Item.fingerprint(), endpoint_id(Item.endpoint()->str())};
 }
 
+crash_record_notice decodeCrashRecord(const wire::CrashRecord &Item) {
+  return {Item.is_segment() ? crash_cause::PromptSegment : crash_cause::Request,
+          Item.fingerprint(), endpoint_id(Item.endpoint()->str()),
+          milliseconds(Item.age_ms()),
+          std::min(Item.refutation(), MaximumCrashRefutation)};
+}
+
 heartbeat decodeHeartbeat(const wire::Heartbeat &Source) {
   heartbeat Message;
   Message.Kind =
@@ -370,6 +397,10 @@
   Message.SegmentCrashes = decodeAll(Source.segment_crashes(), decodeCrash);
   if (const auto *Cleared = Source.cleared_segments())
     Message.ClearedSegments.assign(Cleared->begin(), Cleared->end());
+  Message.CrashRecords = decodeAll(Source.crash_records(), decodeCrashRecord);
+  if (const auto *Digest = Source.crash_digest())
+    Message.CrashDigest = {Digest->requests(), Digest->segments()};
+  Message.WantsCrashRecords = Source.wants_crash_records();
   Message.LeavingEndpoints =
       decodeAll(Source.leaving(), [](const wire::LeavingEndpoint &Item) {
         return leaving_notice{endpoint_id(Item.endpoint()->str()),
--- a/Libraries/LibPeer/peer_message.h
+++ b/Libraries/LibPeer/peer_message.h
@@ -206,6 +206,31 @@
   rollout_result Result = rollout_result::None;
 };
 
+/// Under what an endpoint crashed.
+enum class crash_cause { Request, PromptSegment };
+
+/// Why a crash does not count; see crash_refutation.
+constexpr std::uint8_t MaximumCrashRefutation = 2;
+
+/// What the sender knows of a crash, whoever observed it.
+struct crash_record_notice {
+  crash_cause Cause = crash_cause::Request;
+  std::uint64_t Fingerprint = 0;
+  endpoint_id Endpoint;
+  /// Time since the crash.
+  milliseconds Age{0};
+  /// At most MaximumCrashRefutation.
+  std::uint8_t Refutation = 0;
+};
+
+/// Equal for two VMs if they hold the same crash records.
+struct crash_digest_notice {
+  std::uint64_t Requests = 0;
+  std::uint64_t Segments = 0;
+
+  bool operator==(const crash_digest_notice &) const = default;
+};
+
 /// Endpoint load and outcomes of the sender's requests, sent several times a
 /// second.
 struct fleet_notice {
@@ -225,6 +250,13 @@
   std::vector<brittle_service_notice> BrittleServices;
   std::vector<reached_service_notice> ReachedServices;
   std::vector<rollout_notice> Rollouts;
+  /// Replace Crashes, SegmentCrashes and ClearedSegments, which only earlier
+  /// builds read.
+  std::vector<crash_record_notice> CrashRecords;
+  /// Nullopt from an earlier build.
+  std::optional<crash_digest_notice> CrashDigest;
+  /// Whether the sender asks for all crash records of the receiver.
+  bool WantsCrashRecords = false;
 };
 
 using peer_message =
--- a/Libraries/LibRelay/peer_state_sync.cpp
+++ b/Libraries/LibRelay/peer_state_sync.cpp
@@ -143,11 +143,6 @@
   Notice.ReachedServices = reachedNotices();
   Notice.Rollouts = rolloutNotices();
   Notice.SessionReleases = sessionReleases();
-  for (const auto &Crash : Fleet.Quarantine.takeUnsent())
-    Notice.Crashes.push_back({Crash.Fingerprint, Crash.Endpoint});
-  for (const auto &Crash : Fleet.PromptQuarantine.takeUnsentCrashes())
-    Notice.SegmentCrashes.push_back({Crash.Segment, Crash.Endpoint});
-  Notice.ClearedSegments = Fleet.PromptQuarantine.takeUnsentCleared();
   for (const auto &Start : std::exchange(Fleet.UnsentLeavingEndpoints, {}))
     Notice.LeavingEndpoints.push_back({Start.Endpoint, Start.Incarnation});
   return Notice;
@@ -161,15 +156,17 @@
   Peers.setPeers(Addresses);
   if (Addresses.empty())
     return;
-  fleet_notice Notice = buildNotice();
-  logCrashesSent(Notice, Addresses.size());
-  Notice.ClockReading = clockReadingAt(Clock.now());
+  const steady_time Now = Clock.now();
+  fleet_notice ToAll = buildNotice();
+  ToAll.ClockReading = clockReadingAt(Now);
+  Crashes.addNews(ToAll, Addresses.size(), Now);
   for (const auto &[Vm, Address] : Addresses) {
-    Notice.Confirmation.reset();
+    fleet_notice Notice = ToAll;
     if (const auto Passed = Fleet.PassedConfirmations.confirmationFor(Vm))
       Notice.Confirmation = {Passed->Version, Passed->Incarnation,
                              Passed->ClockReading};
-    Peers.send(Vm, Notice);
+    Crashes.addFor(Vm, Notice, Now);
+    Peers.send(Vm, std::move(Notice));
   }
 }
 
@@ -203,37 +200,11 @@
     Fleet.Pins.merge({SessionRelease.Session, SessionRelease.Release,
                       Now - SessionRelease.Age, pin_source::Peer});
   applyRollouts(Notice->Rollouts, Now);
-  logCrashesReceived(Frame.Sender, *Notice);
-  for (const auto &Crash : Notice->Crashes)
-    Fleet.Quarantine.merge(Crash.Fingerprint, Crash.Endpoint, Now);
-  for (const auto &Crash : Notice->SegmentCrashes)
-    Fleet.PromptQuarantine.merge({Crash.Fingerprint, Crash.Endpoint}, Now);
-  for (const segment_key Segment : Notice->ClearedSegments)
-    Fleet.PromptQuarantine.mergeCleared(Segment, Now);
+  Crashes.onNotice(Frame.Sender, *Notice, Now);
   for (const auto &Leaving : Notice->LeavingEndpoints)
     Fleet.Endpoints.markLeaving({Leaving.Endpoint, Leaving.Incarnation}, Now);
 }
 
-void peer_state_sync::logCrashesSent(const fleet_notice &Notice,
-                                     std::size_t Recipients) const {
-  if (Notice.Crashes.empty() && Notice.SegmentCrashes.empty())
-    return;
-  Log.write(log_level::Info, "crashes_sent",
-            {{"requests", std::to_string(Notice.Crashes.size())},
-             {"segments", std::to_string(Notice.SegmentCrashes.size())},
-             {"vms", std::to_string(Recipients)}});
-}
-
-void peer_state_sync::logCrashesReceived(const vm_id &From,
-                                         const fleet_notice &Notice) const {
-  if (Notice.Crashes.empty() && Notice.SegmentCrashes.empty())
-    return;
-  Log.write(log_level::Info, "crashes_received",
-            {{"requests", std::to_string(Notice.Crashes.size())},
-             {"segments", std::to_string(Notice.SegmentCrashes.size())},
-             {"from", From.text()}});
-}
-
 void peer_state_sync::exchangeConfirmations(const peer_frame &Frame,
                                             const fleet_notice &Notice,
                                             steady_time Now) {
@@ -284,6 +255,7 @@
 void peer_state_sync::expire() {
   const steady_time Now = Clock.now();
   Fleet.PassedConfirmations.expire(Now);
+  Crashes.expire(Now);
   const auto Removed = std::erase_if(PeerLoads, [&](const auto &Entry) {
     const bool IsExpired = Now - Entry.second.At > PeerLoadTimeToLive;
     if (IsExpired)
--- a/Libraries/LibRelay/peer_state_sync.h
+++ b/Libraries/LibRelay/peer_state_sync.h
@@ -1,7 +1,7 @@
 #pragma once
 
-#include "LibLog/event_log.h"
 #include "LibPeer/peer_network.h"
+#include "LibRelay/crash_exchange.h"
 #include "LibRelay/fleet_state.h"
 #include "LibRelay/rollout_driver.h"
 #include "LibTypes/clock_source.h"
@@ -10,16 +10,16 @@
 
 namespace azurehaven {
 
-/// Sends this VM's endpoint load, release statistics, session pins, crash
-/// reports and confirmations of the configuration to the other VMs and applies
+/// Sends this VM's endpoint load, release statistics, session pins, crashes
+/// and confirmations of the configuration to the other VMs and applies
 /// theirs. Called on the event loop.
 class peer_state_sync : public fleet_announcer {
 public:
   peer_state_sync(fleet_state &Fleet, const clock_source &Clock,
                   const event_log &Log, peer_network &Peers,
                   std::uint64_t Incarnation)
-      : Fleet(Fleet), Clock(Clock), Log(Log), Peers(Peers),
-        Incarnation(Incarnation) {}
+      : Fleet(Fleet), Clock(Clock), Peers(Peers), Incarnation(Incarnation),
+        Crashes(Fleet, Log) {}
 
   /// Sends one notice to each other member.
   void broadcast();
@@ -64,15 +64,13 @@
   void addToTotals(const std::vector<endpoint_load_notice> &Loads);
   void removeFromTotals(const std::vector<endpoint_load_notice> &Loads);
   void applyTotals();
-  void logCrashesSent(const fleet_notice &Notice, std::size_t Recipients) const;
-  void logCrashesReceived(const vm_id &From, const fleet_notice &Notice) const;
 
   fleet_state &Fleet;
   const clock_source &Clock;
-  const event_log &Log;
   peer_network &Peers;
   /// Of this process start.
   const std::uint64_t Incarnation;
+  crash_exchange Crashes;
   std::map<vm_id, peer_loads> PeerLoads;
   std::unordered_map<std::uint64_t, total_load> Totals;
   std::map<release_key, release_counts> SentCounts;
--- a/Libraries/LibRouting/prompt_crash_registry.cpp
+++ b/Libraries/LibRouting/prompt_crash_registry.cpp
@@ -29,9 +29,10 @@
 
 void prompt_crash_registry::takeNotices(heartbeat &Message, steady_time Now) {
   std::lock_guard Lock(Mutex);
-  for (const auto &Record : Quarantine.takeUnsentCrashes())
-    Message.SegmentCrashes.push_back({Record.Segment, Record.Endpoint});
-  Message.ClearedSegments = Quarantine.takeUnsentCleared();
+  for (const crash_record &Record : Quarantine.takeNews())
+    if (Record.Refutation == crash_refutation::None)
+      Message.SegmentCrashes.push_back({Record.Fingerprint, Record.Endpoint});
+  Message.ClearedSegments = Quarantine.takeNewlyCleared();
   Quarantine.expire(Now);
 }
 
@@ -39,7 +40,7 @@
                                          steady_time Now) {
   std::lock_guard Lock(Mutex);
   for (const crash_notice &Notice : Message.SegmentCrashes)
-    Quarantine.merge({Notice.Fingerprint, Notice.Endpoint}, Now);
+    Quarantine.merge({Notice.Fingerprint, Notice.Endpoint, Now}, Now);
   for (const segment_key Segment : Message.ClearedSegments)
     Quarantine.mergeCleared(Segment, Now);
 }
--- a/Tests/LibDispatch/crash_quarantine_test.cpp
+++ b/Tests/LibDispatch/crash_quarantine_test.cpp
@@ -18,10 +18,10 @@
     Here.addLocal(7, endpoint_id(Endpoint), Start);
   }
   CHECK(Here.isQuarantined(7));
-  for (const auto &Record : Here.takeUnsent())
-    There.merge(Record.Fingerprint, Record.Endpoint, Start);
+  for (const auto &Record : Here.takeNews())
+    There.merge(Record, Start);
   CHECK(There.isQuarantined(7));
-  CHECK(There.takeUnsent().empty());
+  CHECK(There.takeNews().empty());
 }
 
 TEST_CASE("Repeated crashes of one endpoint do not quarantine a request") {
@@ -56,13 +56,13 @@
   crash_quarantine Quarantine;
   const steady_time Now{std::chrono::hours(1)};
   Quarantine.addLocal(1, endpoint_id("a"), Now);
-  Quarantine.takeUnsent();
+  Quarantine.takeNews();
   for (const char *Endpoint : {"b", "c"})
     Quarantine.addLocal(1, endpoint_id(Endpoint), Now);
   REQUIRE(Quarantine.isQuarantined(1));
   Quarantine.withdrawUnsent();
   CHECK_FALSE(Quarantine.isQuarantined(1));
-  CHECK(Quarantine.takeUnsent().empty());
+  CHECK(Quarantine.takeNews().empty());
   for (const char *Endpoint : {"b", "c"})
     Quarantine.addLocal(1, endpoint_id(Endpoint), Now);
   CHECK(Quarantine.isQuarantined(1));
--- a/Tests/LibDispatch/prompt_quarantine_test.cpp
+++ b/Tests/LibDispatch/prompt_quarantine_test.cpp
@@ -25,10 +25,8 @@
 
 /// Passes on what one VM has learned.
 void deliver(prompt_quarantine &From, prompt_quarantine &To) {
-  for (const auto &Record : From.takeUnsentCrashes())
+  for (const auto &Record : From.takeNews())
     To.merge(Record, Start);
-  for (const segment_key Segment : From.takeUnsentCleared())
-    To.mergeCleared(Segment, Start);
 }
 
 } // namespace
@@ -98,7 +96,7 @@
   deliver(Vms[0], Vms[2]);
   deliver(Vms[1], Vms[2]);
   CHECK(Vms[2].isQuarantined({Bad}));
-  CHECK(Vms[2].takeUnsentCrashes().size() == 1);
+  CHECK(Vms[2].takeNews().size() == 1);
 }
 
 TEST_CASE("A segment that was sound before needs more crashes, and is tried "
@@ -116,7 +114,7 @@
 TEST_CASE("A segment that callers send without end uses no more memory") {
   prompt_quarantine Quarantine;
   for (segment_key Segment = 0; Segment < 5000; ++Segment)
-    Quarantine.merge({Segment, endpoint(1)}, Start);
+    Quarantine.merge({Segment, endpoint(1), Start}, Start);
   crash(Quarantine, {6000}, 1, 3);
   CHECK_FALSE(Quarantine.isQuarantined({6000}));
   Quarantine.expire(Start + std::chrono::minutes(11));
@@ -130,7 +128,7 @@
   for (const char *Endpoint : {"a", "b", "c"})
     Quarantine.addLocal({7}, endpoint_id(Endpoint), Now);
   REQUIRE(Quarantine.isQuarantined({7}));
-  Quarantine.withdrawUnsent();
+  Quarantine.withdrawUnsent(Now);
   CHECK_FALSE(Quarantine.isQuarantined({7}));
-  CHECK(Quarantine.takeUnsentCrashes().empty());
+  CHECK(Quarantine.takeNews().empty());
 }
--- a/Tests/LibRelay/lost_path_test.cpp
+++ b/Tests/LibRelay/lost_path_test.cpp
@@ -206,7 +206,7 @@
     return scripted_response{"", after_response::Reset};
   });
   CHECK(statusOf(Fleet.cutVm().sendRequest("/once/x")) == 502);
-  CHECK(Fleet.cutVm().Fleet.Quarantine.takeUnsent().empty());
+  CHECK(Fleet.cutVm().Fleet.Quarantine.takeNews().empty());
 }
 
 TEST_CASE("A forwarded request counts once towards the retry budget") {
@@ -307,7 +307,7 @@
   Cut.Fleet.Paths.onPeerReached(Fleet.vm(0).Fleet.Self, service_id("s"),
                                 Cut.Clock.now());
   Cut.runUntil([&] { return Cut.Fleet.Paths.isLost(service_id("s")); });
-  CHECK(Cut.Fleet.Quarantine.takeUnsent().empty());
+  CHECK(Cut.Fleet.Quarantine.takeNews().empty());
   for (auto &Connection : Connections)
     Connection->abort();
 }
