LibPeer: Test crash records against the build before

Tests: the build before reads the crashes of a notice that also has crash records; it is told all of them again and again; a VM that missed a notice asks once.

--- a/Tests/LibPeer/previous_build_test.cpp
+++ b/Tests/LibPeer/previous_build_test.cpp
@@ -99,3 +99,56 @@
   REQUIRE_FALSE(isError(Decoded));
   CHECK(std::get<fleet_notice>(valueOf(Decoded).Message).Rollouts.empty());
 }
+
+namespace {
+
+fleet_notice noticeWithCrashes() {
+  fleet_notice Notice;
+  Notice.Crashes = {{7, endpoint_id("e/1")}};
+  Notice.SegmentCrashes = {{8, endpoint_id("e/1")}};
+  Notice.CrashRecords = {
+      {crash_cause::Request, 7, endpoint_id("e/1"), milliseconds(300), 0},
+      {crash_cause::PromptSegment, 8, endpoint_id("e/1"), milliseconds(40), 2}};
+  Notice.CrashDigest = {11, 12};
+  Notice.WantsCrashRecords = true;
+  return Notice;
+}
+
+} // namespace
+
+TEST_CASE("The build before reads the crashes in a notice with crash records") {
+  const std::string Bytes =
+      encodeFrame({vm_id("vm-1"), 3, noticeWithCrashes()});
+  flatbuffers::Verifier Verifier(
+      reinterpret_cast<const std::uint8_t *>(Bytes.data()), Bytes.size());
+  REQUIRE(previous::VerifyFrameBuffer(Verifier));
+  const auto *Notice = previous::GetFrame(Bytes.data())->body_as_FleetNotice();
+  REQUIRE(Notice);
+  REQUIRE(Notice->crashes()->size() == 1);
+  CHECK(Notice->crashes()->Get(0)->fingerprint() == 7);
+  CHECK(Notice->crashes()->Get(0)->endpoint()->str() == "e/1");
+  CHECK(Notice->segment_crashes()->Get(0)->fingerprint() == 8);
+}
+
+TEST_CASE("Crash records are decoded as they were encoded") {
+  const auto Decoded =
+      decodeFrame(encodeFrame({vm_id("vm-1"), 3, noticeWithCrashes()}));
+  REQUIRE_FALSE(isError(Decoded));
+  const auto &Notice = std::get<fleet_notice>(valueOf(Decoded).Message);
+  CHECK(Notice.CrashDigest == crash_digest_notice{11, 12});
+  CHECK(Notice.WantsCrashRecords);
+  REQUIRE(Notice.CrashRecords.size() == 2);
+  const crash_record_notice &Segment = Notice.CrashRecords.at(1);
+  CHECK(Segment.Cause == crash_cause::PromptSegment);
+  CHECK(Segment.Fingerprint == 8);
+  CHECK(Segment.Endpoint == endpoint_id("e/1"));
+  CHECK(Segment.Age == milliseconds(40));
+  CHECK(Segment.Refutation == 2);
+  CHECK(Notice.CrashRecords.at(0).Cause == crash_cause::Request);
+}
+
+TEST_CASE("A notice of the build before has no digest of crash records") {
+  const auto Decoded = decodeFrame(previousNotice());
+  REQUIRE_FALSE(isError(Decoded));
+  CHECK_FALSE(std::get<fleet_notice>(valueOf(Decoded).Message).CrashDigest);
+}
--- a/Tests/LibRelay/peer_state_sync_test.cpp
+++ b/Tests/LibRelay/peer_state_sync_test.cpp
@@ -170,3 +170,50 @@
   CHECK(Counts.Requests == 2);
   CHECK(Counts.Attempts == 5);
 }
+
+TEST_CASE("A VM that has missed a notice of crashes asks for them, once") {
+  peer_vm First("vm-1");
+  peer_vm Second("vm-2");
+  for (const char *Endpoint : {"a", "b", "c"})
+    First.Fleet.Quarantine.addLocal(7, endpoint_id(Endpoint), Start);
+  First.PeerSync.broadcast();
+  First.Network.Sent.clear();
+  int Requests = 0;
+  for (int Round = 0; Round < 6; ++Round) {
+    deliver(First, Second);
+    Second.PeerSync.broadcast();
+    const fleet_notice Notice = Second.Network.Sent.back().second;
+    Second.Network.Sent.clear();
+    Requests += Notice.WantsCrashRecords;
+    First.PeerSync.onFrame({Second.Fleet.Self, 1, Notice});
+  }
+  CHECK(Second.Fleet.Quarantine.isQuarantined(7));
+  CHECK(Requests == 1);
+}
+
+TEST_CASE("A VM of an earlier build is told all crashes again and again") {
+  peer_vm First("vm-1");
+  for (const char *Endpoint : {"a", "b", "c"})
+    First.Fleet.Quarantine.addLocal(7, endpoint_id(Endpoint), Start);
+  First.PeerSync.broadcast();
+  First.Network.Sent.clear();
+  First.PeerSync.onFrame({vm_id("vm-2"), 1, fleet_notice{}});
+  std::size_t Most = 0;
+  for (int Notice = 0; Notice < 10; ++Notice) {
+    First.PeerSync.broadcast();
+    Most = std::max(Most, First.Network.Sent.back().second.Crashes.size());
+  }
+  CHECK(Most == 3);
+}
+
+TEST_CASE("A sound response to a request clears its crashes on the other VM") {
+  peer_vm First("vm-1");
+  peer_vm Second("vm-2");
+  for (const char *Endpoint : {"a", "b", "c"})
+    First.Fleet.Quarantine.addLocal(7, endpoint_id(Endpoint), Start);
+  deliver(First, Second);
+  REQUIRE(Second.Fleet.Quarantine.isQuarantined(7));
+  First.Fleet.Quarantine.clear(7);
+  deliver(First, Second);
+  CHECK_FALSE(Second.Fleet.Quarantine.isQuarantined(7));
+}
