LibRelay: Count crashes over a path that is taken for lost

Cause: a loss of the path forgot the crashes not told yet, and counted none while it lasted: evidence was thrown away on a guess. Now a connection that ends is a crash whatever the path does; silence, on a VM without a path, is not. What the guess protected, sound requests whose connections broke with the path, is judged when it is known: a response to a request that was sent after the alleged crash, on a connection from before it, shows that the process lived on, and refutes the crash on all VMs (crash_records). Time outs and unreachable hosts are told apart from closed connections.

Tests replaced: withdrawUnsent is gone, so the two cases that forgot unsent crashes now demand that a refuted crash counts on no VM and that other crashes still do. The lost-path case demanded that the request is never refused; it now allows two seconds until peers have refuted the crashes, and demands it of every VM.

--- a/Libraries/LibConnection/connection_pool.cpp
+++ b/Libraries/LibConnection/connection_pool.cpp
@@ -38,7 +38,8 @@
     return Newest.Connection;
   }
   ++Opened;
-  return std::make_shared<endpoint_connection>(Executor, Address, Timeouts);
+  return std::make_shared<endpoint_connection>(Executor, Address, Timeouts,
+                                               Now);
 }
 
 void connection_pool::release(std::shared_ptr<endpoint_connection> Connection,
--- a/Libraries/LibConnection/endpoint_connection.cpp
+++ b/Libraries/LibConnection/endpoint_connection.cpp
@@ -12,13 +12,21 @@
 /// one.
 constexpr std::size_t SkipLimitBytes = 1 << 20;
 
+connection_loss lossOf(const asio::error_code &Code) {
+  const bool IsSilent = Code == asio::error::timed_out ||
+                        Code == asio::error::host_unreachable ||
+                        Code == asio::error::network_unreachable;
+  return IsSilent ? connection_loss::TimedOut : connection_loss::Ended;
+}
+
 } // namespace
 
 endpoint_connection::endpoint_connection(asio::any_io_executor Executor,
                                          network_address Address,
-                                         connection_timeouts Timeouts)
+                                         connection_timeouts Timeouts,
+                                         steady_time CreatedAt)
     : Socket(Executor), ConnectTimer(Executor), Address(std::move(Address)),
-      Timeouts(Timeouts) {}
+      Timeouts(Timeouts), CreatedAt(CreatedAt) {}
 
 void endpoint_connection::start(
     outgoing_request NewRequest,
@@ -83,7 +91,7 @@
         // An endpoint may respond and close before it has read the whole
         // request; a pending read still delivers that response.
         if (!Self->IsReadPending)
-          Self->onConnectionLost("write: " + Code.message());
+          Self->onConnectionLost("write: " + Code.message(), lossOf(Code));
       });
   if (!IsReadPending)
     read();
@@ -104,10 +112,11 @@
         if (Self->Parser.isComplete())
           return Self->finishExchange();
       }
-      return Self->onConnectionLost("closed by the endpoint");
+      return Self->onConnectionLost("closed by the endpoint",
+                                    connection_loss::Ended);
     }
     if (Code)
-      return Self->onConnectionLost("read: " + Code.message());
+      return Self->onConnectionLost("read: " + Code.message(), lossOf(Code));
     Self->onBytesRead(Size);
     if (Self->State != state::Closed && !Self->Paused && !Self->IsReadPending)
       Self->read();
@@ -213,18 +222,20 @@
     read();
 }
 
-void endpoint_connection::onConnectionLost(const std::string &Reason) {
+void endpoint_connection::onConnectionLost(const std::string &Reason,
+                                           connection_loss Loss) {
   if (!Observer)
     return close();
-  fail(delivery::MayHaveRun, Reason);
+  fail(delivery::MayHaveRun, Reason, Loss);
 }
 
-void endpoint_connection::fail(delivery Delivery, const std::string &Message) {
+void endpoint_connection::fail(delivery Delivery, const std::string &Message,
+                               connection_loss Loss) {
   auto Self = shared_from_this();
   auto Failed = std::exchange(Observer, nullptr);
   close();
   if (Failed)
-    Failed->onExchangeFailed({Delivery, Message});
+    Failed->onExchangeFailed({Delivery, Message, Loss});
 }
 
 void endpoint_connection::abort() {
--- a/Libraries/LibConnection/endpoint_connection.h
+++ b/Libraries/LibConnection/endpoint_connection.h
@@ -62,9 +62,11 @@
     : public std::enable_shared_from_this<endpoint_connection> {
 public:
   endpoint_connection(asio::any_io_executor Executor, network_address Address,
-                      connection_timeouts Timeouts);
+                      connection_timeouts Timeouts, steady_time CreatedAt = {});
 
   const network_address &address() const { return Address; }
+  /// When it was created; it is established later.
+  steady_time createdAt() const { return CreatedAt; }
   asio::any_io_executor executor() { return Socket.get_executor(); }
   /// Connects if needed and sends the request.
   void start(outgoing_request Request,
@@ -92,12 +94,13 @@
   void send();
   void read();
   void onBytesRead(std::size_t Size);
-  void onConnectionLost(const std::string &Reason);
+  void onConnectionLost(const std::string &Reason, connection_loss Loss);
   /// Passes what was parsed to the observer. Rest holds the bytes that follow.
   /// Returns whether to parse them.
   bool deliver(std::string_view Rest);
   void finishExchange();
-  void fail(delivery Delivery, const std::string &Message);
+  void fail(delivery Delivery, const std::string &Message,
+            connection_loss Loss = connection_loss::Ended);
   void close();
   void release();
 
@@ -105,6 +108,7 @@
   asio::steady_timer ConnectTimer;
   network_address Address;
   connection_timeouts Timeouts;
+  const steady_time CreatedAt;
   state State = state::Unconnected;
   outgoing_request Request;
   std::shared_ptr<exchange_observer> Observer;
--- a/Libraries/LibDispatch/attempt_policy.h
+++ b/Libraries/LibDispatch/attempt_policy.h
@@ -19,12 +19,15 @@
   /// The connection is open, but the response makes no progress. The endpoint
   /// may be silent for a moment only.
   Silent,
+  /// Nothing comes from the endpoint any more, also when it is asked.
+  Unresponsive,
 };
 
 constexpr bool mayHaveRun(attempt_failure Failure) {
   return Failure == attempt_failure::ErrorResponse ||
          Failure == attempt_failure::NoValidResponse ||
-         Failure == attempt_failure::Silent;
+         Failure == attempt_failure::Silent ||
+         Failure == attempt_failure::Unresponsive;
 }
 
 /// Whether the request may be retried at another endpoint after this failure.
--- a/Libraries/LibDispatch/crash_quarantine.h
+++ b/Libraries/LibDispatch/crash_quarantine.h
@@ -31,9 +31,6 @@
   bool refuteEndpoint(const endpoint_id &Endpoint) {
     return Records.refuteEndpoint(Endpoint);
   }
-  /// Forgets the local crashes that the other VMs have not been told of yet:
-  /// they had another cause.
-  void withdrawUnsent() { Records.withdrawNews(); }
   /// What changed by observations of this VM since the last call.
   std::vector<crash_record> takeNews() { return Records.takeNews(); }
   const crash_records &records() const { return Records; }
--- a/Libraries/LibDispatch/crash_records.cpp
+++ b/Libraries/LibDispatch/crash_records.cpp
@@ -117,12 +117,6 @@
   return Count;
 }
 
-void crash_records::withdrawNews() {
-  for (const crash_record &Record : takeNews())
-    if (Record.Refutation == crash_refutation::None)
-      erase(Entries.find({Record.Fingerprint, Record.Endpoint}));
-}
-
 std::vector<crash_record> crash_records::takeNews() {
   std::vector<crash_record> Records;
   for (const record_key &Key : std::exchange(News, {}))
--- a/Libraries/LibDispatch/crash_records.h
+++ b/Libraries/LibDispatch/crash_records.h
@@ -63,8 +63,6 @@
       if (Entry.second.Refutation == crash_refutation::None)
         Visit(recordOf(Entry));
   }
-  /// Forgets the crashes that takeNews() would return: they had another cause.
-  void withdrawNews();
   /// What changed by observations of this VM since the last call.
   std::vector<crash_record> takeNews();
   std::vector<crash_record> all() const;
--- a/Libraries/LibDispatch/endpoint_registry.cpp
+++ b/Libraries/LibDispatch/endpoint_registry.cpp
@@ -19,6 +19,11 @@
          Brittle.admits(Now);
 }
 
+endpoint_id processStartId(const endpoint_descriptor &Descriptor) {
+  return endpoint_id(Descriptor.Id.text() + "/" +
+                     std::to_string(Descriptor.Incarnation));
+}
+
 std::uint64_t endpointHash(const endpoint_id &Id) {
   return fingerprintOf(Id.text());
 }
@@ -97,6 +102,15 @@
   return Found == ById.end() ? nullptr : Found->second;
 }
 
+std::shared_ptr<endpoint_record>
+endpoint_registry::findProcessStart(const endpoint_id &Start) const {
+  const std::size_t IdSize = Start.text().rfind('/');
+  auto Record = find(endpoint_id(Start.text().substr(0, IdSize)));
+  if (!Record || processStartId(Record->Descriptor) != Start)
+    return nullptr;
+  return Record;
+}
+
 const endpoint_list &
 endpoint_registry::endpointsOf(const service_id &Service) const {
   static const endpoint_list None;
--- a/Libraries/LibDispatch/endpoint_registry.h
+++ b/Libraries/LibDispatch/endpoint_registry.h
@@ -74,6 +74,9 @@
   steady_time LastReceivedAt;
   /// When a response from the endpoint was last truncated or missing.
   steady_time LastCrash;
+  /// The latest crash that a VM has recorded and none has refuted; see
+  /// crash_refutation.
+  std::optional<steady_time> AllegedCrashAt;
   /// Until when the endpoint has asked this VM to send nothing; see
   /// recordShedding().
   steady_time ShedUntil;
@@ -110,6 +113,9 @@
   std::int64_t Incarnation = 0;
 };
 
+/// Names a process start in crash records.
+endpoint_id processStartId(const endpoint_descriptor &Descriptor);
+
 /// A short name for an endpoint, the same on every VM.
 std::uint64_t endpointHash(const endpoint_id &Id);
 
@@ -129,6 +135,10 @@
   /// Shared, so that a request in flight can still update the counters of a
   /// removed endpoint.
   std::shared_ptr<endpoint_record> find(const endpoint_id &Id) const;
+  /// The endpoint that runs this process start, see processStartId(); null if
+  /// it is not registered.
+  std::shared_ptr<endpoint_record>
+  findProcessStart(const endpoint_id &Start) const;
   const endpoint_list &endpointsOf(const service_id &Service) const;
   const std::map<endpoint_id, std::shared_ptr<endpoint_record>> &all() const {
     return ById;
--- a/Libraries/LibDispatch/prompt_quarantine.h
+++ b/Libraries/LibDispatch/prompt_quarantine.h
@@ -47,12 +47,6 @@
   /// Records that a process start is alive after its alleged crash. Returns
   /// whether that is news.
   bool refuteEndpoint(const endpoint_id &Endpoint, steady_time Now);
-  /// Forgets the local crashes that the other VMs have not been told of yet:
-  /// they had another cause.
-  void withdrawUnsent(steady_time Now) {
-    Records.withdrawNews();
-    updateGroups(Now);
-  }
   const crash_records &records() const { return Records; }
   /// What changed by observations of this VM since the last call.
   std::vector<crash_record> takeNews() { return Records.takeNews(); }
--- a/Libraries/LibHttp/http_message.h
+++ b/Libraries/LibHttp/http_message.h
@@ -33,9 +33,18 @@
   MayHaveRun,
 };
 
+/// How a connection was lost under an exchange.
+enum class connection_loss {
+  /// The other side closed or reset it, or sent what can't be read.
+  Ended,
+  /// Nothing came any more: its path may be lost.
+  TimedOut,
+};
+
 struct http_failure {
   delivery Delivery = delivery::MayHaveRun;
   std::string Message;
+  connection_loss Loss = connection_loss::Ended;
 };
 
 } // namespace azurehaven
--- a/Libraries/LibRelay/attempt_observations.cpp
+++ b/Libraries/LibRelay/attempt_observations.cpp
@@ -91,17 +91,30 @@
     recordMissingResponse(Failure, Now);
 }
 
+const char *attempt_observations::reasonNotToCount(attempt_failure Failure,
+                                                   bool IsPathLost) const {
+  if (IsForwarded)
+    return "forwarded";
+  if (Failure == attempt_failure::Silent)
+    return "silent";
+  // Nothing comes over a lost path, whatever the endpoint does; but a
+  // connection that has ended may have ended with its process, whatever the
+  // path does.
+  if (Failure == attempt_failure::Unresponsive && IsPathLost)
+    return "path_lost";
+  return nullptr;
+}
+
 void attempt_observations::recordMissingResponse(attempt_failure Failure,
                                                  steady_time Now) {
-  // Neither another VM nor a lost path tells anything of endpoints.
-  if (IsForwarded || Fleet.Paths.isLost(Admitted.Service)) {
-    Crashes.recordUncounted(IsForwarded ? "forwarded" : "path_lost");
-    return Recorder.drop();
-  }
-  if (recordCrash(*Endpoint, Now))
+  // Another VM tells nothing of endpoints, and a lost path nothing of releases.
+  const bool IsPathLost = Fleet.Paths.isLost(Admitted.Service);
+  if (IsForwarded || IsPathLost)
+    Recorder.drop();
+  else if (recordCrash(*Endpoint, Now))
     Recorder.record(/*HasFailed=*/true, Now);
-  if (Failure == attempt_failure::Silent)
-    return Crashes.recordUncounted("silent");
+  if (const char *Reason = reasonNotToCount(Failure, IsPathLost))
+    return Crashes.recordUncounted(Reason);
   Crashes.recordCrash(Now);
 }
 
--- a/Libraries/LibRelay/attempt_observations.h
+++ b/Libraries/LibRelay/attempt_observations.h
@@ -54,6 +54,8 @@
 
 private:
   void recordMissingResponse(attempt_failure Failure, steady_time Now);
+  /// Why the failure is no crash of the endpoint; null if it is one.
+  const char *reasonNotToCount(attempt_failure Failure, bool IsPathLost) const;
 
   fleet_state &Fleet;
   const admitted_request &Admitted;
--- a/Libraries/LibRelay/crash_exchange.cpp
+++ b/Libraries/LibRelay/crash_exchange.cpp
@@ -1,5 +1,7 @@
 #include "LibRelay/crash_exchange.h"
 
+#include "LibRelay/alleged_crash.h"
+
 namespace azurehaven {
 
 namespace {
@@ -120,6 +122,8 @@
   for (const crash_record_notice &Told : Notice.CrashRecords) {
     const crash_record Record{Told.Fingerprint, Told.Endpoint, Now - Told.Age,
                               static_cast<crash_refutation>(Told.Refutation)};
+    if (Record.Refutation == crash_refutation::None)
+      recordAllegedCrash(Fleet, Record.Endpoint, Record.At);
     if (Told.Cause == crash_cause::PromptSegment)
       Segments.push_back(Record);
     else
--- a/Libraries/LibRelay/crash_recorder.cpp
+++ b/Libraries/LibRelay/crash_recorder.cpp
@@ -1,5 +1,7 @@
 #include "LibRelay/crash_recorder.h"
 
+#include "LibRelay/alleged_crash.h"
+
 namespace azurehaven {
 
 namespace {
@@ -37,26 +39,22 @@
   Fleet.PromptQuarantine.clearLocal(Admitted.SharedSegments, Now);
 }
 
-endpoint_id crash_recorder::processStart() const {
-  return endpoint_id(Endpoint.Id.text() + "/" +
-                     std::to_string(Endpoint.Incarnation));
-}
-
 void crash_recorder::recordUncounted(const char *Reason) const {
   Log.write(log_level::Info, "endpoint_crash_not_counted",
             {{"request", Admitted.Request.Id.text()},
-             {"endpoint", processStart().text()},
+             {"endpoint", processStartId(Endpoint).text()},
              {"reason", Reason}});
 }
 
 void crash_recorder::recordCrash(steady_time Now) {
   const bool WasQuarantined = isQuarantined();
-  const endpoint_id ProcessStart = processStart();
+  const endpoint_id ProcessStart = processStartId(Endpoint);
   Fleet.Quarantine.addLocal(Admitted.Fingerprint, ProcessStart, Now);
   // A request that still waits on the endpoint has not caused its crash, nor
   // has one whose response made progress.
   if (HasHead && Events < SoundResponseEvents)
     Fleet.PromptQuarantine.addLocal(Admitted.SharedSegments, ProcessStart, Now);
+  recordAllegedCrash(Fleet, ProcessStart, Now);
   Log.write(log_level::Warning, "endpoint_crash_counted",
             {{"request", Admitted.Request.Id.text()},
              {"fingerprint", std::to_string(Admitted.Fingerprint)},
--- a/Libraries/LibRelay/crash_recorder.h
+++ b/Libraries/LibRelay/crash_recorder.h
@@ -33,8 +33,6 @@
   std::uint64_t attemptEvents() const { return Events; }
 
 private:
-  endpoint_id processStart() const;
-
   fleet_state &Fleet;
   const event_log &Log;
   const admitted_request &Admitted;
--- a/Libraries/LibRelay/endpoint_attempt.cpp
+++ b/Libraries/LibRelay/endpoint_attempt.cpp
@@ -1,6 +1,7 @@
 #include "LibRelay/endpoint_attempt.h"
 
 #include "LibDispatch/endpoint_health.h"
+#include "LibRelay/alleged_crash.h"
 #include "LibRelay/endpoint_shares.h"
 #include "LibRelay/path_watch.h"
 #include "LibTypes/fingerprint.h"
@@ -12,6 +13,14 @@
 /// Status of an endpoint that has no room for the request.
 constexpr int RejectedStatus = 503;
 
+attempt_failure attemptFailureOf(const http_failure &Failure) {
+  if (Failure.Delivery == delivery::NotSent)
+    return attempt_failure::NotSent;
+  return Failure.Loss == connection_loss::TimedOut
+             ? attempt_failure::Unresponsive
+             : attempt_failure::NoValidResponse;
+}
+
 } // namespace
 
 endpoint_attempt::endpoint_attempt(relay_context &Context,
@@ -143,6 +152,9 @@
   if (Response.EchoedRequestId && *Response.EchoedRequestId != Id)
     return head_verdict::SkipResponse;
   removeFromUnanswered();
+  if (isToEndpoint() && Response.EchoedRequestId)
+    refuteAllegedCrash(Context, *Endpoint, Connection->createdAt(), SentAt,
+                       Now);
   auto Receiver = Observer.lock();
   if (!Receiver)
     return head_verdict::Reject;
@@ -182,10 +194,7 @@
   auto Receiver = Observer.lock();
   if (!Receiver)
     return;
-  Receiver->onAttemptFailed(Failure.Delivery == delivery::NotSent
-                                ? attempt_failure::NotSent
-                                : attempt_failure::NoValidResponse,
-                            Failure.Message);
+  Receiver->onAttemptFailed(attemptFailureOf(Failure), Failure.Message);
 }
 
 } // namespace azurehaven
--- a/Libraries/LibRelay/path_watch.cpp
+++ b/Libraries/LibRelay/path_watch.cpp
@@ -23,9 +23,6 @@
       Context.Fleet.Endpoints.endpointsOf(Service).size(), Now);
   if (!Change)
     return;
-  // Connections that break with the path look like crashes until it is known.
-  Context.Fleet.Quarantine.withdrawUnsent();
-  Context.Fleet.PromptQuarantine.withdrawUnsent(Now);
   Context.Metrics.increment("azurehaven_path_losses_total");
   Context.Log.write(
       log_level::Warning, "service_path_lost",
--- a/Libraries/LibRelay/relayed_request.cpp
+++ b/Libraries/LibRelay/relayed_request.cpp
@@ -467,7 +467,7 @@
 attempt_failure relayed_request::failureOfUnresponsive() const {
   // An engine is inspected before it counts as unresponsive; nothing tells
   // whether a plain endpoint still runs.
-  return Admitted.isForEngines() ? attempt_failure::NoValidResponse
+  return Admitted.isForEngines() ? attempt_failure::Unresponsive
                                  : attempt_failure::Silent;
 }
 
--- a/Tests/LibDispatch/crash_quarantine_test.cpp
+++ b/Tests/LibDispatch/crash_quarantine_test.cpp
@@ -51,19 +51,23 @@
         requestFingerprint("/p", client_account_id("x"), "b"));
 }
 
-TEST_CASE("Crashes that turn out to have another cause are forgotten unless "
-          "other VMs know them") {
-  crash_quarantine Quarantine;
+TEST_CASE("A crash of a process start that lives on counts on no VM, and other "
+          "crashes of the request still do") {
+  crash_quarantine Here;
+  crash_quarantine There;
   const steady_time Now{std::chrono::hours(1)};
-  Quarantine.addLocal(1, endpoint_id("a"), Now);
-  Quarantine.takeNews();
-  for (const char *Endpoint : {"b", "c"})
-    Quarantine.addLocal(1, endpoint_id(Endpoint), Now);
-  REQUIRE(Quarantine.isQuarantined(1));
-  Quarantine.withdrawUnsent();
-  CHECK_FALSE(Quarantine.isQuarantined(1));
-  CHECK(Quarantine.takeNews().empty());
-  for (const char *Endpoint : {"b", "c"})
-    Quarantine.addLocal(1, endpoint_id(Endpoint), Now);
-  CHECK(Quarantine.isQuarantined(1));
+  for (const char *Endpoint : {"a", "b", "c"})
+    Here.addLocal(1, endpoint_id(Endpoint), Now);
+  for (const auto &Record : Here.takeNews())
+    There.merge(Record, Now);
+  REQUIRE(There.isQuarantined(1));
+  CHECK(There.refuteEndpoint(endpoint_id("a")));
+  CHECK_FALSE(There.isQuarantined(1));
+  for (const auto &Record : There.takeNews())
+    Here.merge(Record, Now);
+  CHECK_FALSE(Here.isQuarantined(1));
+  Here.addLocal(1, endpoint_id("a"), Now);
+  CHECK_FALSE(Here.isQuarantined(1));
+  Here.addLocal(1, endpoint_id("d"), Now);
+  CHECK(Here.isQuarantined(1));
 }
--- a/Tests/LibDispatch/prompt_quarantine_test.cpp
+++ b/Tests/LibDispatch/prompt_quarantine_test.cpp
@@ -122,13 +122,17 @@
   CHECK(Quarantine.isQuarantined({6000}));
 }
 
-TEST_CASE("Crashes that turn out to have another cause clear their segments") {
-  prompt_quarantine Quarantine;
-  const steady_time Now{std::chrono::hours(1)};
-  for (const char *Endpoint : {"a", "b", "c"})
-    Quarantine.addLocal({7}, endpoint_id(Endpoint), Now);
-  REQUIRE(Quarantine.isQuarantined({7}));
-  Quarantine.withdrawUnsent(Now);
-  CHECK_FALSE(Quarantine.isQuarantined({7}));
-  CHECK(Quarantine.takeNews().empty());
+TEST_CASE("Crashes of process starts that live on clear their segments") {
+  prompt_quarantine Here;
+  prompt_quarantine There;
+  crash(Here, {Bad}, 1, 3);
+  deliver(Here, There);
+  REQUIRE(There.isQuarantined({Bad}));
+  CHECK(There.refuteEndpoint(endpoint(1), Start));
+  CHECK_FALSE(There.isQuarantined({Bad}));
+  deliver(There, Here);
+  CHECK_FALSE(Here.isQuarantined({Bad}));
+  CHECK(Here.takeNews().empty());
+  crash(Here, {Bad}, 4, 4);
+  CHECK(Here.isQuarantined({Bad}));
 }
--- a/Tests/LibRelay/lost_path_test.cpp
+++ b/Tests/LibRelay/lost_path_test.cpp
@@ -1,3 +1,4 @@
+#include "LibRelay/attempt_observations.h"
 #include "LibRelay/path_prober.h"
 #include "relay_fleet_fixture.h"
 
@@ -324,20 +325,45 @@
 }
 
 TEST_CASE("Connections that break with the path do not have sound requests "
-          "refused") {
+          "refused for long") {
+  constexpr std::uint64_t Fingerprint = 77;
+  constexpr milliseconds RefutationTime{2000};
   path_fleet Fleet;
   relay_fixture &Cut = Fleet.vm(CutVm);
-  const std::uint64_t Fingerprint =
-      requestFingerprint("/many/x", client_account_id(), "body");
-  Fleet.serveFor(milliseconds(500));
-  for (const char *Endpoint : {"e0", "e1", "e2"})
-    Cut.Fleet.Quarantine.addLocal(Fingerprint, endpoint_id(Endpoint),
+  Fleet.serveFor(milliseconds(1000));
+  for (const char *Start : {"e0/0", "e1/0", "e2/0"})
+    Cut.Fleet.Quarantine.addLocal(Fingerprint, endpoint_id(Start),
                                   Cut.Clock.now());
+  REQUIRE(Cut.Fleet.Quarantine.isQuarantined(Fingerprint));
   Fleet.losePath(CutVm);
-  for (int Count = 0; Count < 3; ++Count)
-    Cut.sendRequest("/once/x");
+  Fleet.serveFor(RefutationTime);
   CHECK(Cut.Fleet.Paths.isLost(service_id("s")));
-  CHECK_FALSE(Cut.Fleet.Quarantine.isQuarantined(Fingerprint));
+  for (std::size_t Index = 0; Index < Fleet.size(); ++Index)
+    CHECK_FALSE(Fleet.vm(Index).Fleet.Quarantine.isQuarantined(Fingerprint));
+}
+
+TEST_CASE(
+    "Over a lost path, connections that end are crashes, silence is not") {
+  cut_fleet Fleet;
+  relay_fixture &Cut = Fleet.cutVm();
+  REQUIRE(Cut.Fleet.Paths.isLost(service_id("s")));
+  route Route;
+  admitted_request Admitted;
+  Admitted.Route = &Route;
+  Admitted.Service = service_id("s");
+  Admitted.Fingerprint = 77;
+  attempt_observations Observed(Cut.Fleet, Cut.Log, Admitted);
+  const auto FailAt = [&](const char *Endpoint, attempt_failure Failure) {
+    Observed.onSent(Cut.Fleet.Endpoints.find(endpoint_id(Endpoint)), model_id(),
+                    std::nullopt, 0, 0, Cut.Clock.now());
+    Observed.onFailed(Failure, Cut.Clock.now());
+  };
+  for (const char *Endpoint : {"e0", "e1", "e2"})
+    FailAt(Endpoint, attempt_failure::Unresponsive);
+  CHECK_FALSE(Cut.Fleet.Quarantine.isQuarantined(77));
+  for (const char *Endpoint : {"e0", "e1", "e2"})
+    FailAt(Endpoint, attempt_failure::NoValidResponse);
+  CHECK(Cut.Fleet.Quarantine.isQuarantined(77));
 }
 
 TEST_CASE(
