LibLedger: Bill and log request ids outside UTF-8

Cause: encodeBill let the JSON library throw on text that is not UTF-8; the log replaced such bytes, so that ids could not be told apart. Both escape them now (escapeInvalidUtf8): different ids stay different bills.

--- a/Libraries/LibLedger/bill.cpp
+++ b/Libraries/LibLedger/bill.cpp
@@ -1,5 +1,7 @@
 #include "LibLedger/bill.h"
 
+#include "LibTypes/utf8.h"
+
 #include <nlohmann/json.hpp>
 
 namespace azurehaven {
@@ -7,22 +9,25 @@
 using nlohmann::json;
 
 std::string bill::key() const {
-  return json::array({Account.text(), Request.text(), BodyFingerprint}).dump();
+  return json::array({escapeInvalidUtf8(Account.text()),
+                      escapeInvalidUtf8(Request.text()), BodyFingerprint})
+      .dump();
 }
 
 std::string encodeBill(const bill &Bill) {
-  return json{{"account", Bill.Account.text()},
-              {"request", Bill.Request.text()},
+  // The id is the caller's, who may send any bytes.
+  return json{{"account", escapeInvalidUtf8(Bill.Account.text())},
+              {"request", escapeInvalidUtf8(Bill.Request.text())},
               {"body", Bill.BodyFingerprint},
-              {"class", Bill.Class.text()},
-              {"version", Bill.Version.text()},
-              {"service", Bill.Service.text()},
+              {"class", escapeInvalidUtf8(Bill.Class.text())},
+              {"version", escapeInvalidUtf8(Bill.Version.text())},
+              {"service", escapeInvalidUtf8(Bill.Service.text())},
               {"prompt_tokens", Bill.PromptTokens.count()},
               {"completion_tokens", Bill.CompletionTokens.count()},
               {"price_micro_euros", Bill.Price.count()},
               {"cost_micro_euros", Bill.Cost.count()},
               {"at_ms", Bill.At.count()},
-              {"vm", Bill.Vm.text()}}
+              {"vm", escapeInvalidUtf8(Bill.Vm.text())}}
       .dump();
 }
 
--- a/Libraries/LibLog/event_log.cpp
+++ b/Libraries/LibLog/event_log.cpp
@@ -1,5 +1,7 @@
 #include "LibLog/event_log.h"
 
+#include "LibTypes/utf8.h"
+
 #include <nlohmann/json.hpp>
 
 namespace azurehaven {
@@ -7,8 +9,7 @@
 namespace {
 
 std::string quote(std::string_view Text) {
-  return nlohmann::json(Text).dump(-1, ' ', false,
-                                   nlohmann::json::error_handler_t::replace);
+  return nlohmann::json(escapeInvalidUtf8(Text)).dump();
 }
 
 } // namespace
--- a/Tests/LibRelay/bill_journal_test.cpp
+++ b/Tests/LibRelay/bill_journal_test.cpp
@@ -8,6 +8,7 @@
 #include <doctest/doctest.h>
 
 #include <algorithm>
+#include <set>
 
 using namespace azurehaven;
 
@@ -177,3 +178,17 @@
   // The mirror collects the changes of 400 ms.
   CHECK(*Last - *First <= milliseconds(400));
 }
+
+TEST_CASE("A request id outside UTF-8 is billed and can be told from others") {
+  journal_fixture Fixture;
+  Fixture.Journal.start();
+  for (const char *Id : {"caf\xe9", "caf\xe8", "caf\xc3\xa9"})
+    Fixture.Journal.add(testBill(Id));
+  Fixture.Scheduler.advance(milliseconds(30000));
+  const auto Ledger = Fixture.ledger();
+  CHECK(Ledger.size() == 3);
+  std::set<std::string> Ids;
+  for (const auto &[Key, Bill] : Ledger)
+    Ids.insert(Bill.Request.text());
+  CHECK(Ids == std::set<std::string>{"caf\\xe9", "caf\\xe8", "caf\xc3\xa9"});
+}
