--- a/Libraries/LibConnection/single_call.cpp
+++ b/Libraries/LibConnection/single_call.cpp
@@ -4,19 +4,16 @@
 
 namespace {
 
-/// Limit on the response body of a call, whether the platform or an endpoint
-/// sends it.
-constexpr std::size_t ResponseLimitBytes = 16 << 20;
-
 class buffering_observer
     : public exchange_observer,
       public std::enable_shared_from_this<buffering_observer> {
 public:
   buffering_observer(std::shared_ptr<endpoint_connection> Connection,
                      call_handler Handler,
-                     const asio::any_io_executor &Executor)
+                     const asio::any_io_executor &Executor,
+                     std::size_t ResponseLimit)
       : Connection(std::move(Connection)), Handler(std::move(Handler)),
-        Timer(Executor) {}
+        Timer(Executor), ResponseLimit(ResponseLimit) {}
 
   void startTimeout(milliseconds Timeout) {
     Timer.expires_after(Timeout);
@@ -35,9 +32,10 @@
     return head_verdict::Accept;
   }
   void onResponseBody(std::string Bytes) override {
-    Response.Body += Bytes;
-    if (Response.Body.size() <= ResponseLimitBytes)
+    if (Response.Body.size() + Bytes.size() <= ResponseLimit) {
+      Response.Body += Bytes;
       return;
+    }
     Connection->abort();
     finish(http_failure{delivery::MayHaveRun, "the response is too large"});
   }
@@ -56,20 +54,31 @@
   std::shared_ptr<endpoint_connection> Connection;
   call_handler Handler;
   asio::steady_timer Timer;
+  const std::size_t ResponseLimit;
   http_response Response;
 };
 
 } // namespace
 
 void startCall(std::shared_ptr<endpoint_connection> Connection,
-               outgoing_request Request, milliseconds Timeout,
+               outgoing_request Request, const call_limits &Limits,
                call_handler Handler) {
   auto Call = std::make_shared<buffering_observer>(
-      Connection, std::move(Handler), Connection->executor());
-  Call->startTimeout(Timeout);
+      Connection, std::move(Handler), Connection->executor(),
+      Limits.ResponseBytes);
+  Call->startTimeout(Limits.Timeout);
   Connection->start(std::move(Request), Call);
 }
 
+void startCall(std::shared_ptr<endpoint_connection> Connection,
+               outgoing_request Request, milliseconds Timeout,
+               call_handler Handler) {
+  call_limits Limits;
+  Limits.Timeout = Timeout;
+  startCall(std::move(Connection), std::move(Request), Limits,
+            std::move(Handler));
+}
+
 outgoing_request formatCall(const std::string &Method,
                             const std::string &Target,
                             const network_address &Address,
--- a/Tests/LibConnection/connection_listener_test.cpp
+++ b/Tests/LibConnection/connection_listener_test.cpp
@@ -79,6 +79,30 @@
   CHECK(Listener->connectionCount() <= Limit);
 }
 
+TEST_CASE(
+    "A call ends as its response grows beyond the limit, and keeps no more "
+    "of it") {
+  constexpr std::size_t LimitBytes = 64 << 10;
+  asio::io_context Loop(1);
+  echo_handler Handler;
+  for (const std::size_t Size : {LimitBytes, LimitBytes + 1}) {
+    Handler.ResponseBody = std::string(Size, 'x');
+    std::uint16_t Port = 0;
+    auto Listener = listenOnFreePort(Loop, Handler, 10, Port);
+    REQUIRE(Listener);
+    std::optional<call_result> Result;
+    startCall(std::make_shared<endpoint_connection>(
+                  Loop.get_executor(), addressOf(Port), connection_timeouts{}),
+              formatCall("GET", "/", addressOf(Port)),
+              call_limits{std::chrono::seconds(20), LimitBytes},
+              [&](call_result New) { Result = std::move(New); });
+    while (!Result)
+      Loop.run_one();
+    CHECK(std::holds_alternative<http_response>(*Result) ==
+          (Size == LimitBytes));
+  }
+}
+
 TEST_CASE("A connection is busy until its last response is sent") {
   asio::io_context Loop(1);
   echo_handler Handler;
