LibRelay: Tell which endpoints are leaving until they are gone

Notices name all that are leaving and still listed, 32 at a time; earlier builds read the same field.

--- a/Libraries/LibDispatch/endpoint_registry.cpp
+++ b/Libraries/LibDispatch/endpoint_registry.cpp
@@ -66,6 +66,14 @@
   return true;
 }
 
+std::vector<endpoint_start> endpoint_registry::leavingStarts() const {
+  std::vector<endpoint_start> Starts;
+  for (const auto &[Id, Leaving] : LeavingStarts)
+    if (ById.contains(Id))
+      Starts.push_back({Id, Leaving.Incarnation});
+  return Starts;
+}
+
 void endpoint_registry::remove(const endpoint_id &Id) {
   auto Found = ById.find(Id);
   if (Found == ById.end())
--- a/Libraries/LibDispatch/endpoint_registry.h
+++ b/Libraries/LibDispatch/endpoint_registry.h
@@ -129,6 +129,8 @@
   /// Records that a process start has said that it is leaving. Its entries no
   /// longer count, only those of a later start. Returns whether that is news.
   bool markLeaving(const endpoint_start &Start, steady_time Now);
+  /// The process starts that are leaving and whose endpoints are still listed.
+  std::vector<endpoint_start> leavingStarts() const;
   /// Removes the endpoints whose removal time has passed; returns their ids.
   std::vector<endpoint_id> removeExpired(steady_time Now);
 
--- a/Libraries/LibRelay/fleet_state.h
+++ b/Libraries/LibRelay/fleet_state.h
@@ -46,8 +46,6 @@
   /// Times from the sent request to the head of a stream.
   latency_baseline HeadLatencyBaseline{};
   prefill_time_estimator PrefillTimes{};
-  /// Leaving endpoints that the other VMs have not been told of yet.
-  std::vector<endpoint_start> UnsentLeavingEndpoints{};
   bool IsStopping = false;
   steady_time StoppingSince{};
   /// Time from the stop signal until the process is killed.
--- a/Libraries/LibRelay/peer_state_sync.cpp
+++ b/Libraries/LibRelay/peer_state_sync.cpp
@@ -19,6 +19,8 @@
 constexpr std::uint64_t NoticesPerFullPins = 5;
 /// Notices tell that a limit has ended for this long; one of them may be lost.
 constexpr milliseconds EndedLimitNoticeTime{3000};
+/// Of more leaving endpoints, each notice names the next so many.
+constexpr std::size_t LeavingPerNotice = 32;
 /// Notices tell for this long that a service has sent something.
 constexpr milliseconds ReachedNoticeTime{2000};
 
@@ -130,6 +132,18 @@
   }
 }
 
+std::vector<leaving_notice> peer_state_sync::leavingNotices() const {
+  const auto Starts = Fleet.Endpoints.leavingStarts();
+  const std::size_t Count = std::min(Starts.size(), LeavingPerNotice);
+  std::vector<leaving_notice> Notices;
+  for (std::size_t Index = 0; Index < Count; ++Index) {
+    const endpoint_start &Start =
+        Starts[(NoticeCount * LeavingPerNotice + Index) % Starts.size()];
+    Notices.push_back({Start.Endpoint, Start.Incarnation});
+  }
+  return Notices;
+}
+
 fleet_notice peer_state_sync::buildNotice() {
   fleet_notice Notice;
   for (const auto &[Id, Endpoint] : Fleet.Endpoints.all())
@@ -143,8 +157,7 @@
   Notice.ReachedServices = reachedNotices();
   Notice.Rollouts = rolloutNotices();
   Notice.SessionReleases = sessionReleases();
-  for (const auto &Start : std::exchange(Fleet.UnsentLeavingEndpoints, {}))
-    Notice.LeavingEndpoints.push_back({Start.Endpoint, Start.Incarnation});
+  Notice.LeavingEndpoints = leavingNotices();
   return Notice;
 }
 
--- a/Libraries/LibRelay/peer_state_sync.h
+++ b/Libraries/LibRelay/peer_state_sync.h
@@ -45,6 +45,9 @@
   void applyBrittleServices(const std::vector<brittle_service_notice> &Services,
                             steady_time Now);
   std::vector<reached_service_notice> reachedNotices() const;
+  /// The leaving endpoints that are still listed, in each notice, since one may
+  /// be lost and a VM may have just started.
+  std::vector<leaving_notice> leavingNotices() const;
   /// The pins that the others have not been told of; at times during a
   /// roll-out all of this VM's, since a notice may be lost and a VM may have
   /// just started.
--- a/Libraries/LibRelay/relay.cpp
+++ b/Libraries/LibRelay/relay.cpp
@@ -27,7 +27,6 @@
                              Endpoint.Descriptor.Incarnation};
   if (!Context.Fleet.Endpoints.markLeaving(Start, Now))
     return;
-  Context.Fleet.UnsentLeavingEndpoints.push_back(Start);
   Context.Log.write(log_level::Info, "endpoint_leaving",
                     {{"endpoint", Start.Endpoint.text()},
                      {"incarnation", std::to_string(Start.Incarnation)}});
--- a/Libraries/LibRelay/relay.h
+++ b/Libraries/LibRelay/relay.h
@@ -54,7 +54,7 @@
 };
 
 /// Sends nothing more to the endpoint's process start, which has said that it
-/// is leaving, and queues the news for the other VMs.
+/// is leaving. The next notices tell the other VMs.
 void markEndpointLeaving(relay_context &Context,
                          const endpoint_record &Endpoint, steady_time Now);
 
