LibRelay: Close a connection whose response names no request

A server that sheds load answers 503 without an id, and now and then once more, late; the next booking on the kept connection took the copy for its own answer, "not run", and was sent elsewhere, though it ran.

Cause: responses without an id belong to the request that waits, which holds only on a connection on which no other such response can still be under way. A connection on which one has come is closed now; late copies of responses with an id were told apart before. Cost: a new connection after each refusal without an id.

--- a/Libraries/LibRelay/endpoint_attempt.cpp
+++ b/Libraries/LibRelay/endpoint_attempt.cpp
@@ -152,7 +152,8 @@
   if (Response.EchoedRequestId && *Response.EchoedRequestId != Id)
     return head_verdict::SkipResponse;
   removeFromUnanswered();
-  if (isToEndpoint() && Response.EchoedRequestId)
+  IsResponseIdentified = Response.EchoedRequestId.has_value();
+  if (isToEndpoint() && IsResponseIdentified)
     refuteAllegedCrash(Context, *Endpoint, Connection->createdAt(), SentAt,
                        Now);
   auto Receiver = Observer.lock();
@@ -173,8 +174,10 @@
 
 void endpoint_attempt::onResponseEnd() {
   removeFromLoad();
-  // The connection can't be reused while the request is still being sent.
-  if (Connection->isIdle())
+  // The connection can't be reused while the request is still being sent. A
+  // late second copy of a response that names no request would be taken for the
+  // response to the next one.
+  if (Connection->isIdle() && IsResponseIdentified)
     Context.Connections.release(Connection, IdleLimit, Context.Clock.now());
   else
     Connection->abort();
--- a/Libraries/LibRelay/endpoint_attempt.h
+++ b/Libraries/LibRelay/endpoint_attempt.h
@@ -77,6 +77,8 @@
   double PromptWork;
   steady_time SentAt;
   bool IsUnanswered = false;
+  /// Whether the response names this request.
+  bool IsResponseIdentified = false;
   /// Whether the connection is new rather than one from the pool.
   bool IsConnecting = false;
   bool IsCounted = true;
--- a/Tests/LibRelay/relay_fixture.cpp
+++ b/Tests/LibRelay/relay_fixture.cpp
@@ -27,6 +27,7 @@
     request_parser Parser{caller_limits()};
     std::string Unparsed;
     std::array<char, 4096> Buffer{};
+    std::string LateCopy;
   };
 
   void accept() {
@@ -61,6 +62,9 @@
     Fixture.Received.push_back(
         {Name, Session->Parser.head(), Session->Parser.body()});
     Session->Parser.reset();
+    asio::error_code Ignored;
+    asio::write(Session->Socket,
+                asio::buffer(std::exchange(Session->LateCopy, {})), Ignored);
     const scripted_response Response =
         Fixture.Script(Fixture.Received.size() - 1, Fixture.Received.back());
     if (Response.Delay.count() == 0)
@@ -79,6 +83,8 @@
             const scripted_response &Response) {
     asio::error_code Ignored;
     asio::write(Session->Socket, asio::buffer(Response.Bytes), Ignored);
+    if (Response.HasLateCopy)
+      Session->LateCopy = Response.Bytes;
     if (!Response.Endless.empty())
       sendEndlessly(Session, Response);
     if (Response.After == after_response::Close)
--- a/Tests/LibRelay/relay_fixture.h
+++ b/Tests/LibRelay/relay_fixture.h
@@ -24,6 +24,9 @@
   /// nothing if empty.
   std::string Endless{};
   milliseconds EndlessInterval{0};
+  /// Whether Bytes are sent once more as the next request comes on the
+  /// connection.
+  bool HasLateCopy = false;
 };
 
 /// A request that a scripted endpoint received.
--- a/Tests/LibRelay/relay_refusal_test.cpp
+++ b/Tests/LibRelay/relay_refusal_test.cpp
@@ -205,3 +205,31 @@
   Fixture.Clock.skip(milliseconds(5000));
   CHECK(statusOf(Fixture.sendRequest("/p/x", "Deadline: 1500\r\n")) == 200);
 }
+
+TEST_CASE(
+    "A late second copy of a refusal is not taken for the response to the "
+    "next request, which runs once") {
+  for (const std::string &Refusal :
+       {wholeResponse(503, "Not-Run: 1\r\n", ""),
+        wholeResponse(503, "Id: r1\r\nNot-Run: 1\r\n", ""),
+        wholeResponse(421, "", "")}) {
+    CAPTURE(Refusal);
+    relay_fixture Fixture(3);
+    Fixture.Codec.TreatsAsMisdirected = 421;
+    Fixture.addRoute("/p/", route_kind::NonIdempotent);
+    Fixture.applyRoutes();
+    int Runs = 0;
+    Fixture.setScript([&](std::size_t Number, const received_request &) {
+      if (Number % 2 == 0)
+        return scripted_response{.Bytes = Refusal, .HasLateCopy = true};
+      ++Runs;
+      return scripted_response{
+          wholeResponse(200, "Id: r1\r\nSigned: x\r\n", "ok")};
+    });
+    int Answered = 0;
+    for (int Count = 0; Count < 12; ++Count)
+      Answered += statusOf(Fixture.sendRequest("/p/")) == 200;
+    CHECK(Runs == Answered);
+    CHECK(Answered > 0);
+  }
+}
