LibDispatch: Believe a lost path only by what a peer received since

Cause: a peer was a witness by anything that it had received from the service within 1.5 s, also before the first failure here, and from any process start. Now it has to have received something after this VM could not connect, and from one of the process starts that this VM can't connect to: notices name the one that they heard of last. Nobody hears from a process that has ended. The evidence comes after the failure, so that paths are judged ten times a second, too, not only as connections fail. A VM of an earlier build names the service only; what it received later still counts.

--- a/Libraries/LibDispatch/endpoint_registry.cpp
+++ b/Libraries/LibDispatch/endpoint_registry.cpp
@@ -1,6 +1,7 @@
 #include "LibDispatch/endpoint_registry.h"
 
 #include "LibDispatch/endpoint_health.h"
+#include "LibDispatch/service_paths.h"
 #include "LibTypes/fingerprint.h"
 
 namespace azurehaven {
@@ -39,6 +40,7 @@
     Record = std::make_shared<endpoint_record>();
   Record->Descriptor = Descriptor;
   Record->Hash = endpointHash(Descriptor.Id);
+  Record->StartHash = startHashOf(processStartId(Descriptor));
   // A process start never stops leaving: an entry that says otherwise is older.
   if (WasLeaving || isMarkedLeaving(Descriptor))
     Record->Descriptor.IsLeaving = true;
--- a/Libraries/LibDispatch/endpoint_registry.h
+++ b/Libraries/LibDispatch/endpoint_registry.h
@@ -58,6 +58,8 @@
   endpoint_descriptor Descriptor;
   /// The endpoint's name in the notices between VMs.
   std::uint64_t Hash = 0;
+  /// The name of its process start in the notices.
+  std::uint64_t StartHash = 0;
   /// Requests of this VM that run or queue on the endpoint.
   std::uint32_t InFlight = 0;
   /// Prompt work of this VM's requests that are still waiting for their first
--- a/Libraries/LibDispatch/service_paths.cpp
+++ b/Libraries/LibDispatch/service_paths.cpp
@@ -1,5 +1,7 @@
 #include "LibDispatch/service_paths.h"
 
+#include "LibTypes/fingerprint.h"
+
 #include <algorithm>
 #include <cmath>
 
@@ -36,16 +38,46 @@
 
 } // namespace
 
+std::uint64_t startHashOf(const endpoint_id &ProcessStart) {
+  return fingerprintOf(ProcessStart.text());
+}
+
 bool service_paths::path_state::isSilent() const {
-  const auto First = std::min_element(
-      Unreachable.begin(), Unreachable.end(),
-      [](const auto &A, const auto &B) { return A.second < B.second; });
-  return First == Unreachable.end() ||
-         LastReceivedAt < First->second + TransitTime;
+  return std::all_of(
+      Unreachable.begin(), Unreachable.end(), [&](const auto &Entry) {
+        return LastContact.At < Entry.second.LastAt + TransitTime;
+      });
 }
 
-void service_paths::onReceived(const service_id &Service, steady_time Now) {
-  Paths[Service].LastReceivedAt = Now;
+std::optional<service_paths::peer_sighting>
+service_paths::path_state::witness(steady_time Now) const {
+  const auto IsProof = [&](const peer_sighting &Sighting,
+                           steady_time FailedAt) {
+    return Sighting.At > FailedAt + TransitTime &&
+           Now - Sighting.At <= PeerReachLifetime;
+  };
+  for (const auto &[Start, Failed] : Unreachable) {
+    const auto Found = PeerSightings.find(startHashOf(Start));
+    if (Found != PeerSightings.end() && IsProof(Found->second, Failed.FirstAt))
+      return Found->second;
+    if (UnnamedSighting && IsProof(*UnnamedSighting, Failed.FirstAt))
+      return UnnamedSighting;
+  }
+  return std::nullopt;
+}
+
+void service_paths::path_state::expire(steady_time Now) {
+  std::erase_if(Unreachable, [&](const auto &Entry) {
+    return Now - Entry.second.LastAt > UnreachableLifetime;
+  });
+  std::erase_if(PeerSightings, [&](const auto &Entry) {
+    return Now - Entry.second.At > PeerReachLifetime;
+  });
+}
+
+void service_paths::onReceived(const service_id &Service,
+                               std::uint64_t StartHash, steady_time Now) {
+  Paths[Service].LastContact = {Now, StartHash};
 }
 
 void service_paths::onConnected(const service_id &Service, steady_time) {
@@ -56,39 +88,67 @@
 
 std::optional<path_change>
 service_paths::onUnreachable(const service_id &Service,
-                             const endpoint_id &Endpoint,
+                             const endpoint_id &ProcessStart,
                              std::size_t EndpointCount, steady_time Now) {
   path_state &Path = Paths[Service];
   if (Path.LostSince)
     return std::nullopt;
-  std::erase_if(Path.Unreachable, [&](const auto &Entry) {
-    return Now - Entry.second > UnreachableLifetime;
-  });
-  Path.Unreachable[Endpoint] = Now;
-  if (Path.Unreachable.size() <
-      unreachableNeeded(EndpointCount, Path.isSilent()))
+  Path.expire(Now);
+  const auto Failed =
+      Path.Unreachable.try_emplace(ProcessStart, failed_connections{Now, Now});
+  Failed.first->second.LastAt = Now;
+  return review(Service, EndpointCount, Now);
+}
+
+std::optional<path_change> service_paths::review(const service_id &Service,
+                                                 std::size_t EndpointCount,
+                                                 steady_time Now) {
+  path_state &Path = Paths[Service];
+  if (Path.LostSince)
+    return std::nullopt;
+  Path.expire(Now);
+  const bool IsSuspected =
+      !Path.Unreachable.empty() &&
+      Path.Unreachable.size() >=
+          unreachableNeeded(EndpointCount, Path.isSilent());
+  if (!IsSuspected)
     return std::nullopt;
-  const auto Witness = std::max_element(
-      Path.PeerReachedAt.begin(), Path.PeerReachedAt.end(),
-      [](const auto &A, const auto &B) { return A.second < B.second; });
-  if (Witness == Path.PeerReachedAt.end() ||
-      !isReachedBy(Witness->first, Service, Now))
+  const auto Witness = Path.witness(Now);
+  if (!Witness)
     return std::nullopt;
   Path.LostSince = Now;
   Path.Probed.clear();
   path_change Change;
-  for (const auto &[Id, At] : Path.Unreachable)
-    Change.Endpoints.push_back(Id);
-  Change.Witness = Witness->first;
+  for (const auto &[Start, Failed] : Path.Unreachable)
+    Change.Endpoints.push_back(Start);
+  Change.Witness = Witness->Vm;
   Change.WitnessAge =
-      std::chrono::duration_cast<milliseconds>(Now - Witness->second);
+      std::chrono::duration_cast<milliseconds>(Now - Witness->At);
   return Change;
 }
 
+std::vector<service_id> service_paths::suspectedServices() const {
+  std::vector<service_id> Suspected;
+  for (const auto &[Service, Path] : Paths)
+    if (!Path.LostSince && !Path.Unreachable.empty())
+      Suspected.push_back(Service);
+  return Suspected;
+}
+
 void service_paths::onPeerReached(const vm_id &Vm, const service_id &Service,
-                                  steady_time At) {
-  steady_time &Latest = Paths[Service].PeerReachedAt[Vm];
-  Latest = std::max(Latest, At);
+                                  const service_contact &Contact) {
+  path_state &Path = Paths[Service];
+  steady_time &Latest = Path.PeerReachedAt[Vm];
+  Latest = std::max(Latest, Contact.At);
+  const peer_sighting Sighting{Vm, Contact.At};
+  if (!Contact.StartHash) {
+    Path.UnnamedSighting = Sighting;
+    return;
+  }
+  const auto Known =
+      Path.PeerSightings.try_emplace(*Contact.StartHash, Sighting).first;
+  if (Known->second.At < Contact.At)
+    Known->second = Sighting;
 }
 
 std::optional<path_change> service_paths::onProbed(const service_id &Service,
@@ -142,14 +202,14 @@
 
 steady_time service_paths::lastReceived(const service_id &Service) const {
   auto Found = Paths.find(Service);
-  return Found == Paths.end() ? steady_time() : Found->second.LastReceivedAt;
+  return Found == Paths.end() ? steady_time() : Found->second.LastContact.At;
 }
 
-std::map<service_id, steady_time> service_paths::lastReceived() const {
-  std::map<service_id, steady_time> Received;
+std::map<service_id, service_contact> service_paths::lastContacts() const {
+  std::map<service_id, service_contact> Contacts;
   for (const auto &[Service, Path] : Paths)
-    Received[Service] = Path.LastReceivedAt;
-  return Received;
+    Contacts[Service] = Path.LastContact;
+  return Contacts;
 }
 
 } // namespace azurehaven
--- a/Libraries/LibDispatch/service_paths.h
+++ b/Libraries/LibDispatch/service_paths.h
@@ -3,6 +3,7 @@
 #include "LibTypes/ids.h"
 #include "LibTypes/units.h"
 
+#include <cstdint>
 #include <map>
 #include <optional>
 #include <vector>
@@ -21,24 +22,44 @@
   milliseconds WitnessAge{0};
 };
 
+/// What was last received from a service.
+struct service_contact {
+  steady_time At;
+  /// Of the process start that sent it; nullopt from a VM of an earlier build,
+  /// which names the service only.
+  std::optional<std::uint64_t> StartHash;
+};
+
+/// A short name for a process start in notices, the same on every VM.
+std::uint64_t startHashOf(const endpoint_id &ProcessStart);
+
 /// Tells a lost path to the endpoints of a service from endpoints that are
-/// gone: several of them can't be connected to, while another VM gets responses
-/// from the service. Not thread-safe.
+/// gone: several process starts can't be connected to, while another VM still
+/// gets responses from one of them. Not thread-safe.
 class service_paths {
 public:
-  /// Records that an endpoint has sent something on any connection.
-  void onReceived(const service_id &Service, steady_time Now);
+  /// Records that a process start, see startHashOf(), has sent something on any
+  /// connection.
+  void onReceived(const service_id &Service, std::uint64_t StartHash,
+                  steady_time Now);
   /// Records that a new connection to an endpoint was made.
   void onConnected(const service_id &Service, steady_time Now);
-  /// Records that a connection to an endpoint could not be made. EndpointCount:
-  /// endpoints of the service. Returns the change if the path is lost.
+  /// Records that a connection to a process start could not be made.
+  /// EndpointCount: endpoints of the service. Returns the change if the path is
+  /// lost.
   std::optional<path_change> onUnreachable(const service_id &Service,
-                                           const endpoint_id &Endpoint,
+                                           const endpoint_id &ProcessStart,
                                            std::size_t EndpointCount,
                                            steady_time Now);
-  /// Records when another VM last received something from the service.
+  /// Records what another VM has last received from the service.
   void onPeerReached(const vm_id &Vm, const service_id &Service,
-                     steady_time At);
+                     const service_contact &Contact);
+  /// Returns the change if what other VMs have received since shows that the
+  /// path is lost.
+  std::optional<path_change> review(const service_id &Service,
+                                    std::size_t EndpointCount, steady_time Now);
+  /// Services of which some process starts can't be connected to.
+  std::vector<service_id> suspectedServices() const;
   /// Records the result of a connection that was made to find out whether a
   /// lost path is back. Returns the change if it is.
   std::optional<path_change> onProbed(const service_id &Service,
@@ -54,22 +75,40 @@
                    steady_time Now) const;
   /// When this VM last received something from the service.
   steady_time lastReceived(const service_id &Service) const;
-  /// The same for all services.
-  std::map<service_id, steady_time> lastReceived() const;
+  /// What was last received from each service.
+  std::map<service_id, service_contact> lastContacts() const;
 
 private:
+  /// Connections to a process start that could not be made.
+  struct failed_connections {
+    steady_time FirstAt;
+    steady_time LastAt;
+  };
+  struct peer_sighting {
+    vm_id Vm;
+    steady_time At;
+  };
+
   struct path_state {
-    steady_time LastReceivedAt;
-    /// Endpoints that could not be connected to since the last connection.
-    std::map<endpoint_id, steady_time> Unreachable;
+    service_contact LastContact;
+    /// Process starts that could not be connected to since the last connection.
+    std::map<endpoint_id, failed_connections> Unreachable;
     std::map<vm_id, steady_time> PeerReachedAt;
+    /// By process start: the latest that another VM has received from it.
+    std::map<std::uint64_t, peer_sighting> PeerSightings;
+    /// The latest that a VM of an earlier build has received.
+    std::optional<peer_sighting> UnnamedSighting;
     std::optional<steady_time> LostSince;
     /// Endpoints that probes have reached, one after the other.
     std::vector<endpoint_id> Probed;
 
-    /// Whether nothing has come from the service since the first endpoint could
-    /// not be connected to.
+    /// Whether nothing has come from the service since connections could not be
+    /// made.
     bool isSilent() const;
+    /// Another VM that received something from an unreachable process start
+    /// after this VM could not connect to it.
+    std::optional<peer_sighting> witness(steady_time Now) const;
+    void expire(steady_time Now);
   };
 
   std::map<service_id, path_state> Paths;
--- a/Libraries/LibPeer/frame_codec.cpp
+++ b/Libraries/LibPeer/frame_codec.cpp
@@ -15,6 +15,9 @@
 /// No roll-out takes longer than a week; later times are malformed.
 constexpr std::uint64_t MaximumRolloutTimeMs = 7ull * 24 * 3600 * 1000;
 
+/// Earlier builds do not name the process start that they reached.
+constexpr std::uint64_t NoProcessStart = 0;
+
 flatbuffers::Offset<wire::Member> encodeMember(FlatBufferBuilder &Builder,
                                                const member_notice &Notice) {
   return wire::CreateMemberDirect(
@@ -156,7 +159,8 @@
     for (const auto &Notice : Message.ReachedServices)
       Reached.push_back(wire::CreateReachedServiceDirect(
           Builder, Notice.Service.text().c_str(),
-          static_cast<std::uint32_t>(Notice.Age.count())));
+          static_cast<std::uint32_t>(Notice.Age.count()),
+          Notice.ProcessStart.value_or(NoProcessStart)));
     std::vector<Offset<wire::Rollout>> Rollouts;
     for (const auto &Notice : Message.Rollouts)
       Rollouts.push_back(encodeRollout(Builder, Notice));
@@ -375,8 +379,12 @@
         Message.Rollouts.push_back(std::move(*Notice));
   Message.ReachedServices =
       decodeAll(Source.reached(), [](const wire::ReachedService &Item) {
-        return reached_service_notice{service_id(Item.service()->str()),
-                                      milliseconds(Item.age_ms())};
+        reached_service_notice Notice{service_id(Item.service()->str()),
+                                      milliseconds(Item.age_ms()),
+                                      std::nullopt};
+        if (Item.process_start() != NoProcessStart)
+          Notice.ProcessStart = Item.process_start();
+        return Notice;
       });
   Message.Releases =
       decodeAll(Source.releases(), [](const wire::ReleaseCounts &Item) {
--- a/Libraries/LibPeer/peer_message.h
+++ b/Libraries/LibPeer/peer_message.h
@@ -173,6 +173,8 @@
 struct reached_service_notice {
   service_id Service;
   milliseconds Age{0};
+  /// Hash of the process start that sent it; nullopt from an earlier build.
+  std::optional<std::uint64_t> ProcessStart;
 };
 
 /// The share of a route's sessions that a roll-out's trial gets.
--- a/Libraries/LibRelay/endpoint_attempt.cpp
+++ b/Libraries/LibRelay/endpoint_attempt.cpp
@@ -67,7 +67,7 @@
 void endpoint_attempt::applyEndpointState(const decoded_response_head &Response,
                                           steady_time Now) {
   Endpoint->LastReceivedAt = Now;
-  Context.Fleet.Paths.onReceived(Endpoint->Descriptor.Service, Now);
+  recordReceived(Context, *Endpoint, Now);
   if (Response.Load)
     Endpoint->Load = Response.Load;
   const endpoint_id &EndpointId = Endpoint->Descriptor.Id;
@@ -166,7 +166,7 @@
   const steady_time Now = Context.Clock.now();
   Endpoint->LastReceivedAt = Now;
   if (isToEndpoint())
-    Context.Fleet.Paths.onReceived(Endpoint->Descriptor.Service, Now);
+    recordReceived(Context, *Endpoint, Now);
   removePromptWork();
   if (auto Receiver = Observer.lock())
     Receiver->onAttemptResponseBody(std::move(Bytes));
--- a/Libraries/LibRelay/path_prober.cpp
+++ b/Libraries/LibRelay/path_prober.cpp
@@ -23,6 +23,7 @@
 } // namespace
 
 void path_prober::advance(steady_time Now) {
+  reviewPaths(Context, Now);
   const auto Lost = Context.Fleet.Paths.lostServices();
   std::erase_if(Probes, [&](const auto &Entry) {
     return !Entry.second.IsRunning && !Context.Fleet.Paths.isLost(Entry.first);
--- a/Libraries/LibRelay/path_prober.h
+++ b/Libraries/LibRelay/path_prober.h
@@ -6,13 +6,14 @@
 
 namespace azurehaven {
 
-/// Connects to the endpoints of services to which this VM has lost its path,
-/// one after the other, to find out when the path is back.
+/// Finds out when a path to a service is lost, and connects to its endpoints,
+/// one after the other, to find out when it is back.
 class path_prober {
 public:
   explicit path_prober(relay_context &Context) : Context(Context) {}
 
-  /// Starts the probes that are due; to be called every 100 ms or so.
+  /// Judges the paths and starts the probes that are due; to be called every
+  /// 100 ms or so.
   void advance(steady_time Now);
 
 private:
--- a/Libraries/LibRelay/path_watch.cpp
+++ b/Libraries/LibRelay/path_watch.cpp
@@ -13,23 +13,42 @@
   return Text;
 }
 
+void reportLoss(relay_context &Context, const service_id &Service,
+                const path_change &Change) {
+  Context.Metrics.increment("azurehaven_path_losses_total");
+  Context.Log.write(
+      log_level::Warning, "service_path_lost",
+      {{"service", Service.text()},
+       {"unreachable", textOf(Change.Endpoints)},
+       {"reached_by", Change.Witness.text()},
+       {"reached_ms_ago", std::to_string(Change.WitnessAge.count())}});
+}
+
 } // namespace
 
 void recordUnreachable(relay_context &Context, const endpoint_record &Endpoint,
                        steady_time Now) {
   const service_id &Service = Endpoint.Descriptor.Service;
   const auto Change = Context.Fleet.Paths.onUnreachable(
-      Service, Endpoint.Descriptor.Id,
+      Service, processStartId(Endpoint.Descriptor),
       Context.Fleet.Endpoints.endpointsOf(Service).size(), Now);
-  if (!Change)
-    return;
-  Context.Metrics.increment("azurehaven_path_losses_total");
-  Context.Log.write(
-      log_level::Warning, "service_path_lost",
-      {{"service", Service.text()},
-       {"unreachable", textOf(Change->Endpoints)},
-       {"reached_by", Change->Witness.text()},
-       {"reached_ms_ago", std::to_string(Change->WitnessAge.count())}});
+  if (Change)
+    reportLoss(Context, Service, *Change);
+}
+
+void reviewPaths(relay_context &Context, steady_time Now) {
+  for (const service_id &Service : Context.Fleet.Paths.suspectedServices()) {
+    const auto Change = Context.Fleet.Paths.review(
+        Service, Context.Fleet.Endpoints.endpointsOf(Service).size(), Now);
+    if (Change)
+      reportLoss(Context, Service, *Change);
+  }
+}
+
+void recordReceived(relay_context &Context, const endpoint_record &Endpoint,
+                    steady_time Now) {
+  Context.Fleet.Paths.onReceived(Endpoint.Descriptor.Service,
+                                 Endpoint.StartHash, Now);
 }
 
 void recordConnected(relay_context &Context, const endpoint_record &Endpoint,
--- a/Libraries/LibRelay/peer_state_sync.cpp
+++ b/Libraries/LibRelay/peer_state_sync.cpp
@@ -77,10 +77,11 @@
 std::vector<reached_service_notice> peer_state_sync::reachedNotices() const {
   const steady_time Now = Clock.now();
   std::vector<reached_service_notice> Notices;
-  for (const auto &[Service, At] : Fleet.Paths.lastReceived())
-    if (Now - At < ReachedNoticeTime && !Fleet.Paths.isLost(Service))
+  for (const auto &[Service, Contact] : Fleet.Paths.lastContacts())
+    if (Now - Contact.At < ReachedNoticeTime && !Fleet.Paths.isLost(Service))
       Notices.push_back(
-          {Service, std::chrono::duration_cast<milliseconds>(Now - At)});
+          {Service, std::chrono::duration_cast<milliseconds>(Now - Contact.At),
+           Contact.StartHash});
   return Notices;
 }
 
@@ -203,7 +204,8 @@
   applyRates(Notice->Rates, Now);
   applyBrittleServices(Notice->BrittleServices, Now);
   for (const auto &Reached : Notice->ReachedServices)
-    Fleet.Paths.onPeerReached(Frame.Sender, Reached.Service, Now - Reached.Age);
+    Fleet.Paths.onPeerReached(Frame.Sender, Reached.Service,
+                              {Now - Reached.Age, Reached.ProcessStart});
   for (const auto &Release : Notice->Releases)
     Fleet.ReleaseStatistics.merge(
         Frame.Sender, Frame.Incarnation,
--- a/Tests/LibRelay/crash_simulation.cpp
+++ b/Tests/LibRelay/crash_simulation.cpp
@@ -367,7 +367,7 @@
   if (!Endpoints[Index].IsUp)
     return recordUnreachable(Vm.Context, *Endpoint, Clock.Now);
   recordConnected(Vm.Context, *Endpoint, Clock.Now);
-  Vm.Fleet.Paths.onReceived(Service, Clock.Now);
+  recordReceived(Vm.Context, *Endpoint, Clock.Now);
   attempt_observations Observed(Vm.Fleet, Vm.Log, Request);
   Observed.onSent(Endpoint, model_id(), std::nullopt, 0, 0, Clock.Now);
   Observed.onHead(/*IsSuccess=*/true, Clock.Now);
@@ -375,7 +375,10 @@
 }
 
 void simulation::probe(vm_slot &Slot) {
-  if (!isRunning(Slot) || !Slot.Vm->Fleet.Paths.isLost(Service))
+  if (!isRunning(Slot))
+    return;
+  reviewPaths(Slot.Vm->Context, Clock.Now);
+  if (!Slot.Vm->Fleet.Paths.isLost(Service))
     return;
   const simulated_endpoint &Endpoint = Endpoints[indexBelow(Endpoints.size())];
   recordProbe(Slot.Vm->Context, Service, Endpoint.Descriptor.Id, Endpoint.IsUp,
