LibRelay: Count silence as a crash only a second later

Found as the loss of a path began to need evidence from after the failure: an engine that does not answer its inspection was counted as crashed at once, before the VM could know that its path is lost (lost_path_test, engines that hang, red with the change before). Silence waits for a second now, and counts unless the path is lost, the endpoint goes on, or the request or segment succeeds elsewhere meanwhile. A connection that ends counts at once, as before.

--- a/Libraries/LibRelay/attempt_observations.cpp
+++ b/Libraries/LibRelay/attempt_observations.cpp
@@ -115,6 +115,8 @@
     Recorder.record(/*HasFailed=*/true, Now);
   if (const char *Reason = reasonNotToCount(Failure, IsPathLost))
     return Crashes.recordUncounted(Reason);
+  if (Failure == attempt_failure::Unresponsive)
+    return Crashes.recordUnresponsive(Now);
   Crashes.recordCrash(Now);
 }
 
--- a/Libraries/LibRelay/crash_recorder.h
+++ b/Libraries/LibRelay/crash_recorder.h
@@ -22,8 +22,11 @@
   void onHead() { HasHead = true; }
   void onEvents(std::uint64_t EventCount, steady_time Now);
   void onComplete(steady_time Now);
-  /// Records that the attempt ended without a valid response.
+  /// Records that the connection ended without a valid response.
   void recordCrash(steady_time Now);
+  /// Records that nothing comes from the endpoint any more. It is a crash if
+  /// that is not the path's fault; see confirmCrashes().
+  void recordUnresponsive(steady_time Now);
   /// Logs why an attempt without a valid response is no crash of the endpoint.
   void recordUncounted(const char *Reason) const;
 
@@ -33,6 +36,10 @@
   std::uint64_t attemptEvents() const { return Events; }
 
 private:
+  observed_crash observedAt(steady_time Now) const;
+  /// A response to a prompt with these segments makes progress.
+  void clearSegments(steady_time Now);
+
   fleet_state &Fleet;
   const event_log &Log;
   const admitted_request &Admitted;
@@ -42,4 +49,8 @@
   bool HasHead = false;
 };
 
+/// Counts the crashes that silence told of a moment ago, unless the path is
+/// lost or the endpoint has gone on; to be called several times a second.
+void confirmCrashes(fleet_state &Fleet, const event_log &Log, steady_time Now);
+
 } // namespace azurehaven
--- a/Libraries/LibRelay/fleet_state.h
+++ b/Libraries/LibRelay/fleet_state.h
@@ -8,6 +8,7 @@
 #include "LibDispatch/fleet_retry_budget.h"
 #include "LibDispatch/latency_baseline.h"
 #include "LibDispatch/model_cascade.h"
+#include "LibDispatch/observed_crash.h"
 #include "LibDispatch/prefill_time_estimator.h"
 #include "LibDispatch/prompt_quarantine.h"
 #include "LibDispatch/release_statistics.h"
@@ -17,6 +18,7 @@
 #include "LibDispatch/session_pins.h"
 #include "LibFleet/fleet_members.h"
 
+#include <deque>
 #include <memory>
 
 namespace azurehaven {
@@ -37,6 +39,9 @@
   confirmation_exchange PassedConfirmations{};
   crash_quarantine Quarantine{};
   prompt_quarantine PromptQuarantine{};
+  /// Crashes that only silence tells of, until it is known whether the path is
+  /// lost; oldest first.
+  std::deque<observed_crash> UnconfirmedCrashes{};
   brittle_services BrittleServices{};
   service_paths Paths{};
   model_cascade Models{};
--- a/Libraries/LibRelay/relay_node.cpp
+++ b/Libraries/LibRelay/relay_node.cpp
@@ -1,5 +1,6 @@
 #include "LibRelay/relay_node.h"
 
+#include "LibRelay/crash_recorder.h"
 #include "LibRelay/endpoint_shares.h"
 
 #include <algorithm>
@@ -172,6 +173,7 @@
   StateUpdater.advance();
   updateShares(Fleet, Clock.now());
   PathProber.advance(Clock.now());
+  confirmCrashes(Fleet, Log, Clock.now());
   Connections.closeExpired(Clock.now());
   observeRunningRequests();
   Rollouts->advance();
--- a/Tests/LibRelay/lost_path_test.cpp
+++ b/Tests/LibRelay/lost_path_test.cpp
@@ -355,28 +355,75 @@
     CHECK_FALSE(Fleet.vm(Index).Fleet.Quarantine.isQuarantined(Fingerprint));
 }
 
+namespace {
+
+/// Attempts of one request at the endpoints of a VM.
+struct failing_request {
+  explicit failing_request(relay_fixture &Vm) : Vm(Vm) {
+    Admitted.Route = &Route;
+    Admitted.Service = service_id("s");
+    Admitted.Fingerprint = 77;
+  }
+  void failAtEach(attempt_failure Failure) {
+    for (const auto &[Id, Endpoint] : Vm.Fleet.Endpoints.all()) {
+      Observed.onSent(Endpoint, model_id(), std::nullopt, 0, 0, Vm.Clock.now());
+      Observed.onFailed(Failure, Vm.Clock.now());
+    }
+  }
+  /// Lets the time pass after which silence is a crash.
+  void waitForConfirmation() {
+    Vm.Clock.skip(milliseconds(1100));
+    confirmCrashes(Vm.Fleet, Vm.Log, Vm.Clock.now());
+  }
+  bool isQuarantined() const { return Vm.Fleet.Quarantine.isQuarantined(77); }
+
+  relay_fixture &Vm;
+  route Route;
+  admitted_request Admitted;
+  attempt_observations Observed{Vm.Fleet, Vm.Log, Admitted};
+};
+
+} // namespace
+
 TEST_CASE(
     "Over a lost path, connections that end are crashes, silence is not") {
   cut_fleet Fleet;
-  relay_fixture &Cut = Fleet.cutVm();
-  REQUIRE(Cut.Fleet.Paths.isLost(service_id("s")));
-  route Route;
-  admitted_request Admitted;
-  Admitted.Route = &Route;
-  Admitted.Service = service_id("s");
-  Admitted.Fingerprint = 77;
-  attempt_observations Observed(Cut.Fleet, Cut.Log, Admitted);
-  const auto FailAt = [&](const char *Endpoint, attempt_failure Failure) {
-    Observed.onSent(Cut.Fleet.Endpoints.find(endpoint_id(Endpoint)), model_id(),
-                    std::nullopt, 0, 0, Cut.Clock.now());
-    Observed.onFailed(Failure, Cut.Clock.now());
-  };
-  for (const char *Endpoint : {"e0", "e1", "e2"})
-    FailAt(Endpoint, attempt_failure::Unresponsive);
-  CHECK_FALSE(Cut.Fleet.Quarantine.isQuarantined(77));
-  for (const char *Endpoint : {"e0", "e1", "e2"})
-    FailAt(Endpoint, attempt_failure::NoValidResponse);
-  CHECK(Cut.Fleet.Quarantine.isQuarantined(77));
+  REQUIRE(Fleet.cutVm().Fleet.Paths.isLost(service_id("s")));
+  failing_request Request(Fleet.cutVm());
+  Request.failAtEach(attempt_failure::Unresponsive);
+  Request.waitForConfirmation();
+  CHECK_FALSE(Request.isQuarantined());
+  Request.failAtEach(attempt_failure::NoValidResponse);
+  CHECK(Request.isQuarantined());
+}
+
+TEST_CASE(
+    "Silence is a crash if the path is not found lost and the endpoint does "
+    "not go on") {
+  path_fleet Fleet;
+  failing_request Request(Fleet.vm(0));
+  Request.failAtEach(attempt_failure::Unresponsive);
+  CHECK_FALSE(Request.isQuarantined());
+  Request.waitForConfirmation();
+  CHECK(Request.isQuarantined());
+}
+
+TEST_CASE(
+    "Silence is no crash if the endpoint goes on, or the request succeeds "
+    "elsewhere") {
+  path_fleet Fleet;
+  relay_fixture &Vm = Fleet.vm(0);
+  failing_request Request(Vm);
+  Request.failAtEach(attempt_failure::Unresponsive);
+  Vm.Clock.skip(milliseconds(10));
+  for (const auto &[Id, Endpoint] : Vm.Fleet.Endpoints.all())
+    Endpoint->LastReceivedAt = Vm.Clock.now();
+  Request.waitForConfirmation();
+  CHECK_FALSE(Request.isQuarantined());
+  Request.failAtEach(attempt_failure::Unresponsive);
+  Request.Observed.onComplete(Vm.Clock.now());
+  Request.waitForConfirmation();
+  CHECK_FALSE(Request.isQuarantined());
 }
 
 TEST_CASE(
