LibFleet: Restore a member's entry that is lost to a late write

The VM checks whether the store lists it; an entry that stays away for a second although its lease is renewed is written again under that lease, once a second at most, and not while the VM leaves.

member_registration_test: on the list again within a lease (2.5 s).

--- a/Libraries/LibFleet/member_registration.cpp
+++ b/Libraries/LibFleet/member_registration.cpp
@@ -9,6 +9,9 @@
 constexpr milliseconds LeaseTimeToLive{2500};
 constexpr milliseconds RenewalInterval{800};
 constexpr milliseconds RetryDelay{400};
+/// An entry that was published is listed by then, unless something else removed
+/// it.
+constexpr milliseconds ListingTime{1000};
 
 } // namespace
 
@@ -30,22 +33,53 @@
   });
 }
 
+store_transaction member_registration::publication(store_lease Under) const {
+  store_transaction Transaction;
+  Transaction.Puts.push_back({memberKey(Self.Vm), encodeMember(Self), Under});
+  return Transaction;
+}
+
 void member_registration::publishEntry(store_lease Granted) {
   if (Leaving) {
     Lease = Granted;
     return leave();
   }
-  store_transaction Transaction;
-  Transaction.Puts.push_back({memberKey(Self.Vm), encodeMember(Self), Granted});
-  Store.commit(Transaction, [this, Granted](result<store_revision> Result) {
+  Store.commit(publication(Granted),
+               [this, Granted](result<store_revision> Result) {
+                 if (isError(Result))
+                   return scheduleRetry(errorOf(Result));
+                 Lease = Granted;
+                 Log.write(log_level::Info, "member_registered",
+                           {{"lease", std::to_string(Granted.Id)}});
+                 if (Leaving)
+                   return leave();
+                 scheduleRenewal();
+               });
+}
+
+void member_registration::checkListed(bool IsListed) {
+  if (IsListed || Leaving || Lease.isNone()) {
+    MissingSince.reset();
+    return;
+  }
+  const steady_time Now = Scheduler.now();
+  if (!MissingSince)
+    MissingSince = Now;
+  if (Now - *MissingSince < ListingTime)
+    return;
+  MissingSince = Now;
+  restoreEntry();
+}
+
+void member_registration::restoreEntry() {
+  // A write under an earlier lease, carried out late, takes the entry with it
+  // as that lease ends.
+  Log.write(log_level::Warning, "member_entry_missing",
+            {{"lease", std::to_string(Lease.Id)}});
+  Store.commit(publication(Lease), [this](result<store_revision> Result) {
     if (isError(Result))
-      return scheduleRetry(errorOf(Result));
-    Lease = Granted;
-    Log.write(log_level::Info, "member_registered",
-              {{"lease", std::to_string(Granted.Id)}});
-    if (Leaving)
-      return leave();
-    scheduleRenewal();
+      Log.write(log_level::Warning, "member_entry_not_restored",
+                {{"reason", errorOf(Result).Message}});
   });
 }
 
--- a/Libraries/LibFleet/member_registration.h
+++ b/Libraries/LibFleet/member_registration.h
@@ -6,6 +6,7 @@
 #include "LibStore/async_store.h"
 
 #include <functional>
+#include <optional>
 
 namespace azurehaven {
 
@@ -19,10 +20,16 @@
   void start();
   /// Ends the lease, which removes the entry at once.
   void leave();
+  /// Tells whether the store lists the entry, as far as this VM knows; to be
+  /// called several times a second. Publishes the entry again if it stays away
+  /// although its lease is renewed.
+  void checkListed(bool IsListed);
 
 private:
   void acquireLease();
+  store_transaction publication(store_lease Under) const;
   void publishEntry(store_lease Granted);
+  void restoreEntry();
   void scheduleRenewal();
   void renewLease();
   void scheduleRetry(const error &Error);
@@ -33,6 +40,8 @@
   const member_entry Self;
   store_lease Lease = NoLease;
   bool Leaving = false;
+  /// Since when the entry has not been listed under the lease.
+  std::optional<steady_time> MissingSince;
 };
 
 } // namespace azurehaven
--- a/Libraries/LibRelay/relay_node.cpp
+++ b/Libraries/LibRelay/relay_node.cpp
@@ -170,6 +170,7 @@
 
 void relay_node::runPeriodicTasks() {
   updateConfirmationSource();
+  Registration->checkListed(Fleet.Members.find(Fleet.Self).has_value());
   StateUpdater.advance();
   updateShares(Fleet, Clock.now());
   PathProber.advance(Clock.now());
--- a/Tests/LibFleet/member_registration_test.cpp
+++ b/Tests/LibFleet/member_registration_test.cpp
@@ -106,3 +106,44 @@
   CHECK(Fixture.Store.EndedLease == Fixture.Store.LiveLease);
   CHECK(Fixture.Store.Items.empty());
 }
+
+TEST_CASE("A VM whose entry goes with an earlier lease is on the list again "
+          "within a lease") {
+  registration_fixture Fixture;
+  Fixture.Registration.start();
+  const std::string Key = memberKey(vm_id("vm-1"));
+  const store_lease Lease = Fixture.Store.LiveLease;
+  // A write under the first lease was carried out late; that lease has ended.
+  Fixture.Store.Items.erase(Key);
+  for (milliseconds Passed{0}; Passed < milliseconds(2500);
+       Passed += milliseconds(100)) {
+    Fixture.Registration.checkListed(Fixture.Store.Items.contains(Key));
+    Fixture.Scheduler.advance(milliseconds(100));
+  }
+  REQUIRE(Fixture.Store.Items.contains(Key));
+  CHECK(Fixture.Store.Items.at(Key).Lease == Lease);
+}
+
+TEST_CASE("A VM that is leaving does not restore its entry") {
+  registration_fixture Fixture;
+  Fixture.Registration.start();
+  Fixture.Registration.leave();
+  Fixture.Store.Items.clear();
+  for (int Check = 0; Check < 30; ++Check) {
+    Fixture.Registration.checkListed(false);
+    Fixture.Scheduler.advance(milliseconds(100));
+  }
+  CHECK(Fixture.Store.Items.empty());
+}
+
+TEST_CASE("Restoring a missing entry takes few writes while the store does not "
+          "list it") {
+  registration_fixture Fixture;
+  Fixture.Registration.start();
+  const std::size_t Before = Fixture.Store.Commits.size();
+  for (int Check = 0; Check < 100; ++Check) {
+    Fixture.Registration.checkListed(false);
+    Fixture.Scheduler.advance(milliseconds(100));
+  }
+  CHECK(Fixture.Store.Commits.size() - Before <= 10);
+}
