--- a/Tests/LibRelay/crash_knowledge_test.cpp
+++ b/Tests/LibRelay/crash_knowledge_test.cpp
@@ -81,3 +81,29 @@
   Day.HasSoundLoad = true;
   checkFewLateSends(Day);
 }
+
+TEST_CASE("VMs know the same crashes soon after the last one, also those that "
+          "have just started") {
+  struct fleet_size {
+    std::size_t VmCount;
+    milliseconds Bound;
+  };
+  for (const fleet_size Size :
+       {fleet_size{5, milliseconds(1000)}, fleet_size{30, milliseconds(2000)}})
+    for (const milliseconds RestartInterval :
+         {milliseconds(0), milliseconds(6000)}) {
+      crash_day Day;
+      Day.VmCount = Size.VmCount;
+      Day.NoticeLoss = 0.1;
+      Day.NoticeDuplication = 0.1;
+      Day.NoticeDelay = milliseconds(50);
+      Day.RestartInterval = RestartInterval;
+      Day.ArrivalInterval = milliseconds(15000);
+      for (unsigned Seed = 0; Seed < SeedCount; ++Seed) {
+        CAPTURE(Day.VmCount);
+        CAPTURE(RestartInterval.count());
+        CAPTURE(Seed);
+        CHECK(simulateCrashes(Day, Seed).LongestDisagreement <= Size.Bound);
+      }
+    }
+}
--- a/Tests/LibRelay/crash_simulation.cpp
+++ b/Tests/LibRelay/crash_simulation.cpp
@@ -10,6 +10,7 @@
 
 #include <map>
 #include <random>
+#include <set>
 
 namespace azurehaven {
 
@@ -22,6 +23,7 @@
 constexpr segment_key CommonSegment = 1;
 constexpr milliseconds NoticeInterval{200};
 constexpr milliseconds ProbeInterval{250};
+constexpr milliseconds AgreementInterval{50};
 /// Time between two sound requests of one VM.
 constexpr milliseconds SoundInterval{50};
 /// Time from the begin of a crashing request to the crash.
@@ -156,6 +158,7 @@
              std::size_t Endpoint);
   void sendSound(vm_slot &Slot);
   void probe(vm_slot &Slot);
+  void checkAgreement();
   std::optional<std::size_t> chooseUpEndpoint();
 
   const crash_day Day;
@@ -168,6 +171,8 @@
   route Route;
   steady_time PeersCutUntil;
   std::optional<steady_time> BoundFrom;
+  /// When a VM last observed a crash or was disturbed.
+  steady_time LastChangeAt;
   std::int64_t ProcessStarts = 0;
   segment_key OwnSegments = 1000;
   crash_result Result;
@@ -347,6 +352,7 @@
     return;
   Request->Observed.onHead(/*IsSuccess=*/true, Clock.Now);
   Request->Observed.onFailed(attempt_failure::NoValidResponse, Clock.Now);
+  LastChangeAt = Clock.Now;
   if (!Request->Observed.isQuarantined())
     sendCrashing(Request);
 }
@@ -385,7 +391,28 @@
               Clock.Now);
 }
 
+void simulation::checkAgreement() {
+  std::set<std::uint64_t> RequestDigests;
+  std::set<std::uint64_t> SegmentDigests;
+  for (const vm_slot &Slot : Slots) {
+    LastChangeAt = std::max(LastChangeAt, Slot.LastDisturbed);
+    if (!isRunning(Slot))
+      LastChangeAt = Clock.Now;
+    if (!Slot.Vm)
+      continue;
+    RequestDigests.insert(Slot.Vm->Fleet.Quarantine.records().digest());
+    SegmentDigests.insert(Slot.Vm->Fleet.PromptQuarantine.records().digest());
+  }
+  if (RequestDigests.size() <= 1 && SegmentDigests.size() <= 1)
+    return;
+  const auto Disagreement =
+      std::chrono::duration_cast<milliseconds>(Clock.Now - LastChangeAt);
+  Result.LongestDisagreement =
+      std::max(Result.LongestDisagreement, Disagreement);
+}
+
 crash_result simulation::run() {
+  every(AgreementInterval, [this] { checkAgreement(); });
   scheduleDisturbances();
   for (vm_slot &Slot : Slots) {
     every(NoticeInterval, [this, &Slot] {
--- a/Tests/LibRelay/crash_simulation.h
+++ b/Tests/LibRelay/crash_simulation.h
@@ -49,6 +49,9 @@
   /// Sends of the crashing request later than the contact time after the third
   /// crash (the fifth for a segment), by VMs that were not disturbed.
   int LateSends = 0;
+  /// The longest time that undisturbed VMs knew different crashes although none
+  /// had been observed meanwhile.
+  milliseconds LongestDisagreement{0};
   /// Sound requests that were refused as crashing.
   int RefusedSound = 0;
 };
--- a/Tests/LibRelay/relayed_request_test.cpp
+++ b/Tests/LibRelay/relayed_request_test.cpp
@@ -368,3 +368,53 @@
   CHECK(statusOf(Fixture.sendRequest("/p/x")) == 200);
   CHECK(Fixture.Received.size() == 2);
 }
+
+namespace {
+
+const std::string ErrorText = "the endpoint failed";
+
+/// Error responses of the endpoint that a broken stream goes on at.
+std::vector<std::string> errorResponses() {
+  const std::string Id = "Id: r1\r\nSigned: x\r\n";
+  const std::string Event = "id: 3\ndata: " + ErrorText + "\n\n";
+  std::vector<std::string> Responses;
+  for (const int Status : {400, 404, 429, 500, 502, 503, 504})
+    for (const std::string &Fields : {Id, std::string()})
+      Responses.push_back(wholeResponse(Status, Fields, ErrorText));
+  Responses.push_back("HTTP/1.1 500 E\r\n" + Id + "\r\n" + ErrorText);
+  Responses.push_back("HTTP/1.1 500 E\r\n" + Id +
+                      "Transfer-Encoding: chunked\r\n\r\n" + chunk(ErrorText) +
+                      chunk(Event) + "0\r\n\r\n");
+  Responses.push_back(wholeResponse(500, Id, Event));
+  // A success that is not signed, or not for this request.
+  Responses.push_back(wholeResponse(200, "Id: r1\r\n", Event));
+  Responses.push_back(wholeResponse(200, "Signed: x\r\n", Event));
+  Responses.push_back(ErrorText + "\r\n\r\n" + Event);
+  return Responses;
+}
+
+} // namespace
+
+TEST_CASE("No error response becomes part of a stream that has begun, or its "
+          "end") {
+  for (const std::string &Error : errorResponses())
+    for (const after_response After :
+         {after_response::Keep, after_response::Close}) {
+      CAPTURE(Error);
+      relay_fixture Fixture(4);
+      Fixture.addRoute("/s/", route_kind::Stream);
+      Fixture.applyRoutes();
+      Fixture.setScript([&](std::size_t Number, const received_request &) {
+        if (Number == 0)
+          return scripted_response{StreamHead + chunk(event(1) + event(2)),
+                                   after_response::Reset};
+        if (Number == 1)
+          return scripted_response{Error, After};
+        return scripted_response{StreamHead + chunk(event(3)) + "0\r\n\r\n"};
+      });
+      const auto Result = Fixture.sendRequest("/s/");
+      // Either it went on at another endpoint, or it ended visibly incomplete.
+      if (statusOf(Result) != 0)
+        CHECK(bodyOf(Result) == event(1) + event(2) + event(3));
+    }
+}
