LibRelay: Share the simulated network of two tests, name countCrash

Read back as a newcomer: simulated_network stood twice in the tests, and count() did not say what it counts. A crash that blames no segment no longer rebuilds the groups of suspects.

--- a/Libraries/LibDispatch/prompt_quarantine.cpp
+++ b/Libraries/LibDispatch/prompt_quarantine.cpp
@@ -35,6 +35,8 @@
 
 void prompt_quarantine::addLocal(const std::vector<segment_key> &Segments,
                                  const endpoint_id &Endpoint, steady_time Now) {
+  if (Segments.empty())
+    return;
   for (const segment_key Segment : Segments)
     if (isAdmitted(Segment))
       Records.add({Segment, Endpoint, Now}, Now);
--- a/Libraries/LibRelay/crash_recorder.cpp
+++ b/Libraries/LibRelay/crash_recorder.cpp
@@ -30,8 +30,8 @@
              {"reason", Reason}});
 }
 
-void count(fleet_state &Fleet, const event_log &Log,
-           const observed_crash &Crash, steady_time Now) {
+void countCrash(fleet_state &Fleet, const event_log &Log,
+                const observed_crash &Crash, steady_time Now) {
   const bool WasQuarantined = Fleet.Quarantine.isQuarantined(Crash.Fingerprint);
   Fleet.Quarantine.addLocal(Crash.Fingerprint, Crash.ProcessStart, Now);
   Fleet.PromptQuarantine.addLocal(Crash.BlamedSegments, Crash.ProcessStart,
@@ -104,7 +104,7 @@
 }
 
 void crash_recorder::recordCrash(steady_time Now) {
-  count(Fleet, Log, observedAt(Now), Now);
+  countCrash(Fleet, Log, observedAt(Now), Now);
 }
 
 void crash_recorder::recordUnresponsive(steady_time Now) {
@@ -124,7 +124,7 @@
     else if (Endpoint && Endpoint->LastReceivedAt > Crash.At)
       logUncounted(Log, Crash.Request, Crash.ProcessStart, "silent");
     else
-      count(Fleet, Log, Crash, Now);
+      countCrash(Fleet, Log, Crash, Now);
   }
 }
 
--- a/Tests/LibRelay/crash_simulation.cpp
+++ b/Tests/LibRelay/crash_simulation.cpp
@@ -4,6 +4,7 @@
 #include "LibRelay/path_watch.h"
 #include "LibRelay/peer_state_sync.h"
 #include "plain_codec.h"
+#include "simulated_network.h"
 #include "test_fleet.h"
 
 #include <asio/io_context.hpp>
@@ -41,21 +42,7 @@
 
 class simulation;
 
-class simulated_network : public peer_network {
-public:
-  simulated_network(simulation &Simulation, vm_id Self,
-                    std::uint64_t Incarnation)
-      : Simulation(Simulation), Self(std::move(Self)),
-        Incarnation(Incarnation) {}
-  void setPeers(const std::map<vm_id, network_address> &) override {}
-  void send(const vm_id &To, peer_message Message) override;
-  peer_traffic traffic() const override { return {}; }
-
-private:
-  simulation &Simulation;
-  const vm_id Self;
-  const std::uint64_t Incarnation;
-};
+void deliver(simulation &Simulation, peer_frame Frame, const vm_id &To);
 
 struct simulated_vm {
   simulated_vm(simulation &Simulation, asio::io_context &Loop,
@@ -65,7 +52,10 @@
         Connections(Loop.get_executor(), {}),
         Context{Loop.get_executor(), Clock, Codec, Log, Metrics, Fleet,
                 Connections},
-        Network(Simulation, Fleet.Self, Incarnation),
+        Network(Fleet.Self, Incarnation,
+                [&Simulation](peer_frame Frame, const vm_id &To) {
+                  deliver(Simulation, std::move(Frame), To);
+                }),
         Sync(Fleet, Clock, Log, Network, Incarnation) {}
 
   fleet_state Fleet;
@@ -178,10 +168,6 @@
   crash_result Result;
 };
 
-void simulated_network::send(const vm_id &To, peer_message Message) {
-  Simulation.deliver({Self, Incarnation, std::move(Message)}, To);
-}
-
 simulation::simulation(const crash_day &Day, unsigned Seed)
     : Day(Day), Random(Seed), Slots(Day.VmCount) {
   Clock.Now = Start;
@@ -226,6 +212,10 @@
   });
 }
 
+void deliver(simulation &Simulation, peer_frame Frame, const vm_id &To) {
+  Simulation.deliver(std::move(Frame), To);
+}
+
 void simulation::deliver(peer_frame Frame, const vm_id &To) {
   const std::size_t Sender = indexOf(Frame.Sender);
   const std::size_t Receiver = indexOf(To);
--- a/Tests/LibRelay/rollout_simulation.cpp
+++ b/Tests/LibRelay/rollout_simulation.cpp
@@ -5,6 +5,7 @@
 #include "LibRelay/peer_state_sync.h"
 #include "LibRelay/request_placement.h"
 #include "LibRelay/rollout_driver.h"
+#include "simulated_network.h"
 #include "test_fleet.h"
 
 #include <map>
@@ -34,22 +35,7 @@
 
 class simulation;
 
-/// Sends a VM's notices through the simulation.
-class simulated_network : public peer_network {
-public:
-  simulated_network(simulation &Simulation, vm_id Self,
-                    std::uint64_t Incarnation)
-      : Simulation(Simulation), Self(std::move(Self)),
-        Incarnation(Incarnation) {}
-  void setPeers(const std::map<vm_id, network_address> &) override {}
-  void send(const vm_id &To, peer_message Message) override;
-  peer_traffic traffic() const override { return {}; }
-
-private:
-  simulation &Simulation;
-  const vm_id Self;
-  const std::uint64_t Incarnation;
-};
+void deliver(simulation &Simulation, peer_frame Frame, const vm_id &To);
 
 class simulated_publisher : public rollout_publisher {
 public:
@@ -68,8 +54,11 @@
                const event_log &Log, const std::string &Name,
                std::uint64_t Incarnation)
       : Fleet(testFleet(Name, std::nullopt)),
-        Network(Simulation, Fleet.Self, Incarnation), Publisher(Simulation),
-        Updater(Fleet, Clock, Log, Metrics),
+        Network(Fleet.Self, Incarnation,
+                [&Simulation](peer_frame Frame, const vm_id &To) {
+                  deliver(Simulation, std::move(Frame), To);
+                }),
+        Publisher(Simulation), Updater(Fleet, Clock, Log, Metrics),
         Sync(Fleet, Clock, Log, Network, Incarnation),
         Driver(Fleet, Clock, Log, Publisher, Sync) {}
 
@@ -172,10 +161,6 @@
   simulation_result Result;
 };
 
-void simulated_network::send(const vm_id &To, peer_message Message) {
-  Simulation.deliver({Self, Incarnation, std::move(Message)}, To);
-}
-
 void simulated_publisher::publish(const rollout_order &Order,
                                   rollout_outcome Outcome,
                                   store_revision Revision,
@@ -253,6 +238,10 @@
   after(NoticeInterval, [this, &Vm] { notify(Vm); });
 }
 
+void deliver(simulation &Simulation, peer_frame Frame, const vm_id &To) {
+  Simulation.deliver(Frame, To);
+}
+
 void simulation::deliver(const peer_frame &Frame, const vm_id &To) {
   if (uniform() < Day.NoticeLoss)
     return;
