LibDispatch: Let refuted crash records give way to new ones

A refuted record is dropped for a new one now.

prompt_quarantine_test: five thousand cleared segments, then one that crashes endpoints; its check of the bound on memory is unchanged.

--- a/Libraries/LibDispatch/crash_records.cpp
+++ b/Libraries/LibDispatch/crash_records.cpp
@@ -23,6 +23,7 @@
                                   crash_refutation Refutation) {
   // The digest is a sum, so that the order of the changes has no effect.
   Digest -= digestOf(Entry);
+  RefutedCount += Entry.second.Refutation == crash_refutation::None;
   Entry.second.Refutation = Refutation;
   Digest += digestOf(Entry);
 }
@@ -30,6 +31,7 @@
 crash_records::entry_map::iterator
 crash_records::erase(entry_map::iterator Position) {
   Digest -= digestOf(*Position);
+  RefutedCount -= Position->second.Refutation != crash_refutation::None;
   News.erase(Position->first);
   return Entries.erase(Position);
 }
@@ -62,6 +64,7 @@
     const auto Added =
         Entries.emplace(Key, entry{Record.At, Record.Refutation}).first;
     Digest += digestOf(*Added);
+    RefutedCount += Record.Refutation != crash_refutation::None;
     return true;
   }
   Found->second.At = std::min(Found->second.At, Record.At);
--- a/Libraries/LibDispatch/crash_records.h
+++ b/Libraries/LibDispatch/crash_records.h
@@ -67,6 +67,10 @@
   std::vector<crash_record> takeNews();
   std::vector<crash_record> all() const;
   std::size_t size() const { return Entries.size(); }
+  /// Whether one more record costs no crash that counts.
+  bool hasRoom() const {
+    return Entries.size() < MaximumRecords || RefutedCount > 0;
+  }
   /// Equal on two VMs if they hold the same records.
   std::uint64_t digest() const { return Digest; }
   void expire(steady_time Now);
@@ -87,6 +91,7 @@
   void evictOne();
 
   entry_map Entries;
+  std::size_t RefutedCount = 0;
   std::uint64_t Digest = 0;
   std::set<record_key> News;
 };
--- a/Libraries/LibDispatch/prompt_quarantine.cpp
+++ b/Libraries/LibDispatch/prompt_quarantine.cpp
@@ -29,8 +29,7 @@
 }
 
 bool prompt_quarantine::isAdmitted(segment_key Segment) const {
-  return Records.size() < crash_records::MaximumRecords ||
-         Records.endpointCount(Segment) > 0;
+  return Records.hasRoom() || Records.endpointCount(Segment) > 0;
 }
 
 void prompt_quarantine::addLocal(const std::vector<segment_key> &Segments,
--- a/Tests/LibDispatch/prompt_quarantine_test.cpp
+++ b/Tests/LibDispatch/prompt_quarantine_test.cpp
@@ -136,3 +136,14 @@
   crash(Here, {Bad}, 4, 4);
   CHECK(Here.isQuarantined({Bad}));
 }
+
+TEST_CASE(
+    "Segments that were cleared leave room for those that crash endpoints") {
+  prompt_quarantine Quarantine;
+  for (segment_key Segment = 0; Segment < 5000; ++Segment) {
+    Quarantine.addLocal({10000 + Segment}, endpoint(1), Start);
+    Quarantine.clearLocal({10000 + Segment}, Start);
+  }
+  crash(Quarantine, {Bad}, 1, 3);
+  CHECK(Quarantine.isQuarantined({Bad}));
+}
