LibRelay: Check silence over a lost path also when it would count

Found on the last read: since silence counts a second later only, the check that engines that hang are not taken for crashed no longer waited long enough to see one counted. It checks now that the silence was recorded, and that a second later none of it has become a crash.

With the refutation of crashes taken out, the case of connections that break with the path fails (tried, taken back).

--- a/Tests/LibRelay/lost_path_test.cpp
+++ b/Tests/LibRelay/lost_path_test.cpp
@@ -321,6 +321,11 @@
                                   {Cut.Clock.now(), std::nullopt});
     return Cut.Fleet.Paths.isLost(service_id("s"));
   });
+  CHECK_FALSE(Cut.Fleet.UnconfirmedCrashes.empty());
+  // Nor when silence would count as a crash.
+  Cut.Clock.skip(milliseconds(1100));
+  confirmCrashes(Cut.Fleet, Cut.Log, Cut.Clock.now());
+  CHECK(Cut.Fleet.UnconfirmedCrashes.empty());
   CHECK(Cut.Fleet.Quarantine.takeNews().empty());
   for (auto &Connection : Connections)
     Connection->abort();
