--- /dev/null
+++ b/Tests/LibRelay/fleet_retry_test.cpp
@@ -0,0 +1,80 @@
+#include "retry_simulation.h"
+
+#include <doctest/doctest.h>
+
+using namespace azurehaven;
+
+namespace {
+
+constexpr unsigned SeedCount = 12;
+
+void checkBudget(retry_day Day) {
+  for (const double RequestsPerSecond : {2.0, 12.0, 50.0}) {
+    Day.RequestsPerSecond = RequestsPerSecond;
+    for (unsigned Seed = 0; Seed < SeedCount; ++Seed) {
+      const retry_result Result = simulateRetries(Day, Seed);
+      CAPTURE(RequestsPerSecond);
+      CAPTURE(Seed);
+      CAPTURE(Result.WorstRetries);
+      CAPTURE(Result.WorstLimit);
+      CHECK(Result.BrokenWindows == 0);
+    }
+  }
+}
+
+} // namespace
+
+TEST_CASE("The fleet keeps its retry budget while all endpoints fail") {
+  checkBudget({});
+}
+
+TEST_CASE("The fleet keeps its retry budget while its VMs are killed and "
+          "started in series") {
+  for (const milliseconds Interval : {milliseconds(550), milliseconds(2000)}) {
+    retry_day Day;
+    Day.KillInterval = Interval;
+    checkBudget(Day);
+  }
+}
+
+TEST_CASE("The fleet keeps its retry budget as all VMs restart some seconds "
+          "after the first failure") {
+  retry_day Day;
+  Day.VmCount = 12;
+  Day.FailsFrom = milliseconds(20000);
+  Day.KillInterval = milliseconds(400);
+  Day.LongestAttempt = milliseconds(40);
+  checkBudget(Day);
+}
+
+TEST_CASE("The fleet keeps its retry budget while VMs leave and go on with "
+          "their requests") {
+  retry_day Day;
+  Day.StopInterval = milliseconds(1500);
+  checkBudget(Day);
+  Day.StopGrace = milliseconds(800);
+  checkBudget(Day);
+}
+
+TEST_CASE("The fleet keeps its retry budget while VMs stand still") {
+  retry_day Day;
+  Day.FreezeTime = milliseconds(4000);
+  checkBudget(Day);
+}
+
+TEST_CASE("The fleet keeps its retry budget while VMs that are cut off from "
+          "the store are no longer listed") {
+  retry_day Day;
+  Day.StoreCutTime = milliseconds(15000);
+  checkBudget(Day);
+}
+
+TEST_CASE("The fleet keeps its retry budget while its VMs know no other "
+          "member") {
+  retry_day Day;
+  Day.UnlistedTime = Day.Length;
+  checkBudget(Day);
+  Day.UnlistedTime = milliseconds(2000);
+  Day.KillInterval = milliseconds(1000);
+  checkBudget(Day);
+}
