LibRelay: Log each send's reason and what a retry was decided by

Cause: the logs told neither why a request was sent once more nor which window and members a retry was granted by, so that the hypotheses of the postmortem could not be told apart. Change: request_sent and request_forwarded have a reason; attempt_failed has the decision on the retry, the window's requests and retries, and the members known; answer_judged says when only the budget kept an answer. Measured: tests of LibRelay and LibDispatch pass.

--- a/Libraries/LibDispatch/attempt_policy.cpp
+++ b/Libraries/LibDispatch/attempt_policy.cpp
@@ -26,6 +26,24 @@
   return std::max({MinimumIdleTimeout, Objective, Usual});
 }
 
+const char *nameOf(attempt_failure Failure) {
+  switch (Failure) {
+  case attempt_failure::NotSent:
+    return "not_sent";
+  case attempt_failure::NotExecuted:
+    return "not_executed";
+  case attempt_failure::ErrorResponse:
+    return "error_response";
+  case attempt_failure::NoValidResponse:
+    return "no_valid_response";
+  case attempt_failure::Silent:
+    return "silent";
+  case attempt_failure::Unresponsive:
+    return "unresponsive";
+  }
+  return "unknown";
+}
+
 bool isRetryAllowed(const route &Route, attempt_failure Failure) {
   return !mayHaveRun(Failure) || Route.allowsReexecution();
 }
--- a/Libraries/LibDispatch/attempt_policy.h
+++ b/Libraries/LibDispatch/attempt_policy.h
@@ -30,6 +30,9 @@
          Failure == attempt_failure::Unresponsive;
 }
 
+/// A stable identifier for logs.
+const char *nameOf(attempt_failure Failure);
+
 /// Whether the request may be retried at another endpoint after this failure.
 bool isRetryAllowed(const route &Route, attempt_failure Failure);
 
--- a/Libraries/LibDispatch/fleet_retry_budget.cpp
+++ b/Libraries/LibDispatch/fleet_retry_budget.cpp
@@ -39,4 +39,11 @@
   return true;
 }
 
+retry_budget_state fleet_retry_budget::stateOf(const service_id &Service,
+                                               steady_time Now) {
+  auto &Window = Windows[Service];
+  expire(Window, Now);
+  return {Window.Requests.size(), Window.Retries.size()};
+}
+
 } // namespace azurehaven
--- a/Libraries/LibDispatch/fleet_retry_budget.h
+++ b/Libraries/LibDispatch/fleet_retry_budget.h
@@ -16,6 +16,13 @@
   double Slack = 10;
 };
 
+/// What a decision on a retry rests on.
+struct retry_budget_state {
+  /// Requests and retries of this process within the window.
+  std::size_t Requests = 0;
+  std::size_t Retries = 0;
+};
+
 /// This VM's share of the fleet-wide retry budget of each service. The VMs need
 /// no common counter: each allows the ratio of its own requests plus an equal
 /// share of the slack. Not thread-safe.
@@ -28,6 +35,7 @@
   /// Consumes one retry; returns false if this VM's share is exhausted.
   bool tryConsume(const service_id &Service, std::size_t VmCount,
                   steady_time Now);
+  retry_budget_state stateOf(const service_id &Service, steady_time Now);
 
 private:
   struct service_window {
--- a/Libraries/LibRelay/relayed_request.cpp
+++ b/Libraries/LibRelay/relayed_request.cpp
@@ -188,7 +188,8 @@
   Parameters.TimeLeft = timeLeft(Now);
   Parameters.ResumeAfter = Splicer.lastEventId();
   Parameters.BodySize = Body->size();
-  Logged.onForwarded(Peer->Descriptor.Id, SendCount, Parameters.TimeLeft);
+  Logged.onForwarded(Peer->Descriptor.Id, SendCount, SendReason,
+                     Parameters.TimeLeft);
   Context.Metrics.increment("azurehaven_forwarded_requests_total");
   Observed.onForwarded(Peer, Splicer.eventCount());
   Attempt = std::make_shared<endpoint_attempt>(
@@ -222,7 +223,7 @@
     Parameters.Urgency = SmallModelUrgency;
   Parameters.ResumeAfter = Splicer.lastEventId();
   Parameters.BodySize = Body->size();
-  Logged.onSent(*Target, Model, SendCount, Parameters.TimeLeft);
+  Logged.onSent(*Target, Model, SendCount, SendReason, Parameters.TimeLeft);
   const double OwnWork =
       promptWorkOn(Context.Fleet, Admitted, ModelIndex, *Target, Now);
   const double PromptWorkAhead = pendingPromptWork(*Target) + OwnWork;
@@ -304,16 +305,20 @@
   const milliseconds Backlog = estimatedBacklog(Fleet, Admitted.Service, Now);
   const auto Larger = Fleet.Models.escalate(Route, Request, *ModelIndex,
                                             *NewResponse.Confidence, Backlog);
-  Logged.onJudged(Model, *NewResponse.Confidence, Backlog, Larger.has_value());
+  const bool IsEscalated =
+      Larger && Fleet.Retries.tryConsume(Endpoint->Descriptor.Service,
+                                         Fleet.Members.size(), Now);
+  const escalation_outcome Outcome = IsEscalated ? escalation_outcome::Escalated
+                                     : Larger
+                                         ? escalation_outcome::BudgetExhausted
+                                         : escalation_outcome::Accepted;
+  Logged.onJudged(Model, *NewResponse.Confidence, Backlog, Outcome);
   Context.Metrics.increment("azurehaven_judged_answers_total",
-                            Larger ? "outcome=\"escalated\""
-                                   : "outcome=\"accepted\"");
-  if (!Larger)
-    return false;
-  if (!Context.Fleet.Retries.tryConsume(Endpoint->Descriptor.Service,
-                                        Context.Fleet.Members.size(),
-                                        Context.Clock.now()))
+                            IsEscalated ? "outcome=\"escalated\""
+                                        : "outcome=\"accepted\"");
+  if (!IsEscalated)
     return false;
+  SendReason = "escalated";
   ModelIndex = Larger;
   ++RunCount;
   if (Liveness)
@@ -478,16 +483,29 @@
          !Observed.isQuarantined() && timeLeft(Now).count() > 0;
 }
 
+retry_decision relayed_request::decideRetry(attempt_failure Failure,
+                                            steady_time Now) {
+  if (!mayRetryAfter(Failure, Now))
+    return retry_decision::NotAllowed;
+  if (Failure == attempt_failure::NotSent)
+    return retry_decision::NotCounted;
+  fleet_state &Fleet = Context.Fleet;
+  return Fleet.Retries.tryConsume(Admitted.Service, Fleet.Members.size(), Now)
+             ? retry_decision::Granted
+             : retry_decision::BudgetExhausted;
+}
+
 void relayed_request::retryOrRefuse(attempt_failure Failure,
                                     const std::string &Reason) {
   const steady_time Now = Context.Clock.now();
-  Logged.onAttemptFailed(Endpoint->Descriptor.Id, Failure, Reason, SendCount);
-  const bool IsAllowed = mayRetryAfter(Failure, Now);
-  const bool HasBudget =
-      IsAllowed && (Failure == attempt_failure::NotSent ||
-                    Context.Fleet.Retries.tryConsume(
-                        Admitted.Service, Context.Fleet.Members.size(), Now));
-  if (HasBudget) {
+  fleet_state &Fleet = Context.Fleet;
+  const retry_decision Decision = decideRetry(Failure, Now);
+  Logged.onAttemptFailed(
+      {Endpoint->Descriptor.Id, Failure, Reason, SendCount, Decision,
+       Fleet.Retries.stateOf(Admitted.Service, Now), Fleet.Members.size()});
+  if (Decision == retry_decision::Granted ||
+      Decision == retry_decision::NotCounted) {
+    SendReason = nameOf(Failure);
     if (ResponseStarted)
       Context.Metrics.increment("azurehaven_resumed_streams_total");
     Context.Metrics.increment("azurehaven_repeated_sends_total");
@@ -496,8 +514,10 @@
   }
   if (Failure == attempt_failure::ErrorResponse && !ResponseStarted)
     return forwardErrorResponse();
-  refuse(errorResponseFor(RunCount > 0,
-                          IsAllowed ? "retry_budget" : "attempts_failed"));
+  refuse(
+      errorResponseFor(RunCount > 0, Decision == retry_decision::BudgetExhausted
+                                         ? "retry_budget"
+                                         : "attempts_failed"));
 }
 
 void relayed_request::refuse(const error_response &Refusal) {
--- a/Libraries/LibRelay/relayed_request.h
+++ b/Libraries/LibRelay/relayed_request.h
@@ -78,6 +78,7 @@
   milliseconds timeLeft(steady_time Now) const;
   int maxRuns() const;
   void startLivenessMonitor();
+  retry_decision decideRetry(attempt_failure Failure, steady_time Now);
   bool tryEscalate(const decoded_response_head &NewResponse);
 
   relay_context &Context;
@@ -106,6 +107,8 @@
   /// Attempts so far, and those of them that the endpoint may have executed.
   int SendCount = 0;
   int RunCount = 0;
+  /// Why the current attempt is made; a stable identifier for logs.
+  const char *SendReason = "first";
   /// Runs that the peer of the current attempt may make.
   int PeerRuns = 0;
   event_splicer Splicer;
--- a/Libraries/LibRelay/request_log.cpp
+++ b/Libraries/LibRelay/request_log.cpp
@@ -2,8 +2,39 @@
 
 namespace azurehaven {
 
+namespace {
+
+const char *nameOf(retry_decision Decision) {
+  switch (Decision) {
+  case retry_decision::Granted:
+    return "granted";
+  case retry_decision::NotCounted:
+    return "not_counted";
+  case retry_decision::NotAllowed:
+    return "not_allowed";
+  case retry_decision::BudgetExhausted:
+    return "budget_exhausted";
+  }
+  return "unknown";
+}
+
+const char *nameOf(escalation_outcome Outcome) {
+  switch (Outcome) {
+  case escalation_outcome::Accepted:
+    return "accepted";
+  case escalation_outcome::Escalated:
+    return "escalated";
+  case escalation_outcome::BudgetExhausted:
+    return "budget_exhausted";
+  }
+  return "unknown";
+}
+
+} // namespace
+
 void request_log::onSent(const endpoint_record &Endpoint, const model_id &Model,
-                         int SendCount, milliseconds TimeLeft) const {
+                         int SendCount, const char *Reason,
+                         milliseconds TimeLeft) const {
   Log.write(log_level::Info, "request_sent",
             {{"request", Admitted.Request.Id.text()},
              {"route", Admitted.Route->Name},
@@ -11,6 +42,7 @@
              {"release", Endpoint.Descriptor.Release},
              {"model", Model.text()},
              {"send", std::to_string(SendCount)},
+             {"reason", Reason},
              {"in_flight", std::to_string(Endpoint.InFlight)},
              {"time_left_ms", std::to_string(TimeLeft.count())}});
 }
@@ -52,37 +84,41 @@
 }
 
 void request_log::onForwarded(const endpoint_id &Vm, int SendCount,
-                              milliseconds TimeLeft) const {
+                              const char *Reason, milliseconds TimeLeft) const {
   Log.write(log_level::Info, "request_forwarded",
             {{"request", Admitted.Request.Id.text()},
              {"route", Admitted.Route->Name},
              {"service", Admitted.Service.text()},
              {"to", Vm.text()},
              {"send", std::to_string(SendCount)},
+             {"reason", Reason},
              {"time_left_ms", std::to_string(TimeLeft.count())}});
 }
 
 void request_log::onJudged(const model_id &Model, int Confidence,
-                           milliseconds Backlog, bool IsEscalated) const {
+                           milliseconds Backlog,
+                           escalation_outcome Outcome) const {
   Log.write(log_level::Info, "answer_judged",
             {{"request", Admitted.Request.Id.text()},
              {"route", Admitted.Route->Name},
              {"model", Model.text()},
              {"confidence", std::to_string(Confidence)},
              {"backlog_ms", std::to_string(Backlog.count())},
-             {"outcome", IsEscalated ? "escalated" : "accepted"}});
+             {"outcome", nameOf(Outcome)}});
 }
 
-void request_log::onAttemptFailed(const endpoint_id &Endpoint,
-                                  attempt_failure Failure,
-                                  const std::string &Reason,
-                                  int SendCount) const {
+void request_log::onAttemptFailed(const failed_attempt &Failed) const {
   Log.write(log_level::Warning, "attempt_failed",
             {{"request", Admitted.Request.Id.text()},
-             {"endpoint", Endpoint.text()},
-             {"reason", Reason},
-             {"may_have_run", mayHaveRun(Failure) ? "yes" : "no"},
-             {"sends", std::to_string(SendCount)}});
+             {"endpoint", Failed.Endpoint.text()},
+             {"reason", Failed.Reason},
+             {"failure", azurehaven::nameOf(Failed.Failure)},
+             {"may_have_run", mayHaveRun(Failed.Failure) ? "yes" : "no"},
+             {"sends", std::to_string(Failed.SendCount)},
+             {"retry", nameOf(Failed.Retry)},
+             {"window_requests", std::to_string(Failed.Budget.Requests)},
+             {"window_retries", std::to_string(Failed.Budget.Retries)},
+             {"members", std::to_string(Failed.Members)}});
 }
 
 void request_log::onFinished(const char *Outcome, bool IsAnswered,
--- a/Libraries/LibRelay/request_log.h
+++ b/Libraries/LibRelay/request_log.h
@@ -2,12 +2,41 @@
 
 #include "LibDispatch/attempt_policy.h"
 #include "LibDispatch/endpoint_registry.h"
+#include "LibDispatch/fleet_retry_budget.h"
 #include "LibLog/event_log.h"
 #include "LibRelay/admitted_request.h"
 #include "LibRelay/request_placement.h"
 
 namespace azurehaven {
 
+enum class retry_decision {
+  Granted,
+  /// The retry reaches no endpoint twice, so that the budget does not matter.
+  NotCounted,
+  /// By the route, the number of attempts or the time left.
+  NotAllowed,
+  BudgetExhausted,
+};
+
+enum class escalation_outcome {
+  Accepted,
+  Escalated,
+  /// The answer is accepted only because the retry budget is exhausted.
+  BudgetExhausted,
+};
+
+/// An attempt that failed, and what was decided on the next one.
+struct failed_attempt {
+  endpoint_id Endpoint;
+  attempt_failure Failure = attempt_failure::NotSent;
+  std::string Reason;
+  int SendCount = 0;
+  retry_decision Retry = retry_decision::NotAllowed;
+  retry_budget_state Budget;
+  /// Number of members that this VM knows.
+  std::size_t Members = 0;
+};
+
 /// The log lines of one request; each has the request's id.
 class request_log {
 public:
@@ -15,16 +44,15 @@
       : Log(Log), Admitted(Admitted) {}
 
   void onSent(const endpoint_record &Endpoint, const model_id &Model,
-              int SendCount, milliseconds TimeLeft) const;
+              int SendCount, const char *Reason, milliseconds TimeLeft) const;
   /// Written while a roll-out is undecided, and when a session moves.
   void onReleaseChosen(const request_placement &Placement, int SendCount,
                        steady_time Now) const;
-  void onForwarded(const endpoint_id &Vm, int SendCount,
+  void onForwarded(const endpoint_id &Vm, int SendCount, const char *Reason,
                    milliseconds TimeLeft) const;
   void onJudged(const model_id &Model, int Confidence, milliseconds Backlog,
-                bool IsEscalated) const;
-  void onAttemptFailed(const endpoint_id &Endpoint, attempt_failure Failure,
-                       const std::string &Reason, int SendCount) const;
+                escalation_outcome Outcome) const;
+  void onAttemptFailed(const failed_attempt &Failed) const;
   /// Endpoint: of the last attempt, null if there was none.
   void onFinished(const char *Outcome, bool IsAnswered,
                   const endpoint_record *Endpoint, const model_id &Model,
