LibDispatch: Let retries use only credit that the process has earned

Cause: the window of requests and retries lived in one process and started empty, which is a full share: each process start could use it once more. The share of the slack was divided by the members known at that moment, which leaves out VMs that stop or are cut off and go on sending. Evidence: attempt_failed of a killed VM: window_requests from 1, every request granted two retries, members 4 all the time, in each of three lives of 2.3 s. Change: a token bucket. A request earns a part of the ratio; a bounded part is kept; a small share of the slack is earned over time, divided by the most members known lately; a process starts with nothing. What is kept as a window begins and what is earned within it add up to the ratio, so the sum over all VMs holds in each window without a message, and a start can't add to it. A silent endpoint is left only if a retry may follow. A request that ends for want of budget is told when endpoints admit again, as others are.

--- a/Libraries/LibDispatch/attempt_policy.cpp
+++ b/Libraries/LibDispatch/attempt_policy.cpp
@@ -48,20 +48,21 @@
   return !mayHaveRun(Failure) || Route.allowsReexecution();
 }
 
-error_response errorResponseFor(bool MayHaveRun, const char *Reason) {
+error_response errorResponseFor(bool MayHaveRun, const char *Reason,
+                                std::optional<milliseconds> UntilAdmission) {
   if (MayHaveRun)
     return {502, std::nullopt, Reason};
-  return {503, RetryAfterDelay, Reason};
+  return {503,
+          std::max(UntilAdmission.value_or(RetryAfterDelay), RetryAfterDelay),
+          Reason};
 }
 
 error_response
 noEndpointErrorResponse(bool MayHaveRun,
                         std::optional<milliseconds> UntilAdmission) {
-  error_response Response = errorResponseFor(
-      MayHaveRun, UntilAdmission ? "endpoints_shed_load" : "no_endpoint");
-  if (Response.RetryAfter && UntilAdmission)
-    Response.RetryAfter = std::max(*UntilAdmission, RetryAfterDelay);
-  return Response;
+  return errorResponseFor(
+      MayHaveRun, UntilAdmission ? "endpoints_shed_load" : "no_endpoint",
+      UntilAdmission);
 }
 
 error_response deadlineErrorResponse(bool MayHaveRun) {
--- a/Libraries/LibDispatch/attempt_policy.h
+++ b/Libraries/LibDispatch/attempt_policy.h
@@ -51,9 +51,12 @@
 
 /// 503 with a Retry-After time only if no attempt can have been executed;
 /// otherwise 502, after which the outcome is unknown to the caller.
-error_response errorResponseFor(bool MayHaveRun, const char *Reason);
+/// UntilAdmission: when the first endpoint takes requests again, if none does
+/// now and that is known.
+error_response
+errorResponseFor(bool MayHaveRun, const char *Reason,
+                 std::optional<milliseconds> UntilAdmission = std::nullopt);
 /// The error response to a request for which no endpoint takes requests now.
-/// UntilAdmission: when the first one takes them again, if known.
 error_response
 noEndpointErrorResponse(bool MayHaveRun,
                         std::optional<milliseconds> UntilAdmission);
--- a/Libraries/LibDispatch/fleet_retry_budget.h
+++ b/Libraries/LibDispatch/fleet_retry_budget.h
@@ -1,10 +1,12 @@
 #pragma once
 
+#include "LibDispatch/recent_maximum.h"
 #include "LibTypes/ids.h"
 #include "LibTypes/units.h"
 
 #include <deque>
 #include <map>
+#include <optional>
 
 namespace azurehaven {
 
@@ -21,31 +23,44 @@
   /// Requests and retries of this process within the window.
   std::size_t Requests = 0;
   std::size_t Retries = 0;
+  /// Retries that may be made now; less than 0 after one on credit.
+  double Credit = 0;
 };
 
 /// This VM's share of the fleet-wide retry budget of each service. The VMs need
-/// no common counter: each allows the ratio of its own requests plus an equal
-/// share of the slack. Not thread-safe.
+/// no common counter: a retry uses credit that this process's own requests have
+/// earned, and a process starts without any, so that the sum over all VMs holds
+/// in every window, however often processes start. Not thread-safe.
 class fleet_retry_budget {
 public:
-  explicit fleet_retry_budget(retry_budget_limits Limits) : Limits(Limits) {}
+  explicit fleet_retry_budget(retry_budget_limits Limits);
 
   void setLimits(const retry_budget_limits &NewLimits) { Limits = NewLimits; }
+  /// Takes the number of VMs that share the slack, to be called several times a
+  /// second. Credit for the slack is earned from the first call on.
+  void observeVmCount(std::size_t Count, steady_time Now);
   void recordRequest(const service_id &Service, steady_time Now);
+  bool allowsRetry(const service_id &Service, steady_time Now);
   /// Consumes one retry; returns false if this VM's share is exhausted.
-  bool tryConsume(const service_id &Service, std::size_t VmCount,
-                  steady_time Now);
+  bool tryConsume(const service_id &Service, steady_time Now);
   retry_budget_state stateOf(const service_id &Service, steady_time Now);
 
 private:
-  struct service_window {
+  struct account {
     std::deque<steady_time> Requests;
     std::deque<steady_time> Retries;
+    double Credit = 0;
+    std::optional<steady_time> RefilledAt;
   };
-  void expire(service_window &Window, steady_time Now) const;
+  account &refilledAccount(const service_id &Service, steady_time Now);
+  double slackShare() const;
+  double earnedPerRequest() const;
+  double capacityOf(const account &Account) const;
 
   retry_budget_limits Limits;
-  std::map<service_id, service_window> Windows;
+  recent_maximum VmCount;
+  std::optional<steady_time> EarnsSlackSince;
+  std::map<service_id, account> Accounts;
 };
 
 } // namespace azurehaven
--- a/Libraries/LibRelay/endpoint_shares.cpp
+++ b/Libraries/LibRelay/endpoint_shares.cpp
@@ -6,11 +6,6 @@
 
 namespace {
 
-/// Number of VMs, including this one if it has not been listed yet.
-std::size_t vmCount(const fleet_state &Fleet) {
-  return Fleet.Members.size() + (Fleet.Members.find(Fleet.Self) ? 0 : 1);
-}
-
 /// Number of VMs that come before this one in the order of their ids.
 std::size_t ownIndex(const fleet_state &Fleet) {
   const auto Members = Fleet.Members.all();
@@ -22,6 +17,10 @@
 
 } // namespace
 
+std::size_t vmCount(const fleet_state &Fleet) {
+  return Fleet.Members.size() + (Fleet.Members.find(Fleet.Self) ? 0 : 1);
+}
+
 void updateRateShare(const fleet_state &Fleet, endpoint_record &Endpoint,
                      steady_time Now) {
   const auto &PerSecond = Endpoint.RateLimit.latest().PerSecond;
--- a/Libraries/LibRelay/endpoint_shares.h
+++ b/Libraries/LibRelay/endpoint_shares.h
@@ -4,6 +4,8 @@
 
 namespace azurehaven {
 
+/// Number of VMs, including this one if it has not been listed yet.
+std::size_t vmCount(const fleet_state &Fleet);
 /// Sets the part that this VM may use of the rate that the endpoint accepts
 /// from all VMs together, by the present members.
 void updateRateShare(const fleet_state &Fleet, endpoint_record &Endpoint,
--- a/Libraries/LibRelay/relay_node.cpp
+++ b/Libraries/LibRelay/relay_node.cpp
@@ -173,6 +173,7 @@
   Registration->checkListed(Fleet.Members.find(Fleet.Self).has_value());
   StateUpdater.advance();
   updateShares(Fleet, Clock.now());
+  Fleet.Retries.observeVmCount(vmCount(Fleet), Clock.now());
   PathProber.advance(Clock.now());
   confirmCrashes(Fleet, Log, Clock.now());
   Connections.closeExpired(Clock.now());
--- a/Libraries/LibRelay/relayed_request.cpp
+++ b/Libraries/LibRelay/relayed_request.cpp
@@ -256,10 +256,17 @@
         // A request that can't be retried is not ended merely because its
         // endpoint is unresponsive. The current attempt counts as executed
         // here.
-        if (Self && Self->RunCount + 1 < Self->maxRuns() &&
-            Self->mayRetryAfter(attempt_failure::Silent,
-                                Self->Context.Clock.now()))
-          Self->onAttemptFailed(Self->failureOfUnresponsive(), Reason);
+        if (!Self || Self->RunCount + 1 >= Self->maxRuns())
+          return;
+        const steady_time Now = Self->Context.Clock.now();
+        if (!Self->mayRetryAfter(attempt_failure::Silent, Now))
+          return;
+        // Without a retry the request would fail at once, whereas its endpoint
+        // may still respond.
+        if (!Self->Context.Fleet.Retries.allowsRetry(Self->Admitted.Service,
+                                                     Now))
+          return Self->startLivenessMonitor();
+        Self->onAttemptFailed(Self->failureOfUnresponsive(), Reason);
       });
   Liveness->start();
 }
@@ -306,8 +313,7 @@
   const auto Larger = Fleet.Models.escalate(Route, Request, *ModelIndex,
                                             *NewResponse.Confidence, Backlog);
   const bool IsEscalated =
-      Larger && Fleet.Retries.tryConsume(Endpoint->Descriptor.Service,
-                                         Fleet.Members.size(), Now);
+      Larger && Fleet.Retries.tryConsume(Endpoint->Descriptor.Service, Now);
   const escalation_outcome Outcome = IsEscalated ? escalation_outcome::Escalated
                                      : Larger
                                          ? escalation_outcome::BudgetExhausted
@@ -490,7 +496,7 @@
   if (Failure == attempt_failure::NotSent)
     return retry_decision::NotCounted;
   fleet_state &Fleet = Context.Fleet;
-  return Fleet.Retries.tryConsume(Admitted.Service, Fleet.Members.size(), Now)
+  return Fleet.Retries.tryConsume(Admitted.Service, Now)
              ? retry_decision::Granted
              : retry_decision::BudgetExhausted;
 }
@@ -514,10 +520,10 @@
   }
   if (Failure == attempt_failure::ErrorResponse && !ResponseStarted)
     return forwardErrorResponse();
-  refuse(
-      errorResponseFor(RunCount > 0, Decision == retry_decision::BudgetExhausted
-                                         ? "retry_budget"
-                                         : "attempts_failed"));
+  const bool IsExhausted = Decision == retry_decision::BudgetExhausted;
+  refuse(errorResponseFor(
+      RunCount > 0, IsExhausted ? "retry_budget" : "attempts_failed",
+      timeUntilAdmission(Fleet.Endpoints.endpointsOf(Admitted.Service), Now)));
 }
 
 void relayed_request::refuse(const error_response &Refusal) {
--- a/Libraries/LibRelay/request_log.cpp
+++ b/Libraries/LibRelay/request_log.cpp
@@ -118,6 +118,7 @@
              {"retry", nameOf(Failed.Retry)},
              {"window_requests", std::to_string(Failed.Budget.Requests)},
              {"window_retries", std::to_string(Failed.Budget.Retries)},
+             {"credit", std::to_string(Failed.Budget.Credit)},
              {"members", std::to_string(Failed.Members)}});
 }
 
--- a/Tests/LibRelay/fleet_retry_test.cpp
+++ b/Tests/LibRelay/fleet_retry_test.cpp
@@ -28,6 +28,14 @@
   checkBudget({});
 }
 
+TEST_CASE("The fleet makes use of its retry budget while all endpoints fail") {
+  for (unsigned Seed = 0; Seed < SeedCount; ++Seed) {
+    const retry_result Result = simulateRetries({}, Seed);
+    CAPTURE(Seed);
+    CHECK(Result.WorstRetries > Result.WorstLimit / 2);
+  }
+}
+
 TEST_CASE("The fleet keeps its retry budget while its VMs are killed and "
           "started in series") {
   for (const milliseconds Interval : {milliseconds(550), milliseconds(2000)}) {
--- a/Tests/LibRelay/lost_path_test.cpp
+++ b/Tests/LibRelay/lost_path_test.cpp
@@ -229,8 +229,7 @@
   Peer.Fleet.Retries = fleet_retry_budget({1, milliseconds(10000), 0});
   for (int Count = 0; Count < 20; ++Count)
     CHECK(statusOf(Fleet.cutVm().sendRequest("/many/x")) == 200);
-  CHECK_FALSE(
-      Peer.Fleet.Retries.tryConsume(service_id("s"), 4, Peer.Clock.now()));
+  CHECK_FALSE(Peer.Fleet.Retries.tryConsume(service_id("s"), Peer.Clock.now()));
 }
 
 TEST_CASE("A VM uses endpoints itself again as soon as its path is back") {
--- a/Tests/LibRelay/retry_simulation.cpp
+++ b/Tests/LibRelay/retry_simulation.cpp
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <cmath>
 #include <functional>
+#include <limits>
 #include <map>
 #include <memory>
 #include <random>
@@ -132,6 +133,7 @@
     else
       Members.remove(vm_id(Slots[Other].Name));
   }
+  Slot.Process->Retries.observeVmCount(Members.size(), Now);
 }
 
 bool simulation::takesRequests(const vm_slot &Slot) const {
@@ -194,7 +196,7 @@
   if (!haveEndpointsFailed() || Request.Sends >= Day.MaxAttempts)
     return;
   fleet_state &Fleet = *Slot.Process;
-  if (Fleet.Retries.tryConsume(Service, Fleet.Members.size(), Now))
+  if (Fleet.Retries.tryConsume(Service, Now))
     send(Request);
 }
 
@@ -205,7 +207,7 @@
       return At >= From && At < From + Limits.Window;
     });
   };
-  double WorstMargin = Limits.Slack;
+  double WorstMargin = std::numeric_limits<double>::infinity();
   for (const steady_time From : RetryTimes) {
     const auto Requests =
         std::max({Count(RequestTimes, From),
