LibRelay: Count the sends of a request that a peer has refused

Cause: the refusal of a peer was taken for 'not sent', so that the request went to the next peer free of charge, although the first may have sent it to endpoints that did not execute it. Change: it counts as not executed, and the next send draws on the budget. Measured: the new case got 2 arrivals before, 1 allowed; 1 now.

--- a/Libraries/LibRelay/relayed_request.cpp
+++ b/Libraries/LibRelay/relayed_request.cpp
@@ -389,7 +389,7 @@
   if (IsFinished)
     return;
   if (Observed.isForwarded() && isRefusalByVm(Response))
-    return retryOrRefuse(attempt_failure::NotSent,
+    return retryOrRefuse(attempt_failure::NotExecuted,
                          "the VM refused with status " +
                              std::to_string(Response.Status));
   if (Response.WasNotExecuted || Response.IsMisdirected) {
--- a/Tests/LibRelay/lost_path_test.cpp
+++ b/Tests/LibRelay/lost_path_test.cpp
@@ -232,6 +232,19 @@
   CHECK_FALSE(Peer.Fleet.Retries.tryConsume(service_id("s"), Peer.Clock.now()));
 }
 
+TEST_CASE("A request that a peer has refused reaches no endpoint through "
+          "another peer without a retry budget") {
+  cut_fleet Fleet;
+  Fleet.setScript([](std::size_t, const received_request &) {
+    return scripted_response{wholeResponse(503, "Not-Run: 1\r\n", "")};
+  });
+  for (std::size_t Index = 0; Index < Fleet.size(); ++Index)
+    Fleet.vm(Index).Fleet.Retries =
+        fleet_retry_budget({0, milliseconds(10000), 0});
+  CHECK(statusOf(Fleet.cutVm().sendRequest("/many/x")) == 503);
+  CHECK(Fleet.received().size() == 1);
+}
+
 TEST_CASE("A VM uses endpoints itself again as soon as its path is back") {
   cut_fleet Fleet;
   relay_fixture &Cut = Fleet.cutVm();
