LibRouting: Let a process start with the retries of one request

Cause: each process started with ten retries for each account and in total, so that ten starts in a row allowed a hundred. Change: it starts with two, which the first request after a start may need; the former ten are earned at one a second.

--- a/Libraries/LibBench/simulation_placement.cpp
+++ b/Libraries/LibBench/simulation_placement.cpp
@@ -17,7 +17,7 @@
   ++DecisionCount;
   if (std::holds_alternative<routing_refusal>(Planned))
     return refuse(State);
-  routerOf(State).countRequest(State.Request.Account);
+  routerOf(State).countRequest(State.Request.Account, Now);
   State.Plan = std::get<route_plan>(Planned);
   enterStage(State);
 }
@@ -97,7 +97,7 @@
       ++State.FailedAttempts < 4 &&
       routerOf(State).crashStatusOf(State.Request.Fingerprint) !=
           crash_status::Refused &&
-      routerOf(State).tryTakeRetry(State.Request.Account);
+      routerOf(State).tryTakeRetry(State.Request.Account, Now);
   if (MayRetry)
     return sendToEndpoint(State);
   leaveStage(State);
--- a/Libraries/LibEntry/chat_run.cpp
+++ b/Libraries/LibEntry/chat_run.cpp
@@ -104,7 +104,7 @@
 }
 
 std::optional<refusal> chat_run::planAndRun() {
-  Services.Router.countRequest(Request.Account.Id);
+  Services.Router.countRequest(Request.Account.Id, Services.Clock.now());
   for (unsigned PlanCount = 1;; ++PlanCount) {
     auto Planned = plan();
     if (auto *Refusal = std::get_if<refusal>(&Planned))
@@ -327,7 +327,7 @@
     return false;
   if (Failure.Fault == engine_fault::Leaving)
     return true;
-  return Services.Router.tryTakeRetry(Request.Account.Id);
+  return Services.Router.tryTakeRetry(Request.Account.Id, Services.Clock.now());
 }
 
 void chat_run::reportAttempt(attempt_outcome Outcome, bool AttemptMayHaveRun,
--- a/Libraries/LibEntry/service_relay.cpp
+++ b/Libraries/LibEntry/service_relay.cpp
@@ -147,7 +147,7 @@
 }
 
 served_response service_relay::serveRepeatable(const call &Call) {
-  Services.Router.countRequest(Call.Identity.Account.Id);
+  Services.Router.countRequest(Call.Identity.Account.Id, Services.Clock.now());
   for (unsigned Attempt = 1;; ++Attempt) {
     auto Sent = sendUntilDelivered(Call, connection_use::Pooled);
     if (auto *Refusal = std::get_if<refusal>(&Sent))
@@ -155,7 +155,8 @@
     if (auto *Response = std::get_if<http_response>(&Sent))
       return billAndRespond(Call, makeRecordedResponse(*Response));
     if (Attempt >= MaximumAttempts ||
-        !Services.Router.tryTakeRetry(Call.Identity.Account.Id))
+        !Services.Router.tryTakeRetry(Call.Identity.Account.Id,
+                                      Services.Clock.now()))
       return respondWith(
           makeRefusal(502, "endpoint_failed", run_state::MayHaveRun,
                       std::get<http_failure>(Sent).Message, RetryAfterFailure),
--- a/Libraries/LibRouting/router.cpp
+++ b/Libraries/LibRouting/router.cpp
@@ -181,14 +181,14 @@
     addCounts(Subject, Bucket, Added);
 }
 
-void router::countRequest(const client_account_id &Account) {
+void router::countRequest(const client_account_id &Account, steady_time Now) {
   std::lock_guard Lock(Mutex);
-  Retries.countRequest(Account);
+  Retries.countRequest(Account, Now);
 }
 
-bool router::tryTakeRetry(const client_account_id &Account) {
+bool router::tryTakeRetry(const client_account_id &Account, steady_time Now) {
   std::lock_guard Lock(Mutex);
-  return Retries.tryTake(Account);
+  return Retries.tryTake(Account, Now);
 }
 
 void router::addCrash(const crash_notice &Notice, steady_time Now) {
--- a/Libraries/LibRouting/router.h
+++ b/Libraries/LibRouting/router.h
@@ -85,9 +85,9 @@
   void finishAttempt(const attempt &Attempt, const work_class &Class,
                      const attempt_report &Report, steady_time Now);
   /// Credits the retry budgets for one request.
-  void countRequest(const client_account_id &Account);
+  void countRequest(const client_account_id &Account, steady_time Now);
   /// Takes one retry from the budgets; returns false if one is exhausted.
-  bool tryTakeRetry(const client_account_id &Account);
+  bool tryTakeRetry(const client_account_id &Account, steady_time Now);
 
   /// Records that an endpoint crashed while it ran a request of this VM or a
   /// peer.
--- a/Tests/LibRouting/router_test.cpp
+++ b/Tests/LibRouting/router_test.cpp
@@ -116,14 +116,37 @@
 }
 
 TEST_CASE("retries are bounded by a share of the requests") {
+  const steady_time Now{std::chrono::hours(1)};
   retry_budget Budget;
   const client_account_id Account("x");
   int Taken = 0;
   for (int Count = 0; Count < 1000; ++Count) {
-    Budget.countRequest(Account);
-    while (Budget.tryTake(Account))
+    Budget.countRequest(Account, Now);
+    while (Budget.tryTake(Account, Now))
       ++Taken;
   }
   CHECK(Taken <= 1000 * 2 / 10 + 10);
   CHECK(Taken >= 1000 / 10);
 }
+
+TEST_CASE("processes that start in series add no more than the retries of one "
+          "request each") {
+  steady_time Now{std::chrono::hours(1)};
+  const client_account_id Account("x");
+  constexpr int Starts = 20;
+  constexpr int RequestsEach = 10;
+  int Taken = 0;
+  for (int Start = 0; Start < Starts; ++Start) {
+    retry_budget Budget;
+    for (int Count = 0; Count < RequestsEach; ++Count) {
+      Now += milliseconds(50);
+      Budget.countRequest(Account, Now);
+      while (Budget.tryTake(Account, Now))
+        ++Taken;
+    }
+  }
+  constexpr int RetriesPerStart = 2;
+  // Ten seconds in all, with one retry a second for an account.
+  CHECK(Taken <=
+        Starts * RequestsEach * 2 / 10 + 10 + Starts * RetriesPerStart);
+}
