LibRelay: Refuse what can't be finished before a planned stop ends

Cause: plain requests were taken until 1.8 s before the end, however long they last, and sent once more up to the end. Change: stop_admission decides for each send, by what responses of the route usually take at most and by the request's own time limit; what can't be finished is refused while 'not run' is true, with a short Retry-After. Measured: both new cases fail without their decision (200 for 503, two sends for one) and pass with it.

--- a/Libraries/LibDispatch/attempt_policy.cpp
+++ b/Libraries/LibDispatch/attempt_policy.cpp
@@ -12,6 +12,10 @@
 constexpr milliseconds RetryAfterDelay{500};
 /// A plain service normally responds within tens of milliseconds.
 constexpr milliseconds MinimumIdleTimeout{300};
+/// Used if the route sets no timeout. A caller's deadline can only shorten it.
+constexpr milliseconds DefaultTimeLimit{30000};
+/// Subtracted from the caller's deadline, so that the response arrives in time.
+constexpr milliseconds DeadlineMargin{20};
 /// Multiple of the usual latency that a sound but loaded endpoint may take.
 constexpr double UsualLatencyFactor = 4;
 
@@ -26,6 +30,14 @@
   return std::max({MinimumIdleTimeout, Objective, Usual});
 }
 
+milliseconds timeLimitOf(const dispatch_request &Request, const route &Route) {
+  milliseconds Limit =
+      Route.Timeout.count() > 0 ? Route.Timeout : DefaultTimeLimit;
+  if (Request.Deadline)
+    Limit = std::min(Limit, *Request.Deadline - DeadlineMargin);
+  return std::max(Limit, milliseconds(1));
+}
+
 const char *nameOf(attempt_failure Failure) {
   switch (Failure) {
   case attempt_failure::NotSent:
--- a/Libraries/LibDispatch/attempt_policy.h
+++ b/Libraries/LibDispatch/attempt_policy.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "LibDispatch/dispatch_request.h"
 #include "LibDispatch/route_table.h"
 
 #include <optional>
@@ -30,6 +31,9 @@
          Failure == attempt_failure::Unresponsive;
 }
 
+/// Time within which the request has to be answered, from its arrival on.
+milliseconds timeLimitOf(const dispatch_request &Request, const route &Route);
+
 /// A stable identifier for logs.
 const char *nameOf(attempt_failure Failure);
 
--- a/Libraries/LibDispatch/latency_baseline.cpp
+++ b/Libraries/LibDispatch/latency_baseline.cpp
@@ -45,12 +45,20 @@
   return Average ? std::optional(Average->MeanMs) : std::nullopt;
 }
 
+std::optional<double> latency_baseline::slowMs(const std::string &Route,
+                                               const model_id &Model) const {
+  const average *Average = averageOf(Route, Model);
+  if (!Average)
+    return std::nullopt;
+  const double Unusual =
+      Average->MeanMs + SlowDeviations * Average->DeviationMs;
+  return std::max({MinimumSlowMs, SlowFactor * Average->MeanMs, Unusual});
+}
+
 bool latency_baseline::isSlow(const std::string &Route, const model_id &Model,
                               double Ms) const {
-  const average *Average = averageOf(Route, Model);
-  return Average && Ms > std::max({MinimumSlowMs, SlowFactor * Average->MeanMs,
-                                   Average->MeanMs +
-                                       SlowDeviations * Average->DeviationMs});
+  const auto SlowFrom = slowMs(Route, Model);
+  return SlowFrom && Ms > *SlowFrom;
 }
 
 } // namespace azurehaven
--- a/Libraries/LibDispatch/latency_baseline.h
+++ b/Libraries/LibDispatch/latency_baseline.h
@@ -18,6 +18,10 @@
   /// The average; nullopt until there are enough samples.
   std::optional<double> meanMs(const std::string &Route,
                                const model_id &Model) const;
+  /// The latency from which on one counts as slow; nullopt until there are
+  /// enough samples.
+  std::optional<double> slowMs(const std::string &Route,
+                               const model_id &Model) const;
   /// Whether this latency is several times the average, and unusual.
   bool isSlow(const std::string &Route, const model_id &Model, double Ms) const;
 
--- a/Libraries/LibRelay/relay.cpp
+++ b/Libraries/LibRelay/relay.cpp
@@ -1,6 +1,7 @@
 #include "LibRelay/relay.h"
 
 #include "LibRelay/relayed_request.h"
+#include "LibRelay/stop_admission.h"
 
 namespace azurehaven {
 
@@ -12,12 +13,6 @@
 /// Retry-After of a request that crashes endpoints; it stays quarantined for
 /// long.
 constexpr milliseconds QuarantineRetryAfter{60000};
-/// Streams are admitted for this long after a planned stop begins; later ones
-/// would be cut off when the process exits.
-constexpr milliseconds StreamAdmissionDuringStop{3000};
-/// Plain requests are no longer admitted this long before the process exits.
-constexpr milliseconds PlainRequestCutoff{1800};
-constexpr milliseconds StoppingRetryAfter{50};
 
 } // namespace
 
@@ -110,14 +105,11 @@
     if (!Account)
       return refuse(Request, *Caller, 401, std::nullopt, "unknown_key");
   }
-  const auto SinceStop = Now - Fleet.StoppingSince;
-  const bool IsTooLate =
-      Fleet.IsStopping &&
-      SinceStop > (Route->Kind == route_kind::Stream
-                       ? StreamAdmissionDuringStop
-                       : Fleet.StopGrace - PlainRequestCutoff);
-  if (IsTooLate)
-    return refuse(Request, *Caller, 503, StoppingRetryAfter, "stopping");
+  if (!isAdmittedDuringStop(Fleet, *Route, timeLimitOf(Request, *Route), Now)) {
+    const error_response Response = stoppingErrorResponse(false);
+    return refuse(Request, *Caller, Response.Status, Response.RetryAfter,
+                  Response.Reason);
+  }
   const client_account_id AccountId =
       Account ? Account->Account : client_account_id();
   const std::uint64_t Fingerprint =
--- a/Libraries/LibRelay/relay_node.cpp
+++ b/Libraries/LibRelay/relay_node.cpp
@@ -2,6 +2,7 @@
 
 #include "LibRelay/crash_recorder.h"
 #include "LibRelay/endpoint_shares.h"
+#include "LibRelay/stop_admission.h"
 
 #include <algorithm>
 #include <csignal>
@@ -28,9 +29,6 @@
 /// The process exits this long before the grace time ends, so that the process
 /// is not killed.
 constexpr milliseconds ExitMargin{250};
-/// Remaining requests get a final response this long before the process is
-/// killed.
-constexpr milliseconds FinalResponseMargin{800};
 
 std::size_t maxForwardingConnections(const relay_settings &Settings) {
   return Settings.DescriptorLimit / ForwardingDescriptorPart;
@@ -228,9 +226,7 @@
   if (ForwardingListener)
     ForwardingListener->closeIdle();
   Context.Bills->flush();
-  const bool MustFinishRequests =
-      SinceStop > Settings.StopGrace - FinalResponseMargin;
-  if (MustFinishRequests) {
+  if (timeUntilForcedEnd(Fleet, Clock.now()) <= milliseconds(0)) {
     const auto Remaining = Context.ActiveRequests;
     for (active_request *Request : Remaining)
       Request->endForShutdown();
--- a/Libraries/LibRelay/relayed_request.cpp
+++ b/Libraries/LibRelay/relayed_request.cpp
@@ -3,6 +3,7 @@
 #include "LibDispatch/endpoint_health.h"
 #include "LibRelay/request_bill.h"
 #include "LibRelay/request_placement.h"
+#include "LibRelay/stop_admission.h"
 
 #include <algorithm>
 
@@ -10,10 +11,6 @@
 
 namespace {
 
-/// Used if the route sets no timeout. A caller's deadline can only shorten it.
-constexpr milliseconds DefaultTimeLimit{30000};
-/// Subtracted from the caller's deadline, so that the response arrives in time.
-constexpr milliseconds DeadlineMargin{20};
 /// Attempts allowed beyond the route's MaxAttempts, which limits executions:
 /// refusals by full endpoints cost little.
 constexpr int MaxExtraSends = 2;
@@ -42,14 +39,6 @@
   return "unknown";
 }
 
-milliseconds timeLimitOf(const dispatch_request &Request, const route &Route) {
-  milliseconds Limit =
-      Route.Timeout.count() > 0 ? Route.Timeout : DefaultTimeLimit;
-  if (Request.Deadline)
-    Limit = std::min(Limit, *Request.Deadline - DeadlineMargin);
-  return std::max(Limit, milliseconds(1));
-}
-
 /// Whether another VM has refused a forwarded request, which then has not run
 /// there. Only responses of endpoints are signed.
 bool isRefusalByVm(const decoded_response_head &Response) {
@@ -137,6 +126,10 @@
   if (NeedsKey && !Context.Fleet.Confirmation.isCurrent(Now))
     return refuse(
         errorResponseFor(RunCount > 0, "configuration_not_confirmed"));
+  // A stream that has begun goes on until the process exits.
+  if (!ResponseStarted &&
+      !isAdmittedDuringStop(Context.Fleet, Route, timeLeft(Now), Now))
+    return refuse(stoppingErrorResponse(RunCount > 0));
   if (const auto Peer = selectForwardingPeer(Now))
     return forwardTo(Peer);
   const request_placement Placement =
--- a/Tests/LibRelay/relay_refusal_test.cpp
+++ b/Tests/LibRelay/relay_refusal_test.cpp
@@ -114,6 +114,57 @@
   CHECK(fieldOf(Response, "Connection") == "close");
 }
 
+namespace {
+
+constexpr milliseconds UsualTime{1500};
+
+/// A VM in a planned stop; its plain responses usually take UsualTime.
+struct stopping_vm : relay_fixture {
+  explicit stopping_vm(route_kind Kind) {
+    addRoute("/slow/", Kind);
+    applyRoutes();
+    constexpr int Samples = 20;
+    for (int Count = 0; Count < Samples; ++Count)
+      Fleet.LatencyBaseline.add("/slow/", model_id(), UsualTime.count());
+    Fleet.IsStopping = true;
+    setScript([this](std::size_t, const received_request &) {
+      Clock.skip(UsualTime);
+      return scripted_response{
+          wholeResponse(200, "Id: r1\r\nSigned: x\r\n", "ok")};
+    });
+  }
+  int requestAt(milliseconds SinceStop) {
+    Fleet.StoppingSince = Clock.now() - SinceStop;
+    return statusOf(sendRequest("/slow/"));
+  }
+};
+
+} // namespace
+
+TEST_CASE("A request that could not finish before a planned stop ends is "
+          "refused as not run") {
+  for (const route_kind Kind :
+       {route_kind::Idempotent, route_kind::NonIdempotent}) {
+    stopping_vm Vm(Kind);
+    CHECK(Vm.requestAt(milliseconds(500)) == 200);
+    CHECK(Vm.requestAt(milliseconds(2500)) == 200);
+    Vm.Received.clear();
+    CHECK(Vm.requestAt(milliseconds(5500)) == 503);
+    CHECK(Vm.Received.empty());
+  }
+}
+
+TEST_CASE("A request that has not run is not sent again shortly before a "
+          "planned stop ends") {
+  stopping_vm Vm(route_kind::NonIdempotent);
+  Vm.setScript([&](std::size_t, const received_request &) {
+    Vm.Clock.skip(milliseconds(3000));
+    return scripted_response{wholeResponse(503, "Not-Run: 1\r\n", "")};
+  });
+  CHECK(Vm.requestAt(milliseconds(2000)) == 503);
+  CHECK(Vm.Received.size() == 1);
+}
+
 TEST_CASE("An endpoint that says in any response that it is leaving gets no "
           "further request") {
   for (const int Status : {200, 500, 503}) {
