LibRelay: Judge by the longest responses what fits into a planned stop

Cause: an average says little of a route whose responses last some 60 ms or 1.5 s; three times the average refused what could have finished, and would pass on what could not. Change: the longest of the latest responses, and a quarter more.

--- a/Libraries/LibDispatch/latency_baseline.cpp
+++ b/Libraries/LibDispatch/latency_baseline.cpp
@@ -14,6 +14,8 @@
 /// Mean deviations above the average beyond which a latency is unusual. Source:
 /// the retransmission timeout of TCP (RFC 6298).
 constexpr double SlowDeviations = 4;
+/// Factor by which each latency reduces the longest one before it.
+constexpr double LongestDecay = 0.998;
 /// Shorter times are never slow, whatever the baseline is.
 constexpr double MinimumSlowMs = 30;
 
@@ -28,6 +30,7 @@
   const double Difference = Ms - Average.MeanMs;
   Average.DeviationMs += Weight * (std::abs(Difference) - Average.DeviationMs);
   Average.MeanMs += Weight * Difference;
+  Average.LongestMs = std::max(Ms, LongestDecay * Average.LongestMs);
 }
 
 const latency_baseline::average *
@@ -45,20 +48,20 @@
   return Average ? std::optional(Average->MeanMs) : std::nullopt;
 }
 
-std::optional<double> latency_baseline::slowMs(const std::string &Route,
-                                               const model_id &Model) const {
-  const average *Average = averageOf(Route, Model);
-  if (!Average)
+std::optional<double> latency_baseline::longestMs(const std::string &Route,
+                                                  const model_id &Model) const {
+  auto Found = Averages.find({Route, Model});
+  if (Found == Averages.end())
     return std::nullopt;
-  const double Unusual =
-      Average->MeanMs + SlowDeviations * Average->DeviationMs;
-  return std::max({MinimumSlowMs, SlowFactor * Average->MeanMs, Unusual});
+  return Found->second.LongestMs;
 }
 
 bool latency_baseline::isSlow(const std::string &Route, const model_id &Model,
                               double Ms) const {
-  const auto SlowFrom = slowMs(Route, Model);
-  return SlowFrom && Ms > *SlowFrom;
+  const average *Average = averageOf(Route, Model);
+  return Average && Ms > std::max({MinimumSlowMs, SlowFactor * Average->MeanMs,
+                                   Average->MeanMs +
+                                       SlowDeviations * Average->DeviationMs});
 }
 
 } // namespace azurehaven
--- a/Libraries/LibDispatch/latency_baseline.h
+++ b/Libraries/LibDispatch/latency_baseline.h
@@ -18,10 +18,9 @@
   /// The average; nullopt until there are enough samples.
   std::optional<double> meanMs(const std::string &Route,
                                const model_id &Model) const;
-  /// The latency from which on one counts as slow; nullopt until there are
-  /// enough samples.
-  std::optional<double> slowMs(const std::string &Route,
-                               const model_id &Model) const;
+  /// The longest of the latest latencies; nullopt if there are none.
+  std::optional<double> longestMs(const std::string &Route,
+                                  const model_id &Model) const;
   /// Whether this latency is several times the average, and unusual.
   bool isSlow(const std::string &Route, const model_id &Model, double Ms) const;
 
@@ -30,6 +29,8 @@
     double MeanMs = 0;
     /// Moving average of the distance from the mean.
     double DeviationMs = 0;
+    /// The longest latency, reduced a little by each later one.
+    double LongestMs = 0;
     std::uint32_t Count = 0;
   };
   /// Null until there are enough samples.
--- a/Libraries/LibRelay/stop_admission.cpp
+++ b/Libraries/LibRelay/stop_admission.cpp
@@ -17,6 +17,8 @@
 /// takes.
 constexpr milliseconds MinimumResponseTime{1000};
 
+/// A response may take somewhat longer than the longest one so far.
+constexpr double LongestFactor = 1.25;
 /// Other VMs take the request at once.
 constexpr milliseconds StoppingRetryAfter{50};
 
@@ -24,11 +26,11 @@
   return std::chrono::duration_cast<milliseconds>(Now - Fleet.StoppingSince);
 }
 
-/// The longest time that a response of a plain route usually takes.
-milliseconds usualResponseTime(const fleet_state &Fleet, const route &Route) {
-  const auto SlowMs = Fleet.LatencyBaseline.slowMs(Route.Name, model_id());
+milliseconds neededResponseTime(const fleet_state &Fleet, const route &Route) {
+  const double LongestMs =
+      Fleet.LatencyBaseline.longestMs(Route.Name, model_id()).value_or(0);
   return std::max(MinimumResponseTime,
-                  milliseconds(std::llround(SlowMs.value_or(0))));
+                  milliseconds(std::llround(LongestFactor * LongestMs)));
 }
 
 } // namespace
@@ -44,7 +46,7 @@
   if (Route.Kind == route_kind::Stream)
     return sinceStop(Fleet, Now) <= StreamAdmissionTime;
   const milliseconds Needed =
-      std::min(TimeLimit, usualResponseTime(Fleet, Route));
+      std::min(TimeLimit, neededResponseTime(Fleet, Route));
   return Needed <= timeUntilForcedEnd(Fleet, Now);
 }
 
