LibRelay: Await a slow response unless another endpoint takes the request

Cause: the liveness monitor ended a silent attempt before it was known whether a retry could follow: no endpoint was left, the budget was exhausted, or the VM was about to exit. Change: an attempt ends for silence only if an endpoint, the budget and the time for a retry are there; otherwise the monitor asks again.

--- a/Libraries/LibRelay/relayed_request.cpp
+++ b/Libraries/LibRelay/relayed_request.cpp
@@ -246,18 +246,14 @@
       Context, Endpoint, Request.Id, PlainIdleTimeout,
       [Weak = weak_from_this()](const std::string &Reason) {
         auto Self = Weak.lock();
-        // A request that can't be retried is not ended merely because its
-        // endpoint is unresponsive. The current attempt counts as executed
-        // here.
-        if (!Self || Self->RunCount + 1 >= Self->maxRuns())
+        if (!Self)
           return;
+        // A request that can't be retried is not ended merely because its
+        // endpoint is unresponsive: it may still respond.
         const steady_time Now = Self->Context.Clock.now();
-        if (!Self->mayRetryAfter(attempt_failure::Silent, Now))
+        if (!Self->mayRetryElsewhere(Now))
           return;
-        // Without a retry the request would fail at once, whereas its endpoint
-        // may still respond.
-        if (!Self->Context.Fleet.Retries.allowsRetry(Self->Admitted.Service,
-                                                     Now))
+        if (!Self->canRetryElsewhereNow(Now))
           return Self->startLivenessMonitor();
         Self->onAttemptFailed(Self->failureOfUnresponsive(), Reason);
       });
@@ -468,6 +464,24 @@
   retryOrRefuse(Failure, Reason);
 }
 
+bool relayed_request::mayRetryElsewhere(steady_time Now) const {
+  const bool HasTime =
+      ResponseStarted ||
+      isAdmittedDuringStop(Context.Fleet, Route, timeLeft(Now), Now);
+  // The current attempt counts as executed.
+  return HasTime && RunCount + 1 < maxRuns() &&
+         mayRetryAfter(attempt_failure::Silent, Now);
+}
+
+bool relayed_request::canRetryElsewhereNow(steady_time Now) const {
+  fleet_state &Fleet = Context.Fleet;
+  if (!Fleet.Retries.allowsRetry(Admitted.Service, Now))
+    return false;
+  // Other VMs may reach an endpoint over a path that is lost here.
+  return Fleet.Paths.isLost(Admitted.Service) ||
+         placeRequest(Fleet, Admitted, Tried, ModelIndex, Now).Endpoint;
+}
+
 attempt_failure relayed_request::failureOfUnresponsive() const {
   // An engine is inspected before it counts as unresponsive; nothing tells
   // whether a plain endpoint still runs.
--- a/Libraries/LibRelay/relayed_request.h
+++ b/Libraries/LibRelay/relayed_request.h
@@ -75,6 +75,10 @@
   void recordBill();
   void finish(const char *Outcome);
   bool mayRetryAfter(attempt_failure Failure, steady_time Now) const;
+  /// Whether a request on a silent endpoint may be retried at another one, and
+  /// whether there are an endpoint and a retry budget for that now.
+  bool mayRetryElsewhere(steady_time Now) const;
+  bool canRetryElsewhereNow(steady_time Now) const;
   milliseconds timeLeft(steady_time Now) const;
   int maxRuns() const;
   void startLivenessMonitor();
--- a/Tests/LibRelay/relay_refusal_test.cpp
+++ b/Tests/LibRelay/relay_refusal_test.cpp
@@ -147,9 +147,9 @@
        {route_kind::Idempotent, route_kind::NonIdempotent}) {
     stopping_vm Vm(Kind);
     CHECK(Vm.requestAt(milliseconds(500)) == 200);
-    CHECK(Vm.requestAt(milliseconds(2500)) == 200);
+    CHECK(Vm.requestAt(milliseconds(5000)) == 200);
     Vm.Received.clear();
-    CHECK(Vm.requestAt(milliseconds(5500)) == 503);
+    CHECK(Vm.requestAt(milliseconds(6000)) == 503);
     CHECK(Vm.Received.empty());
   }
 }
@@ -158,13 +158,62 @@
           "planned stop ends") {
   stopping_vm Vm(route_kind::NonIdempotent);
   Vm.setScript([&](std::size_t, const received_request &) {
-    Vm.Clock.skip(milliseconds(3000));
+    Vm.Clock.skip(milliseconds(4500));
     return scripted_response{wholeResponse(503, "Not-Run: 1\r\n", "")};
   });
   CHECK(Vm.requestAt(milliseconds(2000)) == 503);
   CHECK(Vm.Received.size() == 1);
 }
 
+namespace {
+
+/// Longer than an endpoint may be silent while another one takes the request.
+constexpr milliseconds SlowResponseTime{700};
+
+scripted_response slowResponse() {
+  scripted_response Response{
+      wholeResponse(200, "Id: r1\r\nSigned: x\r\n", "ok")};
+  Response.Delay = SlowResponseTime;
+  return Response;
+}
+
+} // namespace
+
+TEST_CASE("A slow response is awaited while no other endpoint takes the "
+          "request") {
+  relay_fixture Fixture(1);
+  Fixture.addRoute("/p/", route_kind::Idempotent);
+  Fixture.applyRoutes();
+  Fixture.setScript(
+      [](std::size_t, const received_request &) { return slowResponse(); });
+  CHECK(statusOf(Fixture.sendRequest("/p/")) == 200);
+  CHECK(Fixture.Received.size() == 1);
+}
+
+TEST_CASE("A slow response is awaited while the retry budget is exhausted") {
+  relay_fixture Fixture;
+  Fixture.addRoute("/p/", route_kind::Idempotent);
+  Fixture.applyRoutes();
+  Fixture.Fleet.Retries = fleet_retry_budget({0, milliseconds(10000), 0});
+  Fixture.setScript(
+      [](std::size_t, const received_request &) { return slowResponse(); });
+  CHECK(statusOf(Fixture.sendRequest("/p/")) == 200);
+  CHECK(Fixture.Received.size() == 1);
+}
+
+TEST_CASE("A slow response is awaited if a retry would come too late for a "
+          "planned stop") {
+  relay_fixture Fixture;
+  Fixture.addRoute("/p/", route_kind::Idempotent);
+  Fixture.applyRoutes();
+  Fixture.Fleet.IsStopping = true;
+  Fixture.Fleet.StoppingSince = Fixture.Clock.now() - milliseconds(6100);
+  Fixture.setScript(
+      [](std::size_t, const received_request &) { return slowResponse(); });
+  CHECK(statusOf(Fixture.sendRequest("/p/")) == 200);
+  CHECK(Fixture.Received.size() == 1);
+}
+
 TEST_CASE("An endpoint that says in any response that it is leaving gets no "
           "further request") {
   for (const int Status : {200, 500, 503}) {
