Soak: Play restarts in series, failing services, answers written twice, late stops

Change: faults: an entry process killed and started four times in a row, all endpoints of a service failing, responses written a second time as the next request begins, refusals that name no request, callers that keep an address through a whole stop, plain requests of 1.5 s.

--- a/Tests/platform/Soak/caller_load.cpp
+++ b/Tests/platform/Soak/caller_load.cpp
@@ -30,6 +30,20 @@
   return "/";
 }
 
+/// A third of the resolutions are cached longer than they should be, some for
+/// as long as a planned stop lasts.
+milliseconds randomCacheTime(std::mt19937_64 &Random) {
+  switch (Random() % 9) {
+  case 0:
+    return milliseconds(8000);
+  case 1:
+  case 2:
+    return milliseconds(3000);
+  default:
+    return milliseconds(1000);
+  }
+}
+
 } // namespace
 
 caller_load::caller_load(const soak_cluster &Cluster, std::uint64_t Seed)
@@ -60,9 +74,7 @@
     if (Now >= ResolvedUntil || Entries.empty()) {
       if (auto Fresh = resolveEntries(Random); !Fresh.empty())
         Entries = std::move(Fresh);
-      // A third of the resolutions are cached longer than they should be.
-      ResolvedUntil =
-          Now + std::chrono::milliseconds(Random() % 3 == 0 ? 3000 : 1000);
+      ResolvedUntil = Now + randomCacheTime(Random);
     }
     if (Entries.empty()) {
       std::this_thread::sleep_for(PauseAfterFailure);
--- a/Tests/platform/Soak/endpoint_double.cpp
+++ b/Tests/platform/Soak/endpoint_double.cpp
@@ -12,15 +12,20 @@
 
 constexpr milliseconds EventInterval{40};
 constexpr milliseconds PlainProcessingTime{60};
+/// Plain requests for some paths take long.
+constexpr milliseconds SlowProcessingTime{1500};
+constexpr const char *SlowPathEnding = "7";
 /// Number of events sent before TruncatingStreams truncates the stream.
 constexpr std::uint64_t EventsBeforeTruncation = 5;
 
 /// Produces the numbered events of a stream, starting at a given one.
 class event_source : public body_source {
 public:
-  event_source(std::string Request, std::uint64_t First, bool ShouldTruncate)
-      : Request(std::move(Request)), Next(First),
-        ShouldTruncate(ShouldTruncate) {}
+  event_source(run_registry &Runs, std::string Request, std::string Endpoint,
+               std::uint64_t First, bool ShouldTruncate)
+      : Runs(Runs), Request(std::move(Request)), Endpoint(std::move(Endpoint)),
+        Next(First), ShouldTruncate(ShouldTruncate) {}
+  ~event_source() override { Runs.ended(request_id(Request), Endpoint); }
 
   std::optional<std::string> next() override {
     if (Next > StreamEvents)
@@ -36,7 +41,9 @@
   bool isComplete() const override { return !WasTruncated; }
 
 private:
+  run_registry &Runs;
   const std::string Request;
+  const std::string Endpoint;
   std::uint64_t Next;
   const bool ShouldTruncate;
   std::uint64_t Sent = 0;
@@ -46,8 +53,9 @@
 served_response refuse(int Status, const std::string &Request) {
   served_response Response;
   Response.Status = Status;
-  Response.Headers = {{"Azurehaven-Attempt-Id", Request},
-                      {"Azurehaven-Not-Executed", "1"}};
+  Response.Headers = {{"Azurehaven-Not-Executed", "1"}};
+  if (!Request.empty())
+    Response.Headers.emplace_back("Azurehaven-Attempt-Id", Request);
   return Response;
 }
 
@@ -90,8 +98,12 @@
   const std::string Expected =
       headerValue(Request.Headers, "Azurehaven-Expect-Instance");
   const std::string Own = id();
+  Runs.arrived(request_id(RequestId), Service);
   if (!Expected.empty() && Expected != Own)
     return refuse(421, RequestId);
+  const bool IsEven = std::hash<std::string>{}(RequestId) % 2 == 0;
+  if (Behavior == endpoint_behavior::SheddingHalf && IsEven)
+    return refuse(503, {});
   if (Behavior == endpoint_behavior::Full)
     return refuse(503, RequestId);
   return run(Request, RequestId);
@@ -105,12 +117,14 @@
   served_response Response;
   Response.Headers = {{"Azurehaven-Attempt-Id", RequestId},
                       {"Azurehaven-Response-Seal", "seal-" + RequestId}};
-  if (Behavior == endpoint_behavior::Failing) {
+  if (Behavior == endpoint_behavior::Failing || IsServiceFailing) {
     Response.Status = 500;
     return Response;
   }
   if (!Request.Path.starts_with("/stream/")) {
-    std::this_thread::sleep_for(PlainProcessingTime);
+    const bool IsSlow = Request.Path.ends_with(SlowPathEnding);
+    std::this_thread::sleep_for(IsSlow ? SlowProcessingTime
+                                       : PlainProcessingTime);
     Response.ContentType = "text/plain";
     Response.Body = responseText(RequestId);
     return Response;
@@ -126,7 +140,7 @@
                                 HasLowConfidence ? "10" : "90");
   Response.ContentType = "text/event-stream";
   Response.Source = std::make_unique<event_source>(
-      RequestId, After.empty() ? 1 : std::stoull(After) + 1,
+      Runs, RequestId, id(), After.empty() ? 1 : std::stoull(After) + 1,
       Behavior == endpoint_behavior::TruncatingStreams);
   return Response;
 }
--- a/Tests/platform/Soak/endpoint_double.h
+++ b/Tests/platform/Soak/endpoint_double.h
@@ -7,7 +7,14 @@
 
 namespace azurehaven::platform {
 
-enum class endpoint_behavior { Healthy, Full, Failing, TruncatingStreams };
+enum class endpoint_behavior {
+  Healthy,
+  Full,
+  Failing,
+  TruncatingStreams,
+  /// Refuses every second request, by a response that names no request.
+  SheddingHalf,
+};
 
 /// Number of events in each stream.
 constexpr std::uint64_t StreamEvents = 12;
@@ -29,6 +36,8 @@
   const std::string &service() const { return Service; }
 
   std::atomic<endpoint_behavior> Behavior = endpoint_behavior::Healthy;
+  /// Set while all endpoints of the service fail.
+  std::atomic<bool> IsServiceFailing = false;
 
 private:
   served_response run(const served_request &Request,
--- a/Tests/platform/Soak/fault_proxy.cpp
+++ b/Tests/platform/Soak/fault_proxy.cpp
@@ -61,12 +61,24 @@
             Direction.DroppingFault = Now;
           if (Direction.DroppingFault != link_fault::None)
             return pass(From, To, Direction);
+          if (&From == &Target)
+            LastResponse.assign(Direction.Buffer.data(), Size);
+          else if (Now == link_fault::RepeatResponses && !LastResponse.empty())
+            repeatResponse();
           if (Now == link_fault::Delay)
             return delay(From, To, Direction, Size);
           forward(From, To, Direction, Size);
         });
   }
 
+  void repeatResponse() {
+    const auto Bytes =
+        std::make_shared<const std::string>(std::exchange(LastResponse, {}));
+    asio::async_write(Caller, asio::buffer(*Bytes),
+                      [Self = shared_from_this(),
+                       Bytes](const asio::error_code &, std::size_t) {});
+  }
+
   void delay(tcp::socket &From, tcp::socket &To, direction &Direction,
              std::size_t Size) {
     auto Timer = std::make_shared<asio::steady_timer>(Poll.get_executor());
@@ -125,6 +137,7 @@
   const std::shared_ptr<const std::atomic<link_fault>> Fault;
   direction Requests;
   direction Responses;
+  std::string LastResponse;
   int EndedDirections = 0;
   bool IsClosed = false;
 };
--- a/Tests/platform/Soak/fault_proxy.h
+++ b/Tests/platform/Soak/fault_proxy.h
@@ -22,6 +22,8 @@
   DropResponses,
   /// Nothing is forwarded, connections stay open.
   Silence,
+  /// The last bytes of a response come again as the next request begins.
+  RepeatResponses,
 };
 
 /// TCP proxy between two loopback addresses that injects faults. setFault may
--- a/Tests/platform/Soak/fault_schedule.cpp
+++ b/Tests/platform/Soak/fault_schedule.cpp
@@ -13,6 +13,8 @@
 constexpr int LongestStartIntervalMs = 1500;
 constexpr int ShortestFaultMs = 300;
 constexpr int LongestFaultMs = 8000;
+constexpr int RestartsInSeries = 4;
+constexpr milliseconds SeriesInterval{500};
 /// Added to the stop grace period for scheduling delays on a busy machine.
 constexpr milliseconds StopSlack{3000};
 /// Between two planned stops, so that the restarted process is listed and
@@ -41,6 +43,8 @@
     return "resets";
   case link_fault::DropResponses:
     return "dropped responses";
+  case link_fault::RepeatResponses:
+    return "repeated responses";
   case link_fault::Silence:
     return "silence";
   }
@@ -57,6 +61,8 @@
     return "fails";
   case endpoint_behavior::TruncatingStreams:
     return "truncates streams";
+  case endpoint_behavior::SheddingHalf:
+    return "refuses every second request";
   }
   return "unknown";
 }
@@ -104,7 +110,7 @@
 }
 
 status fault_schedule::play(std::size_t Faults) {
-  static constexpr std::array<fault_start, 12> Kinds = {
+  static constexpr std::array<fault_start, 15> Kinds = {
       &fault_schedule::killEntry,
       &fault_schedule::pauseEntry,
       &fault_schedule::stopEntry,
@@ -116,7 +122,10 @@
       &fault_schedule::degradeEndpoint,
       &fault_schedule::crashEndpoint,
       &fault_schedule::drainEndpoint,
-      &fault_schedule::revokeKey};
+      &fault_schedule::revokeKey,
+      &fault_schedule::restartInSeries,
+      &fault_schedule::failService,
+      &fault_schedule::repeatResponses};
   Cluster.Store.makeCopy();
   for (std::size_t Count = 0; Count < Faults; ++Count) {
     TRY_STATUS(copyOrRestoreStore());
@@ -164,6 +173,60 @@
       [=, this] { return Cluster.startEntry(Entry); });
 }
 
+result<fault_schedule::fault_end> fault_schedule::restartInSeries() {
+  const std::size_t Entry = randomEntry();
+  const std::string Name = Cluster.entryName(Entry);
+  return injectFault(
+      Name, fault_kind::Process, Name, "restart " + Name + " in series",
+      [=, this]() -> status {
+        for (int Restart = 0; Restart < RestartsInSeries; ++Restart) {
+          TRY_STATUS(Cluster.Processes.signal(Name, SIGKILL));
+          TRY_STATUS(Cluster.startEntry(Entry));
+          std::this_thread::sleep_for(SeriesInterval);
+        }
+        return success{};
+      },
+      doNothing);
+}
+
+result<fault_schedule::fault_end> fault_schedule::failService() {
+  const std::string Service = Cluster.Endpoints[randomEndpoint()]->service();
+  const auto Setter = [=, this](bool IsFailing) {
+    return [=, this]() -> status {
+      for (const auto &Endpoint : Cluster.Endpoints)
+        if (Endpoint->service() == Service)
+          Endpoint->IsServiceFailing = IsFailing;
+      return success{};
+    };
+  };
+  return injectFault("service " + Service, fault_kind::Endpoint, Service,
+                     "all endpoints of " + Service + " fail", Setter(true),
+                     Setter(false));
+}
+
+result<fault_schedule::fault_end> fault_schedule::repeatResponses() {
+  const std::size_t Index = randomEndpoint();
+  const std::string Name = nameOfEndpoint(Index);
+  fault_proxy &Link = *Cluster.EndpointLinks[Index];
+  endpoint_double &Endpoint = *Cluster.Endpoints[Index];
+  const bool Sheds = Random() % 2 == 0;
+  const auto Setter = [&Link, &Endpoint](link_fault Fault,
+                                         endpoint_behavior Behavior) {
+    return [&Link, &Endpoint, Fault, Behavior]() -> status {
+      Link.setFault(Fault);
+      Endpoint.Behavior = Behavior;
+      return success{};
+    };
+  };
+  return injectFault(
+      Name, fault_kind::Endpoint, Name,
+      Name + " writes responses again" + (Sheds ? " and refuses some" : ""),
+      Setter(link_fault::RepeatResponses, Sheds
+                                              ? endpoint_behavior::SheddingHalf
+                                              : endpoint_behavior::Healthy),
+      Setter(link_fault::None, endpoint_behavior::Healthy));
+}
+
 result<fault_schedule::fault_end> fault_schedule::pauseEntry() {
   const std::string Name = Cluster.entryName(randomEntry());
   return injectFault(
--- a/Tests/platform/Soak/fault_schedule.h
+++ b/Tests/platform/Soak/fault_schedule.h
@@ -34,6 +34,8 @@
   using fault_start = result<fault_end> (fault_schedule::*)();
 
   result<fault_end> killEntry();
+  /// Kills and starts an entry process several times in a row.
+  result<fault_end> restartInSeries();
   result<fault_end> pauseEntry();
   result<fault_end> stopEntry();
   result<fault_end> reloadEntry();
@@ -47,6 +49,9 @@
   result<fault_end> injectStoreLinkFault();
   result<fault_end> injectEndpointLinkFault();
   result<fault_end> degradeEndpoint();
+  result<fault_end> failService();
+  /// An endpoint writes responses a second time, late, and may refuse some.
+  result<fault_end> repeatResponses();
   result<fault_end> crashEndpoint();
   result<fault_end> drainEndpoint();
   result<fault_end> revokeKey();
--- a/Tests/platform/Soak/main.cpp
+++ b/Tests/platform/Soak/main.cpp
@@ -153,6 +153,7 @@
   if (isError(Played))
     Violations.push_back(errorOf(Played).Message);
   History.Runs = valueOf(Cluster)->Runs.all();
+  History.Arrivals = valueOf(Cluster)->Runs.arrivals();
   History.FaultIntervals = valueOf(Cluster)->FaultLog.all();
   History.Ledger = readLedger(*valueOf(Cluster));
   printSummary(History);
--- a/Tests/platform/Soak/promise_check.cpp
+++ b/Tests/platform/Soak/promise_check.cpp
@@ -15,6 +15,10 @@
 /// broke, leases that expired during it, and the duration of a planned stop.
 constexpr milliseconds FaultEffectTime{8000};
 
+/// How long an endpoint may go on with a stream that another one has taken
+/// over.
+constexpr milliseconds OverlapBound{400};
+
 using violations = std::vector<std::string>;
 
 std::string describe(const caller_record &Record) {
@@ -149,6 +153,93 @@
   }
 }
 
+std::size_t countWithin(const std::vector<steady_time> &Times,
+                        steady_time From) {
+  const auto First = std::lower_bound(Times.begin(), Times.end(), From);
+  return static_cast<std::size_t>(
+      std::lower_bound(First, Times.end(), From + RetryWindow) - First);
+}
+
+/// The requests that callers sent for the service, in order of time.
+std::vector<steady_time> requestTimes(const soak_history &History,
+                                      const std::string &Service) {
+  std::vector<steady_time> Times;
+  for (const auto &Record : History.Records) {
+    const bool IsForEngines = Record.Kind == request_kind::Stream;
+    if (IsForEngines == (Service == EngineService))
+      Times.push_back(Record.SentAt);
+  }
+  std::sort(Times.begin(), Times.end());
+  return Times;
+}
+
+void checkRetryBudget(const soak_history &History, const std::string &Service,
+                      violations &Violations) {
+  const std::vector<steady_time> Requests = requestTimes(History, Service);
+  std::vector<steady_time> Retries;
+  std::set<request_id> Seen;
+  for (const auto &Arrival : History.Arrivals)
+    if (Arrival.Service == Service && !Seen.insert(Arrival.Request).second)
+      Retries.push_back(Arrival.At);
+  for (const steady_time From : Retries) {
+    const std::size_t Asked =
+        std::max({countWithin(Requests, From),
+                  countWithin(Requests, From - RetryWindow / 2),
+                  countWithin(Requests, From - RetryWindow)});
+    const double Allowed = RetryRatio * static_cast<double>(Asked) + RetrySlack;
+    const std::size_t Count = countWithin(Retries, From);
+    if (static_cast<double>(Count) <= Allowed)
+      continue;
+    Violations.push_back("retry budget of " + Service +
+                         " exceeded: " + std::to_string(Count) +
+                         " retries, allowed " + std::to_string(Allowed));
+    return;
+  }
+}
+
+/// The fault target of the endpoint with this instance id.
+std::string targetOf(const std::string &Instance) {
+  const auto First = Instance.find('-') + 1;
+  return "endpoint " + Instance.substr(First, Instance.rfind('-') - First);
+}
+
+void checkOverlappingRuns(const soak_history &History, violations &Violations) {
+  for (const auto &Record : History.Records) {
+    const auto Found = History.Runs.find(Record.Id);
+    if (Record.Kind != request_kind::Stream || Found == History.Runs.end())
+      continue;
+    const auto &Runs = Found->second;
+    for (std::size_t Index = 1; Index < Runs.size(); ++Index) {
+      const endpoint_run &Before = Runs[Index - 1];
+      const steady_time Until = Runs[Index].StartedAt + OverlapBound;
+      const auto IsExcuse = [&](const fault_interval &Fault) {
+        return Fault.Target == targetOf(Before.Endpoint) ||
+               Fault.Target == Record.Entry;
+      };
+      if (Before.EndedAt > Until &&
+          !hasOverlappingFault(History, Before.StartedAt, Until, IsExcuse))
+        Violations.push_back("a stream ran on two endpoints at once: " +
+                             describe(Record));
+    }
+  }
+}
+
+/// A request that could not be finished before a planned stop should have been
+/// refused before it was sent.
+void checkPlannedStops(const soak_history &History, violations &Violations) {
+  for (const auto &Record : History.Records) {
+    const bool IsGivenUp = Record.Kind != request_kind::Stream &&
+                           Record.Status == 502 &&
+                           runCount(History, Record.Id) > 0;
+    const auto IsNotPlannedStop = [](const fault_interval &Fault) {
+      return Fault.Kind != fault_kind::Stop;
+    };
+    if (IsGivenUp && !hasOverlappingFault(History, Record.SentAt,
+                                          Record.EndedAt, IsNotPlannedStop))
+      Violations.push_back("given up after it was sent: " + describe(Record));
+  }
+}
+
 /// Whether the bill of this request may be lost: after the request was sent,
 /// its entry process was killed or paused, or stopped during a fault of the
 /// store.
@@ -199,6 +290,10 @@
   checkDrains(History, Violations);
   checkInterruptions(History, Violations);
   checkBills(History, Violations);
+  for (const char *Service : {PlainService, EngineService})
+    checkRetryBudget(History, Service, Violations);
+  checkOverlappingRuns(History, Violations);
+  checkPlannedStops(History, Violations);
   return Violations;
 }
 
--- a/Tests/platform/Soak/promise_check.h
+++ b/Tests/platform/Soak/promise_check.h
@@ -17,6 +17,7 @@
 struct soak_history {
   std::vector<caller_record> Records;
   std::map<request_id, std::vector<endpoint_run>> Runs;
+  std::vector<endpoint_arrival> Arrivals;
   std::vector<fault_interval> FaultIntervals;
   /// Times right after a configuration without the key was written to the
   /// store.
--- a/Tests/platform/Soak/soak_cluster.cpp
+++ b/Tests/platform/Soak/soak_cluster.cpp
@@ -96,7 +96,8 @@
       Serve(loopbackAddress(StoreHost, StorePort),
             [this](const auto &Request) { return Store.serve(Request); }));
   for (std::size_t Index = 0; Index < EndpointCount; ++Index) {
-    const char *Service = Index < EndpointCount / 2 ? "plain" : "engines";
+    const char *Service =
+        Index < EndpointCount / 2 ? PlainService : EngineService;
     Endpoints.push_back(std::make_unique<endpoint_double>(Service, Runs));
     const int Host = static_cast<int>(Index);
     const auto Address =
@@ -144,8 +145,10 @@
        << "bounds:\n  grace_s: " << StopGrace.count() / 1000
        << "\n  fail_closed: true\n  revoke_ms: " << RevokeBound.count()
        << "\n  drain_ms: " << DrainBound.count()
-       << "\n  retry_budget_ratio: 0.9\n  budget_window_s: 10\n"
-          "  budget_slack: 50\n  expose_share: 0.15\n  session_s: 5\n";
+       << "\n  retry_budget_ratio: " << RetryRatio
+       << "\n  budget_window_s: " << RetryWindow.count() / 1000
+       << "\n  budget_slack: " << RetrySlack
+       << "\n  expose_share: 0.15\n  session_s: 5\n";
   File.close();
   if (!File)
     return error{error_code::Internal,
--- a/Tests/platform/Soak/soak_cluster.h
+++ b/Tests/platform/Soak/soak_cluster.h
@@ -20,6 +20,11 @@
 constexpr milliseconds StopGrace{6000};
 constexpr milliseconds RevokeBound{5000};
 constexpr milliseconds DrainBound{3000};
+constexpr double RetryRatio = 0.9;
+constexpr milliseconds RetryWindow{10000};
+constexpr double RetrySlack = 50;
+constexpr const char *PlainService = "plain";
+constexpr const char *EngineService = "engines";
 constexpr const char *SteadyAccount = "account-a";
 /// The account whose API key is revoked and restored as a fault.
 constexpr const char *RevokedAccount = "account-b";
