LibRelay: Part the budget of a request's attempts from relaying it

What a request has used of its route's runs and sends and of its time is a class of its own now; no change of behaviour. Measured: the six test programs of LibRelay pass.

--- a/Libraries/LibRelay/relayed_request.cpp
+++ b/Libraries/LibRelay/relayed_request.cpp
@@ -11,9 +11,6 @@
 
 namespace {
 
-/// Attempts allowed beyond the route's MaxAttempts, which limits executions:
-/// refusals by full endpoints cost little.
-constexpr int MaxExtraSends = 2;
 /// With more bytes queued for a slow caller, reading from its endpoint is
 /// paused.
 constexpr std::size_t MaxCallerBacklogBytes = 256 << 10;
@@ -61,14 +58,11 @@
       Admitted(makeAdmittedRequest(std::move(NewRequest), Context.Fleet.Routes,
                                    NewRoute, Account, Fingerprint)),
       Request(Admitted.Request), Route(*Admitted.Route),
-      Caller(std::move(Caller)), ArrivedAt(Context.Clock.now()),
-      TimeLimit(timeLimitOf(Request, Route)), Deadline(Context.Executor),
-      PlacementWait(Context.Executor), Splicer(Request.LastEventId),
-      ResponseBody(Context.BufferedResponseBytes),
+      Caller(std::move(Caller)), Budget(Admitted, Context.Clock.now()),
+      Deadline(Context.Executor), PlacementWait(Context.Executor),
+      Splicer(Request.LastEventId), ResponseBody(Context.BufferedResponseBytes),
       Observed(Context.Fleet, Context.Log, Admitted),
       Logged(Context.Log, Admitted) {
-  if (Request.Origin)
-    RunCount = Request.Origin->RunCount;
   Context.ActiveRequests.insert(this);
 }
 
@@ -87,7 +81,7 @@
 
 void relayed_request::begin() {
   Caller->setObserver(weak_from_this());
-  Deadline.expires_after(TimeLimit);
+  Deadline.expires_after(Budget.timeLimit());
   Deadline.async_wait(
       [Self = shared_from_this()](const asio::error_code &Code) {
         if (!Code)
@@ -95,21 +89,10 @@
       });
   // The VM that forwards a request has recorded it.
   if (!Request.Origin)
-    Context.Fleet.Retries.recordRequest(Admitted.Service, ArrivedAt);
+    Context.Fleet.Retries.recordRequest(Admitted.Service, Budget.arrivedAt());
   startNextAttempt();
 }
 
-int relayed_request::maxRuns() const {
-  if (!Request.Origin || !Request.Origin->AllowedRuns)
-    return Route.MaxAttempts;
-  return std::min(Route.MaxAttempts,
-                  Request.Origin->RunCount + *Request.Origin->AllowedRuns);
-}
-
-milliseconds relayed_request::timeLeft(steady_time Now) const {
-  return TimeLimit - std::chrono::duration_cast<milliseconds>(Now - ArrivedAt);
-}
-
 void relayed_request::startNextAttempt() {
   const steady_time Now = Context.Clock.now();
   // The monitor of the attempt before would end the next one.
@@ -125,11 +108,11 @@
   const bool NeedsKey = Admitted.Routes->needsKeys() && !Route.IsPublic;
   if (NeedsKey && !Context.Fleet.Confirmation.isCurrent(Now))
     return refuse(
-        errorResponseFor(RunCount > 0, "configuration_not_confirmed"));
+        errorResponseFor(Budget.mayHaveRun(), "configuration_not_confirmed"));
   // A stream that has begun goes on until the process exits.
   if (!ResponseStarted &&
-      !isAdmittedDuringStop(Context.Fleet, Route, timeLeft(Now), Now))
-    return refuse(stoppingErrorResponse(RunCount > 0));
+      !isAdmittedDuringStop(Context.Fleet, Route, Budget.timeLeft(Now), Now))
+    return refuse(stoppingErrorResponse(Budget.mayHaveRun()));
   if (const auto Peer = selectForwardingPeer(Now))
     return forwardTo(Peer);
   const request_placement Placement =
@@ -140,7 +123,7 @@
       !TriedPeers.empty() && Context.Fleet.Paths.isLost(Admitted.Service);
   if (!Target || IsRefusedByPeers)
     return handleMissingEndpoint(Now);
-  Logged.onReleaseChosen(Placement, SendCount + 1, Now);
+  Logged.onReleaseChosen(Placement, Budget.sends() + 1, Now);
   startAttemptOn(Target);
 }
 
@@ -148,7 +131,7 @@
   const endpoint_list &Endpoints =
       Context.Fleet.Endpoints.endpointsOf(Admitted.Service);
   if (!PlacementWait.isWorthwhile(Endpoints, Now))
-    return refuse(noEndpointErrorResponse(RunCount > 0,
+    return refuse(noEndpointErrorResponse(Budget.mayHaveRun(),
                                           timeUntilAdmission(Endpoints, Now)));
   PlacementWait.start(Now, [Weak = weak_from_this()] {
     auto Self = Weak.lock();
@@ -172,16 +155,16 @@
   const steady_time Now = Context.Clock.now();
   Endpoint = Peer;
   TriedPeers.insert(Peer->Descriptor.Id);
-  ++SendCount;
+  Budget.countSend();
   forwarding_parameters Parameters;
   // A peer that breaks off does not tell how often the request has run there,
   // so that it gets a part of the runs and is taken to have used it.
-  PeerRuns = (maxRuns() - RunCount + 1) / 2;
-  Parameters.Origin = {Context.Fleet.Self, RunCount, PeerRuns};
-  Parameters.TimeLeft = timeLeft(Now);
+  PeerRuns = (Budget.runsLeft() + 1) / 2;
+  Parameters.Origin = {Context.Fleet.Self, Budget.runs(), PeerRuns};
+  Parameters.TimeLeft = Budget.timeLeft(Now);
   Parameters.ResumeAfter = Splicer.lastEventId();
   Parameters.BodySize = Body->size();
-  Logged.onForwarded(Peer->Descriptor.Id, SendCount, SendReason,
+  Logged.onForwarded(Peer->Descriptor.Id, Budget.sends(), SendReason,
                      Parameters.TimeLeft);
   Context.Metrics.increment("azurehaven_forwarded_requests_total");
   Observed.onForwarded(Peer, Splicer.eventCount());
@@ -202,12 +185,12 @@
   const steady_time Now = Context.Clock.now();
   Endpoint = Target;
   Tried.insert(Target->Descriptor.Id);
-  ++SendCount;
+  Budget.countSend();
   attempt_parameters Parameters;
   Parameters.Endpoint = Target->Descriptor.Id;
   Parameters.Address = Target->Descriptor.Address;
   Parameters.Account = Admitted.Account.Account;
-  Parameters.TimeLeft = timeLeft(Now);
+  Parameters.TimeLeft = Budget.timeLeft(Now);
   if (Request.acceptsAnyModel() && !Model.empty())
     Parameters.Model = Model;
   if (ResponseStarted)
@@ -216,7 +199,8 @@
     Parameters.Urgency = SmallModelUrgency;
   Parameters.ResumeAfter = Splicer.lastEventId();
   Parameters.BodySize = Body->size();
-  Logged.onSent(*Target, Model, SendCount, SendReason, Parameters.TimeLeft);
+  Logged.onSent(*Target, Model, Budget.sends(), SendReason,
+                Parameters.TimeLeft);
   const double OwnWork =
       promptWorkOn(Context.Fleet, Admitted, ModelIndex, *Target, Now);
   const double PromptWorkAhead = pendingPromptWork(*Target) + OwnWork;
@@ -294,7 +278,7 @@
   // The VM that a request was forwarded to has chosen the model.
   if (!ModelIndex || !NewResponse.Confidence || Observed.isForwarded() ||
       !isSuccess(NewResponse.Status) || ResponseStarted ||
-      RunCount + 1 >= maxRuns())
+      Budget.runsLeft() <= 1)
     return false;
   fleet_state &Fleet = Context.Fleet;
   const steady_time Now = Context.Clock.now();
@@ -315,7 +299,7 @@
     return false;
   SendReason = "escalated";
   ModelIndex = Larger;
-  ++RunCount;
+  Budget.countRuns(1);
   if (Liveness)
     Liveness->stop();
   Observed.onDropped(Now);
@@ -352,7 +336,7 @@
     if (!ResponseStarted) {
       ResponseStarted = true;
       TimeToFirstEvent =
-          std::chrono::duration_cast<milliseconds>(Now - ArrivedAt);
+          std::chrono::duration_cast<milliseconds>(Now - Budget.arrivedAt());
       Caller->startResponse(ResponseHead.Status,
                             Context.Codec.forwardedHeaders(ResponseHead));
     }
@@ -387,11 +371,11 @@
     return retryOrRefuse(attempt_failure::NotExecuted,
                          "status " + std::to_string(Response.Status));
   }
-  ++RunCount;
+  Budget.countRuns(1);
   if (!isSuccess(Response.Status))
     return handleErrorStatus();
   if (const char *Reason = streamBreakReason()) {
-    --RunCount; // onAttemptFailed() counts this attempt.
+    Budget.countRuns(-1); // onAttemptFailed() counts this attempt.
     return onAttemptFailed(attempt_failure::NoValidResponse, Reason);
   }
   Observed.onComplete(Context.Clock.now());
@@ -431,7 +415,7 @@
   // Another VM has made all the attempts that the route allows.
   const bool MayRetry = !Observed.isForwarded() &&
                         isRetryAllowed(Route, attempt_failure::ErrorResponse) &&
-                        RunCount < maxRuns() && !ResponseStarted;
+                        Budget.runsLeft() > 0 && !ResponseStarted;
   if (MayRetry)
     return retryOrRefuse(attempt_failure::ErrorResponse,
                          "status " + std::to_string(Response.Status));
@@ -460,16 +444,16 @@
   Attempt->cancel();
   Observed.onFailed(Failure, Context.Clock.now());
   if (mayHaveRun(Failure))
-    RunCount += Observed.isForwarded() ? PeerRuns : 1;
+    Budget.countRuns(Observed.isForwarded() ? PeerRuns : 1);
   retryOrRefuse(Failure, Reason);
 }
 
 bool relayed_request::mayRetryElsewhere(steady_time Now) const {
   const bool HasTime =
       ResponseStarted ||
-      isAdmittedDuringStop(Context.Fleet, Route, timeLeft(Now), Now);
+      isAdmittedDuringStop(Context.Fleet, Route, Budget.timeLeft(Now), Now);
   // The current attempt counts as executed.
-  return HasTime && RunCount + 1 < maxRuns() &&
+  return HasTime && Budget.runsLeft() > 1 &&
          mayRetryAfter(attempt_failure::Silent, Now);
 }
 
@@ -491,9 +475,7 @@
 
 bool relayed_request::mayRetryAfter(attempt_failure Failure,
                                     steady_time Now) const {
-  return isRetryAllowed(Route, Failure) && RunCount < maxRuns() &&
-         SendCount < Route.MaxAttempts + MaxExtraSends &&
-         !Observed.isQuarantined() && timeLeft(Now).count() > 0;
+  return Budget.allowsRetryAfter(Failure, Now) && !Observed.isQuarantined();
 }
 
 retry_decision relayed_request::decideRetry(attempt_failure Failure,
@@ -514,7 +496,7 @@
   fleet_state &Fleet = Context.Fleet;
   const retry_decision Decision = decideRetry(Failure, Now);
   Logged.onAttemptFailed(
-      {Endpoint->Descriptor.Id, Failure, Reason, SendCount, Decision,
+      {Endpoint->Descriptor.Id, Failure, Reason, Budget.sends(), Decision,
        Fleet.Retries.stateOf(Admitted.Service, Now), Fleet.Members.size()});
   if (Decision == retry_decision::Granted ||
       Decision == retry_decision::NotCounted) {
@@ -529,7 +511,7 @@
     return forwardErrorResponse();
   const bool IsExhausted = Decision == retry_decision::BudgetExhausted;
   refuse(errorResponseFor(
-      RunCount > 0, IsExhausted ? "retry_budget" : "attempts_failed",
+      Budget.mayHaveRun(), IsExhausted ? "retry_budget" : "attempts_failed",
       timeUntilAdmission(Fleet.Endpoints.endpointsOf(Admitted.Service), Now)));
 }
 
@@ -557,7 +539,7 @@
     if (!ResponseStarted)
       Observed.onDeadline(Context.Clock.now());
   }
-  refuse(deadlineErrorResponse(SendCount > 0));
+  refuse(deadlineErrorResponse(Budget.sends() > 0));
 }
 
 void relayed_request::endForShutdown() {
@@ -565,7 +547,7 @@
     return;
   if (Attempt)
     Attempt->cancel();
-  refuse(errorResponseFor(SendCount > 0, "stopping"));
+  refuse(errorResponseFor(Budget.sends() > 0, "stopping"));
 }
 
 void relayed_request::onCallerDisconnected() {
@@ -593,7 +575,8 @@
     Liveness->stop();
   const steady_time Now = Context.Clock.now();
   Observed.recordIfSlow(Now);
-  const auto Took = std::chrono::duration_cast<milliseconds>(Now - ArrivedAt);
+  const auto Took =
+      std::chrono::duration_cast<milliseconds>(Now - Budget.arrivedAt());
   const std::string Labels = std::string("kind=\"") + nameOf(Route.Kind) +
                              "\",outcome=\"" + Outcome + "\"";
   Context.Metrics.increment("azurehaven_requests_total", Labels);
@@ -602,7 +585,7 @@
   // The VM that a request was forwarded to bills it.
   if (IsAnswered && !Observed.isForwarded())
     recordBill();
-  Logged.onFinished(Outcome, IsAnswered, Endpoint.get(), Model, SendCount,
+  Logged.onFinished(Outcome, IsAnswered, Endpoint.get(), Model, Budget.sends(),
                     TimeToFirstEvent, Took);
   Attempt.reset();
   ResponseBody.clear();
--- a/Libraries/LibRelay/relayed_request.h
+++ b/Libraries/LibRelay/relayed_request.h
@@ -4,6 +4,7 @@
 #include "LibDispatch/event_splicer.h"
 #include "LibDispatch/placement.h"
 #include "LibRelay/admitted_request.h"
+#include "LibRelay/attempt_budget.h"
 #include "LibRelay/attempt_observations.h"
 #include "LibRelay/buffered_body.h"
 #include "LibRelay/endpoint_attempt.h"
@@ -79,8 +80,6 @@
   /// whether there are an endpoint and a retry budget for that now.
   bool mayRetryElsewhere(steady_time Now) const;
   bool canRetryElsewhereNow(steady_time Now) const;
-  milliseconds timeLeft(steady_time Now) const;
-  int maxRuns() const;
   void startLivenessMonitor();
   retry_decision decideRetry(attempt_failure Failure, steady_time Now);
   bool tryEscalate(const decoded_response_head &NewResponse);
@@ -93,8 +92,7 @@
   const dispatch_request &Request;
   const route &Route;
   std::shared_ptr<caller_connection> Caller;
-  const steady_time ArrivedAt;
-  const milliseconds TimeLimit;
+  attempt_budget Budget;
   asio::steady_timer Deadline;
   std::shared_ptr<liveness_monitor> Liveness;
   placement_wait PlacementWait;
@@ -108,9 +106,6 @@
   std::set<endpoint_id> Tried;
   /// VMs that the request was forwarded to.
   std::set<endpoint_id> TriedPeers;
-  /// Attempts so far, and those of them that the endpoint may have executed.
-  int SendCount = 0;
-  int RunCount = 0;
   /// Why the current attempt is made; a stable identifier for logs.
   const char *SendReason = "first";
   /// Runs that the peer of the current attempt may make.
