--- a/Tests/platform/Soak/endpoint_double.cpp
+++ b/Tests/platform/Soak/endpoint_double.cpp
@@ -119,6 +119,7 @@
                       {"Azurehaven-Response-Seal", "seal-" + RequestId}};
   if (Behavior == endpoint_behavior::Failing || IsServiceFailing) {
     Response.Status = 500;
+    Runs.ended(request_id(RequestId), id());
     return Response;
   }
   if (!Request.Path.starts_with("/stream/")) {
