Soak: Let processes not inherit the soak's connections

Cause: each entry process inherited the sockets of the links, endpoints and store, so that a connection which the soak reset stayed open until that process ended: faults of links did less than they say, and ports stayed in use. Change: processes are started with their own three descriptors.

--- a/Tests/LibScenario/process_group.cpp
+++ b/Tests/LibScenario/process_group.cpp
@@ -33,6 +33,9 @@
   posix_spawn_file_actions_addopen(&Actions, STDERR_FILENO, Log.c_str(),
                                    O_WRONLY | O_CREAT | O_APPEND, 0644);
   posix_spawn_file_actions_adddup2(&Actions, STDERR_FILENO, STDOUT_FILENO);
+  // A connection that this program closes would stay open while a process has
+  // inherited it.
+  posix_spawn_file_actions_addclosefrom_np(&Actions, STDERR_FILENO + 1);
   pid_t Process = 0;
   const int Code = ::posix_spawn(&Process, Values.front(), &Actions, nullptr,
                                  Values.data(), environ);
--- a/Tests/platform/Soak/promise_check.cpp
+++ b/Tests/platform/Soak/promise_check.cpp
@@ -15,6 +15,9 @@
 /// broke, leases that expired during it, and the duration of a planned stop.
 constexpr milliseconds FaultEffectTime{8000};
 
+/// The longest time from a request to the end of its connection, if a process
+/// that stops has not read it (`lost_ms`).
+constexpr milliseconds LostBound{200};
 /// How long an endpoint may go on with a stream that another one has taken
 /// over.
 constexpr milliseconds OverlapBound{400};
@@ -137,12 +140,24 @@
       }
 }
 
+/// Whether the request crossed the end of its connection as the process exited:
+/// it was not sent on, and the caller learned that at once.
+bool hasCrossedClose(const soak_history &History, const caller_record &Record) {
+  const auto IsStopOfEntry = [&](const fault_interval &Fault) {
+    return Fault.Kind == fault_kind::Stop && Fault.Target == Record.Entry;
+  };
+  return Record.Status == 0 && runCount(History, Record.Id) == 0 &&
+         Record.EndedAt - Record.SentAt <= LostBound &&
+         hasOverlappingFault(History, Record.SentAt, Record.EndedAt,
+                             IsStopOfEntry);
+}
+
 void checkInterruptions(const soak_history &History, violations &Violations) {
   for (const auto &Record : History.Records) {
     const bool IsInterrupted =
         Record.MayHaveArrived &&
         (Record.Status == 0 || (Record.Status == 200 && !Record.IsWhole));
-    if (!IsInterrupted)
+    if (!IsInterrupted || hasCrossedClose(History, Record))
       continue;
     const auto IsNotPlannedStop = [&](const fault_interval &Fault) {
       return Fault.Kind != fault_kind::Stop;
