--- a/Libraries/LibRelay/request_log.h
+++ b/Libraries/LibRelay/request_log.h
@@ -9,15 +9,17 @@
 
 namespace azurehaven {
 
+/// Whether another attempt follows one that failed.
 enum class retry_decision {
   Granted,
-  /// The retry reaches no endpoint twice, so that the budget does not matter.
+  /// Granted without the budget: the attempt that failed reached no endpoint.
   NotCounted,
   /// By the route, the number of attempts or the time left.
   NotAllowed,
   BudgetExhausted,
 };
 
+/// What becomes of an answer of which the model that made it is not sure.
 enum class escalation_outcome {
   Accepted,
   Escalated,
--- a/Libraries/LibRelay/stop_admission.cpp
+++ b/Libraries/LibRelay/stop_admission.cpp
@@ -26,6 +26,7 @@
   return std::chrono::duration_cast<milliseconds>(Now - Fleet.StoppingSince);
 }
 
+/// Time within which a plain response of the route can be expected.
 milliseconds neededResponseTime(const fleet_state &Fleet, const route &Route) {
   const double LongestMs =
       Fleet.LatencyBaseline.longestMs(Route.Name, model_id()).value_or(0);
--- a/Tests/LibRelay/relay_refusal_test.cpp
+++ b/Tests/LibRelay/relay_refusal_test.cpp
@@ -206,10 +206,12 @@
   relay_fixture Fixture;
   Fixture.addRoute("/p/", route_kind::Idempotent);
   Fixture.applyRoutes();
-  Fixture.Fleet.IsStopping = true;
-  Fixture.Fleet.StoppingSince = Fixture.Clock.now() - milliseconds(6100);
-  Fixture.setScript(
-      [](std::size_t, const received_request &) { return slowResponse(); });
+  Fixture.setScript([&](std::size_t, const received_request &) {
+    // Time for the response, but not for one more attempt.
+    Fixture.Fleet.IsStopping = true;
+    Fixture.Fleet.StoppingSince = Fixture.Clock.now() - milliseconds(6250);
+    return slowResponse();
+  });
   CHECK(statusOf(Fixture.sendRequest("/p/")) == 200);
   CHECK(Fixture.Received.size() == 1);
 }
--- a/Tests/platform/Soak/fault_schedule.cpp
+++ b/Tests/platform/Soak/fault_schedule.cpp
@@ -182,7 +182,8 @@
       "restart " + Name + " in series" +
           (DoEnginesFail ? " while the engines fail" : ""),
       [=, this]() -> status {
-        Cluster.setServiceFailing(EngineService, DoEnginesFail);
+        if (DoEnginesFail)
+          Cluster.setServiceFailing(EngineService, true);
         for (int Restart = 0; Restart < RestartsInSeries; ++Restart) {
           TRY_STATUS(Cluster.Processes.signal(Name, SIGKILL));
           TRY_STATUS(Cluster.startEntry(Entry));
@@ -190,8 +191,9 @@
         }
         return success{};
       },
-      [this]() -> status {
-        Cluster.setServiceFailing(EngineService, false);
+      [=, this]() -> status {
+        if (DoEnginesFail)
+          Cluster.setServiceFailing(EngineService, false);
         return success{};
       });
 }
