LibConnection, LibRelay: Log why a connection is closed with a request unanswered

Each close has a reason now; it is counted by reason, and logged as an important line if a request or a part of one may have been left without an answer.

--- a/Libraries/LibConnection/caller_connection.cpp
+++ b/Libraries/LibConnection/caller_connection.cpp
@@ -34,6 +34,12 @@
   return 400;
 }
 
+/// Whether the caller must learn that no complete response follows.
+constexpr bool isReset(close_reason Reason) {
+  return Reason == close_reason::Aborted ||
+         Reason == close_reason::ConnectionLimit;
+}
+
 } // namespace
 
 const char *reasonPhrase(int Status) {
@@ -43,7 +49,7 @@
 caller_connection::caller_connection(asio::ip::tcp::socket Socket,
                                      request_handler &Handler)
     : Socket(std::move(Socket)), Timer(this->Socket.get_executor()),
-      Handler(Handler), Parser(Handler.limits()) {}
+      Handler(Handler), Parser(Handler.limits()), IdleSince(Handler.now()) {}
 
 void caller_connection::start() {
   setConnectionOptions(Socket, UnacknowledgedDataTimeout);
@@ -63,7 +69,7 @@
                            if (Self->State == state::Closed)
                              return;
                            if (Code)
-                             return Self->close();
+                             return Self->close(close_reason::ByCaller);
                            if (Self->State != state::Closing) {
                              Self->Unparsed.append(Self->Buffer.data(), Size);
                              if (Self->State == state::Reading)
@@ -75,6 +81,7 @@
 
 void caller_connection::parse() {
   const std::size_t Consumed = Parser.consume(Unparsed);
+  RequestBytes += Consumed;
   Unparsed.erase(0, Consumed);
   if (Parser.parseError() != request_parse_error::None)
     return reject(Parser.parseError());
@@ -116,18 +123,22 @@
   if (Wanted == RunningTimeout && Wanted == timeout_kind::Head)
     return;
   RunningTimeout = Wanted;
+  ArmedTimeout = milliseconds(0);
   Timer.cancel();
   if (Wanted == timeout_kind::None)
     return;
   // The handler's limits may change while the connection is open.
   const caller_limits Limits = Handler.limits();
   Parser.setLimits(Limits);
-  Timer.expires_after(Wanted == timeout_kind::Head ? Limits.HeaderTimeout
-                                                   : Limits.IdleTimeout);
-  Timer.async_wait([Weak = weak_from_this()](const asio::error_code &Code) {
+  ArmedTimeout =
+      Wanted == timeout_kind::Head ? Limits.HeaderTimeout : Limits.IdleTimeout;
+  Timer.expires_after(ArmedTimeout);
+  Timer.async_wait([Weak = weak_from_this(),
+                    Wanted](const asio::error_code &Code) {
     auto Self = Weak.lock();
     if (!Code && Self && Self->State == state::Reading)
-      Self->close();
+      Self->close(Wanted == timeout_kind::Idle ? close_reason::IdleTimeout
+                                               : close_reason::RequestTimeout);
   });
 }
 
@@ -190,6 +201,9 @@
 
 void caller_connection::endExchange() {
   Observer.reset();
+  ++Responses;
+  RequestBytes = 0;
+  IdleSince = Handler.now();
   if (!KeepAlive) {
     State = state::Closing;
     CloseWhenSent = true;
@@ -235,7 +249,7 @@
                       if (Self->State == state::Closed)
                         return;
                       if (Code)
-                        return Self->close();
+                        return Self->close(close_reason::ByCaller);
                       Self->PendingBytes -= Text->size();
                       if (!Self->Outgoing.empty())
                         return Self->flush();
@@ -252,7 +266,7 @@
   Timer.expires_after(LingerTimeout);
   Timer.async_wait([Self = shared_from_this()](const asio::error_code &Code) {
     if (!Code)
-      Self->close();
+      Self->close(close_reason::AfterResponse);
   });
   read();
 }
@@ -262,21 +276,39 @@
       State == state::Reading && !Parser.hasStarted() && Unparsed.empty();
   // The end of the last response may still be on its way.
   if (IsBetweenRequests && PendingBytes == 0)
-    close();
+    close(close_reason::Stop);
 }
 
-void caller_connection::abort() {
+void caller_connection::abort(close_reason Reason) {
   Observer.reset();
-  if (State == state::Closed)
-    return;
-  resetConnection(Socket);
-  close();
+  if (State != state::Closed)
+    close(Reason);
+}
+
+closed_connection caller_connection::describeClose(close_reason Reason) {
+  asio::error_code Ignored;
+  closed_connection Closed;
+  Closed.Reason = Reason;
+  Closed.HasRequest = State == state::Serving;
+  Closed.RequestBytes = RequestBytes + Unparsed.size();
+  // Bytes after the last response are discarded; they belong to no request.
+  if (State != state::Closing)
+    Closed.UnreadBytes = Socket.available(Ignored);
+  Closed.UnsentBytes = PendingBytes;
+  Closed.IdleTime =
+      std::chrono::duration_cast<milliseconds>(Handler.now() - IdleSince);
+  Closed.ArmedTimeout = ArmedTimeout;
+  Closed.Responses = Responses;
+  return Closed;
 }
 
-void caller_connection::close() {
+void caller_connection::close(close_reason Reason) {
   if (State == state::Closed)
     return;
+  const closed_connection Description = describeClose(Reason);
   State = state::Closed;
+  if (isReset(Reason))
+    resetConnection(Socket);
   asio::error_code Ignored;
   Socket.close(Ignored);
   Timer.cancel();
@@ -284,6 +316,7 @@
   Observer.reset();
   if (CurrentObserver)
     CurrentObserver->onCallerDisconnected();
+  Handler.onConnectionClosed(Description);
   if (auto Closed = std::exchange(ClosedHandler, nullptr))
     Closed();
 }
--- a/Libraries/LibConnection/caller_connection.h
+++ b/Libraries/LibConnection/caller_connection.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "LibConnection/closed_connection.h"
 #include "LibConnection/request_parser.h"
 #include "LibTypes/units.h"
 
@@ -41,6 +42,9 @@
   /// Whether responses carry Connection: close, after which the connection
   /// closes.
   virtual bool sendsConnectionClose() const = 0;
+  virtual steady_time now() const = 0;
+  /// Called once for each connection, after it has been closed.
+  virtual void onConnectionClosed(const closed_connection &) {}
 };
 
 /// Receives events of a caller's connection while its request is being served.
@@ -77,7 +81,7 @@
   void truncateResponse();
   /// Resets the connection, so that the caller can't take the response for a
   /// complete one. Does not notify the observer.
-  void abort();
+  void abort(close_reason Reason = close_reason::Aborted);
 
   bool hasRequest() const { return State == state::Serving; }
   /// Whether a request is being served, response bytes are unsent or the
@@ -108,7 +112,8 @@
   void flush();
   void endExchange();
   void closeGracefully();
-  void close();
+  void close(close_reason Reason);
+  closed_connection describeClose(close_reason Reason);
   std::string formatHead(int Status, const http_headers &Headers) const;
 
   asio::ip::tcp::socket Socket;
@@ -129,6 +134,12 @@
   bool KeepAlive = true;
   bool IsHeadRequest = false;
   bool CloseWhenSent = false;
+  /// When the last response ended, or the connection was made.
+  steady_time IdleSince;
+  milliseconds ArmedTimeout{0};
+  /// Bytes of the request that is being read.
+  std::size_t RequestBytes = 0;
+  std::uint64_t Responses = 0;
 };
 
 const char *reasonPhrase(int Status);
--- a/Libraries/LibConnection/connection_listener.cpp
+++ b/Libraries/LibConnection/connection_listener.cpp
@@ -46,7 +46,7 @@
 connection_listener::~connection_listener() {
   for (const auto &Connection : Connections) {
     Connection->setClosedHandler(nullptr);
-    Connection->abort();
+    Connection->abort(close_reason::Stop);
   }
 }
 
@@ -89,7 +89,7 @@
   // Closing erases the list entry; this copy keeps the connection alive until
   // abort() returns.
   auto Oldest = *Found;
-  Oldest->abort();
+  Oldest->abort(close_reason::ConnectionLimit);
 }
 
 void connection_listener::stopAccepting() {
--- a/Libraries/LibRelay/relay.cpp
+++ b/Libraries/LibRelay/relay.cpp
@@ -37,6 +37,26 @@
 
 bool relay::sendsConnectionClose() const { return Context.Fleet.IsStopping; }
 
+void relay::onConnectionClosed(const closed_connection &Closed) {
+  Context.Metrics.increment("azurehaven_closed_connections_total",
+                            std::string("reason=\"") + nameOf(Closed.Reason) +
+                                "\"");
+  if (!Closed.hasUnansweredRequest())
+    return;
+  Context.Log.write(
+      log_level::Warning, "connection_closed_unanswered",
+      {{"reason", nameOf(Closed.Reason)},
+       {"from", Source == request_source::Vm ? "vm" : "caller"},
+       {"has_request", Closed.HasRequest ? "yes" : "no"},
+       {"request_bytes", std::to_string(Closed.RequestBytes)},
+       {"unread_bytes", std::to_string(Closed.UnreadBytes)},
+       {"unsent_bytes", std::to_string(Closed.UnsentBytes)},
+       {"idle_ms", std::to_string(Closed.IdleTime.count())},
+       {"armed_ms", std::to_string(Closed.ArmedTimeout.count())},
+       {"idle_limit_ms", std::to_string(limits().IdleTimeout.count())},
+       {"responses", std::to_string(Closed.Responses)}});
+}
+
 rejection_body relay::onInvalidRequest(request_parse_error Fault) {
   const char *Name =
       Fault == request_parse_error::HeadTooLarge   ? "head_too_large"
--- a/Libraries/LibRelay/relay.h
+++ b/Libraries/LibRelay/relay.h
@@ -71,6 +71,8 @@
   rejection_body onInvalidRequest(request_parse_error Fault) override;
   caller_limits limits() const override;
   bool sendsConnectionClose() const override;
+  steady_time now() const override { return Context.Clock.now(); }
+  void onConnectionClosed(const closed_connection &Closed) override;
 
 private:
   void refuse(const dispatch_request &Request, caller_connection &Caller,
--- a/Libraries/LibRelay/relay_node.h
+++ b/Libraries/LibRelay/relay_node.h
@@ -32,6 +32,7 @@
   /// Applies the stop grace, the revocation bound, the retry limits and the
   /// exposure share; all other settings keep their start-up values.
   void applySettings(const relay_settings &Changed);
+  steady_time now() const { return Clock.now(); }
   bool isReady() const;
   directory_response directory() const;
   /// Gauges in Prometheus text format; counters are rendered elsewhere.
--- a/Libraries/LibServer/http_server.cpp
+++ b/Libraries/LibServer/http_server.cpp
@@ -4,6 +4,7 @@
 #include "LibHttp/request_target.h"
 #include "LibServer/served_exchange.h"
 #include "LibServer/worker_pool.h"
+#include "LibTypes/clock_source.h"
 
 #include <asio/executor_work_guard.hpp>
 #include <asio/post.hpp>
@@ -111,9 +112,11 @@
   }
 
   bool sendsConnectionClose() const override { return IsStopping; }
+  steady_time now() const override { return Clock.now(); }
 
   const http_server_limits Limits;
   const http_handler Handler;
+  const boot_clock_source Clock;
   asio::io_context Loop{1};
   asio::executor_work_guard<asio::io_context::executor_type> WorkGuard;
   std::unique_ptr<connection_listener> Listener;
--- a/Tests/LibConnection/connection_listener_test.cpp
+++ b/Tests/LibConnection/connection_listener_test.cpp
@@ -25,12 +25,17 @@
   }
   caller_limits limits() const override { return Limits; }
   bool sendsConnectionClose() const override { return SendsConnectionClose; }
+  steady_time now() const override { return std::chrono::steady_clock::now(); }
+  void onConnectionClosed(const closed_connection &New) override {
+    Closed.push_back(New);
+  }
 
   caller_limits Limits;
   std::string ResponseBody;
   bool SendsConnectionClose = false;
   int Served = 0;
   int Rejected = 0;
+  std::vector<closed_connection> Closed;
 };
 
 network_address addressOf(std::uint16_t Port) { return {"127.0.0.1", Port}; }
@@ -210,3 +215,38 @@
   CHECK(Response.starts_with("HTTP/1.1 400 "));
   CHECK(Handler.Rejected == 1);
 }
+
+TEST_CASE("A connection at rest is closed without a mention of a request") {
+  asio::io_context Loop(1);
+  echo_handler Handler;
+  Handler.Limits.IdleTimeout = milliseconds(20);
+  std::uint16_t Port = 0;
+  auto Listener = listenOnFreePort(Loop, Handler, 10, Port);
+  REQUIRE(Listener);
+  asio::ip::tcp::socket Socket(Loop);
+  Socket.connect({asio::ip::make_address("127.0.0.1"), Port});
+  while (Handler.Closed.empty())
+    Loop.run_one();
+  CHECK(Handler.Closed[0].Reason == close_reason::IdleTimeout);
+  CHECK(Handler.Closed[0].ArmedTimeout == milliseconds(20));
+  CHECK_FALSE(Handler.Closed[0].hasUnansweredRequest());
+}
+
+TEST_CASE("The description of a closed connection tells what was read of a "
+          "request") {
+  asio::io_context Loop(1);
+  echo_handler Handler;
+  std::uint16_t Port = 0;
+  auto Listener = listenOnFreePort(Loop, Handler, 10, Port);
+  REQUIRE(Listener);
+  asio::ip::tcp::socket Socket(Loop);
+  Socket.connect({asio::ip::make_address("127.0.0.1"), Port});
+  const std::string Head =
+      "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 9\r\n\r\n";
+  Handler.Limits.IdleTimeout = milliseconds(20);
+  asio::write(Socket, asio::buffer(Head + "half"));
+  while (Handler.Closed.empty())
+    Loop.run_one();
+  CHECK(Handler.Closed[0].RequestBytes == Head.size() + 4);
+  CHECK(Handler.Closed[0].hasUnansweredRequest());
+}
