--- a/review/lib/standins.py
+++ b/review/lib/standins.py
@@ -504,6 +504,7 @@
         self.file.write_text(json.dumps(self.settings(), indent=1))  # JSON is YAML
         with open(ROOT / "deploy/system.toml", "rb") as deploy:
             command = tomllib.load(deploy)["roles"]["entry"]["run"].split()
+        command[0] = os.environ.get("PRODUCT", command[0])  # another build of the program
         if not (ROOT / command[0]).exists():
             raise CannotRun(f"{command[0]} is missing: run the build of the deploy file")
         environment = {key: os.environ[key] for key in ("PATH", "HOME", "LANG") if key in os.environ}
