LibFleet, LibRelay: Doubt the configuration that a process reads first

A process that started as the store returned from a copy took the copy's configuration for the newest one and ran bookings with a key that had been taken away more than the revocation bound ago: it knew no earlier era, so that nothing told it of the restoration. Until the operators have had two seconds to write again only other VMs, which know whether the store was restored, confirm the configuration to a process that has just started.

--- a/Libraries/LibFleet/store_mirror.cpp
+++ b/Libraries/LibFleet/store_mirror.cpp
@@ -76,7 +76,9 @@
       ReconnectedAt = Scheduler.now();
     Listener.onReachable();
   }
-  if (HasBeenReachable && Range.Revision.Era != Revision.Era)
+  if (!HasBeenReachable)
+    Listener.onFirstRead();
+  else if (Range.Revision.Era != Revision.Era)
     beginEra(Range.Revision);
   const removal_cause Cause = removalCauseAt(Scheduler.now());
   HasBeenReachable = true;
--- a/Libraries/LibFleet/store_mirror.h
+++ b/Libraries/LibFleet/store_mirror.h
@@ -35,6 +35,9 @@
   virtual void onRemoved(const std::string &Key, removal_cause Cause) = 0;
   /// All changes up to this time have been reported.
   virtual void onConfirmed(steady_time At) = 0;
+  /// The store was read for the first time, at a time at which it may have been
+  /// restored just before. Called before its items are reported.
+  virtual void onFirstRead() = 0;
   /// The store was restored from an older copy. Items up to this revision may
   /// come from the copy; later ones were written since. Called before the items
   /// of the copy are reported.
--- a/Libraries/LibFleet/store_restoration.cpp
+++ b/Libraries/LibFleet/store_restoration.cpp
@@ -25,6 +25,12 @@
 }
 
 bool store_restoration::isConfigurationCurrent(steady_time ConfirmedAt) const {
+  // A process that knows no version from before can't tell whether one that the
+  // operators write is the newest one or one on their way to it.
+  const bool IsFirstReadDoubtful =
+      FirstReadAt && ConfirmedAt - *FirstReadAt < RepeatTime;
+  if (IsFirstReadDoubtful)
+    return false;
   return IsConfigurationWritten || isSettled(ConfirmedAt);
 }
 
--- a/Libraries/LibFleet/store_restoration.h
+++ b/Libraries/LibFleet/store_restoration.h
@@ -12,6 +12,9 @@
 /// lacks. Not thread-safe.
 class store_restoration {
 public:
+  /// Records that this process, which has just started, has read the store for
+  /// the first time: nothing tells whether it was restored a moment before.
+  void onFirstRead(steady_time Now) { FirstReadAt = Now; }
   /// CopyEnd: revision up to which items may come from the copy.
   void onRestored(store_revision CopyEnd, steady_time Now);
   /// Records that the operators have written the configuration since, so that
@@ -27,6 +30,7 @@
 
 private:
   store_revision CopyEnd;
+  std::optional<steady_time> FirstReadAt;
   std::optional<steady_time> RestoredAt;
   bool IsConfigurationWritten = false;
 };
--- a/Libraries/LibRelay/fleet_state_updater.cpp
+++ b/Libraries/LibRelay/fleet_state_updater.cpp
@@ -198,6 +198,10 @@
     Fleet.PassedConfirmations.onConfirmed(Fleet.Routes->version(), At);
 }
 
+void fleet_state_updater::onStoreFirstRead() {
+  Restoration.onFirstRead(Clock.now());
+}
+
 void fleet_state_updater::onStoreRestored(store_revision CopyEnd) {
   const steady_time Now = Clock.now();
   StoreRegainedAt = Now;
--- a/Libraries/LibRelay/fleet_state_updater.h
+++ b/Libraries/LibRelay/fleet_state_updater.h
@@ -31,6 +31,10 @@
   void onMemberGone(const vm_id &Vm, removal_cause Cause);
   void onConfirmed(steady_time At);
   void onStoreReachable();
+  /// This process has read the store for the first time. Until it is certain
+  /// that the store was not restored just before, only other VMs confirm the
+  /// configuration.
+  void onStoreFirstRead();
   /// The store was restored from an older copy; items up to CopyEnd may come
   /// from it. Configuration, withdrawn releases and departures that are newer
   /// than the copy stay in force.
--- a/Tests/LibFleet/store_mirror_test.cpp
+++ b/Tests/LibFleet/store_mirror_test.cpp
@@ -20,6 +20,7 @@
     CHECK(At >= ConfirmedAt);
     ConfirmedAt = At;
   }
+  void onFirstRead() override { ++FirstReads; }
   void onRestored(store_revision NewCopyEnd) override {
     ++Restored;
     CopyEnd = NewCopyEnd;
@@ -31,6 +32,7 @@
   std::map<std::string, removal_cause> Removals;
   steady_time ConfirmedAt{};
   store_revision CopyEnd;
+  int FirstReads = 0;
   int Restored = 0;
   int Regained = 0;
   int Lost = 0;
@@ -220,6 +222,21 @@
   CHECK(Fixture.Recorder.Lost == 0);
 }
 
+TEST_CASE("The first read is told once, before the items, and is no "
+          "restoration") {
+  mirror_fixture Fixture;
+  Fixture.Store.put("c", "old");
+  Fixture.Store.makeCopy();
+  Fixture.Mirror.start();
+  Fixture.Scheduler.advance(milliseconds(10));
+  CHECK(Fixture.Recorder.FirstReads == 1);
+  CHECK(Fixture.Recorder.Restored == 0);
+  Fixture.Store.restore();
+  Fixture.Scheduler.advance(milliseconds(1000));
+  CHECK(Fixture.Recorder.FirstReads == 1);
+  CHECK(Fixture.Recorder.Restored == 1);
+}
+
 TEST_CASE("A second restoration is detected like the first one") {
   mirror_fixture Fixture;
   Fixture.Store.put("c", "old");
--- a/Tests/LibFleet/store_restoration_test.cpp
+++ b/Tests/LibFleet/store_restoration_test.cpp
@@ -47,6 +47,18 @@
   CHECK_FALSE(Restoration.isConfigurationCurrent(Start));
 }
 
+TEST_CASE("A process that has just started can't tell a copy from the newest "
+          "configuration, whatever the operators write") {
+  store_restoration Restoration;
+  Restoration.onFirstRead(Start);
+  Restoration.onConfigurationWritten();
+  CHECK_FALSE(Restoration.isConfigurationCurrent(Start + milliseconds(1999)));
+  CHECK(Restoration.isConfigurationCurrent(Start + milliseconds(2000)));
+  // Its entries are used at once, as there is nothing else to go by.
+  CHECK(Restoration.isSettled(Start));
+  CHECK_FALSE(Restoration.mayComeFromCopy({First, 1}));
+}
+
 TEST_CASE("A departure covers a process start and those before it") {
   departed_entries Departed;
   Departed.add("e", 7, Start);
--- a/Tests/LibRelay/fleet_state_updater_test.cpp
+++ b/Tests/LibRelay/fleet_state_updater_test.cpp
@@ -175,6 +175,27 @@
   CHECK(Fixture.isCurrent());
 }
 
+TEST_CASE(
+    "A VM that starts as the store returns from a copy serves no key that "
+    "was taken away") {
+  restored_fixture Fixture;
+  Fixture.StateUpdater.onStoreFirstRead();
+  // The copy has the key; the operators repeat its revocation a second later.
+  Fixture.configure(3, Copied);
+  for (int Step = 0; Step < 10; ++Step) {
+    Fixture.StateUpdater.onConfirmed(Fixture.Clock.Now);
+    CHECK_FALSE(Fixture.isCurrent());
+    Fixture.Clock.Now += milliseconds(100);
+  }
+  Fixture.configure(4, Repeated);
+  Fixture.StateUpdater.onConfirmed(Fixture.Clock.Now);
+  CHECK_FALSE(Fixture.isCurrent());
+  Fixture.configure(5, {NewEra, 102});
+  Fixture.Clock.Now += milliseconds(1000);
+  Fixture.StateUpdater.onConfirmed(Fixture.Clock.Now);
+  CHECK(Fixture.isCurrent());
+}
+
 TEST_CASE("An endpoint that had left does not return from the copy") {
   restored_fixture Fixture;
   const auto Find = [&] {
--- a/Tests/LibRelay/passed_confirmation_test.cpp
+++ b/Tests/LibRelay/passed_confirmation_test.cpp
@@ -24,6 +24,7 @@
   void onItem(const store_item &) override {}
   void onRemoved(const std::string &, removal_cause) override {}
   void onConfirmed(steady_time At) override { Updater.onConfirmed(At); }
+  void onFirstRead() override {}
   void onRestored(store_revision) override {}
   void onReachable() override {}
   void onUnreachable(const std::string &) override {}
