LibFleet, platform: Let a process know at its start that the store is settled

A restarted VM was not ready for up to two seconds, since nothing told it that the store had not been restored just before. One VM writes down the store's own number of an era that has been settled for two seconds; a process that finds the present era there serves at once.

--- a/Libraries/LibFleet/store_restoration.h
+++ b/Libraries/LibFleet/store_restoration.h
@@ -15,6 +15,8 @@
   /// Records that this process, which has just started, has read the store for
   /// the first time: nothing tells whether it was restored a moment before.
   void onFirstRead(steady_time Now) { FirstReadAt = Now; }
+  /// Records that the store was not restored just before the first read.
+  void onEraSettled() { FirstReadAt.reset(); }
   /// CopyEnd: revision up to which items may come from the copy.
   void onRestored(store_revision CopyEnd, steady_time Now);
   /// Records that the operators have written the configuration since, so that
--- a/Libraries/LibRelay/fleet_state_updater.h
+++ b/Libraries/LibRelay/fleet_state_updater.h
@@ -35,6 +35,13 @@
   /// that the store was not restored just before, only other VMs confirm the
   /// configuration.
   void onStoreFirstRead();
+  /// The store tells that it was not restored just before the first read.
+  void onEraSettled() { Restoration.onEraSettled(); }
+  /// Whether all writers have had time to repeat their writes.
+  bool isStoreSettled(steady_time Now) const {
+    return Restoration.isConfigurationCurrent(Now) &&
+           Restoration.isSettled(Now);
+  }
   /// The store was restored from an older copy; items up to CopyEnd may come
   /// from it. Configuration, withdrawn releases and departures that are newer
   /// than the copy stay in force.
--- a/Libraries/LibRelay/relay_node.cpp
+++ b/Libraries/LibRelay/relay_node.cpp
@@ -119,12 +119,13 @@
 
 status relay_node::start(store_mirror &NewMirror,
                          member_registration &NewRegistration,
-                         engine_inspector &Inspector,
+                         era_record &NewEraRecord, engine_inspector &Inspector,
                          rollout_publisher &Publisher, bill_journal &Bills) {
   Mirror = &NewMirror;
   Context.Bills = &Bills;
   Bills.start();
   Registration = &NewRegistration;
+  EraRecord = &NewEraRecord;
   Context.Inspector = &Inspector;
   // Frames arrive on the network's own thread; the fleet state may change only
   // on the event loop.
@@ -170,6 +171,7 @@
   updateConfirmationSource();
   Registration->checkListed(Fleet.Members.find(Fleet.Self).has_value());
   StateUpdater.advance();
+  recordSettledEra();
   updateShares(Fleet, Clock.now());
   Fleet.Retries.observeVmCount(vmCount(Fleet), Clock.now());
   PathProber.advance(Clock.now());
@@ -182,6 +184,14 @@
   Scheduler.runAfter(TickInterval, [this] { runPeriodicTasks(); });
 }
 
+void relay_node::recordSettledEra() {
+  const steady_time Now = Clock.now();
+  const bool IsWriter = Mirror->isReachable() && !Fleet.IsStopping &&
+                        Fleet.Members.isPreferredFor("era-record", Fleet.Self);
+  if (IsWriter && StateUpdater.isStoreSettled(Now))
+    EraRecord->advance(Now);
+}
+
 void relay_node::observeRunningRequests() {
   if (!Fleet.Rollouts.isAnyUndecided())
     return;
--- a/Libraries/LibRelay/relay_node.h
+++ b/Libraries/LibRelay/relay_node.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "LibConnection/connection_listener.h"
+#include "LibFleet/era_record.h"
 #include "LibFleet/member_registration.h"
 #include "LibPeer/tcp_peer_network.h"
 #include "LibRelay/asio_scheduler.h"
@@ -41,8 +42,8 @@
   /// Starts serving; the registration announces this VM in the store. Returns
   /// Unavailable if the caller address can't be bound.
   status start(store_mirror &Mirror, member_registration &Registration,
-               engine_inspector &Inspector, rollout_publisher &Publisher,
-               bill_journal &Bills);
+               era_record &EraRecord, engine_inspector &Inspector,
+               rollout_publisher &Publisher, bill_journal &Bills);
   member_entry selfEntry() const;
 
 private:
@@ -50,6 +51,8 @@
   /// Decides whether this VM asks the store for confirmations of the
   /// configuration or relies on the other VMs.
   void updateConfirmationSource();
+  /// Lets one VM write down that the store's era is settled.
+  void recordSettledEra();
   /// While a roll-out is undecided, counts slow attempts before they end, and
   /// keeps the sessions of running requests on their releases.
   void observeRunningRequests();
@@ -75,6 +78,7 @@
   std::unique_ptr<connection_listener> Listener;
   std::unique_ptr<connection_listener> ForwardingListener;
   member_registration *Registration = nullptr;
+  era_record *EraRecord = nullptr;
   store_mirror *Mirror = nullptr;
   std::unique_ptr<peer_network> Peers;
   std::unique_ptr<peer_state_sync> PeerSync;
--- a/Libraries/LibStore/async_store.h
+++ b/Libraries/LibStore/async_store.h
@@ -106,6 +106,9 @@
   /// Sets the function to call when a response shows that the store was
   /// restored from an older copy. It is called before that response's handler.
   virtual void setRestorationHandler(std::function<void()> Handler) = 0;
+  /// The store's own number of its present era, the same for all processes;
+  /// nullopt if it has named none.
+  virtual std::optional<std::uint64_t> reportedEra() const = 0;
 };
 
 } // namespace azurehaven
--- a/Libraries/LibStore/store_era_tracker.h
+++ b/Libraries/LibStore/store_era_tracker.h
@@ -20,6 +20,8 @@
 class store_era_tracker {
 public:
   store_era current() const { return Era; }
+  /// The store's own number of the current era; nullopt until it names one.
+  std::optional<std::uint64_t> reported() const { return ReportedEra; }
   /// Classifies a response. Reported is the era that it names, nullopt if it
   /// names none; SentIn is the era in which its request was sent.
   era_verdict onResponse(std::optional<std::uint64_t> Reported,
@@ -27,7 +29,6 @@
 
 private:
   store_era Era;
-  /// The store's own number of the current era; nullopt until it names one.
   std::optional<std::uint64_t> ReportedEra;
 };
 
--- a/Tests/LibFleet/scripted_store.h
+++ b/Tests/LibFleet/scripted_store.h
@@ -13,6 +13,9 @@
 /// a test.
 class scripted_store : public async_store {
 public:
+  /// The store's own number of the era in which it is created.
+  static constexpr std::uint64_t FirstReportedEra = 7;
+
   explicit scripted_store(event_scheduler &Scheduler) : Scheduler(Scheduler) {}
 
   void put(const std::string &Key, const std::string &Value) {
@@ -53,6 +56,9 @@
       RestorationHandler();
     breakWatch();
   }
+  std::optional<std::uint64_t> reportedEra() const override {
+    return FirstReportedEra + Revision.Era.Number;
+  }
   void setRestorationHandler(std::function<void()> Handler) override {
     RestorationHandler = std::move(Handler);
   }
@@ -102,6 +108,7 @@
     for (const auto &Put : Transaction.Puts) {
       Items[Put.Key] = {Put.Key, Put.Value, nextRevision(), Put.Lease};
       Commits.push_back(Put);
+      notifyWatch({Put.Key, Revision, Items[Put.Key]});
     }
     Handler(Revision);
   }
