--- a/review/closed-channel/case.py
+++ b/review/closed-channel/case.py
@@ -28,7 +28,7 @@
     if not CHANGES:
         fleet.idle_timeout_ms = LIMIT
     await fleet.start(engines=0)
-    over, cut, asked = [], [], 0
+    over, cut, late, asked = [], [], [], 0
 
     async def operator():
         while not over:
@@ -48,7 +48,9 @@
         channel = Channel(fleet, entry)
         while not over:
             # The limit that holds while the channel rests is the shorter of the two.
-            await asyncio.sleep(random.uniform(0, 0.8) * LIMIT / 1000)
+            began = now()
+            await asyncio.sleep(random.uniform(0, 0.75) * LIMIT / 1000)
+            rest_ms = (now() - began) * 1000
             try:
                 attempt, status, was_kept = await channel.ask("hut-confirm", deadline=3000,
                                                               body_bytes=BODY)
@@ -56,7 +58,8 @@
                 continue
             asked += was_kept
             if status is None and was_kept:
-                cut.append((now(), attempt))
+                # This process may itself have been late with its request.
+                (cut if rest_ms < 0.8 * LIMIT else late).append((now(), attempt))
 
     tasks = [asyncio.ensure_future(client(entry)) for entry in fleet.entries
              for _ in range(CLIENTS)]
@@ -70,7 +73,7 @@
     ran = {attempt for _, _, attempt, _ in fleet.runs}
     print(f"limit {LIMIT} ms, changes {CHANGES}, bodies of {BODY}, cap {CAP}: {asked} requests on"
           f" kept channels, {len(cut)} cut, {sum(attempt in ran for _, attempt in cut)} of them"
-          " passed on")
+          f" passed on; {len(late)} more cut after a rest beyond four fifths of the limit")
     return bool(cut)
 
 
