LibConnection: Let only what a connection waits for now time it out

Callers saw requests on kept connections cut without an answer. The timer of a connection that had run out while the process did not run was already queued; cancelling it came too late, and its handler looked only at the state, the same at rest and in the middle of a request.

receive_timeout holds what a connection waits for (rest, head, body) and decides with the time as an argument; the timer only wakes the connection up. - Bytes stay with the operating system until they are read in one turn, and are read before any timeout is decided. - A rest lasts for the longer of the limits at its begin and now, and begins once the response is sent. A request keeps the limits of its begin unless they grow. - A request that does not come in time is answered 408 with Connection: close. - A task for pipelined bytes that were parsed meanwhile does nothing; the parser took no bytes for the end of the input. - The response to an invalid request after a HEAD request has its body again.

--- a/Libraries/LibConnection/caller_connection.cpp
+++ b/Libraries/LibConnection/caller_connection.cpp
@@ -7,6 +7,8 @@
 
 #include <asio/write.hpp>
 
+#include <algorithm>
+
 namespace azurehaven {
 
 namespace {
@@ -27,6 +29,8 @@
     return 431;
   case request_parse_error::BodyTooLarge:
     return 413;
+  case request_parse_error::Incomplete:
+    return 408;
   case request_parse_error::None:
   case request_parse_error::Malformed:
     break;
@@ -53,49 +57,85 @@
 
 void caller_connection::start() {
   setConnectionOptions(Socket, UnacknowledgedDataTimeout);
-  updateTimer();
-  read();
+  asio::error_code Code;
+  Socket.non_blocking(true, Code);
+  if (Code)
+    return close(close_reason::Aborted);
+  startPhase();
+  awaitBytes();
 }
 
-void caller_connection::read() {
-  if (IsReadPending || State == state::Closed ||
+void caller_connection::awaitBytes() {
+  if (IsAwaitingBytes || State == state::Closed ||
       Unparsed.size() > ReadAheadLimitBytes)
     return;
-  IsReadPending = true;
-  Socket.async_read_some(asio::buffer(Buffer),
-                         [Self = shared_from_this()](
-                             const asio::error_code &Code, std::size_t Size) {
-                           Self->IsReadPending = false;
-                           if (Self->State == state::Closed)
-                             return;
-                           if (Code)
-                             return Self->close(close_reason::ByCaller);
-                           if (Self->State != state::Closing) {
-                             Self->Unparsed.append(Self->Buffer.data(), Size);
-                             if (Self->State == state::Reading)
-                               Self->parse();
-                           }
-                           Self->read();
-                         });
+  IsAwaitingBytes = true;
+  Socket.async_wait(asio::socket_base::wait_read,
+                    [Self = shared_from_this()](const asio::error_code &Code) {
+                      Self->IsAwaitingBytes = false;
+                      if (Self->State == state::Closed)
+                        return;
+                      if (Code)
+                        return Self->close(close_reason::ByCaller);
+                      Self->receive();
+                      Self->awaitBytes();
+                    });
+}
+
+std::size_t caller_connection::receive() {
+  asio::error_code Code;
+  const std::size_t Size = Socket.read_some(asio::buffer(Buffer), Code);
+  if (Code == asio::error::would_block || Code == asio::error::interrupted)
+    return 0;
+  if (Code)
+    close(close_reason::ByCaller);
+  else
+    onBytes({Buffer.data(), Size});
+  return Size;
+}
+
+void caller_connection::receiveAvailable() {
+  asio::error_code Ignored;
+  // Only what is here now: a caller that sends without end is not followed.
+  std::size_t Remaining = Socket.available(Ignored);
+  while (Remaining > 0 && State == state::Reading) {
+    const std::size_t Size = receive();
+    if (Size == 0)
+      return;
+    Remaining -= std::min(Size, Remaining);
+  }
+}
+
+void caller_connection::onBytes(std::string_view Bytes) {
+  if (State == state::Closing)
+    return;
+  Unparsed.append(Bytes);
+  if (State == state::Reading)
+    parse();
 }
 
 void caller_connection::parse() {
+  // Without bytes the parser would take the input for ended.
+  if (Unparsed.empty())
+    return;
+  // The handler's limits may change while the connection is open.
+  Parser.updateLimits(Handler.limits());
   const std::size_t Consumed = Parser.consume(Unparsed);
   RequestBytes += Consumed;
   Unparsed.erase(0, Consumed);
   if (Parser.parseError() != request_parse_error::None)
     return reject(Parser.parseError());
   if (!Parser.isComplete()) {
-    // The body timeout starts once the head is complete; until then no 100
-    // Continue was sent for this request.
-    if (Parser.isHeadComplete() && RunningTimeout != timeout_kind::Body &&
+    if (Parser.isHeadComplete() && !HasSentContinue &&
         strcasecmp(headerValue(Parser.head().Headers, "Expect").c_str(),
-                   "100-continue") == 0)
+                   "100-continue") == 0) {
+      HasSentContinue = true;
       write("HTTP/1.1 100 Continue\r\n\r\n");
-    return updateTimer();
+    }
+    return startPhase();
   }
   State = state::Serving;
-  updateTimer();
+  Timeout.stop();
   incoming_request Request{Parser.head(), std::move(Parser.body())};
   KeepAlive = Request.Head.KeepAlive;
   IsHeadRequest = Request.Head.Method == "HEAD";
@@ -105,43 +145,57 @@
 void caller_connection::reject(request_parse_error ParseError) {
   const rejection_body Body = Handler.onInvalidRequest(ParseError);
   State = state::Serving;
+  Timeout.stop();
   KeepAlive = false;
+  IsHeadRequest = false;
   http_headers Headers;
   if (!Body.ContentType.empty())
     Headers.emplace_back("Content-Type", Body.ContentType);
   sendResponse(statusFor(ParseError), Headers, Body.Text);
 }
 
-void caller_connection::updateTimer() {
-  timeout_kind Wanted = timeout_kind::None;
-  if (State == state::Reading)
-    Wanted = Parser.isHeadComplete() ? timeout_kind::Body
-             : Parser.hasStarted()   ? timeout_kind::Head
-                                     : timeout_kind::Idle;
-  // The header timeout runs from the first byte of the head; later bytes don't
-  // extend it.
-  if (Wanted == RunningTimeout && Wanted == timeout_kind::Head)
-    return;
-  RunningTimeout = Wanted;
-  ArmedTimeout = milliseconds(0);
-  Timer.cancel();
-  if (Wanted == timeout_kind::None)
+void caller_connection::startPhase() {
+  const receive_phase Phase = Parser.isHeadComplete() ? receive_phase::Body
+                              : Parser.hasStarted()   ? receive_phase::Head
+                                                      : receive_phase::Rest;
+  // Rest begins once the response is sent.
+  if (Phase == receive_phase::Rest && PendingBytes > 0)
+    return Timeout.stop();
+  Timeout.start(Phase, Handler.limits(), Handler.now());
+  scheduleTimeoutCheck();
+}
+
+void caller_connection::scheduleTimeoutCheck() {
+  const auto DueAt = Timeout.dueAt(Handler.limits());
+  if (!DueAt || (NextCheckAt && *NextCheckAt <= *DueAt))
     return;
-  // The handler's limits may change while the connection is open.
-  const caller_limits Limits = Handler.limits();
-  Parser.setLimits(Limits);
-  ArmedTimeout =
-      Wanted == timeout_kind::Head ? Limits.HeaderTimeout : Limits.IdleTimeout;
-  Timer.expires_after(ArmedTimeout);
-  Timer.async_wait([Weak = weak_from_this(),
-                    Wanted](const asio::error_code &Code) {
+  NextCheckAt = DueAt;
+  Timer.expires_after(*DueAt - Handler.now());
+  Timer.async_wait([Weak = weak_from_this()](const asio::error_code &Code) {
     auto Self = Weak.lock();
-    if (!Code && Self && Self->State == state::Reading)
-      Self->close(Wanted == timeout_kind::Idle ? close_reason::IdleTimeout
-                                               : close_reason::RequestTimeout);
+    if (Code || !Self)
+      return;
+    Self->NextCheckAt.reset();
+    Self->checkTimeout();
   });
 }
 
+void caller_connection::checkTimeout() {
+  if (!Timeout.expiredPhase(Handler.limits(), Handler.now()))
+    return scheduleTimeoutCheck();
+  // The bytes may have come in time, and only this process have been late.
+  receiveAvailable();
+  if (State != state::Reading || !Unparsed.empty())
+    return;
+  const auto Expired = Timeout.expiredPhase(Handler.limits(), Handler.now());
+  if (!Expired)
+    return scheduleTimeoutCheck();
+  if (*Expired == receive_phase::Rest)
+    close(close_reason::IdleTimeout);
+  else
+    reject(request_parse_error::Incomplete);
+}
+
 std::string caller_connection::formatHead(int Status,
                                           const http_headers &Headers) const {
   std::string Text = "HTTP/1.1 " + std::to_string(Status) + " " +
@@ -212,16 +266,17 @@
     return;
   }
   State = state::Reading;
+  HasSentContinue = false;
   Parser.reset();
-  updateTimer();
+  startPhase();
   if (Unparsed.empty())
-    return read();
+    return awaitBytes();
   // Parses pipelined requests in a new task of the event loop, so that a long
   // pipeline does not recurse.
   asio::post(Socket.get_executor(), [Self = shared_from_this()] {
     if (Self->State == state::Reading)
       Self->parse();
-    Self->read();
+    Self->awaitBytes();
   });
 }
 
@@ -256,10 +311,18 @@
                       if (auto CurrentObserver = Self->Observer.lock())
                         CurrentObserver->onSendBufferDrained();
                       if (Self->CloseWhenSent)
-                        Self->closeGracefully();
+                        return Self->closeGracefully();
+                      Self->onResponsesSent();
                     });
 }
 
+void caller_connection::onResponsesSent() {
+  if (State != state::Reading || Parser.hasStarted())
+    return;
+  IdleSince = Handler.now();
+  startPhase();
+}
+
 void caller_connection::closeGracefully() {
   asio::error_code Ignored;
   Socket.shutdown(asio::socket_base::shutdown_send, Ignored);
@@ -268,7 +331,7 @@
     if (!Code)
       Self->close(close_reason::AfterResponse);
   });
-  read();
+  awaitBytes();
 }
 
 void caller_connection::closeIfIdle() {
@@ -297,7 +360,7 @@
   Closed.UnsentBytes = PendingBytes;
   Closed.IdleTime =
       std::chrono::duration_cast<milliseconds>(Handler.now() - IdleSince);
-  Closed.ArmedTimeout = ArmedTimeout;
+  Closed.ArmedTimeout = Timeout.duration(Handler.limits());
   Closed.Responses = Responses;
   return Closed;
 }
--- a/Libraries/LibConnection/caller_connection.h
+++ b/Libraries/LibConnection/caller_connection.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "LibConnection/closed_connection.h"
+#include "LibConnection/receive_timeout.h"
 #include "LibConnection/request_parser.h"
 #include "LibTypes/units.h"
 
@@ -11,7 +12,9 @@
 #include <deque>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
+#include <string_view>
 
 namespace azurehaven {
 
@@ -35,8 +38,9 @@
   virtual ~request_handler() = default;
   virtual void onRequest(incoming_request Request,
                          std::shared_ptr<caller_connection> Caller) = 0;
-  /// Returns the body of the response to a request that can't be parsed or
-  /// exceeds a limit; the connection closes after the response.
+  /// Returns the body of the response to a request that can't be parsed,
+  /// exceeds a limit or does not come in time; the connection closes after the
+  /// response.
   virtual rejection_body onInvalidRequest(request_parse_error ParseError) = 0;
   virtual caller_limits limits() const = 0;
   /// Whether responses carry Connection: close, after which the connection
@@ -102,15 +106,26 @@
 
 private:
   enum class state { Reading, Serving, Closing, Closed };
-  enum class timeout_kind { Idle, Head, Body, None };
 
-  void read();
+  /// Waits for bytes. They stay with the operating system until receive(), so
+  /// that none is in a queued handler when a timeout is decided.
+  void awaitBytes();
+  /// Takes bytes that have arrived, without waiting for more, and parses them.
+  /// Returns how many.
+  std::size_t receive();
+  void receiveAvailable();
+  void onBytes(std::string_view Bytes);
   void parse();
   void reject(request_parse_error ParseError);
-  void updateTimer();
+  void startPhase();
+  void scheduleTimeoutCheck();
+  /// Ends the rest or the request only if what is waited for now is overdue,
+  /// whatever the timer was set for.
+  void checkTimeout();
   void write(std::string Bytes);
   void flush();
   void endExchange();
+  void onResponsesSent();
   void closeGracefully();
   void close(close_reason Reason);
   closed_connection describeClose(close_reason Reason);
@@ -123,20 +138,22 @@
   std::weak_ptr<caller_observer> Observer;
   std::function<void()> ClosedHandler;
   state State = state::Reading;
-  timeout_kind RunningTimeout = timeout_kind::None;
+  receive_timeout Timeout;
+  /// When the running timer calls checkTimeout().
+  std::optional<steady_time> NextCheckAt;
   std::array<char, 8192> Buffer;
   /// Received and not yet parsed; the caller may pipeline requests.
   std::string Unparsed;
   std::deque<std::string> Outgoing;
   std::size_t PendingBytes = 0;
-  bool IsReadPending = false;
+  bool IsAwaitingBytes = false;
   bool IsWritePending = false;
   bool KeepAlive = true;
   bool IsHeadRequest = false;
   bool CloseWhenSent = false;
-  /// When the last response ended, or the connection was made.
+  bool HasSentContinue = false;
+  /// When the last response was sent, or the connection was made.
   steady_time IdleSince;
-  milliseconds ArmedTimeout{0};
   /// Bytes of the request that is being read.
   std::size_t RequestBytes = 0;
   std::uint64_t Responses = 0;
--- a/Libraries/LibConnection/closed_connection.cpp
+++ b/Libraries/LibConnection/closed_connection.cpp
@@ -8,8 +8,6 @@
     return "by_caller";
   case close_reason::IdleTimeout:
     return "idle_timeout";
-  case close_reason::RequestTimeout:
-    return "request_timeout";
   case close_reason::AfterResponse:
     return "after_response";
   case close_reason::ConnectionLimit:
--- a/Libraries/LibConnection/closed_connection.h
+++ b/Libraries/LibConnection/closed_connection.h
@@ -13,8 +13,6 @@
   ByCaller,
   /// No request came within the idle timeout.
   IdleTimeout,
-  /// A request's head or body did not come in time.
-  RequestTimeout,
   /// The last response is sent, and none follows.
   AfterResponse,
   /// The listener has too many connections.
--- a/Libraries/LibConnection/request_parser.cpp
+++ b/Libraries/LibConnection/request_parser.cpp
@@ -21,6 +21,13 @@
 
 } // namespace
 
+caller_limits largerOf(const caller_limits &One, const caller_limits &Other) {
+  return {std::max(One.HeaderBytes, Other.HeaderBytes),
+          std::max(One.BodyBytes, Other.BodyBytes),
+          std::max(One.HeaderTimeout, Other.HeaderTimeout),
+          std::max(One.IdleTimeout, Other.IdleTimeout)};
+}
+
 request_parser::request_parser(caller_limits Limits) : Limits(Limits) {
   reset();
 }
@@ -100,6 +107,10 @@
   return Continue;
 }
 
+void request_parser::updateLimits(const caller_limits &NewLimits) {
+  Limits = hasStarted() ? largerOf(Limits, NewLimits) : NewLimits;
+}
+
 std::size_t request_parser::consume(std::string_view Bytes) {
   if (Complete || ParseError != request_parse_error::None)
     return 0;
--- a/Libraries/LibConnection/request_parser.h
+++ b/Libraries/LibConnection/request_parser.h
@@ -23,7 +23,18 @@
   std::chrono::milliseconds IdleTimeout{15000};
 };
 
-enum class request_parse_error { None, Malformed, HeadTooLarge, BodyTooLarge };
+/// Each limit is the larger one of the two.
+caller_limits largerOf(const caller_limits &One, const caller_limits &Other);
+
+/// Why a request is rejected before it is served.
+enum class request_parse_error {
+  None,
+  Malformed,
+  HeadTooLarge,
+  BodyTooLarge,
+  /// Its end did not come in time. Not found by the parser.
+  Incomplete,
+};
 
 /// Parses the requests of one connection, one at a time.
 class request_parser {
@@ -44,8 +55,9 @@
   request_parse_error parseError() const { return ParseError; }
   const request_head &head() const { return Head; }
   std::string &body() { return Body; }
-  void setLimits(caller_limits NewLimits) { Limits = NewLimits; }
-  const caller_limits &limits() const { return Limits; }
+  /// Takes the limits for the next request; those of a request that has begun
+  /// only grow.
+  void updateLimits(const caller_limits &NewLimits);
 
 private:
   static request_parser &self(http_parser *Parser);
--- a/Libraries/LibRelay/relay.cpp
+++ b/Libraries/LibRelay/relay.cpp
@@ -14,6 +14,21 @@
 /// long.
 constexpr milliseconds QuarantineRetryAfter{60000};
 
+const char *faultName(request_parse_error Fault) {
+  switch (Fault) {
+  case request_parse_error::HeadTooLarge:
+    return "head_too_large";
+  case request_parse_error::BodyTooLarge:
+    return "body_too_large";
+  case request_parse_error::Incomplete:
+    return "incomplete";
+  case request_parse_error::None:
+  case request_parse_error::Malformed:
+    break;
+  }
+  return "malformed";
+}
+
 } // namespace
 
 void markEndpointLeaving(relay_context &Context,
@@ -58,10 +73,7 @@
 }
 
 rejection_body relay::onInvalidRequest(request_parse_error Fault) {
-  const char *Name =
-      Fault == request_parse_error::HeadTooLarge   ? "head_too_large"
-      : Fault == request_parse_error::BodyTooLarge ? "body_too_large"
-                                                   : "malformed";
+  const char *Name = faultName(Fault);
   Context.Metrics.increment("azurehaven_rejected_bytes_total",
                             std::string("fault=\"") + Name + "\"");
   Context.Log.write(log_level::Info, "bytes_rejected", {{"fault", Name}});
--- a/Libraries/LibServer/http_server.cpp
+++ b/Libraries/LibServer/http_server.cpp
@@ -27,6 +27,26 @@
           std::move(Incoming.Head.Headers), std::move(Incoming.Body)};
 }
 
+struct rejection {
+  const char *Code;
+  const char *Message;
+};
+
+rejection describe(request_parse_error ParseError) {
+  switch (ParseError) {
+  case request_parse_error::BodyTooLarge:
+    return {"body_too_large", "the request is larger than accepted"};
+  case request_parse_error::HeadTooLarge:
+    return {"head_too_large", "the request is larger than accepted"};
+  case request_parse_error::Incomplete:
+    return {"request_timeout", "the request did not come in time"};
+  case request_parse_error::None:
+  case request_parse_error::Malformed:
+    break;
+  }
+  return {"bad_request", "these bytes are no HTTP/1.1 request"};
+}
+
 class event_http_server : public http_server, private request_handler {
 public:
   event_http_server(const http_server_limits &Limits, http_handler Handler)
@@ -88,18 +108,12 @@
   }
 
   rejection_body onInvalidRequest(request_parse_error ParseError) override {
-    const bool IsBodyTooLarge = ParseError == request_parse_error::BodyTooLarge;
-    const bool IsHeadTooLarge = ParseError == request_parse_error::HeadTooLarge;
-    nlohmann::json Body = {
-        {"error",
-         {{"code", IsBodyTooLarge   ? "body_too_large"
-                   : IsHeadTooLarge ? "head_too_large"
-                                    : "bad_request"},
-          {"run", "not_run"},
-          {"message", IsBodyTooLarge || IsHeadTooLarge
-                          ? "the request is larger than accepted"
-                          : "these bytes are no HTTP/1.1 request"},
-          {"retry_after_ms", nullptr}}}};
+    const rejection Rejection = describe(ParseError);
+    nlohmann::json Body = {{"error",
+                            {{"code", Rejection.Code},
+                             {"run", "not_run"},
+                             {"message", Rejection.Message},
+                             {"retry_after_ms", nullptr}}}};
     return {"application/json", Body.dump()};
   }
 
