LibConnection, LibServer, LibRelay: Close no connection with a request, read or unread

At the connection limit, by closeIdle() and at the end of the process a connection was taken although a request was partly read, pipelined, received only by the operating system, or its response unsent.

- A connection is at rest only if none of this holds.
At the limit the oldest one at rest goes, else one that only lingers after its last response, else the oldest incomplete request, which is answered 408; without either the new connection is refused, which is counted and logged as any other close.
- A listener that stops listening takes the connections that only the operating system had accepted.
Its handlers that run after its end do nothing: a connection accepted in that turn made it close the oldest one each 20 ms.
- A VM that stops listens no more before its last check for work; as its grace time ends it answers incomplete requests too.
LibServer's stop() answers them at once.

--- a/Libraries/LibConnection/caller_connection.cpp
+++ b/Libraries/LibConnection/caller_connection.cpp
@@ -96,9 +96,10 @@
 
 void caller_connection::receiveAvailable() {
   asio::error_code Ignored;
+  const state Current = State;
   // Only what is here now: a caller that sends without end is not followed.
   std::size_t Remaining = Socket.available(Ignored);
-  while (Remaining > 0 && State == state::Reading) {
+  while (Remaining > 0 && State == Current) {
     const std::size_t Size = receive();
     if (Size == 0)
       return;
@@ -326,6 +327,8 @@
 void caller_connection::closeGracefully() {
   asio::error_code Ignored;
   Socket.shutdown(asio::socket_base::shutdown_send, Ignored);
+  if (!Lingers)
+    return stopLingering();
   Timer.expires_after(LingerTimeout);
   Timer.async_wait([Self = shared_from_this()](const asio::error_code &Code) {
     if (!Code)
@@ -334,12 +337,40 @@
   awaitBytes();
 }
 
-void caller_connection::closeIfIdle() {
+bool caller_connection::isAtRest() const {
   const bool IsBetweenRequests =
       State == state::Reading && !Parser.hasStarted() && Unparsed.empty();
   // The end of the last response may still be on its way.
-  if (IsBetweenRequests && PendingBytes == 0)
-    close(close_reason::Stop);
+  if (!IsBetweenRequests || PendingBytes > 0)
+    return false;
+  asio::error_code Ignored;
+  return Socket.available(Ignored) == 0;
+}
+
+void caller_connection::closeIfAtRest(close_reason Reason) {
+  if (isAtRest())
+    close(Reason);
+}
+
+bool caller_connection::refuseIncompleteRequest() {
+  const auto Self = shared_from_this();
+  if (!hasIncompleteRequest())
+    return false;
+  receiveAvailable();
+  if (!hasIncompleteRequest())
+    return false;
+  Lingers = false;
+  reject(request_parse_error::Incomplete);
+  return true;
+}
+
+void caller_connection::stopLingering() {
+  const auto Self = shared_from_this();
+  if (!isLingering())
+    return;
+  // Unread bytes would make the close a reset, which can overtake the response.
+  receiveAvailable();
+  close(close_reason::AfterResponse);
 }
 
 void caller_connection::abort(close_reason Reason) {
--- a/Libraries/LibConnection/caller_connection.h
+++ b/Libraries/LibConnection/caller_connection.h
@@ -87,19 +87,28 @@
   /// complete one. Does not notify the observer.
   void abort(close_reason Reason = close_reason::Aborted);
 
-  bool hasRequest() const { return State == state::Serving; }
-  /// Whether a request is being served, response bytes are unsent or the
-  /// connection is closing gracefully.
-  bool isBusy() const {
-    return State == state::Serving || State == state::Closing ||
-           PendingBytes > 0;
+  /// Whether all responses are sent and no byte of a request is here, not even
+  /// one that the operating system has received, so that closing loses nothing.
+  bool isAtRest() const;
+  /// Whether it is open and not at rest.
+  bool isBusy() const { return State != state::Closed && !isAtRest(); }
+  /// Whether a part of a request has been read.
+  bool hasIncompleteRequest() const {
+    return State == state::Reading && Parser.hasStarted();
+  }
+  /// Whether the last response is sent, and the connection stays open only so
+  /// that the caller can read it.
+  bool isLingering() const {
+    return State == state::Closing && PendingBytes == 0;
   }
   bool isClosed() const { return State == state::Closed; }
   /// Bytes queued and not yet sent.
   std::size_t pendingBytes() const { return PendingBytes; }
-  /// Closes the connection if no request is being read or served and all
-  /// responses are sent.
-  void closeIfIdle();
+  void closeIfAtRest(close_reason Reason);
+  /// Reads the bytes that have arrived and, if the request is still incomplete,
+  /// answers 408 and closes the connection. Returns whether it did.
+  bool refuseIncompleteRequest();
+  void stopLingering();
   void setClosedHandler(std::function<void()> NewHandler) {
     ClosedHandler = std::move(NewHandler);
   }
@@ -151,6 +160,7 @@
   bool KeepAlive = true;
   bool IsHeadRequest = false;
   bool CloseWhenSent = false;
+  bool Lingers = true;
   bool HasSentContinue = false;
   /// When the last response was sent, or the connection was made.
   steady_time IdleSince;
--- a/Libraries/LibConnection/connection_listener.cpp
+++ b/Libraries/LibConnection/connection_listener.cpp
@@ -51,18 +51,22 @@
 }
 
 void connection_listener::accept() {
+  // A completion or a timer that was queued before the end of listening.
+  if (!Acceptor.is_open())
+    return;
   Acceptor.async_accept(
-      [this](const asio::error_code &Code, asio::ip::tcp::socket Socket) {
-        if (Code == asio::error::operation_aborted)
+      [this, Lifetime = std::weak_ptr(Lifetime)](const asio::error_code &Code,
+                                                 asio::ip::tcp::socket Socket) {
+        if (Code == asio::error::operation_aborted || Lifetime.expired())
           return;
         if (!Code) {
           addConnection(std::move(Socket));
           return accept();
         }
-        closeOldestWithoutRequest();
+        closeOldest();
         RetryTimer.expires_after(AcceptRetryDelay);
-        RetryTimer.async_wait([this](const asio::error_code &TimerCode) {
-          if (!TimerCode)
+        RetryTimer.async_wait([this, Lifetime](const asio::error_code &Code) {
+          if (!Code && !Lifetime.expired())
             accept();
         });
       });
@@ -70,8 +74,8 @@
 
 void connection_listener::addConnection(asio::ip::tcp::socket Socket) {
   ++Accepted;
-  if (Connections.size() >= ConnectionLimit)
-    closeOldestWithoutRequest();
+  if (!makeRoom())
+    return refuse(std::move(Socket));
   auto Connection =
       std::make_shared<caller_connection>(std::move(Socket), Handler);
   auto Position = Connections.insert(Connections.end(), Connection);
@@ -80,29 +84,73 @@
   Connection->start();
 }
 
-void connection_listener::closeOldestWithoutRequest() {
-  auto Found =
-      std::find_if(Connections.begin(), Connections.end(),
-                   [](const auto &Entry) { return !Entry->hasRequest(); });
-  if (Found == Connections.end())
-    return;
-  // Closing erases the list entry; this copy keeps the connection alive until
-  // abort() returns.
-  auto Oldest = *Found;
-  Oldest->abort(close_reason::ConnectionLimit);
+bool connection_listener::makeRoom() {
+  return Connections.size() < ConnectionLimit || closeOldest();
+}
+
+// Each connection that is passed over has left the state it was found in, so
+// that the loop ends.
+bool connection_listener::closeOldest() {
+  if (const auto Resting = findOldest(&caller_connection::isAtRest)) {
+    Resting->abort(close_reason::ConnectionLimit);
+    return true;
+  }
+  if (const auto Lingering = findOldest(&caller_connection::isLingering)) {
+    Lingering->stopLingering();
+    return true;
+  }
+  while (const auto Incomplete =
+             findOldest(&caller_connection::hasIncompleteRequest))
+    if (Incomplete->refuseIncompleteRequest())
+      return true;
+  return false;
+}
+
+std::shared_ptr<caller_connection>
+connection_listener::findOldest(bool (caller_connection::*Predicate)()
+                                    const) const {
+  const auto Found = std::find_if(
+      Connections.begin(), Connections.end(),
+      [Predicate](const auto &Entry) { return (*Entry.*Predicate)(); });
+  return Found == Connections.end() ? nullptr : *Found;
+}
+
+void connection_listener::refuse(asio::ip::tcp::socket Socket) {
+  closed_connection Closed;
+  Closed.Reason = close_reason::ConnectionLimit;
+  asio::error_code Ignored;
+  Closed.UnreadBytes = Socket.available(Ignored);
+  resetConnection(Socket);
+  Handler.onConnectionClosed(Closed);
 }
 
 void connection_listener::stopAccepting() {
+  asio::error_code Code;
+  Acceptor.non_blocking(true, Code);
+  while (!Code) {
+    auto Socket = Acceptor.accept(Code);
+    if (!Code)
+      addConnection(std::move(Socket));
+  }
   asio::error_code Ignored;
   Acceptor.close(Ignored);
   RetryTimer.cancel();
 }
 
+std::vector<std::shared_ptr<caller_connection>>
+connection_listener::connections() const {
+  return {Connections.begin(), Connections.end()};
+}
+
+// Both go through a copy, since a connection that closes leaves the list.
 void connection_listener::closeIdle() {
-  const std::vector<std::shared_ptr<caller_connection>> All(Connections.begin(),
-                                                            Connections.end());
-  for (const auto &Connection : All)
-    Connection->closeIfIdle();
+  for (const auto &Connection : connections())
+    Connection->closeIfAtRest(close_reason::Stop);
+}
+
+void connection_listener::refuseIncompleteRequests() {
+  for (const auto &Connection : connections())
+    Connection->refuseIncompleteRequest();
 }
 
 std::size_t connection_listener::busyCount() const {
--- a/Libraries/LibConnection/connection_listener.h
+++ b/Libraries/LibConnection/connection_listener.h
@@ -12,8 +12,10 @@
 
 namespace azurehaven {
 
-/// Accepts callers on one address and limits the number of open connections: at
-/// the limit the oldest connection that serves no request is closed.
+/// Accepts callers on one address and limits the number of open connections. At
+/// the limit the oldest connection at rest is closed for a new one, else the
+/// oldest with an incomplete request, which is answered 408; without either the
+/// new connection is refused.
 class connection_listener {
 public:
   /// Returns Unavailable when the address can't be bound.
@@ -21,15 +23,18 @@
   listen(asio::io_context &Loop, const network_address &Address,
          request_handler &Handler, std::size_t ConnectionLimit);
 
+  /// Cuts the requests of busy connections, if any are left.
   ~connection_listener();
 
-  /// Stops listening on the address; open connections stay open.
+  /// Stops listening on the address. Open connections stay open, also those
+  /// that only the operating system had accepted yet.
   void stopAccepting();
-  /// Closes the connections on which no request is being read or served.
+  /// Closes the connections at rest.
   void closeIdle();
+  /// Answers requests that are still incomplete with 408.
+  void refuseIncompleteRequests();
   std::size_t connectionCount() const { return Connections.size(); }
-  /// Connections that serve a request, have unsent response bytes or are
-  /// closing gracefully.
+  /// Connections that are not at rest.
   std::size_t busyCount() const;
   std::uint64_t acceptedCount() const { return Accepted; }
 
@@ -38,7 +43,15 @@
                       std::size_t ConnectionLimit);
   void accept();
   void addConnection(asio::ip::tcp::socket Socket);
-  void closeOldestWithoutRequest();
+  /// Closes a connection if the limit is reached; returns whether there is room
+  /// for one more.
+  bool makeRoom();
+  /// Returns whether a connection was closed or is about to close.
+  bool closeOldest();
+  std::shared_ptr<caller_connection>
+  findOldest(bool (caller_connection::*Predicate)() const) const;
+  void refuse(asio::ip::tcp::socket Socket);
+  std::vector<std::shared_ptr<caller_connection>> connections() const;
 
   asio::ip::tcp::acceptor Acceptor;
   asio::steady_timer RetryTimer;
@@ -47,6 +60,8 @@
   /// In the order of acceptance, oldest first.
   std::list<std::shared_ptr<caller_connection>> Connections;
   std::uint64_t Accepted = 0;
+  /// Expires before the handlers that are still queued run.
+  const std::shared_ptr<const bool> Lifetime = std::make_shared<bool>(true);
 };
 
 } // namespace azurehaven
--- a/Libraries/LibRelay/relay_node.cpp
+++ b/Libraries/LibRelay/relay_node.cpp
@@ -218,26 +218,54 @@
       {{"active_requests", std::to_string(Context.ActiveRequests.size())}});
 }
 
+std::vector<connection_listener *> relay_node::listeners() const {
+  if (!ForwardingListener)
+    return {Listener.get()};
+  return {Listener.get(), ForwardingListener.get()};
+}
+
+bool relay_node::hasWork() const {
+  const auto IsBusy = [](const connection_listener *Each) {
+    return Each->busyCount() > 0;
+  };
+  const auto All = listeners();
+  return std::any_of(All.begin(), All.end(), IsBusy) ||
+         Context.Bills->pendingBillCount() > 0;
+}
+
+// Requests of connections that only the operating system has accepted yet count
+// as work too.
+void relay_node::stopAccepting() {
+  IsAccepting = false;
+  for (connection_listener *Each : listeners())
+    Each->stopAccepting();
+}
+
+void relay_node::endRemainingRequests() {
+  if (IsAccepting)
+    stopAccepting();
+  const auto Remaining = Context.ActiveRequests;
+  for (active_request *Request : Remaining)
+    Request->endForShutdown();
+  for (connection_listener *Each : listeners())
+    Each->refuseIncompleteRequests();
+}
+
 void relay_node::advanceStop() {
   const auto SinceStop = Clock.now() - Fleet.StoppingSince;
   if (SinceStop < std::min(AcceptTimeDuringStop, Settings.StopGrace / 2))
     return;
-  Listener->closeIdle();
-  if (ForwardingListener)
-    ForwardingListener->closeIdle();
+  for (connection_listener *Each : listeners())
+    Each->closeIdle();
   Context.Bills->flush();
-  if (timeUntilForcedEnd(Fleet, Clock.now()) <= milliseconds(0)) {
-    const auto Remaining = Context.ActiveRequests;
-    for (active_request *Request : Remaining)
-      Request->endForShutdown();
-  }
+  if (timeUntilForcedEnd(Fleet, Clock.now()) <= milliseconds(0))
+    endRemainingRequests();
   const bool IsGraceOver = SinceStop > Settings.StopGrace - ExitMargin;
-  const bool HasWork =
-      Listener->busyCount() > 0 ||
-      (ForwardingListener && ForwardingListener->busyCount() > 0) ||
-      Context.Bills->pendingBillCount() > 0;
-  if (HasWork && !IsGraceOver)
+  if (hasWork() && !IsGraceOver)
     return;
+  // The requests of the last connections are answered before the next check.
+  if (IsAccepting && !IsGraceOver)
+    return stopAccepting();
   Log.write(
       log_level::Info, "stopped",
       {{"active_requests", std::to_string(Context.ActiveRequests.size())}});
--- a/Libraries/LibRelay/relay_node.h
+++ b/Libraries/LibRelay/relay_node.h
@@ -57,6 +57,11 @@
   void waitForSignal();
   void beginStop();
   void advanceStop();
+  void stopAccepting();
+  /// Ends the running requests and answers the incomplete ones.
+  void endRemainingRequests();
+  bool hasWork() const;
+  std::vector<connection_listener *> listeners() const;
 
   asio::io_context &Loop;
   relay_settings Settings;
@@ -80,6 +85,7 @@
   std::unique_ptr<peer_state_sync> PeerSync;
   std::unique_ptr<rollout_driver> Rollouts;
   const std::uint64_t Incarnation;
+  bool IsAccepting = true;
 };
 
 } // namespace azurehaven
--- a/Libraries/LibServer/http_server.cpp
+++ b/Libraries/LibServer/http_server.cpp
@@ -81,6 +81,7 @@
   bool closeIfAllIdle() {
     // Closes idle connections first, so that none of them starts a new request.
     Listener->closeIdle();
+    Listener->refuseIncompleteRequests();
     if (Listener->busyCount() > 0)
       return false;
     Listener.reset();
--- a/Libraries/LibServer/http_server.h
+++ b/Libraries/LibServer/http_server.h
@@ -46,8 +46,9 @@
 using http_handler = std::function<served_response(const served_request &)>;
 
 struct http_server_limits {
-  /// Open connections; at the limit the oldest one that serves no request is
-  /// closed.
+  /// Open connections; at the limit the oldest one at rest is closed for a new
+  /// one, else the oldest with an incomplete request, which is answered 408;
+  /// without either the new one is refused.
   std::size_t Connections = 64;
   /// Handlers that run at the same time; further requests are queued.
   std::size_t Workers = 64;
@@ -70,7 +71,7 @@
   virtual ~http_server() = default;
 
   /// Stops accepting connections and returns once the running requests have
-  /// ended and their responses are sent.
+  /// ended and their responses are sent. Incomplete requests are answered 408.
   virtual void stop() = 0;
 };
 
--- a/Tests/LibConnection/connection_listener_test.cpp
+++ b/Tests/LibConnection/connection_listener_test.cpp
@@ -1,3 +1,5 @@
+#include "connection_fixture.h"
+
 #include "LibConnection/connection_listener.h"
 #include "LibConnection/single_call.h"
 
@@ -257,3 +259,20 @@
   CHECK(Handler.Closed[0].RequestBytes == Head.size() + 4);
   CHECK(Handler.Closed[0].hasUnansweredRequest());
 }
+
+TEST_CASE("A caller that shuts its sending side has left, but gets a response "
+          "that is ready") {
+  for (const bool IsReady : {true, false}) {
+    CAPTURE(IsReady);
+    connection_fixture Fixture;
+    Fixture.Handler.HoldsRequests = !IsReady;
+    test_caller Caller(Fixture);
+    Caller.send(wholeRequest("x"));
+    Caller.Socket.shutdown(asio::socket_base::shutdown_send);
+    Caller.awaitClose();
+    CHECK(Fixture.Handler.Served == 1);
+    CHECK(Caller.Received.starts_with("HTTP/1.1 200 ") == IsReady);
+    REQUIRE(Fixture.Handler.Closed.size() == 1);
+    CHECK(Fixture.Handler.Closed[0].Reason == close_reason::ByCaller);
+  }
+}
--- a/Tests/LibConnection/receive_timeout_test.cpp
+++ b/Tests/LibConnection/receive_timeout_test.cpp
@@ -48,9 +48,10 @@
 
 TEST_CASE("A connection rests for the longer of the limits at its begin and "
           "now") {
-  for (const auto &[Before, After] :
-       std::vector<std::pair<int, int>>{{200, 15000}, {15000, 200}}) {
-    CAPTURE(Before);
+  for (const bool Grows : {true, false}) {
+    CAPTURE(Grows);
+    const int Before = Grows ? 200 : 15000;
+    const int After = Grows ? 15000 : 200;
     receive_timeout Timeout;
     Timeout.start(receive_phase::Rest, limitsOf(50, Before), Start);
     const caller_limits Now = limitsOf(50, After);
--- a/Tests/LibServer/http_server_test.cpp
+++ b/Tests/LibServer/http_server_test.cpp
@@ -243,3 +243,19 @@
   CHECK(Received.starts_with("HTTP/1.1 400 "));
   CHECK(Received.find("\"run\":\"not_run\"") != std::string::npos);
 }
+
+TEST_CASE("stop() answers a request that is still incomplete") {
+  std::uint16_t Port = 0;
+  auto Server = listenOnFreePort({}, respondWithPath, Port);
+  REQUIRE(Server);
+  asio::io_context Loop(1);
+  asio::ip::tcp::socket Socket(Loop);
+  Socket.connect({asio::ip::make_address("127.0.0.1"), Port});
+  asio::write(Socket, asio::buffer(std::string("GET / HT")));
+  Server->stop();
+  std::string Response;
+  asio::error_code Code;
+  asio::read(Socket, asio::dynamic_buffer(Response), Code);
+  CHECK(Response.starts_with("HTTP/1.1 408 "));
+  CHECK(Code == asio::error::eof);
+}
