LibRelay: Give the connections between VMs limits of their own

The listener for other VMs used the operator's limits for callers, while a VM that forwards reuses its connections for 4 s: with a short idle timeout forwarded requests crossed the close, and ended with 502 if they may run only once. The fields that forwarding adds could exceed the callers' limit of a head, and a smaller limit that only one of the VMs knew refused what the other had accepted.

Without the change the tests print "200ms >= 8000ms", "431 == 200" and "413 == 200".

--- a/Libraries/LibRelay/relay.cpp
+++ b/Libraries/LibRelay/relay.cpp
@@ -10,6 +10,11 @@
 /// Retry-After of a VM without a current configuration: another VM may have
 /// one, or the store may soon be available again.
 constexpr milliseconds UnconfiguredRetryAfter{1000};
+/// For the connections of VMs, which have applied the limits of callers already
+/// and add fields to the head; the operator's limits are for callers. The idle
+/// timeout is well above the time for which a VM reuses a connection.
+constexpr caller_limits ForwardingLimits{80 << 10, 64 << 20, milliseconds(3000),
+                                         milliseconds(15000)};
 /// Retry-After of a request that crashes endpoints; it stays quarantined for
 /// long.
 constexpr milliseconds QuarantineRetryAfter{60000};
@@ -43,11 +48,14 @@
 }
 
 caller_limits relay::limits() const {
-  if (!Context.Fleet.Routes)
-    return {};
-  const request_limits &Bounds = Context.Fleet.Routes->limits();
-  return {Bounds.HeaderBytes, Bounds.BodyBytes, Bounds.HeaderTimeout,
-          Bounds.IdleTimeout};
+  caller_limits Limits;
+  if (Context.Fleet.Routes) {
+    const request_limits &Bounds = Context.Fleet.Routes->limits();
+    Limits = {Bounds.HeaderBytes, Bounds.BodyBytes, Bounds.HeaderTimeout,
+              Bounds.IdleTimeout};
+  }
+  return Source == request_source::Vm ? largerOf(Limits, ForwardingLimits)
+                                      : Limits;
 }
 
 bool relay::sendsConnectionClose() const { return Context.Fleet.IsStopping; }
