LibConnection, LibRelay: Let timers of a process that stood still end no sound work

- A call whose response is here unread as its timeout runs out reads it first.
Only one read went before the timer, so that a response above 8 KiB timed out.
- A cancelled wait for a placement does not call its handler any more, also if its timer had run out.
The request checked this itself.
- The reconnect timer of a peer's connection looks at its error code.
No way to a wrong call was found, so there is no test.

--- a/Libraries/LibConnection/endpoint_connection.cpp
+++ b/Libraries/LibConnection/endpoint_connection.cpp
@@ -212,6 +212,12 @@
     Handler();
 }
 
+std::size_t endpoint_connection::unreadBytes() const {
+  asio::error_code Code;
+  const std::size_t Size = Socket.available(Code);
+  return Code ? 0 : Size;
+}
+
 void endpoint_connection::pauseReading() { Paused = true; }
 
 void endpoint_connection::resumeReading() {
--- a/Libraries/LibConnection/endpoint_connection.h
+++ b/Libraries/LibConnection/endpoint_connection.h
@@ -82,6 +82,9 @@
   /// Whether it is connected and carries no exchange.
   bool isIdle() const { return State == state::Idle; }
   bool isClosed() const { return State == state::Closed; }
+  /// Bytes that the operating system has received and this process has not
+  /// read.
+  std::size_t unreadBytes() const;
   /// Sets the function to call when the connection becomes idle or closed.
   void setReleaseHandler(std::function<void()> Handler) {
     ReleaseHandler = std::move(Handler);
--- a/Libraries/LibConnection/single_call.cpp
+++ b/Libraries/LibConnection/single_call.cpp
@@ -1,9 +1,16 @@
 #include "LibConnection/single_call.h"
 
+#include <asio/post.hpp>
+
 namespace azurehaven {
 
 namespace {
 
+/// Least number of bytes that a connection reads in one turn if they are here.
+constexpr std::size_t ReadSize = 8192;
+/// Turns of the event loop in which one read is started and handled.
+constexpr std::size_t TurnsPerRead = 2;
+
 class buffering_observer
     : public exchange_observer,
       public std::enable_shared_from_this<buffering_observer> {
@@ -18,11 +25,8 @@
   void startTimeout(milliseconds Timeout) {
     Timer.expires_after(Timeout);
     Timer.async_wait([Self = shared_from_this()](const asio::error_code &Code) {
-      if (Code || !Self->Handler)
-        return;
-      Self->Connection->abort();
-      Self->finish(http_failure{delivery::MayHaveRun,
-                                "timed out waiting for the response"});
+      if (!Code)
+        Self->onTimeout();
     });
   }
 
@@ -45,6 +49,29 @@
   }
 
 private:
+  /// The response may have come in time, and only this process have been late:
+  /// what is here is read first. What comes after that is late.
+  void onTimeout() {
+    const std::size_t Reads = Connection->unreadBytes() / ReadSize + 1;
+    TurnsLeft = TurnsPerRead * (Reads + 1);
+    awaitUnread();
+  }
+
+  void awaitUnread() {
+    if (!Handler)
+      return;
+    if (TurnsLeft-- == 0)
+      return timeOut();
+    asio::post(Timer.get_executor(),
+               [Self = shared_from_this()] { Self->awaitUnread(); });
+  }
+
+  void timeOut() {
+    Connection->abort();
+    finish(http_failure{delivery::MayHaveRun,
+                        "timed out waiting for the response"});
+  }
+
   void finish(call_result Result) {
     Timer.cancel();
     if (auto Finished = std::exchange(Handler, nullptr))
@@ -55,6 +82,7 @@
   call_handler Handler;
   asio::steady_timer Timer;
   const std::size_t ResponseLimit;
+  std::size_t TurnsLeft = 0;
   http_response Response;
 };
 
--- a/Libraries/LibPeer/tcp_peer_network.cpp
+++ b/Libraries/LibPeer/tcp_peer_network.cpp
@@ -208,8 +208,8 @@
     State = connection_state::Connecting;
     auto Self = shared_from_this();
     RetryTimer.expires_after(ReconnectDelay);
-    RetryTimer.async_wait([Self](std::error_code) {
-      if (Self->IsClosed)
+    RetryTimer.async_wait([Self](std::error_code Code) {
+      if (Code || Self->IsClosed)
         return;
       Self->State = connection_state::Closed;
       if (!Self->Queue.empty())
--- a/Libraries/LibRelay/placement_wait.cpp
+++ b/Libraries/LibRelay/placement_wait.cpp
@@ -25,12 +25,19 @@
 void placement_wait::start(steady_time Now, std::function<void()> Handler) {
   if (!WaitingSince)
     WaitingSince = Now;
+  Running = std::make_shared<const bool>(true);
   Timer.expires_after(RetryInterval);
   Timer.async_wait(
-      [Handler = std::move(Handler)](const asio::error_code &Code) {
-        if (!Code)
+      [Handler = std::move(Handler),
+       Running = std::weak_ptr(Running)](const asio::error_code &Code) {
+        if (!Code && !Running.expired())
           Handler();
       });
 }
 
+void placement_wait::cancel() {
+  Running.reset();
+  Timer.cancel();
+}
+
 } // namespace azurehaven
--- a/Libraries/LibRelay/placement_wait.h
+++ b/Libraries/LibRelay/placement_wait.h
@@ -6,6 +6,7 @@
 #include <asio/steady_timer.hpp>
 
 #include <functional>
+#include <memory>
 #include <optional>
 
 namespace azurehaven {
@@ -23,10 +24,12 @@
   bool isWorthwhile(const endpoint_list &Endpoints, steady_time Now) const;
   /// Calls the handler after a short time, unless cancelled.
   void start(steady_time Now, std::function<void()> Handler);
-  void cancel() { Timer.cancel(); }
+  void cancel();
 
 private:
   asio::steady_timer Timer;
+  /// Expires before a handler that was queued before its cancellation runs.
+  std::shared_ptr<const bool> Running;
   std::optional<steady_time> WaitingSince;
 };
 
