LibRelay: Keep what belongs to one attempt in relayed_attempt

relayed_request held one attempt's endpoint, model, monitor, observations, response head and body in members of its own, so that it could have only one at a time. They are now a type of their own, whose calls name the attempt.

--- a/Libraries/LibRelay/relayed_request.cpp
+++ b/Libraries/LibRelay/relayed_request.cpp
@@ -60,9 +60,7 @@
       Request(Admitted.Request), Route(*Admitted.Route),
       Caller(std::move(Caller)), Budget(Admitted, Context.Clock.now()),
       Deadline(Context.Executor), PlacementWait(Context.Executor),
-      Splicer(Request.LastEventId), ResponseBody(Context.BufferedResponseBytes),
-      Observed(Context.Fleet, Context.Log, Admitted),
-      Logged(Context.Log, Admitted) {
+      Splicer(Request.LastEventId), Logged(Context.Log, Admitted) {
   Context.ActiveRequests.insert(this);
 }
 
@@ -96,12 +94,12 @@
 void relayed_request::startNextAttempt() {
   const steady_time Now = Context.Clock.now();
   // The monitor of the attempt before would end the next one.
-  if (Liveness)
-    Liveness->stop();
+  if (Current)
+    Current->stopMonitor();
   if (Request.acceptsAnyModel() && !Route.ModelsBySize.empty()) {
-    if (!ModelIndex)
-      ModelIndex = Context.Fleet.Models.firstModel(Route, Request);
-    Model = Route.ModelsBySize[*ModelIndex];
+    if (!Model.Index)
+      Model.Index = Context.Fleet.Models.firstModel(Route, Request);
+    Model.Id = Route.ModelsBySize[*Model.Index];
   }
   // The process may have been suspended since the request arrived, so that the
   // configuration is no longer current.
@@ -116,7 +114,7 @@
   if (const auto Peer = selectForwardingPeer(Now))
     return forwardTo(Peer);
   const request_placement Placement =
-      placeRequest(Context.Fleet, Admitted, Tried, ModelIndex, Now);
+      placeRequest(Context.Fleet, Admitted, Tried, Model.Index, Now);
   const auto &Target = Placement.Endpoint;
   // What peers have refused is not tried over a lost path.
   const bool IsRefusedByPeers =
@@ -153,13 +151,12 @@
 
 void relayed_request::forwardTo(const std::shared_ptr<endpoint_record> &Peer) {
   const steady_time Now = Context.Clock.now();
-  Endpoint = Peer;
   TriedPeers.insert(Peer->Descriptor.Id);
   Budget.countSend();
   forwarding_parameters Parameters;
   // A peer that breaks off does not tell how often the request has run there,
   // so that it gets a part of the runs and is taken to have used it.
-  PeerRuns = (Budget.runsLeft() + 1) / 2;
+  const int PeerRuns = (Budget.runsLeft() + 1) / 2;
   Parameters.Origin = {Context.Fleet.Self, Budget.runs(), PeerRuns};
   Parameters.TimeLeft = Budget.timeLeft(Now);
   Parameters.ResumeAfter = Splicer.lastEventId();
@@ -167,23 +164,16 @@
   Logged.onForwarded(Peer->Descriptor.Id, Budget.sends(), SendReason,
                      Parameters.TimeLeft);
   Context.Metrics.increment("azurehaven_forwarded_requests_total");
-  Observed.onForwarded(Peer, Splicer.eventCount());
-  Attempt = std::make_shared<endpoint_attempt>(
-      Context, attempt_target::Vm, Peer, Request.Id, /*PromptWork=*/0,
-      std::weak_ptr<attempt_observer>(shared_from_this()));
-  outgoing_request Outgoing;
-  Outgoing.Head = Context.Codec.encodeForwardedHead(Head, Parameters);
-  Outgoing.Body = Body;
-  Outgoing.IsHead = Head.Method == "HEAD";
-  Attempt->start(std::move(Outgoing), Route.allowsReexecution()
-                                          ? connection_reuse::AnyIdle
-                                          : connection_reuse::RecentlyUsed);
+  Current = std::make_shared<relayed_attempt>(Context, Admitted,
+                                              attempt_target::Vm, Peer, Model,
+                                              PeerRuns, weak_from_this());
+  Current->start(outgoing(Context.Codec.encodeForwardedHead(Head, Parameters)),
+                 Splicer.eventCount());
 }
 
 void relayed_request::startAttemptOn(
     const std::shared_ptr<endpoint_record> &Target) {
   const steady_time Now = Context.Clock.now();
-  Endpoint = Target;
   Tried.insert(Target->Descriptor.Id);
   Budget.countSend();
   attempt_parameters Parameters;
@@ -191,70 +181,58 @@
   Parameters.Address = Target->Descriptor.Address;
   Parameters.Account = Admitted.Account.Account;
   Parameters.TimeLeft = Budget.timeLeft(Now);
-  if (Request.acceptsAnyModel() && !Model.empty())
-    Parameters.Model = Model;
+  if (Request.acceptsAnyModel() && !Model.Id.empty())
+    Parameters.Model = Model.Id;
   if (ResponseStarted)
     Parameters.Urgency = ContinuationUrgency;
-  else if (ModelIndex && *ModelIndex + 1 < Route.ModelsBySize.size())
+  else if (Model.Index && *Model.Index + 1 < Route.ModelsBySize.size())
     Parameters.Urgency = SmallModelUrgency;
   Parameters.ResumeAfter = Splicer.lastEventId();
   Parameters.BodySize = Body->size();
-  Logged.onSent(*Target, Model, Budget.sends(), SendReason,
+  Logged.onSent(*Target, Model.Id, Budget.sends(), SendReason,
                 Parameters.TimeLeft);
-  const double OwnWork =
-      promptWorkOn(Context.Fleet, Admitted, ModelIndex, *Target, Now);
-  const double PromptWorkAhead = pendingPromptWork(*Target) + OwnWork;
-  Attempt = std::make_shared<endpoint_attempt>(
-      Context, attempt_target::Endpoint, Target, Request.Id, OwnWork,
-      std::weak_ptr<attempt_observer>(shared_from_this()));
+  Cost += attemptCost(Admitted, Model.Index);
+  Current = std::make_shared<relayed_attempt>(
+      Context, Admitted, attempt_target::Endpoint, Target, Model, /*Runs=*/1,
+      weak_from_this());
+  Current->start(
+      outgoing(Context.Codec.encodeRequestHead(Head, Request, Parameters)),
+      Splicer.eventCount());
+}
+
+outgoing_request relayed_request::outgoing(std::string EncodedHead) const {
   outgoing_request Outgoing;
-  Outgoing.Head = Context.Codec.encodeRequestHead(Head, Request, Parameters);
+  Outgoing.Head = std::move(EncodedHead);
   Outgoing.Body = Body;
   Outgoing.IsHead = Head.Method == "HEAD";
-  Observed.onSent(Target, Model, ModelIndex, Splicer.eventCount(),
-                  PromptWorkAhead, Now);
-  Cost += attemptCost(Admitted, ModelIndex);
-  Attempt->start(std::move(Outgoing), Route.allowsReexecution()
-                                          ? connection_reuse::AnyIdle
-                                          : connection_reuse::RecentlyUsed);
-  if (Route.allowsReexecution())
-    startLivenessMonitor();
-}
-
-void relayed_request::startLivenessMonitor() {
-  std::optional<milliseconds> PlainIdleTimeout;
-  if (!Admitted.isForEngines())
-    PlainIdleTimeout = plainIdleTimeout(
-        Route, Context.Fleet.LatencyBaseline.meanMs(Route.Name, Model));
-  Liveness = std::make_shared<liveness_monitor>(
-      Context, Endpoint, Request.Id, PlainIdleTimeout,
-      [Weak = weak_from_this()](const std::string &Reason) {
-        auto Self = Weak.lock();
-        if (!Self)
-          return;
-        // A request that can't be retried is not ended merely because its
-        // endpoint is unresponsive: it may still respond.
-        const steady_time Now = Self->Context.Clock.now();
-        if (!Self->mayRetryElsewhere(Now))
-          return;
-        if (!Self->canRetryElsewhereNow(Now))
-          return Self->startLivenessMonitor();
-        Self->onAttemptFailed(Self->failureOfUnresponsive(), Reason);
-      });
-  Liveness->start();
+  return Outgoing;
+}
+
+void relayed_request::onAttemptSilent(relayed_attempt &Attempt,
+                                      const std::string &Reason) {
+  // A request that can't be retried is not ended merely because its endpoint
+  // is unresponsive: it may still respond.
+  const steady_time Now = Context.Clock.now();
+  if (!mayRetryElsewhere(Now))
+    return;
+  if (!canRetryElsewhereNow(Now))
+    return Attempt.startMonitor();
+  onAttemptFailed(Attempt, Attempt.failureOfSilent(), Reason);
 }
 
 void relayed_request::recordIfSlow(steady_time Now) {
-  Observed.recordIfSlow(Now);
+  if (Current)
+    Current->observed().recordIfSlow(Now);
 }
 
 void relayed_request::refreshSessionPin(steady_time Now) {
-  if (Attempt)
-    Observed.refreshSessionPin(Now);
+  if (Current)
+    Current->observed().refreshSessionPin(Now);
 }
 
 head_verdict relayed_request::onAttemptResponseHead(
-    const response_head &NewHead, const decoded_response_head &NewResponse) {
+    relayed_attempt &Attempt, const response_head &NewHead,
+    const decoded_response_head &NewResponse) {
   if (IsFinished)
     return head_verdict::Reject;
   const bool IsAttributable =
@@ -265,47 +243,44 @@
   if (!IsAttributable || !IsForwardable)
     return head_verdict::Reject;
   const steady_time Now = Context.Clock.now();
-  Observed.onHead(isSuccess(NewResponse.Status), Now);
-  if (tryEscalate(NewResponse))
+  Attempt.observed().onHead(isSuccess(NewResponse.Status), Now);
+  if (tryEscalate(Attempt, NewResponse))
     return head_verdict::Reject;
-  ResponseHead = NewHead;
-  Response = NewResponse;
-  ResponseBody.clear();
+  Attempt.acceptHead(NewHead, NewResponse);
   return head_verdict::Accept;
 }
 
-bool relayed_request::tryEscalate(const decoded_response_head &NewResponse) {
+bool relayed_request::tryEscalate(relayed_attempt &Attempt,
+                                  const decoded_response_head &NewResponse) {
   // The VM that a request was forwarded to has chosen the model.
-  if (!ModelIndex || !NewResponse.Confidence || Observed.isForwarded() ||
+  if (!Model.Index || !NewResponse.Confidence || Attempt.isForwarded() ||
       !isSuccess(NewResponse.Status) || ResponseStarted ||
       Budget.runsLeft() <= 1)
     return false;
   fleet_state &Fleet = Context.Fleet;
   const steady_time Now = Context.Clock.now();
   const milliseconds Backlog = estimatedBacklog(Fleet, Admitted.Service, Now);
-  const auto Larger = Fleet.Models.escalate(Route, Request, *ModelIndex,
+  const auto Larger = Fleet.Models.escalate(Route, Request, *Model.Index,
                                             *NewResponse.Confidence, Backlog);
   const bool IsEscalated =
-      Larger && Fleet.Retries.tryConsume(Endpoint->Descriptor.Service, Now);
+      Larger && Fleet.Retries.tryConsume(Admitted.Service, Now);
   const escalation_outcome Outcome = IsEscalated ? escalation_outcome::Escalated
                                      : Larger
                                          ? escalation_outcome::BudgetExhausted
                                          : escalation_outcome::Accepted;
-  Logged.onJudged(Model, *NewResponse.Confidence, Backlog, Outcome);
+  Logged.onJudged(Model.Id, *NewResponse.Confidence, Backlog, Outcome);
   Context.Metrics.increment("azurehaven_judged_answers_total",
                             IsEscalated ? "outcome=\"escalated\""
                                         : "outcome=\"accepted\"");
   if (!IsEscalated)
     return false;
   SendReason = "escalated";
-  ModelIndex = Larger;
+  Model.Index = Larger;
   Budget.countRuns(1);
-  if (Liveness)
-    Liveness->stop();
-  Observed.onDropped(Now);
-  Tried.erase(Endpoint->Descriptor.Id);
+  Attempt.observed().onDropped(Now);
+  Tried.erase(Attempt.endpoint().Descriptor.Id);
   // The next attempt starts from the event loop, after this one has ended.
-  Attempt->cancel();
+  Attempt.cancel();
   asio::post(Context.Executor, [Self = shared_from_this()] {
     if (!Self->IsFinished)
       Self->startNextAttempt();
@@ -313,81 +288,80 @@
   return true;
 }
 
-void relayed_request::onAttemptResponseBody(std::string Bytes) {
+void relayed_request::onAttemptResponseBody(relayed_attempt &Attempt,
+                                            std::string Bytes) {
   if (IsFinished)
     return;
-  if (Route.Kind == route_kind::Stream && isSuccess(Response.Status))
-    return forwardStreamBytes(std::move(Bytes));
-  if (!ResponseBody.tryAppend(Bytes)) {
-    ResponseBody.clear();
-    onAttemptFailed(attempt_failure::NoValidResponse,
+  if (Route.Kind == route_kind::Stream && isSuccess(Attempt.response().Status))
+    return forwardStreamBytes(Attempt, std::move(Bytes));
+  if (!Attempt.responseBody().tryAppend(Bytes)) {
+    Attempt.responseBody().clear();
+    onAttemptFailed(Attempt, attempt_failure::NoValidResponse,
                     "the response is too large to buffer");
   }
 }
 
-void relayed_request::forwardStreamBytes(std::string Bytes) {
+void relayed_request::forwardStreamBytes(relayed_attempt &Attempt,
+                                         std::string Bytes) {
   const steady_time Now = Context.Clock.now();
   const std::uint64_t EventsBefore = Splicer.eventCount();
   const std::string Events = Splicer.add(Bytes);
-  if (Liveness && Splicer.eventCount() > EventsBefore)
-    Liveness->onProgress(Now);
+  if (Splicer.eventCount() > EventsBefore)
+    Attempt.onProgress(Now);
   if (!Events.empty()) {
-    Observed.onEvents(Splicer.eventCount(), Now);
+    Attempt.observed().onEvents(Splicer.eventCount(), Now);
     if (!ResponseStarted) {
       ResponseStarted = true;
       TimeToFirstEvent =
           std::chrono::duration_cast<milliseconds>(Now - Budget.arrivedAt());
-      Caller->startResponse(ResponseHead.Status,
-                            Context.Codec.forwardedHeaders(ResponseHead));
+      startCallerResponse(Attempt);
     }
     Caller->sendChunk(Events);
     if (IsFinished)
       return;
     if (Caller->pendingBytes() > MaxCallerBacklogBytes)
-      Attempt->pauseReading();
+      Attempt.pauseReading();
   }
   if (Splicer.hasOversizedEvent()) {
-    Attempt->cancel();
-    onAttemptFailed(attempt_failure::NoValidResponse,
+    Attempt.cancel();
+    onAttemptFailed(Attempt, attempt_failure::NoValidResponse,
                     "the event stream is malformed");
   }
 }
 
 void relayed_request::onSendBufferDrained() {
-  if (!IsFinished && Attempt)
-    Attempt->resumeReading();
+  if (!IsFinished && Current)
+    Current->resumeReading();
 }
 
-void relayed_request::onAttemptResponseEnd() {
+void relayed_request::onAttemptResponseEnd(relayed_attempt &Attempt) {
   if (IsFinished)
     return;
-  if (Observed.isForwarded() && isRefusalByVm(Response))
-    return retryOrRefuse(attempt_failure::NotExecuted,
+  const decoded_response_head &Response = Attempt.response();
+  if (Attempt.isForwarded() && isRefusalByVm(Response))
+    return retryOrRefuse(Attempt, attempt_failure::NotExecuted,
                          "the VM refused with status " +
                              std::to_string(Response.Status));
   if (Response.WasNotExecuted || Response.IsMisdirected) {
     if (Response.IsMisdirected)
-      Observed.onMisdirected(Context.Clock.now());
-    return retryOrRefuse(attempt_failure::NotExecuted,
+      Attempt.observed().onMisdirected(Context.Clock.now());
+    return retryOrRefuse(Attempt, attempt_failure::NotExecuted,
                          "status " + std::to_string(Response.Status));
   }
-  Budget.countRuns(1);
   if (!isSuccess(Response.Status))
-    return handleErrorStatus();
-  if (const char *Reason = streamBreakReason()) {
-    Budget.countRuns(-1); // onAttemptFailed() counts this attempt.
-    return onAttemptFailed(attempt_failure::NoValidResponse, Reason);
-  }
-  Observed.onComplete(Context.Clock.now());
+    return handleErrorStatus(Attempt);
+  if (const char *Reason = streamBreakReason(Attempt))
+    return onAttemptFailed(Attempt, attempt_failure::NoValidResponse, Reason);
+  Budget.countRuns(1);
+  Attempt.observed().onComplete(Context.Clock.now());
   if (Route.Kind == route_kind::Stream)
-    return finishStream();
-  Caller->sendResponse(ResponseHead.Status,
-                       Context.Codec.forwardedHeaders(ResponseHead),
-                       ResponseBody.text());
+    return finishStream(Attempt);
+  forwardWholeResponse(Attempt);
   finish("answered");
 }
 
-const char *relayed_request::streamBreakReason() const {
+const char *
+relayed_request::streamBreakReason(const relayed_attempt &Attempt) const {
   if (Route.Kind != route_kind::Stream)
     return nullptr;
   if (Splicer.hasPartialEvent())
@@ -396,56 +370,66 @@
   // also what a crash at its beginning looks like. Only a caller that has had
   // events before may get none.
   const bool MayBeEmpty = Request.LastEventId && !ResponseStarted;
-  if (isEndedByClose(ResponseHead) && Observed.attemptEvents() == 0 &&
-      !MayBeEmpty)
+  if (isEndedByClose(Attempt.responseHead()) &&
+      Attempt.observed().attemptEvents() == 0 && !MayBeEmpty)
     return "the stream ended before its first event";
   return nullptr;
 }
 
-void relayed_request::finishStream() {
+void relayed_request::startCallerResponse(const relayed_attempt &Attempt) {
+  const response_head &Head = Attempt.responseHead();
+  Caller->startResponse(Head.Status, Context.Codec.forwardedHeaders(Head));
+}
+
+void relayed_request::forwardWholeResponse(relayed_attempt &Attempt) {
+  const response_head &Head = Attempt.responseHead();
+  Caller->sendResponse(Head.Status, Context.Codec.forwardedHeaders(Head),
+                       Attempt.responseBody().text());
+}
+
+void relayed_request::finishStream(const relayed_attempt &Attempt) {
   if (!ResponseStarted)
-    Caller->startResponse(ResponseHead.Status,
-                          Context.Codec.forwardedHeaders(ResponseHead));
+    startCallerResponse(Attempt);
   Caller->finishResponse();
   finish("answered");
 }
 
-void relayed_request::handleErrorStatus() {
-  Observed.onErrorResponse(Response.IsSigned, Context.Clock.now());
+void relayed_request::handleErrorStatus(relayed_attempt &Attempt) {
+  const decoded_response_head &Response = Attempt.response();
+  Budget.countRuns(1);
+  Attempt.observed().onErrorResponse(Response.IsSigned, Context.Clock.now());
   // Another VM has made all the attempts that the route allows.
-  const bool MayRetry = !Observed.isForwarded() &&
+  const bool MayRetry = !Attempt.isForwarded() &&
                         isRetryAllowed(Route, attempt_failure::ErrorResponse) &&
                         Budget.runsLeft() > 0 && !ResponseStarted;
   if (MayRetry)
-    return retryOrRefuse(attempt_failure::ErrorResponse,
+    return retryOrRefuse(Attempt, attempt_failure::ErrorResponse,
                          "status " + std::to_string(Response.Status));
   if (ResponseStarted)
     return abortResponse("endpoint_failed");
-  forwardErrorResponse();
+  forwardErrorResponse(Attempt);
 }
 
-void relayed_request::forwardErrorResponse() {
+void relayed_request::forwardErrorResponse(relayed_attempt &Attempt) {
+  const decoded_response_head &Response = Attempt.response();
   const bool ClaimsNotRun = Response.Status == 503 || Response.Status == 429 ||
                             Response.Status == 408 || Response.Status == 421;
   if (ClaimsNotRun || !Response.IsSigned)
     return refuse({502, std::nullopt, "endpoint_failed"});
-  Caller->sendResponse(ResponseHead.Status,
-                       Context.Codec.forwardedHeaders(ResponseHead),
-                       ResponseBody.text());
+  forwardWholeResponse(Attempt);
   finish("endpoint_failed");
 }
 
-void relayed_request::onAttemptFailed(attempt_failure Failure,
+void relayed_request::onAttemptFailed(relayed_attempt &Attempt,
+                                      attempt_failure Failure,
                                       const std::string &Reason) {
   if (IsFinished)
     return;
-  if (Liveness)
-    Liveness->stop();
-  Attempt->cancel();
-  Observed.onFailed(Failure, Context.Clock.now());
+  Attempt.cancel();
+  Attempt.observed().onFailed(Failure, Context.Clock.now());
   if (mayHaveRun(Failure))
-    Budget.countRuns(Observed.isForwarded() ? PeerRuns : 1);
-  retryOrRefuse(Failure, Reason);
+    Budget.countRuns(Attempt.runs());
+  retryOrRefuse(Attempt, Failure, Reason);
 }
 
 bool relayed_request::mayRetryElsewhere(steady_time Now) const {
@@ -463,19 +447,13 @@
     return false;
   // Other VMs may reach an endpoint over a path that is lost here.
   return Fleet.Paths.isLost(Admitted.Service) ||
-         placeRequest(Fleet, Admitted, Tried, ModelIndex, Now).Endpoint;
-}
-
-attempt_failure relayed_request::failureOfUnresponsive() const {
-  // An engine is inspected before it counts as unresponsive; nothing tells
-  // whether a plain endpoint still runs.
-  return Admitted.isForEngines() ? attempt_failure::Unresponsive
-                                 : attempt_failure::Silent;
+         placeRequest(Fleet, Admitted, Tried, Model.Index, Now).Endpoint;
 }
 
 bool relayed_request::mayRetryAfter(attempt_failure Failure,
                                     steady_time Now) const {
-  return Budget.allowsRetryAfter(Failure, Now) && !Observed.isQuarantined();
+  return Budget.allowsRetryAfter(Failure, Now) &&
+         !(Current && Current->observed().isQuarantined());
 }
 
 retry_decision relayed_request::decideRetry(attempt_failure Failure,
@@ -490,14 +468,16 @@
              : retry_decision::BudgetExhausted;
 }
 
-void relayed_request::retryOrRefuse(attempt_failure Failure,
+void relayed_request::retryOrRefuse(relayed_attempt &Attempt,
+                                    attempt_failure Failure,
                                     const std::string &Reason) {
   const steady_time Now = Context.Clock.now();
   fleet_state &Fleet = Context.Fleet;
   const retry_decision Decision = decideRetry(Failure, Now);
-  Logged.onAttemptFailed(
-      {Endpoint->Descriptor.Id, Failure, Reason, Budget.sends(), Decision,
-       Fleet.Retries.stateOf(Admitted.Service, Now), Fleet.Members.size()});
+  Logged.onAttemptFailed({Attempt.endpoint().Descriptor.Id, Failure, Reason,
+                          Budget.sends(), Decision,
+                          Fleet.Retries.stateOf(Admitted.Service, Now),
+                          Fleet.Members.size()});
   if (Decision == retry_decision::Granted ||
       Decision == retry_decision::NotCounted) {
     SendReason = nameOf(Failure);
@@ -508,7 +488,7 @@
     return startNextAttempt();
   }
   if (Failure == attempt_failure::ErrorResponse && !ResponseStarted)
-    return forwardErrorResponse();
+    return forwardErrorResponse(Attempt);
   const bool IsExhausted = Decision == retry_decision::BudgetExhausted;
   refuse(errorResponseFor(
       Budget.mayHaveRun(), IsExhausted ? "retry_budget" : "attempts_failed",
@@ -532,12 +512,12 @@
 void relayed_request::onDeadline() {
   if (IsFinished)
     return;
-  if (Attempt) {
-    Attempt->cancel();
+  if (Current) {
+    Current->cancel();
     // A response that has not started by the deadline counts as a failure of
     // the endpoint's release.
     if (!ResponseStarted)
-      Observed.onDeadline(Context.Clock.now());
+      Current->observed().onDeadline(Context.Clock.now());
   }
   refuse(deadlineErrorResponse(Budget.sends() > 0));
 }
@@ -545,8 +525,8 @@
 void relayed_request::endForShutdown() {
   if (IsFinished)
     return;
-  if (Attempt)
-    Attempt->cancel();
+  if (Current)
+    Current->cancel();
   refuse(errorResponseFor(Budget.sends() > 0, "stopping"));
 }
 
@@ -554,16 +534,16 @@
   if (IsFinished)
     return;
   // Closing the connection lets the endpoint cancel work that has no recipient.
-  if (Attempt)
-    Attempt->cancel();
+  if (Current)
+    Current->cancel();
   finish("caller_gone");
 }
 
 void relayed_request::recordBill() {
   if (!Context.Bills || Admitted.Account.Account.empty())
     return;
-  Context.Bills->add(makeBill(Admitted, ModelIndex,
-                              Endpoint->Descriptor.Release, Cost,
+  Context.Bills->add(makeBill(Admitted, Model.Index,
+                              Current->endpoint().Descriptor.Release, Cost,
                               Context.Clock.wallNow(), Context.Fleet.Self));
 }
 
@@ -571,10 +551,11 @@
   IsFinished = true;
   Deadline.cancel();
   PlacementWait.cancel();
-  if (Liveness)
-    Liveness->stop();
   const steady_time Now = Context.Clock.now();
-  Observed.recordIfSlow(Now);
+  if (Current) {
+    Current->stopMonitor();
+    Current->observed().recordIfSlow(Now);
+  }
   const auto Took =
       std::chrono::duration_cast<milliseconds>(Now - Budget.arrivedAt());
   const std::string Labels = std::string("kind=\"") + nameOf(Route.Kind) +
@@ -583,12 +564,12 @@
   Context.Metrics.observe("azurehaven_request_ms", Labels, Took);
   const bool IsAnswered = std::string_view(Outcome) == "answered";
   // The VM that a request was forwarded to bills it.
-  if (IsAnswered && !Observed.isForwarded())
+  if (IsAnswered && !Current->isForwarded())
     recordBill();
-  Logged.onFinished(Outcome, IsAnswered, Endpoint.get(), Model, Budget.sends(),
-                    TimeToFirstEvent, Took);
-  Attempt.reset();
-  ResponseBody.clear();
+  Logged.onFinished(Outcome, IsAnswered,
+                    Current ? &Current->endpoint() : nullptr, Model.Id,
+                    Budget.sends(), TimeToFirstEvent, Took);
+  Current.reset();
 }
 
 } // namespace azurehaven
