LibRelay: Let an ended attempt no longer close its connection

What callers saw: a request, sent on and being served, got no answer until its time limit (504), and its endpoint's connection was closed. Cause: an attempt keeps its connection after the response, which has gone back to the pool by then. A request that an endpoint refused waits up to 400 ms for a brittle endpoint; if its caller leaves, its deadline passes or the process ends it meanwhile, it cancels that attempt and so aborts the connection under the request that uses it now, without a call to that request's observer. Change: the attempt lets go of the connection as the response ends. Test: released_connection_test failed before with "CHECK( 504 == 200 )" and an empty body; passes now, as do LibRelay, LibRelayFleet, LibRelayPath, LibRelayCrashes, LibRelayRetries and LibRelayRollout.

--- a/Libraries/LibRelay/endpoint_attempt.cpp
+++ b/Libraries/LibRelay/endpoint_attempt.cpp
@@ -61,7 +61,18 @@
 
 void endpoint_attempt::cancel() {
   removeFromLoad();
-  Connection->abort();
+  if (Connection)
+    Connection->abort();
+}
+
+void endpoint_attempt::pauseReading() {
+  if (Connection)
+    Connection->pauseReading();
+}
+
+void endpoint_attempt::resumeReading() {
+  if (Connection)
+    Connection->resumeReading();
 }
 
 void endpoint_attempt::applyEndpointState(const decoded_response_head &Response,
@@ -183,6 +194,8 @@
     Connection->abort();
   if (auto Receiver = Observer.lock())
     Receiver->onAttemptResponseEnd();
+  // From now on the connection may carry another request.
+  Connection.reset();
 }
 
 void endpoint_attempt::onRequestSent() {
--- a/Libraries/LibRelay/endpoint_attempt.h
+++ b/Libraries/LibRelay/endpoint_attempt.h
@@ -40,10 +40,11 @@
   ~endpoint_attempt() override;
 
   void start(outgoing_request Request, connection_reuse Trust);
-  /// Ends the attempt and closes its connection to the endpoint.
+  /// Ends the attempt and closes its connection to the endpoint, unless the
+  /// response has been complete.
   void cancel();
-  void pauseReading() { Connection->pauseReading(); }
-  void resumeReading() { Connection->resumeReading(); }
+  void pauseReading();
+  void resumeReading();
 
   head_verdict onResponseHead(const response_head &Head) override;
   void onResponseBody(std::string Bytes) override;
@@ -72,6 +73,7 @@
   const std::shared_ptr<endpoint_record> Endpoint;
   const request_id Id;
   const std::weak_ptr<attempt_observer> Observer;
+  /// Null once the response has been complete.
   std::shared_ptr<endpoint_connection> Connection;
   milliseconds IdleLimit{4000};
   double PromptWork;
