LibRelay: Keep a silent attempt until another endpoint has begun

What callers saw: a stream that had begun was reset, or a request ended with 502, although its endpoint was sound and went on a moment later. Cause: the attempt at a silent endpoint was ended as soon as there were another endpoint and a retry budget. If that endpoint refused the request, and the next ones, until the budget or the attempts were used up, there was no attempt left. Change: the request is sent elsewhere as a second attempt (a hedge) while the silent one is kept. The hedge takes over once the head of its successful response has come; the silent attempt is then cancelled in the same turn of the event loop and counts as failed as before. If the silent one makes progress first (a head, an event, its end), the hedge is cancelled. A hedge that is refused, fails or falls silent itself is replaced while runs, sends, endpoints and budget allow, else the silent attempt is awaited. A hedge that goes on as the first breaks off is the only attempt. All that may have run count towards the limit of the route. The same holds for a hedge through another VM. What may run once is sent once, as before. Selecting endpoints and VMs is now a type of its own, attempt_targets. Logs: request_hedged, hedge_decided; attempt_failed has retry "hedged" and "no_endpoint".

--- a/Libraries/LibRelay/relayed_attempt.cpp
+++ b/Libraries/LibRelay/relayed_attempt.cpp
@@ -32,6 +32,7 @@
   else
     Observed.onSent(Endpoint, Model.Id, Model.Index, KnownEvents,
                     PromptWorkAhead, Now);
+  IsRunning = true;
   Exchange->start(std::move(Outgoing), Admitted.Route->allowsReexecution()
                                            ? connection_reuse::AnyIdle
                                            : connection_reuse::RecentlyUsed);
@@ -39,12 +40,13 @@
 }
 
 void relayed_attempt::cancel() {
+  IsRunning = false;
   stopMonitor();
   Exchange->cancel();
 }
 
 void relayed_attempt::startMonitor() {
-  if (isForwarded() || !Admitted.Route->allowsReexecution())
+  if (!IsRunning || isForwarded() || !Admitted.Route->allowsReexecution())
     return;
   std::optional<milliseconds> PlainIdleTimeout;
   if (!Admitted.isForEngines())
@@ -101,12 +103,16 @@
 }
 
 void relayed_attempt::onAttemptResponseEnd() {
+  IsRunning = false;
+  stopMonitor();
   if (auto Receiver = Owner.lock())
     Receiver->onAttemptResponseEnd(*this);
 }
 
 void relayed_attempt::onAttemptFailed(attempt_failure Failure,
                                       const std::string &Reason) {
+  IsRunning = false;
+  stopMonitor();
   if (auto Receiver = Owner.lock())
     Receiver->onAttemptFailed(*this, Failure, Reason);
 }
--- a/Libraries/LibRelay/relayed_attempt.h
+++ b/Libraries/LibRelay/relayed_attempt.h
@@ -46,6 +46,8 @@
   const endpoint_record &endpoint() const { return *Endpoint; }
   const attempt_model &model() const { return Model; }
   int runs() const { return Runs; }
+  /// Whether the attempt has neither ended nor been cancelled.
+  bool isRunning() const { return IsRunning; }
   bool isForwarded() const { return Target == attempt_target::Vm; }
   /// How an attempt that makes no progress has failed.
   attempt_failure failureOfSilent() const;
@@ -77,6 +79,7 @@
   const std::weak_ptr<attempt_owner> Owner;
   std::shared_ptr<endpoint_attempt> Exchange;
   std::shared_ptr<liveness_monitor> Monitor;
+  bool IsRunning = false;
   response_head ResponseHead;
   decoded_response_head Response;
   buffered_body ResponseBody;
--- a/Libraries/LibRelay/relayed_request.cpp
+++ b/Libraries/LibRelay/relayed_request.cpp
@@ -17,8 +17,6 @@
 /// Prompts on small models take a tenth of the time, so admitting them first
 /// delays the others little. The default urgency is 5.
 constexpr int SmallModelUrgency = 3;
-/// VMs that one request is forwarded to, one after the other.
-constexpr std::size_t MaxForwardingPeers = 2;
 /// For a resumed stream: the caller has already received a part of it.
 constexpr int ContinuationUrgency = 2;
 
@@ -60,7 +58,8 @@
       Request(Admitted.Request), Route(*Admitted.Route),
       Caller(std::move(Caller)), Budget(Admitted, Context.Clock.now()),
       Deadline(Context.Executor), PlacementWait(Context.Executor),
-      Splicer(Request.LastEventId), Logged(Context.Log, Admitted) {
+      Targets(Context, Admitted), Splicer(Request.LastEventId),
+      Logged(Context.Log, Admitted) {
   Context.ActiveRequests.insert(this);
 }
 
@@ -93,9 +92,6 @@
 
 void relayed_request::startNextAttempt() {
   const steady_time Now = Context.Clock.now();
-  // The monitor of the attempt before would end the next one.
-  if (Current)
-    Current->stopMonitor();
   if (Request.acceptsAnyModel() && !Route.ModelsBySize.empty()) {
     if (!Model.Index)
       Model.Index = Context.Fleet.Models.firstModel(Route, Request);
@@ -103,26 +99,22 @@
   }
   // The process may have been suspended since the request arrived, so that the
   // configuration is no longer current.
-  const bool NeedsKey = Admitted.Routes->needsKeys() && !Route.IsPublic;
-  if (NeedsKey && !Context.Fleet.Confirmation.isCurrent(Now))
+  if (!isConfigurationCurrent(Now))
     return refuse(
         errorResponseFor(Budget.mayHaveRun(), "configuration_not_confirmed"));
   // A stream that has begun goes on until the process exits.
   if (!ResponseStarted &&
       !isAdmittedDuringStop(Context.Fleet, Route, Budget.timeLeft(Now), Now))
     return refuse(stoppingErrorResponse(Budget.mayHaveRun()));
-  if (const auto Peer = selectForwardingPeer(Now))
-    return forwardTo(Peer);
-  const request_placement Placement =
-      placeRequest(Context.Fleet, Admitted, Tried, Model.Index, Now);
-  const auto &Target = Placement.Endpoint;
-  // What peers have refused is not tried over a lost path.
-  const bool IsRefusedByPeers =
-      !TriedPeers.empty() && Context.Fleet.Paths.isLost(Admitted.Service);
-  if (!Target || IsRefusedByPeers)
+  const attempt_place Place = Targets.select(Model.Index, Now);
+  if (!Place.Endpoint)
     return handleMissingEndpoint(Now);
-  Logged.onReleaseChosen(Placement, Budget.sends() + 1, Now);
-  startAttemptOn(Target);
+  startAttemptAt(Place, Current);
+}
+
+bool relayed_request::isConfigurationCurrent(steady_time Now) const {
+  const bool NeedsKey = Admitted.Routes->needsKeys() && !Route.IsPublic;
+  return !NeedsKey || Context.Fleet.Confirmation.isCurrent(Now);
 }
 
 void relayed_request::handleMissingEndpoint(steady_time Now) {
@@ -138,47 +130,43 @@
   });
 }
 
-std::shared_ptr<endpoint_record>
-relayed_request::selectForwardingPeer(steady_time Now) {
-  const bool MayForward = Context.Fleet.Paths.isLost(Admitted.Service) &&
-                          !Request.Origin &&
-                          TriedPeers.size() < MaxForwardingPeers;
-  if (!MayForward)
-    return nullptr;
-  return Context.ForwardingPeers.select(Context.Fleet, Admitted.Service,
-                                        TriedPeers, Now);
-}
-
-void relayed_request::forwardTo(const std::shared_ptr<endpoint_record> &Peer) {
+void relayed_request::startAttemptAt(const attempt_place &Place,
+                                     std::shared_ptr<relayed_attempt> &Slot) {
   const steady_time Now = Context.Clock.now();
-  TriedPeers.insert(Peer->Descriptor.Id);
-  Budget.countSend();
-  forwarding_parameters Parameters;
+  const bool IsToVm = Place.Kind == attempt_target::Vm;
   // A peer that breaks off does not tell how often the request has run there,
   // so that it gets a part of the runs and is taken to have used it.
-  const int PeerRuns = (Budget.runsLeft() + 1) / 2;
-  Parameters.Origin = {Context.Fleet.Self, Budget.runs(), PeerRuns};
+  const int RunsLeft = Budget.runsLeft() - liveRuns();
+  const int Runs = IsToVm ? (RunsLeft + 1) / 2 : 1;
+  Targets.markTried(Place);
+  Budget.countSend();
+  std::string EncodedHead = IsToVm ? headForPeer(*Place.Endpoint, Runs, Now)
+                                   : headForEndpoint(Place, Now);
+  Slot = std::make_shared<relayed_attempt>(Context, Admitted, Place.Kind,
+                                           Place.Endpoint, Model, Runs,
+                                           weak_from_this());
+  Slot->start(outgoing(std::move(EncodedHead)), Splicer.eventCount());
+}
+
+std::string relayed_request::headForPeer(const endpoint_record &Peer, int Runs,
+                                         steady_time Now) {
+  forwarding_parameters Parameters;
+  Parameters.Origin = {Context.Fleet.Self, Budget.runs() + liveRuns(), Runs};
   Parameters.TimeLeft = Budget.timeLeft(Now);
   Parameters.ResumeAfter = Splicer.lastEventId();
   Parameters.BodySize = Body->size();
-  Logged.onForwarded(Peer->Descriptor.Id, Budget.sends(), SendReason,
+  Logged.onForwarded(Peer.Descriptor.Id, Budget.sends(), SendReason,
                      Parameters.TimeLeft);
   Context.Metrics.increment("azurehaven_forwarded_requests_total");
-  Current = std::make_shared<relayed_attempt>(Context, Admitted,
-                                              attempt_target::Vm, Peer, Model,
-                                              PeerRuns, weak_from_this());
-  Current->start(outgoing(Context.Codec.encodeForwardedHead(Head, Parameters)),
-                 Splicer.eventCount());
+  return Context.Codec.encodeForwardedHead(Head, Parameters);
 }
 
-void relayed_request::startAttemptOn(
-    const std::shared_ptr<endpoint_record> &Target) {
-  const steady_time Now = Context.Clock.now();
-  Tried.insert(Target->Descriptor.Id);
-  Budget.countSend();
+std::string relayed_request::headForEndpoint(const attempt_place &Place,
+                                             steady_time Now) {
+  const endpoint_record &Target = *Place.Endpoint;
   attempt_parameters Parameters;
-  Parameters.Endpoint = Target->Descriptor.Id;
-  Parameters.Address = Target->Descriptor.Address;
+  Parameters.Endpoint = Target.Descriptor.Id;
+  Parameters.Address = Target.Descriptor.Address;
   Parameters.Account = Admitted.Account.Account;
   Parameters.TimeLeft = Budget.timeLeft(Now);
   if (Request.acceptsAnyModel() && !Model.Id.empty())
@@ -189,15 +177,11 @@
     Parameters.Urgency = SmallModelUrgency;
   Parameters.ResumeAfter = Splicer.lastEventId();
   Parameters.BodySize = Body->size();
-  Logged.onSent(*Target, Model.Id, Budget.sends(), SendReason,
+  Logged.onReleaseChosen(Place.Placement, Budget.sends(), Now);
+  Logged.onSent(Target, Model.Id, Budget.sends(), SendReason,
                 Parameters.TimeLeft);
   Cost += attemptCost(Admitted, Model.Index);
-  Current = std::make_shared<relayed_attempt>(
-      Context, Admitted, attempt_target::Endpoint, Target, Model, /*Runs=*/1,
-      weak_from_this());
-  Current->start(
-      outgoing(Context.Codec.encodeRequestHead(Head, Request, Parameters)),
-      Splicer.eventCount());
+  return Context.Codec.encodeRequestHead(Head, Request, Parameters);
 }
 
 outgoing_request relayed_request::outgoing(std::string EncodedHead) const {
@@ -208,6 +192,14 @@
   return Outgoing;
 }
 
+int relayed_request::liveRuns() const {
+  int Runs = 0;
+  for (const auto &Attempt : {Current, Hedge})
+    if (Attempt && Attempt->isRunning())
+      Runs += Attempt->runs();
+  return Runs;
+}
+
 void relayed_request::onAttemptSilent(relayed_attempt &Attempt,
                                       const std::string &Reason) {
   // A request that can't be retried is not ended merely because its endpoint
@@ -215,14 +207,80 @@
   const steady_time Now = Context.Clock.now();
   if (!mayRetryElsewhere(Now))
     return;
+  if (&Attempt != Hedge.get())
+    return hedge(Reason, Now);
   if (!canRetryElsewhereNow(Now))
     return Attempt.startMonitor();
   onAttemptFailed(Attempt, Attempt.failureOfSilent(), Reason);
 }
 
+void relayed_request::hedge(const std::string &Reason, steady_time Now) {
+  SilenceReason = Reason;
+  const attempt_place Place = placeOfHedge(Now);
+  const bool IsGranted =
+      Place.Endpoint && Context.Fleet.Retries.tryConsume(Admitted.Service, Now);
+  if (!IsGranted)
+    return Current->startMonitor();
+  Logged.onHedged(Current->endpoint().Descriptor.Id, Reason);
+  startHedge(Place);
+}
+
+void relayed_request::startHedge(const attempt_place &Place) {
+  SendReason = "hedge";
+  Context.Metrics.increment("azurehaven_repeated_sends_total");
+  startAttemptAt(Place, Hedge);
+}
+
+void relayed_request::takeOver() {
+  const auto Silent = std::exchange(Current, std::exchange(Hedge, nullptr));
+  const attempt_failure Failure = Silent->failureOfSilent();
+  Silent->cancel();
+  Silent->observed().onFailed(Failure, Context.Clock.now());
+  Budget.countRuns(Silent->runs());
+  logFailure(*Silent, Failure, SilenceReason, retry_decision::Hedged);
+  Logged.onHedgeDecided(Current->endpoint().Descriptor.Id,
+                        Silent->endpoint().Descriptor.Id, "hedge_began");
+  resumeAtNextSource();
+}
+
+void relayed_request::dropHedge() {
+  const auto Dropped = std::exchange(Hedge, nullptr);
+  if (!Dropped)
+    return;
+  Dropped->cancel();
+  Dropped->observed().recordIfSlow(Context.Clock.now());
+  Budget.countRuns(Dropped->runs());
+  Logged.onHedgeDecided(Current->endpoint().Descriptor.Id,
+                        Dropped->endpoint().Descriptor.Id, "first_went_on");
+  Current->startMonitor();
+}
+
+void relayed_request::replaceHedge(attempt_failure Failure,
+                                   const std::string &Reason) {
+  const steady_time Now = Context.Clock.now();
+  const auto Failed = std::exchange(Hedge, nullptr);
+  const attempt_place Place = placeOfHedge(Now);
+  const retry_decision Decision = !mayRetryElsewhere(Now)
+                                      ? retry_decision::NotAllowed
+                                  : !Place.Endpoint ? retry_decision::NoEndpoint
+                                                    : decideRetry(Failure, Now);
+  logFailure(*Failed, Failure, Reason, Decision);
+  if (isGranted(Decision))
+    return startHedge(Place);
+  // The silent attempt is awaited.
+  Current->startMonitor();
+}
+
+void relayed_request::resumeAtNextSource() {
+  if (ResponseStarted)
+    Context.Metrics.increment("azurehaven_resumed_streams_total");
+  Splicer.startNextSource();
+}
+
 void relayed_request::recordIfSlow(steady_time Now) {
-  if (Current)
-    Current->observed().recordIfSlow(Now);
+  for (const auto &Attempt : {Current, Hedge})
+    if (Attempt)
+      Attempt->observed().recordIfSlow(Now);
 }
 
 void relayed_request::refreshSessionPin(steady_time Now) {
@@ -244,6 +302,8 @@
     return head_verdict::Reject;
   const steady_time Now = Context.Clock.now();
   Attempt.observed().onHead(isSuccess(NewResponse.Status), Now);
+  if (isSuccess(NewResponse.Status) && Hedge)
+    &Attempt == Hedge.get() ? takeOver() : dropHedge();
   if (tryEscalate(Attempt, NewResponse))
     return head_verdict::Reject;
   Attempt.acceptHead(NewHead, NewResponse);
@@ -278,7 +338,7 @@
   Model.Index = Larger;
   Budget.countRuns(1);
   Attempt.observed().onDropped(Now);
-  Tried.erase(Attempt.endpoint().Descriptor.Id);
+  Targets.allowAgain(Attempt.endpoint().Descriptor.Id);
   // The next attempt starts from the event loop, after this one has ended.
   Attempt.cancel();
   asio::post(Context.Executor, [Self = shared_from_this()] {
@@ -306,8 +366,10 @@
   const steady_time Now = Context.Clock.now();
   const std::uint64_t EventsBefore = Splicer.eventCount();
   const std::string Events = Splicer.add(Bytes);
-  if (Splicer.eventCount() > EventsBefore)
+  if (Splicer.eventCount() > EventsBefore) {
+    dropHedge();
     Attempt.onProgress(Now);
+  }
   if (!Events.empty()) {
     Attempt.observed().onEvents(Splicer.eventCount(), Now);
     if (!ResponseStarted) {
@@ -352,6 +414,7 @@
     return handleErrorStatus(Attempt);
   if (const char *Reason = streamBreakReason(Attempt))
     return onAttemptFailed(Attempt, attempt_failure::NoValidResponse, Reason);
+  dropHedge();
   Budget.countRuns(1);
   Attempt.observed().onComplete(Context.Clock.now());
   if (Route.Kind == route_kind::Stream)
@@ -402,7 +465,7 @@
   const bool MayRetry = !Attempt.isForwarded() &&
                         isRetryAllowed(Route, attempt_failure::ErrorResponse) &&
                         Budget.runsLeft() > 0 && !ResponseStarted;
-  if (MayRetry)
+  if (MayRetry || Hedge)
     return retryOrRefuse(Attempt, attempt_failure::ErrorResponse,
                          "status " + std::to_string(Response.Status));
   if (ResponseStarted)
@@ -436,18 +499,18 @@
   const bool HasTime =
       ResponseStarted ||
       isAdmittedDuringStop(Context.Fleet, Route, Budget.timeLeft(Now), Now);
-  // The current attempt counts as executed.
-  return HasTime && Budget.runsLeft() > 1 &&
+  return HasTime && Budget.runsLeft() > liveRuns() &&
          mayRetryAfter(attempt_failure::Silent, Now);
 }
 
 bool relayed_request::canRetryElsewhereNow(steady_time Now) const {
-  fleet_state &Fleet = Context.Fleet;
-  if (!Fleet.Retries.allowsRetry(Admitted.Service, Now))
-    return false;
-  // Other VMs may reach an endpoint over a path that is lost here.
-  return Fleet.Paths.isLost(Admitted.Service) ||
-         placeRequest(Fleet, Admitted, Tried, Model.Index, Now).Endpoint;
+  return Context.Fleet.Retries.allowsRetry(Admitted.Service, Now) &&
+         placeOfHedge(Now).Endpoint;
+}
+
+attempt_place relayed_request::placeOfHedge(steady_time Now) const {
+  return isConfigurationCurrent(Now) ? Targets.select(Model.Index, Now)
+                                     : attempt_place();
 }
 
 bool relayed_request::mayRetryAfter(attempt_failure Failure,
@@ -468,23 +531,34 @@
              : retry_decision::BudgetExhausted;
 }
 
+void relayed_request::logFailure(const relayed_attempt &Attempt,
+                                 attempt_failure Failure,
+                                 const std::string &Reason,
+                                 retry_decision Decision) {
+  fleet_state &Fleet = Context.Fleet;
+  Logged.onAttemptFailed(
+      {Attempt.endpoint().Descriptor.Id, Failure, Reason, Budget.sends(),
+       Decision, Fleet.Retries.stateOf(Admitted.Service, Context.Clock.now()),
+       Fleet.Members.size()});
+}
+
 void relayed_request::retryOrRefuse(relayed_attempt &Attempt,
                                     attempt_failure Failure,
                                     const std::string &Reason) {
+  if (&Attempt == Hedge.get())
+    return replaceHedge(Failure, Reason);
+  if (Hedge) {
+    logFailure(Attempt, Failure, Reason, retry_decision::Hedged);
+    Current = std::exchange(Hedge, nullptr);
+    return resumeAtNextSource();
+  }
   const steady_time Now = Context.Clock.now();
-  fleet_state &Fleet = Context.Fleet;
   const retry_decision Decision = decideRetry(Failure, Now);
-  Logged.onAttemptFailed({Attempt.endpoint().Descriptor.Id, Failure, Reason,
-                          Budget.sends(), Decision,
-                          Fleet.Retries.stateOf(Admitted.Service, Now),
-                          Fleet.Members.size()});
-  if (Decision == retry_decision::Granted ||
-      Decision == retry_decision::NotCounted) {
+  logFailure(Attempt, Failure, Reason, Decision);
+  if (isGranted(Decision)) {
     SendReason = nameOf(Failure);
-    if (ResponseStarted)
-      Context.Metrics.increment("azurehaven_resumed_streams_total");
     Context.Metrics.increment("azurehaven_repeated_sends_total");
-    Splicer.startNextSource();
+    resumeAtNextSource();
     return startNextAttempt();
   }
   if (Failure == attempt_failure::ErrorResponse && !ResponseStarted)
@@ -492,7 +566,8 @@
   const bool IsExhausted = Decision == retry_decision::BudgetExhausted;
   refuse(errorResponseFor(
       Budget.mayHaveRun(), IsExhausted ? "retry_budget" : "attempts_failed",
-      timeUntilAdmission(Fleet.Endpoints.endpointsOf(Admitted.Service), Now)));
+      timeUntilAdmission(Context.Fleet.Endpoints.endpointsOf(Admitted.Service),
+                         Now)));
 }
 
 void relayed_request::refuse(const error_response &Refusal) {
@@ -512,21 +587,18 @@
 void relayed_request::onDeadline() {
   if (IsFinished)
     return;
-  if (Current) {
-    Current->cancel();
-    // A response that has not started by the deadline counts as a failure of
-    // the endpoint's release.
-    if (!ResponseStarted)
-      Current->observed().onDeadline(Context.Clock.now());
-  }
+  cancelAttempts();
+  // A response that has not started by the deadline counts as a failure of the
+  // endpoint's release.
+  if (Current && !ResponseStarted)
+    Current->observed().onDeadline(Context.Clock.now());
   refuse(deadlineErrorResponse(Budget.sends() > 0));
 }
 
 void relayed_request::endForShutdown() {
   if (IsFinished)
     return;
-  if (Current)
-    Current->cancel();
+  cancelAttempts();
   refuse(errorResponseFor(Budget.sends() > 0, "stopping"));
 }
 
@@ -534,11 +606,16 @@
   if (IsFinished)
     return;
   // Closing the connection lets the endpoint cancel work that has no recipient.
-  if (Current)
-    Current->cancel();
+  cancelAttempts();
   finish("caller_gone");
 }
 
+void relayed_request::cancelAttempts() {
+  for (const auto &Attempt : {Current, Hedge})
+    if (Attempt)
+      Attempt->cancel();
+}
+
 void relayed_request::recordBill() {
   if (!Context.Bills || Admitted.Account.Account.empty())
     return;
@@ -552,10 +629,11 @@
   Deadline.cancel();
   PlacementWait.cancel();
   const steady_time Now = Context.Clock.now();
-  if (Current) {
+  if (Current)
     Current->stopMonitor();
-    Current->observed().recordIfSlow(Now);
-  }
+  if (Hedge)
+    Hedge->cancel();
+  recordIfSlow(Now);
   const auto Took =
       std::chrono::duration_cast<milliseconds>(Now - Budget.arrivedAt());
   const std::string Labels = std::string("kind=\"") + nameOf(Route.Kind) +
@@ -570,6 +648,7 @@
                     Current ? &Current->endpoint() : nullptr, Model.Id,
                     Budget.sends(), TimeToFirstEvent, Took);
   Current.reset();
+  Hedge.reset();
 }
 
 } // namespace azurehaven
--- a/Libraries/LibRelay/relayed_request.h
+++ b/Libraries/LibRelay/relayed_request.h
@@ -5,6 +5,7 @@
 #include "LibDispatch/placement.h"
 #include "LibRelay/admitted_request.h"
 #include "LibRelay/attempt_budget.h"
+#include "LibRelay/attempt_targets.h"
 #include "LibRelay/placement_wait.h"
 #include "LibRelay/relay.h"
 #include "LibRelay/relayed_attempt.h"
@@ -55,12 +56,31 @@
   void startNextAttempt();
   /// Waits or refuses, as no endpoint takes the request now.
   void handleMissingEndpoint(steady_time Now);
-  /// The VM that serves the request on behalf of this one, which has lost its
-  /// path to the service; null if there is none or need not be one.
-  std::shared_ptr<endpoint_record> selectForwardingPeer(steady_time Now);
-  void forwardTo(const std::shared_ptr<endpoint_record> &Peer);
-  void startAttemptOn(const std::shared_ptr<endpoint_record> &Target);
+  /// Keys and routes may be used only as a current configuration says.
+  bool isConfigurationCurrent(steady_time Now) const;
+  /// Slot: what the new attempt is to be, Current or Hedge.
+  void startAttemptAt(const attempt_place &Place,
+                      std::shared_ptr<relayed_attempt> &Slot);
+  std::string headForPeer(const endpoint_record &Peer, int Runs,
+                          steady_time Now);
+  std::string headForEndpoint(const attempt_place &Place, steady_time Now);
   outgoing_request outgoing(std::string EncodedHead) const;
+  /// Runs of the attempts that have not ended, which Budget does not count.
+  int liveRuns() const;
+  /// Sends the request to a second endpoint, if there are one and a retry
+  /// budget for it; Reason: why Current is silent.
+  void hedge(const std::string &Reason, steady_time Now);
+  void startHedge(const attempt_place &Place);
+  /// Ends the silent attempt, as the hedge's response has begun.
+  void takeOver();
+  /// Ends the hedge, if there is one, as the silent attempt has gone on.
+  void dropHedge();
+  /// Tries another hedge after one that has failed, or awaits Current.
+  void replaceHedge(attempt_failure Failure, const std::string &Reason);
+  void resumeAtNextSource();
+  void cancelAttempts();
+  void logFailure(const relayed_attempt &Attempt, attempt_failure Failure,
+                  const std::string &Reason, retry_decision Decision);
   void onDeadline();
   void forwardStreamBytes(relayed_attempt &Attempt, std::string Bytes);
   /// Why the stream that has ended is not complete; null if it is.
@@ -83,6 +103,8 @@
   /// whether there are an endpoint and a retry budget for that now.
   bool mayRetryElsewhere(steady_time Now) const;
   bool canRetryElsewhereNow(steady_time Now) const;
+  /// Where a hedge would go now; without an endpoint if it may not be sent.
+  attempt_place placeOfHedge(steady_time Now) const;
   retry_decision decideRetry(attempt_failure Failure, steady_time Now);
   bool tryEscalate(relayed_attempt &Attempt,
                    const decoded_response_head &NewResponse);
@@ -99,14 +121,18 @@
   asio::steady_timer Deadline;
   placement_wait PlacementWait;
 
-  /// The latest attempt; null before the first one.
+  attempt_targets Targets;
+
+  /// The attempt whose response the caller gets, or the latest one; null before
+  /// the first one.
   std::shared_ptr<relayed_attempt> Current;
+  /// A second attempt while Current makes no progress; null otherwise.
+  std::shared_ptr<relayed_attempt> Hedge;
+  /// Why Current is, or was last, taken for silent.
+  std::string SilenceReason;
   /// The model of the next attempt.
   attempt_model Model;
-  std::set<endpoint_id> Tried;
-  /// VMs that the request was forwarded to.
-  std::set<endpoint_id> TriedPeers;
-  /// Why the current attempt is made; a stable identifier for logs.
+  /// Why the latest attempt is made; a stable identifier for logs.
   const char *SendReason = "first";
   event_splicer Splicer;
   /// Whether a stream's response to the caller has begun.
--- a/Libraries/LibRelay/request_log.cpp
+++ b/Libraries/LibRelay/request_log.cpp
@@ -14,6 +14,10 @@
     return "not_allowed";
   case retry_decision::BudgetExhausted:
     return "budget_exhausted";
+  case retry_decision::NoEndpoint:
+    return "no_endpoint";
+  case retry_decision::Hedged:
+    return "hedged";
   }
   return "unknown";
 }
@@ -122,6 +126,24 @@
              {"members", std::to_string(Failed.Members)}});
 }
 
+void request_log::onHedged(const endpoint_id &Silent,
+                           const std::string &Reason) const {
+  Log.write(log_level::Info, "request_hedged",
+            {{"request", Admitted.Request.Id.text()},
+             {"silent", Silent.text()},
+             {"reason", Reason}});
+}
+
+void request_log::onHedgeDecided(const endpoint_id &Kept,
+                                 const endpoint_id &Dropped,
+                                 const char *Reason) const {
+  Log.write(log_level::Info, "hedge_decided",
+            {{"request", Admitted.Request.Id.text()},
+             {"kept", Kept.text()},
+             {"dropped", Dropped.text()},
+             {"reason", Reason}});
+}
+
 void request_log::onFinished(const char *Outcome, bool IsAnswered,
                              const endpoint_record *Endpoint,
                              const model_id &Model, int SendCount,
--- a/Libraries/LibRelay/request_log.h
+++ b/Libraries/LibRelay/request_log.h
@@ -17,8 +17,17 @@
   /// By the route, the number of attempts or the time left.
   NotAllowed,
   BudgetExhausted,
+  /// No other endpoint takes the request; an earlier attempt goes on.
+  NoEndpoint,
+  /// Another attempt was under way already.
+  Hedged,
 };
 
+constexpr bool isGranted(retry_decision Decision) {
+  return Decision == retry_decision::Granted ||
+         Decision == retry_decision::NotCounted;
+}
+
 /// What becomes of an answer of which the model that made it is not sure.
 enum class escalation_outcome {
   Accepted,
@@ -55,6 +64,11 @@
   void onJudged(const model_id &Model, int Confidence, milliseconds Backlog,
                 escalation_outcome Outcome) const;
   void onAttemptFailed(const failed_attempt &Failed) const;
+  /// A second attempt follows while the one at Silent goes on.
+  void onHedged(const endpoint_id &Silent, const std::string &Reason) const;
+  /// One of two attempts was dropped; Reason is a stable identifier.
+  void onHedgeDecided(const endpoint_id &Kept, const endpoint_id &Dropped,
+                      const char *Reason) const;
   /// Endpoint: of the last attempt, null if there was none.
   void onFinished(const char *Outcome, bool IsAnswered,
                   const endpoint_record *Endpoint, const model_id &Model,
--- a/Tests/LibRelay/relay_fixture.cpp
+++ b/Tests/LibRelay/relay_fixture.cpp
@@ -46,6 +46,8 @@
         [this, Session](const asio::error_code &Code, std::size_t Size) {
           if (Code) {
             ++Fixture.ClosedByRelay;
+            asio::error_code Ignored;
+            Session->Socket.close(Ignored);
             return;
           }
           Session->Unparsed.append(Session->Buffer.data(), Size);
@@ -61,6 +63,11 @@
   void respond(const std::shared_ptr<session> &Session) {
     Fixture.Received.push_back(
         {Name, Session->Parser.head(), Session->Parser.body()});
+    Fixture.Served.push_back(
+        {[this, Session](const scripted_response &Response) {
+           send(Session, Response);
+         },
+         [Session] { return Session->Socket.is_open(); }});
     Session->Parser.reset();
     asio::error_code Ignored;
     asio::write(Session->Socket,
@@ -225,6 +232,21 @@
   return *Completed;
 }
 
+void relay_fixture::respondFurther(std::size_t Number,
+                                   const scripted_response &Response) {
+  served(Number).Send(Response);
+}
+
+bool relay_fixture::isOpen(std::size_t Number) const {
+  return served(Number).IsOpen();
+}
+
+const relay_fixture::served_request &
+relay_fixture::served(std::size_t Number) const {
+  // A test may have cleared what was received before.
+  return Served.at(Served.size() - Received.size() + Number);
+}
+
 void relay_fixture::runUntil(const std::function<bool()> &IsDone) {
   while (!IsDone())
     Loop.run_one();
--- a/Tests/LibRelay/relay_fixture.h
+++ b/Tests/LibRelay/relay_fixture.h
@@ -78,6 +78,11 @@
   std::shared_ptr<endpoint_connection> startRequest(const std::string &Path,
                                                     call_handler Handler);
   void runUntil(const std::function<bool()> &IsDone);
+  /// Sends more on the connection on which the request with this index came,
+  /// whose script said to hang; Delay is not used.
+  void respondFurther(std::size_t Number, const scripted_response &Response);
+  /// Whether the relay has kept the connection of that request open.
+  bool isOpen(std::size_t Number) const;
 
 private:
   /// What the VMs of a fleet have in common.
@@ -117,6 +122,12 @@
   std::unique_ptr<connection_listener> ForwardingListener;
   std::list<std::unique_ptr<scripted_endpoint>> Endpoints;
   script Script;
+  struct served_request {
+    std::function<void(const scripted_response &)> Send;
+    std::function<bool()> IsOpen;
+  };
+  const served_request &served(std::size_t Number) const;
+  std::vector<served_request> Served;
 };
 
 /// An endpoint's response with a Content-Length.
