LibRelay: Escalate only if an endpoint takes a larger model's request

What callers saw: 502 (or a refusal), although a small model had answered. Cause: an answer of low confidence was dropped before it was known whether the request could be sent again: without a usable endpoint, with a configuration that is no longer current or late in a planned stop the next attempt was refused. Change: these are asked before the answer is dropped; otherwise it is accepted (answer_judged: no_endpoint). An answer is now also accepted, not dropped, while all endpoints are brittle and full for the moment. An endpoint that then refuses the request still loses the answer. Test: "An answer of a small model is not dropped if no endpoint takes the request for a larger one" failed with CHECK( 502 == 200 ); passes now, as do LibRelay, LibRelayFleet, LibRelayPath, LibRelayRollout, LibRelayCrashes and LibRelayRetries.

--- a/Libraries/LibRelay/relayed_request.cpp
+++ b/Libraries/LibRelay/relayed_request.cpp
@@ -322,12 +322,8 @@
   const milliseconds Backlog = estimatedBacklog(Fleet, Admitted.Service, Now);
   const auto Larger = Fleet.Models.escalate(Route, Request, *Model.Index,
                                             *NewResponse.Confidence, Backlog);
-  const bool IsEscalated =
-      Larger && Fleet.Retries.tryConsume(Admitted.Service, Now);
-  const escalation_outcome Outcome = IsEscalated ? escalation_outcome::Escalated
-                                     : Larger
-                                         ? escalation_outcome::BudgetExhausted
-                                         : escalation_outcome::Accepted;
+  const escalation_outcome Outcome = decideEscalation(Attempt, Larger, Now);
+  const bool IsEscalated = Outcome == escalation_outcome::Escalated;
   Logged.onJudged(Model.Id, *NewResponse.Confidence, Backlog, Outcome);
   Context.Metrics.increment("azurehaven_judged_answers_total",
                             IsEscalated ? "outcome=\"escalated\""
@@ -348,6 +344,24 @@
   return true;
 }
 
+escalation_outcome
+relayed_request::decideEscalation(const relayed_attempt &Attempt,
+                                  std::optional<std::size_t> Larger,
+                                  steady_time Now) {
+  if (!Larger)
+    return escalation_outcome::Accepted;
+  const bool HasTime =
+      isAdmittedDuringStop(Context.Fleet, Route, Budget.timeLeft(Now), Now);
+  attempt_targets NextTargets = Targets;
+  NextTargets.allowAgain(Attempt.endpoint().Descriptor.Id);
+  if (!HasTime || !isConfigurationCurrent(Now) ||
+      !NextTargets.select(Larger, Now).Endpoint)
+    return escalation_outcome::NoEndpoint;
+  return Context.Fleet.Retries.tryConsume(Admitted.Service, Now)
+             ? escalation_outcome::Escalated
+             : escalation_outcome::BudgetExhausted;
+}
+
 void relayed_request::onAttemptResponseBody(relayed_attempt &Attempt,
                                             std::string Bytes) {
   if (IsFinished)
--- a/Libraries/LibRelay/relayed_request.h
+++ b/Libraries/LibRelay/relayed_request.h
@@ -106,6 +106,10 @@
   /// Where a hedge would go now; without an endpoint if it may not be sent.
   attempt_place placeOfHedge(steady_time Now) const;
   retry_decision decideRetry(attempt_failure Failure, steady_time Now);
+  /// Larger: the model to ask instead; nullopt if the answer is good enough.
+  escalation_outcome decideEscalation(const relayed_attempt &Attempt,
+                                      std::optional<std::size_t> Larger,
+                                      steady_time Now);
   bool tryEscalate(relayed_attempt &Attempt,
                    const decoded_response_head &NewResponse);
 
--- a/Libraries/LibRelay/request_log.cpp
+++ b/Libraries/LibRelay/request_log.cpp
@@ -28,6 +28,8 @@
     return "accepted";
   case escalation_outcome::Escalated:
     return "escalated";
+  case escalation_outcome::NoEndpoint:
+    return "no_endpoint";
   case escalation_outcome::BudgetExhausted:
     return "budget_exhausted";
   }
--- a/Libraries/LibRelay/request_log.h
+++ b/Libraries/LibRelay/request_log.h
@@ -32,6 +32,9 @@
 enum class escalation_outcome {
   Accepted,
   Escalated,
+  /// The answer is accepted only because a request for a larger model could not
+  /// be sent now.
+  NoEndpoint,
   /// The answer is accepted only because the retry budget is exhausted.
   BudgetExhausted,
 };
--- a/Tests/LibRelay/relayed_request_test.cpp
+++ b/Tests/LibRelay/relayed_request_test.cpp
@@ -287,6 +287,23 @@
   CHECK(Fixture.Received.size() == 2);
 }
 
+TEST_CASE("An answer of a small model is not dropped if no endpoint takes the "
+          "request for a larger one") {
+  relay_fixture Fixture(1);
+  Fixture.addRoute("/p/", route_kind::Stream).ModelsBySize = {
+      model_id("small"), model_id("large")};
+  Fixture.applyRoutes();
+  Fixture.setScript([](std::size_t, const received_request &) {
+    return scripted_response{
+        "HTTP/1.1 200 OK\r\nId: r1\r\nSigned: x\r\nConfidence: 3\r\n"
+        "Leaving: 1\r\nTransfer-Encoding: chunked\r\n\r\n" +
+        chunk(event(1)) + "0\r\n\r\n"};
+  });
+  const auto Response = Fixture.sendRequest("/p/", "Model: *\r\n");
+  CHECK(statusOf(Response) == 200);
+  CHECK(bodyOf(Response) == event(1));
+}
+
 TEST_CASE("A caller's disconnect cancels its request on the endpoint") {
   relay_fixture Fixture;
   Fixture.addRoute("/p/", route_kind::Idempotent);
