LibRelay: Count a silent engine as crashed only if its process start ended

What callers saw: nothing yet. Three on one request refuse it as crash-causing, three under one prompt segment that segment.

Cause: an attempt that was given up because nothing came any more counted as a crash a second later unless the path was lost or bytes had come. Engines that stand still and go on are no trouble.

Change: silence alone never counts. It counts once a later process start is listed or reports at the address (`replaced`), connections are refused for a second (`refused`; resets are no evidence, a full server resets too), or its entry is away for three seconds (`unlisted`; a server that stood still is listed again by then). Any byte or report from the process start refutes it, and ends the engine's ejection. Meanwhile the engine is asked once a second, one inspection at a time, within its rate limit and not while it sheds load, for ten seconds; then it is dropped with `endpoint_crash_not_counted`. One that has said that it leaves is not counted, and over a lost path nothing is concluded. Crashes that end the connection count at once, as before.

Also: a liveness check that runs late, as this process stood still, is put off once, so that it judges after what arrived was read; an inspection that ends long after its limit is not counted as failed; and failed inspections count as consecutive only without bytes between them. An engine that takes a connection and does not report shows a lost path only if another VM received from that process start during the inspection: before, engines that stood still and went on were witnesses against the path as soon as another VM heard them.

--- a/Libraries/LibDispatch/endpoint_registry.h
+++ b/Libraries/LibDispatch/endpoint_registry.h
@@ -96,8 +96,14 @@
   /// When the latest inspection ended, successfully or not.
   steady_time ReportAt;
   bool IsBeingInspected = false;
-  /// Number of consecutive failed inspections.
+  /// Number of consecutive failed inspections, without bytes between them.
   unsigned FailedInspections = 0;
+  /// When this process start has last reported.
+  steady_time ReportedAt;
+  /// When a later process start has reported at its address.
+  steady_time SuccessorSeenAt;
+  /// Since when every inspection found that nothing listens at its address.
+  std::optional<steady_time> RefusedSince;
   /// Set if the endpoint's entry disappeared during an outage of the store.
   std::optional<steady_time> RemoveAt;
   /// Whether a malformed header field of its responses has been logged.
--- a/Libraries/LibDispatch/service_paths.cpp
+++ b/Libraries/LibDispatch/service_paths.cpp
@@ -52,15 +52,21 @@
 std::optional<service_paths::peer_sighting>
 service_paths::path_state::witness(steady_time Now) const {
   const auto IsProof = [&](const peer_sighting &Sighting,
-                           steady_time FailedAt) {
-    return Sighting.At > FailedAt + TransitTime &&
-           Now - Sighting.At <= PeerReachLifetime;
+                           const failed_contacts &Failed) {
+    if (Now - Sighting.At > PeerReachLifetime)
+      return false;
+    if (!Failed.WasConnected)
+      return Sighting.At > Failed.FirstAt + TransitTime;
+    return Sighting.At > Failed.FirstAt &&
+           Sighting.At + TransitTime < Failed.LastAt;
   };
   for (const auto &[Start, Failed] : Unreachable) {
     const auto Found = PeerSightings.find(startHashOf(Start));
-    if (Found != PeerSightings.end() && IsProof(Found->second, Failed.FirstAt))
+    if (Found != PeerSightings.end() && IsProof(Found->second, Failed))
       return Found->second;
-    if (UnnamedSighting && IsProof(*UnnamedSighting, Failed.FirstAt))
+    // An unnamed process start need not be the one that stands still.
+    if (UnnamedSighting && !Failed.WasConnected &&
+        IsProof(*UnnamedSighting, Failed))
       return UnnamedSighting;
   }
   return std::nullopt;
@@ -94,9 +100,26 @@
   if (Path.LostSince)
     return std::nullopt;
   Path.expire(Now);
-  const auto Failed =
-      Path.Unreachable.try_emplace(ProcessStart, failed_connections{Now, Now});
-  Failed.first->second.LastAt = Now;
+  failed_contacts &Failed =
+      Path.Unreachable.try_emplace(ProcessStart, failed_contacts{Now, Now})
+          .first->second;
+  if (Failed.WasConnected)
+    Failed = {Now, Now};
+  Failed.LastAt = Now;
+  return review(Service, EndpointCount, Now);
+}
+
+std::optional<path_change> service_paths::onUnanswered(
+    const service_id &Service, const endpoint_id &ProcessStart,
+    std::size_t EndpointCount, steady_time StartedAt, steady_time Now) {
+  path_state &Path = Paths[Service];
+  if (Path.LostSince)
+    return std::nullopt;
+  Path.expire(Now);
+  const failed_contacts Unanswered{StartedAt, Now, /*WasConnected=*/true};
+  const auto Known = Path.Unreachable.try_emplace(ProcessStart, Unanswered);
+  if (Known.first->second.WasConnected)
+    Known.first->second = Unanswered;
   return review(Service, EndpointCount, Now);
 }
 
--- a/Libraries/LibDispatch/service_paths.h
+++ b/Libraries/LibDispatch/service_paths.h
@@ -51,6 +51,14 @@
                                            const endpoint_id &ProcessStart,
                                            std::size_t EndpointCount,
                                            steady_time Now);
+  /// The same for a process start that was connected to and did not respond to
+  /// a question from StartedAt on. It may stand still, so that only what
+  /// another VM has received from it meanwhile shows that the path is lost.
+  std::optional<path_change> onUnanswered(const service_id &Service,
+                                          const endpoint_id &ProcessStart,
+                                          std::size_t EndpointCount,
+                                          steady_time StartedAt,
+                                          steady_time Now);
   /// Records what another VM has last received from the service.
   void onPeerReached(const vm_id &Vm, const service_id &Service,
                      const service_contact &Contact);
@@ -79,10 +87,12 @@
   std::map<service_id, service_contact> lastContacts() const;
 
 private:
-  /// Connections to a process start that could not be made.
-  struct failed_connections {
+  /// Connections to a process start that could not be made, or the latest
+  /// question that it has not answered.
+  struct failed_contacts {
     steady_time FirstAt;
     steady_time LastAt;
+    bool WasConnected = false;
   };
   struct peer_sighting {
     vm_id Vm;
@@ -92,7 +102,7 @@
   struct path_state {
     service_contact LastContact;
     /// Process starts that could not be connected to since the last connection.
-    std::map<endpoint_id, failed_connections> Unreachable;
+    std::map<endpoint_id, failed_contacts> Unreachable;
     std::map<vm_id, steady_time> PeerReachedAt;
     /// By process start: the latest that another VM has received from it.
     std::map<std::uint64_t, peer_sighting> PeerSightings;
@@ -106,7 +116,7 @@
     /// made.
     bool isSilent() const;
     /// Another VM that received something from an unreachable process start
-    /// after this VM could not connect to it.
+    /// after this VM could not connect to it, or while it did not respond.
     std::optional<peer_sighting> witness(steady_time Now) const;
     void expire(steady_time Now);
   };
--- a/Libraries/LibHttp/http_message.h
+++ b/Libraries/LibHttp/http_message.h
@@ -39,6 +39,8 @@
   Ended,
   /// Nothing came any more: its path may be lost.
   TimedOut,
+  /// It was not made: nothing listens at the address.
+  Refused,
 };
 
 struct http_failure {
--- a/Libraries/LibRelay/crash_recorder.h
+++ b/Libraries/LibRelay/crash_recorder.h
@@ -25,7 +25,7 @@
   /// Records that the connection ended without a valid response.
   void recordCrash(steady_time Now);
   /// Records that nothing comes from the endpoint any more. It is a crash if
-  /// that is not the path's fault; see confirmCrashes().
+  /// its process start has ended; see confirmCrashes().
   void recordUnresponsive(steady_time Now);
   /// Logs why an attempt without a valid response is no crash of the endpoint.
   void recordUncounted(const char *Reason) const;
@@ -49,8 +49,4 @@
   bool HasHead = false;
 };
 
-/// Counts the crashes that silence told of a moment ago, unless the path is
-/// lost or the endpoint has gone on; to be called several times a second.
-void confirmCrashes(fleet_state &Fleet, const event_log &Log, steady_time Now);
-
 } // namespace azurehaven
--- a/Libraries/LibRelay/fleet_state.h
+++ b/Libraries/LibRelay/fleet_state.h
@@ -8,7 +8,6 @@
 #include "LibDispatch/fleet_retry_budget.h"
 #include "LibDispatch/latency_baseline.h"
 #include "LibDispatch/model_cascade.h"
-#include "LibDispatch/observed_crash.h"
 #include "LibDispatch/prefill_time_estimator.h"
 #include "LibDispatch/prompt_quarantine.h"
 #include "LibDispatch/release_statistics.h"
@@ -17,6 +16,7 @@
 #include "LibDispatch/service_paths.h"
 #include "LibDispatch/session_pins.h"
 #include "LibFleet/fleet_members.h"
+#include "LibRelay/unconfirmed_crash.h"
 
 #include <deque>
 #include <memory>
@@ -39,9 +39,9 @@
   confirmation_exchange PassedConfirmations{};
   crash_quarantine Quarantine{};
   prompt_quarantine PromptQuarantine{};
-  /// Crashes that only silence tells of, until it is known whether the path is
-  /// lost; oldest first.
-  std::deque<observed_crash> UnconfirmedCrashes{};
+  /// Crashes that only silence tells of, until it is known whether the process
+  /// start has ended; see confirmCrashes().
+  std::deque<unconfirmed_crash> UnconfirmedCrashes{};
   brittle_services BrittleServices{};
   service_paths Paths{};
   model_cascade Models{};
--- a/Libraries/LibRelay/liveness_monitor.cpp
+++ b/Libraries/LibRelay/liveness_monitor.cpp
@@ -1,6 +1,6 @@
 #include "LibRelay/liveness_monitor.h"
 
-#include "LibRelay/path_watch.h"
+#include "LibRelay/engine_inspection.h"
 
 namespace azurehaven {
 
@@ -15,21 +15,11 @@
 /// inspection does not show a failure.
 constexpr unsigned FailedInspectionLimit = 2;
 constexpr milliseconds CheckInterval{150};
-/// Time without a byte from any endpoint of a service after which a failed
-/// inspection tells something of the path to it.
-constexpr milliseconds ServiceIdleTimeout{500};
 /// Maximum age of an engine's report on arrival.
 constexpr milliseconds MaxReportAge{600};
-
-/// A path that is lost may leave connections hanging, so that it takes long
-/// until a new one has to be made for a request.
-void recordFailedInspection(relay_context &Context,
-                            const endpoint_record &Endpoint, steady_time Now) {
-  const steady_time LastReceived =
-      Context.Fleet.Paths.lastReceived(Endpoint.Descriptor.Service);
-  if (Now - LastReceived >= ServiceIdleTimeout)
-    recordUnreachable(Context, Endpoint, Now);
-}
+/// A check that is late by this much runs after this process stood still, and
+/// maybe before what arrived meanwhile was read.
+constexpr milliseconds StallTime{150};
 
 } // namespace
 
@@ -55,6 +45,7 @@
 }
 
 void liveness_monitor::scheduleCheck() {
+  CheckDueAt = Context.Clock.now() + CheckInterval;
   Timer.expires_after(CheckInterval);
   Timer.async_wait([Self = shared_from_this()](const asio::error_code &Code) {
     if (!Code && Self->Handler)
@@ -62,8 +53,17 @@
   });
 }
 
+bool liveness_monitor::postponeAfterStall(steady_time Now) {
+  const bool IsLate = Now - CheckDueAt >= StallTime;
+  // The loop has read what had arrived by the second check, however late.
+  IsPostponed = IsLate && !IsPostponed;
+  return IsPostponed;
+}
+
 void liveness_monitor::check() {
   const steady_time Now = Context.Clock.now();
+  if (postponeAfterStall(Now))
+    return scheduleCheck();
   const auto IdleTime = Now - LastProgressAt;
   if (PlainIdleTimeout) {
     if (IdleTime >= *PlainIdleTimeout)
@@ -79,10 +79,12 @@
     const milliseconds InspectionDelay = Endpoint->FailedInspections > 0
                                              ? InspectionRetryDelay
                                              : InspectionInterval;
-    if (!Endpoint->IsBeingInspected &&
-        Now - Endpoint->ReportAt >= InspectionDelay &&
-        Endpoint->RateLimit.allows(Now))
-      inspectEngine();
+    if (Now - Endpoint->ReportAt >= InspectionDelay &&
+        mayInspect(*Endpoint, Now))
+      inspectEngine(Context, Endpoint, Id, [Weak = weak_from_this()] {
+        if (auto Self = Weak.lock())
+          Self->evaluateFailedInspection();
+      });
   }
   scheduleCheck();
 }
@@ -120,40 +122,6 @@
     return reportUnresponsive("the engine no longer runs the request");
 }
 
-void liveness_monitor::inspectEngine() {
-  Endpoint->IsBeingInspected = true;
-  Endpoint->RateLimit.consume(Context.Clock.now());
-  Context.Metrics.increment("azurehaven_engine_inspections_total");
-  Context.Inspector->inspect(
-      Endpoint->Descriptor,
-      [Endpoint = Endpoint, &Context = Context, Weak = weak_from_this(),
-       Id = Id](result<engine_report> Report) {
-        Context.Log.write(log_level::Info, "engine_inspected",
-                          {{"endpoint", Endpoint->Descriptor.Id.text()},
-                           {"request", Id.text()},
-                           {"outcome", isError(Report) ? errorOf(Report).Message
-                                                       : "reported"}});
-        Endpoint->IsBeingInspected = false;
-        Endpoint->ReportAt = Context.Clock.now();
-        if (!isError(Report)) {
-          Endpoint->FailedInspections = 0;
-          const engine_report &Received = valueOf(Report);
-          // The address may have passed to another endpoint since.
-          if (Received.IsLeaving &&
-              Received.Incarnation == Endpoint->Descriptor.Incarnation)
-            markEndpointLeaving(Context, *Endpoint, Endpoint->ReportAt);
-          Endpoint->Report =
-              std::make_shared<const engine_report>(std::move(valueOf(Report)));
-          return;
-        }
-        Endpoint->Report = nullptr;
-        ++Endpoint->FailedInspections;
-        recordFailedInspection(Context, *Endpoint, Endpoint->ReportAt);
-        if (auto Self = Weak.lock())
-          Self->evaluateFailedInspection();
-      });
-}
-
 void liveness_monitor::evaluateFailedInspection() {
   if (!Handler || Endpoint->FailedInspections < FailedInspectionLimit)
     return;
--- a/Libraries/LibRelay/liveness_monitor.h
+++ b/Libraries/LibRelay/liveness_monitor.h
@@ -34,7 +34,8 @@
 private:
   void scheduleCheck();
   void check();
-  void inspectEngine();
+  /// Whether this check has to be put off because this process stood still.
+  bool postponeAfterStall(steady_time Now);
   /// Whether the path to the service is lost, and nothing has come from the
   /// endpoint since.
   bool isCutOff() const;
@@ -53,6 +54,8 @@
   /// progress; nullopt if there is none or the request was not running.
   std::optional<std::uint64_t> ReportedEvents;
   steady_time EvaluatedReportAt;
+  steady_time CheckDueAt;
+  bool IsPostponed = false;
 };
 
 } // namespace azurehaven
--- a/Libraries/LibRelay/path_watch.cpp
+++ b/Libraries/LibRelay/path_watch.cpp
@@ -36,6 +36,16 @@
     reportLoss(Context, Service, *Change);
 }
 
+void recordUnanswered(relay_context &Context, const endpoint_record &Endpoint,
+                      steady_time StartedAt, steady_time Now) {
+  const service_id &Service = Endpoint.Descriptor.Service;
+  const auto Change = Context.Fleet.Paths.onUnanswered(
+      Service, processStartId(Endpoint.Descriptor),
+      Context.Fleet.Endpoints.endpointsOf(Service).size(), StartedAt, Now);
+  if (Change)
+    reportLoss(Context, Service, *Change);
+}
+
 void reviewPaths(relay_context &Context, steady_time Now) {
   for (const service_id &Service : Context.Fleet.Paths.suspectedServices()) {
     const auto Change = Context.Fleet.Paths.review(
--- a/Libraries/LibRelay/path_watch.h
+++ b/Libraries/LibRelay/path_watch.h
@@ -9,6 +9,10 @@
 /// ejections of endpoints that were unreachable for that reason only.
 void recordUnreachable(relay_context &Context, const endpoint_record &Endpoint,
                        steady_time Now);
+/// Records that the endpoint could be connected to and did not respond to an
+/// inspection that began at StartedAt.
+void recordUnanswered(relay_context &Context, const endpoint_record &Endpoint,
+                      steady_time StartedAt, steady_time Now);
 void recordReceived(relay_context &Context, const endpoint_record &Endpoint,
                     steady_time Now);
 void recordConnected(relay_context &Context, const endpoint_record &Endpoint,
--- a/Libraries/LibRelay/relay_node.cpp
+++ b/Libraries/LibRelay/relay_node.cpp
@@ -1,6 +1,6 @@
 #include "LibRelay/relay_node.h"
 
-#include "LibRelay/crash_recorder.h"
+#include "LibRelay/crash_confirmation.h"
 #include "LibRelay/endpoint_shares.h"
 #include "LibRelay/stop_admission.h"
 
@@ -173,7 +173,7 @@
   updateShares(Fleet, Clock.now());
   Fleet.Retries.observeVmCount(vmCount(Fleet), Clock.now());
   PathProber.advance(Clock.now());
-  confirmCrashes(Fleet, Log, Clock.now());
+  confirmCrashes(Context, Clock.now());
   Connections.closeExpired(Clock.now());
   observeRunningRequests();
   Rollouts->advance();
--- a/Tests/LibDispatch/service_paths_test.cpp
+++ b/Tests/LibDispatch/service_paths_test.cpp
@@ -19,6 +19,10 @@
   std::optional<path_change> failAt(int Number, steady_time Now) {
     return onUnreachable(Service, idOf(Number), EndpointCount, Now);
   }
+  std::optional<path_change> leaveUnanswered(int Number, steady_time StartedAt,
+                                             steady_time Now) {
+    return onUnanswered(Service, idOf(Number), EndpointCount, StartedAt, Now);
+  }
   /// The peer receives something from this process start.
   void letPeerReach(int Number, steady_time At) {
     onPeerReached(Peer, Service, {At, startHashOf(idOf(Number))});
@@ -164,3 +168,36 @@
           (Number == 3));
   }
 }
+
+TEST_CASE("Process starts that stand still for a second and go on do not make "
+          "the path look lost") {
+  for (milliseconds GoOn{650}; GoOn <= milliseconds(2500);
+       GoOn += milliseconds(50)) {
+    watched_path Path;
+    CAPTURE(GoOn.count());
+    for (milliseconds Passed{0}; Passed < milliseconds(5000);
+         Passed += milliseconds(50)) {
+      const steady_time Now = Start + Passed;
+      // Asked again and again, each for 600 ms, until they go on.
+      const bool IsAsked = Passed > milliseconds(0) && Passed < GoOn &&
+                           Passed.count() % 700 == 600;
+      for (int Number = 0; IsAsked && Number < 3; ++Number)
+        CHECK_FALSE(Path.leaveUnanswered(Number, Now - milliseconds(600), Now));
+      // The peer hears from them up to the pause and after it.
+      if (Passed == milliseconds(0) || Passed >= GoOn)
+        for (int Number = 0; Number < 3; ++Number)
+          Path.letPeerReach(Number, Now);
+      CHECK_FALSE(Path.reviewAt(Now));
+    }
+  }
+}
+
+TEST_CASE("A path is lost if process starts do not respond while another VM "
+          "receives something from them") {
+  watched_path Path;
+  const steady_time End = Start + milliseconds(600);
+  CHECK_FALSE(Path.leaveUnanswered(0, Start, End));
+  CHECK_FALSE(Path.leaveUnanswered(1, Start, End));
+  Path.letPeerReach(0, Start + milliseconds(300));
+  CHECK(Path.reviewAt(End + milliseconds(100)));
+}
