--- a/Tests/platform/Soak/caller_load.cpp
+++ b/Tests/platform/Soak/caller_load.cpp
@@ -10,25 +10,27 @@
 
 constexpr milliseconds PlainDeadline{3000};
 constexpr milliseconds StreamDeadline{7000};
-/// How long a caller waits beyond its deadline, to detect late responses.
-constexpr milliseconds WaitAfterDeadline{3000};
+/// How long a caller waits beyond its deadline, to detect late responses;
+/// longer than a process is paused.
+constexpr milliseconds WaitAfterDeadline{9000};
 constexpr milliseconds ConnectTimeout{1000};
+/// Longest rest, so that callers also send while the idle timeout is long.
+constexpr milliseconds LongestRest{1500};
+/// A set of paths, so that several requests have the same path.
 constexpr std::uint64_t PathCount = 40;
+constexpr std::size_t SmallestBody = 200;
+constexpr std::size_t LargestBody = 100'000;
+/// One of this many requests is the last on its connection.
+constexpr std::uint64_t RequestsPerConnection = 6;
 /// Pause of a caller after a request without status 200, and while no entry
 /// process is resolved.
 constexpr milliseconds PauseAfterFailure{50};
 
-std::string pathOf(request_kind Kind) {
-  switch (Kind) {
-  case request_kind::Lookup:
-    return "/lookup/item-";
-  case request_kind::Booking:
-    return "/booking/item-";
-  case request_kind::Stream:
-    return "/stream/item-";
-  }
-  return "/";
-}
+/// In the order of the enumerators.
+constexpr const char *Paths[] = {"/lookup/item-", "/booking/item-",
+                                 "/stream/item-"};
+
+steady_time now() { return std::chrono::steady_clock::now(); }
 
 /// A third of the resolutions are cached longer than they should be, some for
 /// as long as a planned stop lasts.
@@ -68,41 +70,66 @@
 void caller_load::callerLoop(std::uint64_t OwnSeed) {
   std::mt19937_64 Random(OwnSeed);
   std::vector<std::size_t> Entries;
-  auto ResolvedUntil = std::chrono::steady_clock::now();
+  kept_state Kept;
+  auto ResolvedUntil = now();
   while (!IsStopping) {
-    const auto Now = std::chrono::steady_clock::now();
-    if (Now >= ResolvedUntil || Entries.empty()) {
+    if (now() >= ResolvedUntil || Entries.empty()) {
       if (auto Fresh = resolveEntries(Random); !Fresh.empty())
         Entries = std::move(Fresh);
-      ResolvedUntil = Now + randomCacheTime(Random);
+      ResolvedUntil = now() + randomCacheTime(Random);
+    }
+    const bool IsKept = rest(Kept, Random);
+    if (!IsKept && !Entries.empty()) {
+      Kept.Entry = Entries[Random() % Entries.size()];
+      Kept.Connection = kept_connection::connect(
+          Cluster.callerAddress(Kept.Entry), ConnectTimeout);
     }
-    if (Entries.empty()) {
+    if (!Kept.Connection) {
       std::this_thread::sleep_for(PauseAfterFailure);
       continue;
     }
-    const std::size_t Entry = Entries[Random() % Entries.size()];
     const auto Kind = static_cast<request_kind>(Random() % 3);
     const char *Account = Random() % 3 == 0 ? RevokedAccount : SteadyAccount;
-    const auto Use =
-        Random() % 2 == 0 ? connection_use::Pooled : connection_use::Fresh;
-    caller_record Record = sendRequest(Entry, Kind, Account, Use);
-    // The entry process may close a pooled connection just as the caller reuses
-    // it, so a request without a response isn't counted as interrupted if it
-    // may have been sent on one. Streams always may.
-    const bool MayReuseConnection =
-        Use == connection_use::Pooled || Kind == request_kind::Stream;
-    if (MayReuseConnection && Record.Status == 0)
-      Record.MayHaveArrived = false;
+    caller_record Record = makeRecord(Kept.Entry, Kind, Account);
+    const std::size_t BodyBytes =
+        SmallestBody + Random() % (LargestBody - SmallestBody);
+    Record.WasKept = IsKept;
+    if (IsKept)
+      Record.Rested = std::chrono::duration_cast<milliseconds>(
+          Record.SentAt - Kept.RestingSince);
+    const bool IsReusable = exchange(*Kept.Connection, Record, BodyBytes);
+    Kept.RestingSince = Record.EndedAt;
     const bool IsSuccessful = Record.Status == 200;
     {
       std::lock_guard Lock(Mutex);
       Records.push_back(std::move(Record));
     }
+    if (!IsReusable || !IsSuccessful || Random() % RequestsPerConnection == 0)
+      Kept.Connection.reset();
     if (!IsSuccessful)
       std::this_thread::sleep_for(PauseAfterFailure);
   }
 }
 
+milliseconds caller_load::longestRest(steady_time Since) const {
+  return idleShare(shortestWithin(Cluster.IdleLimits.all(),
+                                  Since - ConfigurationBound, now()));
+}
+
+bool caller_load::rest(kept_state &Kept, std::mt19937_64 &Random) const {
+  if (!Kept.Connection)
+    return false;
+  const auto Longest = std::min(longestRest(now()), LongestRest);
+  std::this_thread::sleep_for(
+      milliseconds(Random() % static_cast<std::uint64_t>(Longest.count())));
+  // The limit may have changed meanwhile.
+  if (!Kept.Connection->isUnusable() &&
+      now() - Kept.RestingSince < longestRest(Kept.RestingSince))
+    return true;
+  Kept.Connection.reset();
+  return false;
+}
+
 std::vector<std::size_t> caller_load::resolveEntries(std::mt19937_64 &Random) {
   http_request Request;
   Request.Path = "/v1/resolve?name=soak.example&region=r&zone=a";
@@ -121,9 +148,8 @@
   return Entries;
 }
 
-caller_record caller_load::sendRequest(std::size_t Entry, request_kind Kind,
-                                       const std::string &Account,
-                                       connection_use Use) {
+caller_record caller_load::makeRecord(std::size_t Entry, request_kind Kind,
+                                      const std::string &Account) {
   caller_record Record;
   Record.Id =
       request_id("r" + std::to_string(Seed) + "-" + std::to_string(NextId++));
@@ -132,64 +158,49 @@
   Record.Entry = Cluster.entryName(Entry);
   Record.Deadline =
       Kind == request_kind::Stream ? StreamDeadline : PlainDeadline;
-  http_request Request;
-  Request.Method = Kind == request_kind::Lookup ? "GET" : "POST";
-  // A limited set of paths, so that several requests have the same path.
-  Request.Path = pathOf(Kind) + std::to_string(NextId % PathCount);
-  Request.Headers = {
-      {"Host", "soak.example"},
-      {"Azurehaven-Attempt-Id", Record.Id.text()},
-      {"Azurehaven-Deadline-Ms", std::to_string(Record.Deadline.count())},
-      {"Authorization", "Bearer key-of-" + Account}};
-  Record.SentAt = std::chrono::steady_clock::now();
-  if (Kind == request_kind::Stream) {
-    Request.Headers.emplace_back("Azurehaven-Model", "*");
-    Request.Headers.emplace_back("Azurehaven-Token-Usage", "500,100");
-    Request.Headers.emplace_back("Azurehaven-Prompt-Prefix",
-                                 "5c1e:400,91bd:100");
-    sendStream(Record, Cluster.callerAddress(Entry), Request);
-  } else {
-    sendPlain(Record, Cluster.callerAddress(Entry), Request, Use);
-  }
-  Record.EndedAt = std::chrono::steady_clock::now();
+  Record.SentAt = now();
   return Record;
 }
 
-void caller_load::sendPlain(caller_record &Record, const network_address &To,
-                            const http_request &Request, connection_use Use) {
-  const auto Outcome = Transport.send(
-      To, Request, {ConnectTimeout, Record.Deadline + WaitAfterDeadline}, Use);
-  if (const auto *Failure = std::get_if<http_failure>(&Outcome)) {
-    Record.MayHaveArrived = Failure->Delivery == delivery::MayHaveRun;
-    return;
-  }
-  const auto &Response = std::get<http_response>(Outcome);
-  Record.Status = Response.Status;
-  Record.Body = Response.Body;
-  Record.IsWhole = true;
+bool caller_load::exchange(kept_connection &Connection, caller_record &Record,
+                           std::size_t BodyBytes) const {
+  const bool IsLookup = Record.Kind == request_kind::Lookup;
+  std::string Text = IsLookup ? "GET " : "POST ";
+  Text +=
+      std::string(Paths[static_cast<std::size_t>(Record.Kind)]) +
+      std::to_string(std::hash<std::string>{}(Record.Id.text()) % PathCount);
+  Text += " HTTP/1.1\r\nHost: soak.example\r\n";
+  Text += "Azurehaven-Attempt-Id: " + Record.Id.text() + "\r\n";
+  Text += "Azurehaven-Deadline-Ms: " + std::to_string(Record.Deadline.count()) +
+          "\r\n";
+  Text += "Authorization: Bearer key-of-" + Record.Account + "\r\n";
+  if (Record.Kind == request_kind::Stream)
+    Text += "Azurehaven-Model: *\r\nAzurehaven-Token-Usage: 500,100\r\n"
+            "Azurehaven-Prompt-Prefix: 5c1e:400,91bd:100\r\n";
+  if (!IsLookup)
+    Text += "Content-Length: " + std::to_string(BodyBytes) + "\r\n";
+  Text += "\r\n";
+  if (!IsLookup)
+    Text += std::string(BodyBytes, 'b');
+  kept_exchange Exchange = Connection.exchange(
+      Text, Record.SentAt + Record.Deadline + WaitAfterDeadline);
+  Record.EndedAt = now();
+  Record.Status = Exchange.Status;
+  Record.Body = std::move(Exchange.Body);
+  Record.IsWhole = Exchange.IsResponseWhole;
+  Record.IsSentWhole = Exchange.IsSentWhole;
+  Record.HasCallerLeft = Exchange.HasCallerLeft;
+  return Exchange.IsReusable;
 }
 
-void caller_load::sendStream(caller_record &Record, const network_address &To,
-                             const http_request &Request) {
-  auto Opened = Transport.open(
-      To, Request, {ConnectTimeout, Record.Deadline + WaitAfterDeadline});
-  if (const auto *Failure = std::get_if<http_failure>(&Opened)) {
-    Record.MayHaveArrived = Failure->Delivery == delivery::MayHaveRun;
-    return;
-  }
-  auto &Stream = *std::get<std::unique_ptr<http_stream>>(Opened);
-  Record.Status = Stream.status();
-  while (true) {
-    auto Part = Stream.next();
-    if (std::holds_alternative<http_failure>(Part))
-      return;
-    auto &Bytes = std::get<std::optional<std::string>>(Part);
-    if (!Bytes) {
-      Record.IsWhole = true;
-      return;
-    }
-    Record.Body += *Bytes;
-  }
+bool caller_load::isServed(std::size_t Entry, request_kind Kind) {
+  const auto Connection =
+      kept_connection::connect(Cluster.callerAddress(Entry), ConnectTimeout);
+  if (!Connection)
+    return false;
+  caller_record Record = makeRecord(Entry, Kind, SteadyAccount);
+  exchange(*Connection, Record, SmallestBody);
+  return Record.Status == 200 && Record.IsWhole;
 }
 
 } // namespace azurehaven::platform
--- a/Tests/platform/Soak/caller_record.h
+++ b/Tests/platform/Soak/caller_record.h
@@ -23,10 +23,14 @@
   int Status = 0;
   /// Whether the response was received to its proper end.
   bool IsWhole = false;
-  /// Whether any byte of the request may have reached the entry process.
-  /// caller_load also sets it to false if the request received no response and
-  /// may have been sent on a pooled connection.
-  bool MayHaveArrived = true;
+  /// Whether the connection had carried a request before.
+  bool WasKept = false;
+  /// Time between the previous response and this request.
+  milliseconds Rested{0};
+  /// Whether every byte of the request was sent.
+  bool IsSentWhole = false;
+  /// Whether the caller closed the connection before a whole response.
+  bool HasCallerLeft = false;
   /// The received part of the body of a successful response.
   std::string Body;
 };
--- a/Tests/platform/Soak/endpoint_double.cpp
+++ b/Tests/platform/Soak/endpoint_double.cpp
@@ -11,6 +11,7 @@
 using nlohmann::json;
 
 constexpr milliseconds EventInterval{40};
+constexpr milliseconds StandstillPollInterval{10};
 constexpr milliseconds PlainProcessingTime{60};
 /// Plain requests for some paths take long.
 constexpr milliseconds SlowProcessingTime{1500};
@@ -22,9 +23,10 @@
 class event_source : public body_source {
 public:
   event_source(run_registry &Runs, std::string Request, std::string Endpoint,
-               std::uint64_t First, bool ShouldTruncate)
+               std::uint64_t First, bool ShouldTruncate,
+               const endpoint_double &Double)
       : Runs(Runs), Request(std::move(Request)), Endpoint(std::move(Endpoint)),
-        Next(First), ShouldTruncate(ShouldTruncate) {}
+        Double(Double), Next(First), ShouldTruncate(ShouldTruncate) {}
   ~event_source() override { Runs.ended(request_id(Request), Endpoint); }
 
   std::optional<std::string> next() override {
@@ -35,6 +37,7 @@
       return std::nullopt;
     }
     std::this_thread::sleep_for(EventInterval);
+    Double.waitWhileStandingStill();
     ++Sent;
     return eventText(Request, Next++);
   }
@@ -44,6 +47,7 @@
   run_registry &Runs;
   const std::string Request;
   const std::string Endpoint;
+  const endpoint_double &Double;
   std::uint64_t Next;
   const bool ShouldTruncate;
   std::uint64_t Sent = 0;
@@ -81,7 +85,13 @@
   return Id;
 }
 
+void endpoint_double::waitWhileStandingStill() const {
+  while (StandsStill)
+    std::this_thread::sleep_for(StandstillPollInterval);
+}
+
 served_response endpoint_double::serve(const served_request &Request) {
+  waitWhileStandingStill();
   if (Request.Path == "/v1/report") {
     served_response Response;
     Response.Body = json{
@@ -104,6 +114,8 @@
   const bool IsEven = std::hash<std::string>{}(RequestId) % 2 == 0;
   if (Behavior == endpoint_behavior::SheddingHalf && IsEven)
     return refuse(503, {});
+  if (std::hash<std::string>{}(Own + RequestId) % 100 < RefusedPercent)
+    return refuse(503, RequestId);
   if (Behavior == endpoint_behavior::Full)
     return refuse(503, RequestId);
   return run(Request, RequestId);
@@ -126,6 +138,7 @@
     const bool IsSlow = Request.Path.ends_with(SlowPathEnding);
     std::this_thread::sleep_for(IsSlow ? SlowProcessingTime
                                        : PlainProcessingTime);
+    waitWhileStandingStill();
     Response.ContentType = "text/plain";
     Response.Body = responseText(RequestId);
     return Response;
@@ -142,7 +155,7 @@
   Response.ContentType = "text/event-stream";
   Response.Source = std::make_unique<event_source>(
       Runs, RequestId, id(), After.empty() ? 1 : std::stoull(After) + 1,
-      Behavior == endpoint_behavior::TruncatingStreams);
+      Behavior == endpoint_behavior::TruncatingStreams, *this);
   return Response;
 }
 
--- a/Tests/platform/Soak/endpoint_double.h
+++ b/Tests/platform/Soak/endpoint_double.h
@@ -34,8 +34,13 @@
   void restart(const std::string &NewId);
   std::string id();
   const std::string &service() const { return Service; }
+  void waitWhileStandingStill() const;
 
   std::atomic<endpoint_behavior> Behavior = endpoint_behavior::Healthy;
+  /// Set while the endpoint neither reads nor writes.
+  std::atomic<bool> StandsStill = false;
+  /// Of 100 requests, how many are refused as not executed.
+  std::atomic<std::size_t> RefusedPercent = 0;
   /// Set while all endpoints of the service fail.
   std::atomic<bool> IsServiceFailing = false;
 
--- a/Tests/platform/Soak/fault_log.h
+++ b/Tests/platform/Soak/fault_log.h
@@ -10,16 +10,27 @@
 
 /// Determines which violations a fault excuses.
 enum class fault_kind {
-  /// The process is killed or paused and can't respond.
+  /// The process is killed.
   Process,
+  /// The process is paused and can't respond.
+  Pause,
   /// A planned stop of the process.
   Stop,
   /// The store, or the link to it.
   Store,
   /// An endpoint, or the link to it.
   Endpoint,
+  /// An endpoint neither reads nor writes. No fault: it goes on.
+  Standstill,
+  /// Entry processes run in short steps. No fault.
+  Stall,
 };
 
+/// Whether the entry process itself was killed or paused.
+inline bool isProcessFault(fault_kind Kind) {
+  return Kind == fault_kind::Process || Kind == fault_kind::Pause;
+}
+
 /// The time during which one fault was active.
 struct fault_interval {
   fault_kind Kind;
@@ -29,6 +40,10 @@
   steady_time To = steady_time::max();
 };
 
+inline bool isNotPlannedStop(const fault_interval &Fault) {
+  return Fault.Kind != fault_kind::Stop;
+}
+
 /// The faults of one soak run with their times. Thread-safe.
 class fault_log {
 public:
--- a/Tests/platform/Soak/fault_proxy.cpp
+++ b/Tests/platform/Soak/fault_proxy.cpp
@@ -6,6 +6,7 @@
 #include <asio/write.hpp>
 
 #include <array>
+#include <functional>
 
 namespace azurehaven::platform {
 
@@ -23,9 +24,9 @@
     : public std::enable_shared_from_this<proxied_connection> {
 public:
   proxied_connection(tcp::socket Caller,
-                     std::shared_ptr<const std::atomic<link_fault>> Fault)
+                     std::shared_ptr<const link_condition> Link)
       : Caller(std::move(Caller)), Target(this->Caller.get_executor()),
-        Poll(this->Caller.get_executor()), Fault(std::move(Fault)) {}
+        Poll(this->Caller.get_executor()), Link(std::move(Link)) {}
 
   void start(const network_address &To) {
     Target.async_connect(
@@ -45,13 +46,16 @@
   };
 
   void pass(tcp::socket &From, tcp::socket &To, direction &Direction) {
+    if (Link->IsHeld)
+      return whenReleased(
+          [this, &From, &To, &Direction] { pass(From, To, Direction); });
     From.async_read_some(
         asio::buffer(Direction.Buffer),
         [this, Self = shared_from_this(), &From, &To,
          &Direction](const asio::error_code &Code, std::size_t Size) {
           if (Code)
-            return end(To);
-          const link_fault Now = *Fault;
+            return whenReleased([this, &To] { end(To); });
+          const link_fault Now = Link->Fault;
           const bool IsDropped =
               Now == link_fault::Silence ||
               (Now == link_fault::DropResponses && &From == &Target);
@@ -65,9 +69,14 @@
             LastResponse.assign(Direction.Buffer.data(), Size);
           else if (Now == link_fault::RepeatResponses && !LastResponse.empty())
             repeatResponse();
+          const auto Forward = [this, &From, &To, &Direction, Size] {
+            whenReleased([this, &From, &To, &Direction, Size] {
+              forward(From, To, Direction, Size);
+            });
+          };
           if (Now == link_fault::Delay)
-            return delay(From, To, Direction, Size);
-          forward(From, To, Direction, Size);
+            return after(ChunkDelay, Forward);
+          Forward();
         });
   }
 
@@ -79,14 +88,18 @@
                        Bytes](const asio::error_code &, std::size_t) {});
   }
 
-  void delay(tcp::socket &From, tcp::socket &To, direction &Direction,
-             std::size_t Size) {
+  void after(milliseconds Time, std::function<void()> Action) {
     auto Timer = std::make_shared<asio::steady_timer>(Poll.get_executor());
-    Timer->expires_after(ChunkDelay);
-    Timer->async_wait([this, Self = shared_from_this(), Timer, &From, &To,
-                       &Direction, Size](const asio::error_code &) {
-      forward(From, To, Direction, Size);
-    });
+    Timer->expires_after(Time);
+    Timer->async_wait(
+        [Self = shared_from_this(), Timer,
+         Action = std::move(Action)](const asio::error_code &) { Action(); });
+  }
+
+  void whenReleased(const std::function<void()> &Action) {
+    if (!Link->IsHeld)
+      return Action();
+    after(FaultPollInterval, [this, Action] { whenReleased(Action); });
   }
 
   void forward(tcp::socket &From, tcp::socket &To, direction &Direction,
@@ -112,7 +125,7 @@
     Poll.async_wait([Self = shared_from_this()](const asio::error_code &Code) {
       if (Code || Self->IsClosed)
         return;
-      if (*Self->Fault == link_fault::Reset)
+      if (Self->Link->Fault == link_fault::Reset)
         return Self->reset();
       Self->watchFault();
     });
@@ -134,7 +147,7 @@
   tcp::socket Caller;
   tcp::socket Target;
   asio::steady_timer Poll;
-  const std::shared_ptr<const std::atomic<link_fault>> Fault;
+  const std::shared_ptr<const link_condition> Link;
   direction Requests;
   direction Responses;
   std::string LastResponse;
@@ -145,8 +158,7 @@
 } // namespace
 
 fault_proxy::fault_proxy(asio::io_context &Loop, const network_address &To)
-    : Acceptor(Loop), To(To),
-      Fault(std::make_shared<std::atomic<link_fault>>(link_fault::None)) {}
+    : Acceptor(Loop), To(To), Link(std::make_shared<link_condition>()) {}
 
 result<std::unique_ptr<fault_proxy>>
 fault_proxy::listen(asio::io_context &Loop, const network_address &From,
@@ -174,10 +186,10 @@
         if (Code == asio::error::operation_aborted)
           return;
         if (!Code) {
-          if (*Fault == link_fault::Reset)
+          if (Link->Fault == link_fault::Reset)
             resetConnection(Socket);
           else
-            std::make_shared<proxied_connection>(std::move(Socket), Fault)
+            std::make_shared<proxied_connection>(std::move(Socket), Link)
                 ->start(To);
         }
         accept();
--- a/Tests/platform/Soak/fault_proxy.h
+++ b/Tests/platform/Soak/fault_proxy.h
@@ -26,15 +26,24 @@
   RepeatResponses,
 };
 
-/// TCP proxy between two loopback addresses that injects faults. setFault may
-/// be called from any thread; everything else runs on one event loop.
+/// The faults of one link.
+struct link_condition {
+  std::atomic<link_fault> Fault = link_fault::None;
+  std::atomic<bool> IsHeld = false;
+};
+
+/// TCP proxy between two loopback addresses that injects faults. setFault and
+/// setHolding may be called from any thread; everything else runs on one event
+/// loop.
 class fault_proxy {
 public:
   static result<std::unique_ptr<fault_proxy>>
   listen(asio::io_context &Loop, const network_address &From,
          const network_address &To);
 
-  void setFault(link_fault Fault) { *this->Fault = Fault; }
+  void setFault(link_fault Fault) { Link->Fault = Fault; }
+  /// While held, bytes and ends are kept back; none is lost.
+  void setHolding(bool IsHeld) { Link->IsHeld = IsHeld; }
 
 private:
   fault_proxy(asio::io_context &Loop, const network_address &To);
@@ -42,7 +51,7 @@
 
   asio::ip::tcp::acceptor Acceptor;
   const network_address To;
-  const std::shared_ptr<std::atomic<link_fault>> Fault;
+  const std::shared_ptr<link_condition> Link;
 };
 
 } // namespace azurehaven::platform
--- a/Tests/platform/Soak/fault_schedule.cpp
+++ b/Tests/platform/Soak/fault_schedule.cpp
@@ -2,7 +2,6 @@
 
 #include <array>
 #include <csignal>
-#include <iostream>
 #include <thread>
 
 namespace azurehaven::platform {
@@ -33,51 +32,26 @@
 /// because its target has one already.
 status doNothing() { return success{}; }
 
-const char *nameOf(link_fault Fault) {
-  switch (Fault) {
-  case link_fault::None:
-    return "no fault";
-  case link_fault::Delay:
-    return "delays";
-  case link_fault::Reset:
-    return "resets";
-  case link_fault::DropResponses:
-    return "dropped responses";
-  case link_fault::RepeatResponses:
-    return "repeated responses";
-  case link_fault::Silence:
-    return "silence";
-  }
-  return "unknown";
+/// In the order of the enumerators.
+constexpr std::array<const char *, 6> LinkFaultNames = {
+    "no fault",           "delays", "resets", "dropped responses",
+    "repeated responses", "silence"};
+constexpr std::array<const char *, 5> BehaviorNames = {
+    "is healthy", "is full", "fails", "truncates streams",
+    "refuses every second request"};
+
+std::string nameOf(link_fault Fault) {
+  return LinkFaultNames.at(static_cast<std::size_t>(Fault));
 }
 
-const char *nameOf(endpoint_behavior Behavior) {
-  switch (Behavior) {
-  case endpoint_behavior::Healthy:
-    return "is healthy";
-  case endpoint_behavior::Full:
-    return "is full";
-  case endpoint_behavior::Failing:
-    return "fails";
-  case endpoint_behavior::TruncatingStreams:
-    return "truncates streams";
-  case endpoint_behavior::SheddingHalf:
-    return "refuses every second request";
-  }
-  return "unknown";
+std::string nameOf(endpoint_behavior Behavior) {
+  return BehaviorNames.at(static_cast<std::size_t>(Behavior));
 }
 
 std::string nameOfEndpoint(std::size_t Index) {
   return "endpoint " + std::to_string(Index);
 }
 
-std::function<status()> linkFaultSetter(fault_proxy &Link, link_fault Fault) {
-  return [&Link, Fault]() -> status {
-    Link.setFault(Fault);
-    return success{};
-  };
-}
-
 template <typename T>
 std::function<status()> valueSetter(std::atomic<T> &Switch, T Value) {
   return [&Switch, Value]() -> status {
@@ -91,14 +65,7 @@
 } // namespace
 
 fault_schedule::fault_schedule(soak_cluster &Cluster, std::uint64_t Seed)
-    : Cluster(Cluster), Random(Seed), RestorationRandom(~Seed),
-      StartedAt(now()) {}
-
-void fault_schedule::print(const std::string &Text) const {
-  const auto At =
-      std::chrono::duration_cast<milliseconds>(now() - StartedAt).count();
-  std::cout << At << " ms: " << Text << std::endl;
-}
+    : Cluster(Cluster), Random(Seed), RestorationRandom(~Seed) {}
 
 status fault_schedule::endExpiredFaults(steady_time Now) {
   while (!PendingEnds.empty() && PendingEnds.begin()->first <= Now) {
@@ -152,12 +119,12 @@
     const std::string &Text, const fault_end &Begin, fault_end End) {
   if (!ActiveTargets.insert(Target).second)
     return fault_end(doNothing);
-  print(Text);
+  Cluster.print(Text);
   const auto IntervalIndex = Cluster.FaultLog.startInterval(Kind, LoggedTarget);
   TRY_STATUS(Begin());
   return fault_end([=, this, End = std::move(End)]() -> status {
     TRY_STATUS(End());
-    print("ended: " + Text);
+    Cluster.print("ended: " + Text);
     Cluster.FaultLog.endInterval(IntervalIndex);
     ActiveTargets.erase(Target);
     return success{};
@@ -169,7 +136,7 @@
   const std::string Name = Cluster.entryName(Entry);
   return injectFault(
       Name, fault_kind::Process, Name, "kill " + Name,
-      [=, this] { return Cluster.Processes.signal(Name, SIGKILL); },
+      [=, this] { return Cluster.signalEntry(Entry, SIGKILL); },
       [=, this] { return Cluster.startEntry(Entry); });
 }
 
@@ -185,7 +152,7 @@
         if (DoEnginesFail)
           Cluster.setServiceFailing(EngineService, true);
         for (int Restart = 0; Restart < RestartsInSeries; ++Restart) {
-          TRY_STATUS(Cluster.Processes.signal(Name, SIGKILL));
+          TRY_STATUS(Cluster.signalEntry(Entry, SIGKILL));
           TRY_STATUS(Cluster.startEntry(Entry));
           std::this_thread::sleep_for(SeriesInterval);
         }
@@ -235,17 +202,17 @@
 }
 
 result<fault_schedule::fault_end> fault_schedule::pauseEntry() {
-  const std::string Name = Cluster.entryName(randomEntry());
+  const std::size_t Entry = randomEntry();
+  const std::string Name = Cluster.entryName(Entry);
   return injectFault(
-      Name, fault_kind::Process, Name, "pause " + Name,
-      [=, this] { return Cluster.Processes.signal(Name, SIGSTOP); },
-      [=, this] { return Cluster.Processes.signal(Name, SIGCONT); });
+      Name, fault_kind::Pause, Name, "pause " + Name,
+      [=, this] { return Cluster.signalEntry(Entry, SIGSTOP); },
+      [=, this] { return Cluster.signalEntry(Entry, SIGCONT); });
 }
 
 status fault_schedule::awaitStop(std::size_t Entry) {
   const std::string Name = Cluster.entryName(Entry);
-  TRY(const int Status,
-      Cluster.Processes.awaitExit(Name, StopGrace + StopSlack));
+  TRY(const int Status, Cluster.awaitEntryExit(Entry, StopGrace + StopSlack));
   if (Status != 0)
     return error{error_code::Internal,
                  Name + " exited its planned stop with status " +
@@ -258,7 +225,7 @@
   const std::string Name = Cluster.entryName(Entry);
   return injectFault(
       Name, fault_kind::Stop, Name, "stop " + Name,
-      [=, this] { return Cluster.Processes.signal(Name, SIGTERM); },
+      [=, this] { return Cluster.signalEntry(Entry, SIGTERM); },
       [=, this]() -> status {
         TRY_STATUS(awaitStop(Entry));
         return Cluster.startEntry(Entry);
@@ -266,25 +233,26 @@
 }
 
 result<fault_schedule::fault_end> fault_schedule::reloadEntry() {
-  const std::string Name = Cluster.entryName(randomEntry());
-  if (ActiveTargets.contains(Name))
-    return fault_end(doNothing);
-  print("reload " + Name);
-  TRY_STATUS(Cluster.Processes.signal(Name, SIGHUP));
+  const std::size_t Entry = randomEntry();
+  Cluster.print("reload " + Cluster.entryName(Entry));
+  Cluster.reloadEntry(Entry);
   return fault_end(doNothing);
 }
 
 result<fault_schedule::fault_end> fault_schedule::takeStoreDown() {
-  return injectFault("store", fault_kind::Store, "", "store down",
-                     valueSetter(Cluster.Store.IsDown, true),
-                     valueSetter(Cluster.Store.IsDown, false));
+  return switchStore(Cluster.Store.IsDown, "store down");
 }
 
 result<fault_schedule::fault_end> fault_schedule::dropStoreResponses() {
-  return injectFault("store", fault_kind::Store, "",
-                     "store drops its responses to writes",
-                     valueSetter(Cluster.Store.DropsResponses, true),
-                     valueSetter(Cluster.Store.DropsResponses, false));
+  return switchStore(Cluster.Store.DropsResponses,
+                     "store drops its responses to writes");
+}
+
+result<fault_schedule::fault_end>
+fault_schedule::switchStore(std::atomic<bool> &Switch,
+                            const std::string &Text) {
+  return injectFault("store", fault_kind::Store, "", Text,
+                     valueSetter(Switch, true), valueSetter(Switch, false));
 }
 
 status fault_schedule::copyOrRestoreStore() {
@@ -299,7 +267,7 @@
 status fault_schedule::restoreStore() {
   if (ActiveTargets.contains("store"))
     return success{};
-  print("store restored from an older copy");
+  Cluster.print("store restored from an older copy");
   const auto IntervalIndex =
       Cluster.FaultLog.startInterval(fault_kind::Store, "");
   Cluster.Store.IsDown = true;
@@ -314,24 +282,33 @@
 
 result<fault_schedule::fault_end> fault_schedule::injectStoreLinkFault() {
   const std::size_t Entry = randomEntry();
-  const link_fault Fault = randomLinkFault();
   const std::string Name = Cluster.entryName(Entry);
-  fault_proxy &Link = *Cluster.StoreLinks[Entry];
-  return injectFault("link of " + Name, fault_kind::Store, Name,
-                     std::string(nameOf(Fault)) + " between store and " + Name,
-                     linkFaultSetter(Link, Fault),
-                     linkFaultSetter(Link, link_fault::None));
+  return injectLinkFault("link of " + Name, fault_kind::Store, Name,
+                         " between store and " + Name,
+                         *Cluster.StoreLinks[Entry]);
 }
 
 result<fault_schedule::fault_end> fault_schedule::injectEndpointLinkFault() {
   const std::size_t Index = randomEndpoint();
-  const link_fault Fault = randomLinkFault();
   const std::string Name = nameOfEndpoint(Index);
-  fault_proxy &Link = *Cluster.EndpointLinks[Index];
-  return injectFault(Name, fault_kind::Endpoint, Name,
-                     std::string(nameOf(Fault)) + " on the link of " + Name,
-                     linkFaultSetter(Link, Fault),
-                     linkFaultSetter(Link, link_fault::None));
+  return injectLinkFault(Name, fault_kind::Endpoint, Name,
+                         " on the link of " + Name,
+                         *Cluster.EndpointLinks[Index]);
+}
+
+result<fault_schedule::fault_end>
+fault_schedule::injectLinkFault(const std::string &Target, fault_kind Kind,
+                                const std::string &LoggedTarget,
+                                const std::string &Place, fault_proxy &Link) {
+  const link_fault Fault = randomLinkFault();
+  const auto Setter = [&Link](link_fault Value) {
+    return [&Link, Value]() -> status {
+      Link.setFault(Value);
+      return success{};
+    };
+  };
+  return injectFault(Target, Kind, LoggedTarget, nameOf(Fault) + Place,
+                     Setter(Fault), Setter(link_fault::None));
 }
 
 result<fault_schedule::fault_end> fault_schedule::degradeEndpoint() {
@@ -343,7 +320,7 @@
   const std::string Name = nameOfEndpoint(Index);
   auto &Current = Cluster.Endpoints[Index]->Behavior;
   return injectFault(Name, fault_kind::Endpoint, Name,
-                     Name + " " + std::string(nameOf(Behavior)),
+                     Name + " " + nameOf(Behavior),
                      valueSetter(Current, Behavior),
                      valueSetter(Current, endpoint_behavior::Healthy));
 }
@@ -352,14 +329,18 @@
   const std::size_t Index = randomEndpoint();
   const std::string Name = nameOfEndpoint(Index);
   fault_proxy &Link = *Cluster.EndpointLinks[Index];
-  return injectFault(Name, fault_kind::Endpoint, Name, Name + " crashes",
-                     linkFaultSetter(Link, link_fault::Reset),
-                     [=, this, &Link]() -> status {
-                       Cluster.unregisterEndpoint(Index);
-                       Link.setFault(link_fault::None);
-                       Cluster.restartEndpoint(Index);
-                       return success{};
-                     });
+  return injectFault(
+      Name, fault_kind::Endpoint, Name, Name + " crashes",
+      [&Link]() -> status {
+        Link.setFault(link_fault::Reset);
+        return success{};
+      },
+      [=, this, &Link]() -> status {
+        Cluster.unregisterEndpoint(Index);
+        Link.setFault(link_fault::None);
+        Cluster.restartEndpoint(Index);
+        return success{};
+      });
 }
 
 result<fault_schedule::fault_end> fault_schedule::drainEndpoint() {
@@ -367,7 +348,7 @@
   const std::string Name = nameOfEndpoint(Index);
   if (!ActiveTargets.insert(Name).second)
     return fault_end(doNothing);
-  print(Name + " drains");
+  Cluster.print(Name + " drains");
   const std::string Id = Cluster.registerEndpoint(Index, "draining");
   const steady_time DrainStartedAt = now();
   DrainStarts.push_back({Id, DrainStartedAt});
@@ -375,7 +356,7 @@
   // 2 * DrainBound are over.
   return fault_end([=, this]() -> status {
     PendingEnds.emplace(DrainStartedAt + 2 * DrainBound, [=, this]() -> status {
-      print(Name + " starts again");
+      Cluster.print(Name + " starts again");
       Cluster.unregisterEndpoint(Index);
       Cluster.restartEndpoint(Index);
       ActiveTargets.erase(Name);
@@ -394,7 +375,7 @@
   if (Random() % 2 == 0) {
     TRY(EndLinkFault, injectStoreLinkFault());
   }
-  print("key revoked");
+  Cluster.print("key revoked");
   Cluster.writeConfiguration(false);
   Revocations.push_back({RevokedAccount, now()});
   return fault_end([this, EndLinkFault]() -> status {
@@ -402,7 +383,7 @@
     // applies.
     PendingEnds.emplace(now() + RevokeBound, [this, EndLinkFault]() -> status {
       TRY_STATUS(EndLinkFault());
-      print("key restored");
+      Cluster.print("key restored");
       Restorations.push_back({RevokedAccount, now()});
       Cluster.writeConfiguration(true);
       ActiveTargets.erase("key");
@@ -415,10 +396,10 @@
 status fault_schedule::restartOneByOne() {
   for (std::size_t Entry = 0; Entry < EntryCount; ++Entry) {
     const std::string Name = Cluster.entryName(Entry);
-    print("planned stop of " + Name);
+    Cluster.print("planned stop of " + Name);
     const auto IntervalIndex =
         Cluster.FaultLog.startInterval(fault_kind::Stop, Name);
-    TRY_STATUS(Cluster.Processes.signal(Name, SIGTERM));
+    TRY_STATUS(Cluster.signalEntry(Entry, SIGTERM));
     TRY_STATUS(awaitStop(Entry));
     TRY_STATUS(Cluster.startEntry(Entry));
     Cluster.FaultLog.endInterval(IntervalIndex);
@@ -429,7 +410,7 @@
 
 status fault_schedule::stopAll() {
   for (std::size_t Entry = 0; Entry < EntryCount; ++Entry)
-    TRY_STATUS(Cluster.Processes.signal(Cluster.entryName(Entry), SIGTERM));
+    TRY_STATUS(Cluster.signalEntry(Entry, SIGTERM));
   for (std::size_t Entry = 0; Entry < EntryCount; ++Entry)
     TRY_STATUS(awaitStop(Entry));
   return success{};
--- a/Tests/platform/Soak/fault_schedule.h
+++ b/Tests/platform/Soak/fault_schedule.h
@@ -41,6 +41,8 @@
   result<fault_end> reloadEntry();
   result<fault_end> takeStoreDown();
   result<fault_end> dropStoreResponses();
+  result<fault_end> switchStore(std::atomic<bool> &Switch,
+                                const std::string &Text);
   /// Copies the store, restores it, or does neither.
   status copyOrRestoreStore();
   /// Restores the store from the copy of an earlier moment, then repeats what
@@ -48,6 +50,10 @@
   status restoreStore();
   result<fault_end> injectStoreLinkFault();
   result<fault_end> injectEndpointLinkFault();
+  result<fault_end> injectLinkFault(const std::string &Target, fault_kind Kind,
+                                    const std::string &LoggedTarget,
+                                    const std::string &Place,
+                                    fault_proxy &Link);
   result<fault_end> degradeEndpoint();
   result<fault_end> failService();
   /// An endpoint writes responses a second time, late, and may refuse some.
@@ -70,14 +76,12 @@
     return static_cast<link_fault>(1 + Random() % 4);
   }
   std::size_t randomEndpoint() { return Random() % EndpointCount; }
-  void print(const std::string &Text) const;
 
   soak_cluster &Cluster;
   std::mt19937_64 Random;
   /// Separate, so that the other faults of a seed stay as they were before
   /// restorations were added.
   std::mt19937_64 RestorationRandom;
-  const steady_time StartedAt;
   std::multimap<steady_time, fault_end> PendingEnds;
   /// Targets of active faults; a target has at most one at a time.
   std::set<std::string> ActiveTargets;
--- a/Tests/platform/Soak/main.cpp
+++ b/Tests/platform/Soak/main.cpp
@@ -1,5 +1,6 @@
 #include "LibClient/command_line.h"
 #include "Soak/caller_load.h"
+#include "Soak/disturbance_schedule.h"
 #include "Soak/fault_schedule.h"
 
 #include <algorithm>
@@ -29,7 +30,7 @@
   --logs=FOLDER   Where the processes' logs go [default: soak-logs]
 )";
 
-constexpr std::size_t Callers = 8;
+constexpr std::size_t Callers = 32;
 /// Bound from the end of the last fault until all requests are served again
 /// (`recovery_s`).
 constexpr milliseconds RecoveryBound{15000};
@@ -47,9 +48,7 @@
     for (const auto Kind :
          {request_kind::Lookup, request_kind::Booking, request_kind::Stream}) {
       while (true) {
-        const auto Record =
-            Load.sendRequest(Entry, Kind, SteadyAccount, connection_use::Fresh);
-        if (Record.Status == 200 && Record.IsWhole)
+        if (Load.isServed(Entry, Kind))
           break;
         if (std::chrono::steady_clock::now() >= GiveUpAt)
           return false;
@@ -79,13 +78,17 @@
                  "requests are not served after the start"};
   caller_load Load(Cluster, Seed);
   fault_schedule Schedule(Cluster, Seed);
+  disturbance_schedule Disturbances(Cluster, Seed);
   Load.start(Callers);
+  Disturbances.start();
   if (Settings.HasRollout)
     Cluster.orderRollout(RolloutTimeLimit);
   TRY_STATUS(Schedule.play(Settings.Faults));
+  Disturbances.keepToSilence();
   if (!serveAll(Probe, std::chrono::steady_clock::now() + RecoveryBound))
     Violations.push_back("requests are not served again after the last fault");
   TRY_STATUS(Schedule.restartOneByOne());
+  Disturbances.stop();
   if (Settings.HasRollout && !isRolloutDecided(Cluster))
     Violations.push_back("the roll-out has no outcome");
   History.Records = Load.stop();
@@ -135,28 +138,31 @@
   const std::string Folder = std::filesystem::absolute(*Line.text("--logs"));
   std::filesystem::create_directories(Folder);
   const auto Previous = Line.text("--previous");
-  auto Cluster = soak_cluster::create(
+  auto Created = soak_cluster::create(
       {std::filesystem::absolute(*Line.text("--product")),
        Previous ? std::filesystem::absolute(*Previous).string() : "", Folder,
        static_cast<int>(valueOf(Net))});
-  if (isError(Cluster)) {
-    std::cerr << errorOf(Cluster).Message << "\n";
+  if (isError(Created)) {
+    std::cerr << errorOf(Created).Message << "\n";
     return ExitFailure;
   }
+  soak_cluster &Cluster = *valueOf(Created);
   soak_history History;
   std::vector<std::string> Violations;
   const auto Played =
-      play(*valueOf(Cluster),
+      play(Cluster,
            {static_cast<std::uint64_t>(valueOf(Seed)),
             static_cast<std::size_t>(valueOf(Faults)), Previous.has_value()},
            History, Violations);
   if (isError(Played))
     Violations.push_back(errorOf(Played).Message);
   History.HasPreviousBuild = Previous.has_value();
-  History.Runs = valueOf(Cluster)->Runs.all();
-  History.Arrivals = valueOf(Cluster)->Runs.arrivals();
-  History.FaultIntervals = valueOf(Cluster)->FaultLog.all();
-  History.Ledger = readLedger(*valueOf(Cluster));
+  History.Runs = Cluster.Runs.all();
+  History.Arrivals = Cluster.Runs.arrivals();
+  History.FaultIntervals = Cluster.FaultLog.all();
+  History.Disturbances = Cluster.DisturbanceLog.all();
+  History.IdleLimits = Cluster.IdleLimits.all();
+  History.Ledger = readLedger(Cluster);
   printSummary(History);
   for (auto &Violation : findBrokenPromises(History))
     Violations.push_back(std::move(Violation));
--- a/Tests/platform/Soak/promise_check.cpp
+++ b/Tests/platform/Soak/promise_check.cpp
@@ -1,5 +1,6 @@
 #include "Soak/promise_check.h"
 
+#include "Soak/history_query.h"
 #include "Soak/soak_cluster.h"
 
 #include <algorithm>
@@ -11,40 +12,12 @@
 
 /// Delay that the caller threads of this program may add on a busy machine.
 constexpr milliseconds CallerSlack{1000};
-/// How long after its end a fault may still have effects: connections that it
-/// broke, leases that expired during it, and the duration of a planned stop.
-constexpr milliseconds FaultEffectTime{8000};
-
-/// The longest time from a request to the end of its connection, if a process
-/// that stops has not read it (`lost_ms`).
-constexpr milliseconds LostBound{200};
 /// How long an endpoint may go on with a stream that another one has taken
 /// over.
 constexpr milliseconds OverlapBound{400};
 
 using violations = std::vector<std::string>;
 
-std::string describe(const caller_record &Record) {
-  return Record.Id.text() + " at " + Record.Entry + ", status " +
-         std::to_string(Record.Status);
-}
-
-bool overlaps(const fault_interval &Fault, steady_time From, steady_time To) {
-  const auto End =
-      Fault.To == steady_time::max() ? Fault.To : Fault.To + FaultEffectTime;
-  return Fault.From <= To && From <= End;
-}
-
-bool hasOverlappingFault(
-    const soak_history &History, steady_time From, steady_time To,
-    const std::function<bool(const fault_interval &)> &Matches) {
-  return std::any_of(History.FaultIntervals.begin(),
-                     History.FaultIntervals.end(),
-                     [&](const fault_interval &Fault) {
-                       return Matches(Fault) && overlaps(Fault, From, To);
-                     });
-}
-
 std::string expectedBody(const caller_record &Record) {
   if (Record.Kind != request_kind::Stream)
     return responseText(Record.Id.text());
@@ -54,11 +27,6 @@
   return Body;
 }
 
-std::size_t runCount(const soak_history &History, const request_id &Id) {
-  auto Found = History.Runs.find(Id);
-  return Found == History.Runs.end() ? 0 : Found->second.size();
-}
-
 void checkAtMostOnce(const soak_history &History, violations &Violations) {
   for (const auto &Record : History.Records) {
     const std::size_t Count = runCount(History, Record.Id);
@@ -97,7 +65,7 @@
     if (Record.EndedAt - Record.SentAt <= Record.Deadline + CallerSlack)
       continue;
     const auto IsProcessFault = [&](const fault_interval &Fault) {
-      return Fault.Target == Record.Entry && Fault.Kind == fault_kind::Process;
+      return Fault.Target == Record.Entry && isProcessFault(Fault.Kind);
     };
     if (!hasOverlappingFault(History, Record.SentAt, Record.EndedAt,
                              IsProcessFault))
@@ -131,43 +99,12 @@
           continue;
         // The entry process that sent the request isn't known, so any
         // overlapping fault but a planned stop is an excuse.
-        const auto IsNotPlannedStop = [&](const fault_interval &Fault) {
-          return Fault.Kind != fault_kind::Stop;
-        };
         if (!hasOverlappingFault(History, DrainStart.At, Run.StartedAt,
-                                 IsNotPlannedStop))
+                                 isNotPlannedStop))
           Violations.push_back("sent to a draining endpoint: " + Id.text());
       }
 }
 
-/// Whether the request crossed the end of its connection as the process exited:
-/// it was not sent on, and the caller learned that at once.
-bool hasCrossedClose(const soak_history &History, const caller_record &Record) {
-  const auto IsStopOfEntry = [&](const fault_interval &Fault) {
-    return Fault.Kind == fault_kind::Stop && Fault.Target == Record.Entry;
-  };
-  return Record.Status == 0 && runCount(History, Record.Id) == 0 &&
-         Record.EndedAt - Record.SentAt <= LostBound &&
-         hasOverlappingFault(History, Record.SentAt, Record.EndedAt,
-                             IsStopOfEntry);
-}
-
-void checkInterruptions(const soak_history &History, violations &Violations) {
-  for (const auto &Record : History.Records) {
-    const bool IsInterrupted =
-        Record.MayHaveArrived &&
-        (Record.Status == 0 || (Record.Status == 200 && !Record.IsWhole));
-    if (!IsInterrupted || hasCrossedClose(History, Record))
-      continue;
-    const auto IsNotPlannedStop = [&](const fault_interval &Fault) {
-      return Fault.Kind != fault_kind::Stop;
-    };
-    if (!hasOverlappingFault(History, Record.SentAt, Record.EndedAt,
-                             IsNotPlannedStop))
-      Violations.push_back("interrupted without a fault: " + describe(Record));
-  }
-}
-
 std::size_t countWithin(const std::vector<steady_time> &Times,
                         steady_time From) {
   const auto First = std::lower_bound(Times.begin(), Times.end(), From);
@@ -212,12 +149,6 @@
   }
 }
 
-/// The fault target of the endpoint with this instance id.
-std::string targetOf(const std::string &Instance) {
-  const auto First = Instance.find('-') + 1;
-  return "endpoint " + Instance.substr(First, Instance.rfind('-') - First);
-}
-
 void checkOverlappingRuns(const soak_history &History, violations &Violations) {
   for (const auto &Record : History.Records) {
     const auto Found = History.Runs.find(Record.Id);
@@ -226,14 +157,25 @@
     const auto &Runs = Found->second;
     for (std::size_t Index = 1; Index < Runs.size(); ++Index) {
       const endpoint_run &Before = Runs[Index - 1];
-      const steady_time Until = Runs[Index].StartedAt + OverlapBound;
+      const endpoint_run &After = Runs[Index];
+      const steady_time Until = After.StartedAt + OverlapBound;
       // A link may hold back the begin of a run as well as its end.
       const auto IsExcuse = [&](const fault_interval &Fault) {
         return Fault.Target == targetOf(Before.Endpoint) ||
-               Fault.Target == targetOf(Runs[Index].Endpoint) ||
+               Fault.Target == targetOf(After.Endpoint) ||
                Fault.Target == Record.Entry;
       };
-      if (Before.EndedAt > Until &&
+      // A run that began after a standstill may have been left before it began.
+      const bool MayBeLeft =
+          awakeTime(History, After.Endpoint, Record.SentAt, After.StartedAt) <
+          After.StartedAt - Record.SentAt;
+      const steady_time EndedAt =
+          MayBeLeft ? std::min(Before.EndedAt, After.EndedAt) : Before.EndedAt;
+      // An endpoint that stands still doesn't work on it.
+      const bool IsOverlapping =
+          EndedAt > Until && awakeTime(History, Before.Endpoint,
+                                       After.StartedAt, EndedAt) > OverlapBound;
+      if (IsOverlapping &&
           !hasOverlappingFault(History, Before.StartedAt, Until, IsExcuse))
         Violations.push_back("a stream ran on two endpoints at once: " +
                              describe(Record));
@@ -241,21 +183,6 @@
   }
 }
 
-/// Whether the VM that got the request ran the earlier build, whose faults are
-/// not those of the build under test.
-bool wasSentToPreviousBuild(const soak_history &History,
-                            const caller_record &Record) {
-  if (!History.HasPreviousBuild)
-    return false;
-  const auto FirstStop = std::find_if(
-      History.FaultIntervals.begin(), History.FaultIntervals.end(),
-      [&](const fault_interval &Fault) {
-        return Fault.Kind == fault_kind::Stop && Fault.Target == Record.Entry;
-      });
-  return FirstStop == History.FaultIntervals.end() ||
-         Record.SentAt < FirstStop->To;
-}
-
 /// A request that could not be finished before a planned stop should have been
 /// refused before it was sent.
 void checkPlannedStops(const soak_history &History, violations &Violations) {
@@ -263,12 +190,9 @@
     const bool IsGivenUp = Record.Kind != request_kind::Stream &&
                            Record.Status == 502 &&
                            runCount(History, Record.Id) > 0;
-    const auto IsNotPlannedStop = [](const fault_interval &Fault) {
-      return Fault.Kind != fault_kind::Stop;
-    };
     if (IsGivenUp && !wasSentToPreviousBuild(History, Record) &&
         !hasOverlappingFault(History, Record.SentAt, Record.EndedAt,
-                             IsNotPlannedStop))
+                             isNotPlannedStop))
       Violations.push_back("given up after it was sent: " + describe(Record));
   }
 }
@@ -280,7 +204,7 @@
   for (const auto &Fault : History.FaultIntervals) {
     const bool IsLater = Fault.To >= Record.SentAt;
     const bool IsOfEntry = Fault.Target == Record.Entry;
-    if (Fault.Kind == fault_kind::Process && IsOfEntry && IsLater)
+    if (isProcessFault(Fault.Kind) && IsOfEntry && IsLater)
       return true;
     if (Fault.Kind != fault_kind::Stop || !IsOfEntry || !IsLater)
       continue;
@@ -321,12 +245,13 @@
   checkDeadlines(History, Violations);
   checkRevocations(History, Violations);
   checkDrains(History, Violations);
-  checkInterruptions(History, Violations);
   checkBills(History, Violations);
   for (const char *Service : {PlainService, EngineService})
     checkRetryBudget(History, Service, Violations);
   checkOverlappingRuns(History, Violations);
   checkPlannedStops(History, Violations);
+  for (auto &Violation : findMissingAnswers(History))
+    Violations.push_back(std::move(Violation));
   return Violations;
 }
 
--- a/Tests/platform/Soak/promise_check.h
+++ b/Tests/platform/Soak/promise_check.h
@@ -3,6 +3,7 @@
 #include "LibRelay/bill_journal.h"
 #include "Soak/caller_record.h"
 #include "Soak/fault_log.h"
+#include "Soak/idle_limit_history.h"
 #include "Soak/run_registry.h"
 
 namespace azurehaven::platform {
@@ -19,6 +20,9 @@
   std::map<request_id, std::vector<endpoint_run>> Runs;
   std::vector<endpoint_arrival> Arrivals;
   std::vector<fault_interval> FaultIntervals;
+  /// Standstills and stalls.
+  std::vector<fault_interval> Disturbances;
+  std::vector<written_limit> IdleLimits;
   /// Times right after a configuration without the key was written to the
   /// store.
   std::vector<timed_event> Revocations;
@@ -35,4 +39,9 @@
 /// Returns one line for each violation of a promise.
 std::vector<std::string> findBrokenPromises(const soak_history &History);
 
+/// One line for each request that ended without a whole response though nothing
+/// excuses that. Standstills, stalls, faults of the store and changes of the
+/// configuration are no excuse.
+std::vector<std::string> findMissingAnswers(const soak_history &History);
+
 } // namespace azurehaven::platform
--- a/Tests/platform/Soak/soak_cluster.cpp
+++ b/Tests/platform/Soak/soak_cluster.cpp
@@ -4,7 +4,9 @@
 
 #include <nlohmann/json.hpp>
 
+#include <csignal>
 #include <fstream>
+#include <iostream>
 
 namespace azurehaven::platform {
 
@@ -22,6 +24,7 @@
 constexpr std::uint16_t EndpointPort = 9100;
 /// Enough for all concurrent watches and streams of a soak run.
 constexpr std::size_t DoubleConnections = 2000;
+constexpr milliseconds ExitPollInterval{30};
 constexpr const char *Domains[] = {"a", "b", "c"};
 
 std::string domainOf(std::size_t Index) { return Domains[Index % 3]; }
@@ -49,8 +52,8 @@
 
 soak_cluster::soak_cluster(soak_settings InitialSettings)
     : Settings(std::move(InitialSettings)), Work(Loop.get_executor()),
-      Processes(Settings.Folder), EndpointStartCounts(EndpointCount),
-      EndpointReleases(EndpointCount, "v1") {}
+      EndpointStartCounts(EndpointCount), EndpointReleases(EndpointCount, "v1"),
+      Processes(Settings.Folder) {}
 
 soak_cluster::~soak_cluster() {
   // Makes pending watch calls of the store double return.
@@ -113,7 +116,7 @@
     EndpointLinks.push_back(std::move(Link));
     restartEndpoint(Index);
   }
-  writeConfiguration(true);
+  writeConfiguration(soak_configuration());
   for (std::size_t Index = 0; Index < EntryCount; ++Index) {
     TRY(auto Link,
         fault_proxy::listen(
@@ -159,13 +162,16 @@
 status soak_cluster::startEntry(std::size_t Index) {
   const bool IsFirstStart = StartedEntries.insert(Index).second;
   const bool IsPrevious = IsFirstStart && !Settings.PreviousProduct.empty();
-  TRY_STATUS(
-      Processes.start(entryName(Index),
-                      {"/usr/bin/env",
-                       "AZUREHAVEN_NODE_FILE=" + Settings.Folder + "/" +
-                           entryName(Index) + ".yaml",
-                       IsPrevious ? Settings.PreviousProduct : Settings.Product,
-                       "platform-entry"}));
+  {
+    std::lock_guard Lock(ProcessMutex);
+    TRY_STATUS(Processes.start(
+        entryName(Index),
+        {"/usr/bin/env",
+         "AZUREHAVEN_NODE_FILE=" + Settings.Folder + "/" + entryName(Index) +
+             ".yaml",
+         IsPrevious ? Settings.PreviousProduct : Settings.Product,
+         "platform-entry"}));
+  }
   // A signal that arrives before the program has installed its handlers ends
   // the process, so wait until the readiness port responds.
   return eventually([&]() -> status {
@@ -173,8 +179,11 @@
     Request.Path = "/v1/ready";
     const auto Outcome = pooled_http_transport().send(
         entryAddress(Index, ReadyPort), Request, {}, connection_use::Fresh);
-    if (std::holds_alternative<http_response>(Outcome))
+    if (std::holds_alternative<http_response>(Outcome)) {
+      std::lock_guard Lock(ProcessMutex);
+      ReadyEntries.insert(Index);
       return success{};
+    }
     return error{error_code::Unavailable, entryName(Index) + " did not start"};
   });
 }
@@ -215,6 +224,12 @@
       Endpoint->IsServiceFailing = IsFailing;
 }
 
+void soak_cluster::setRefused(const std::string &Service, std::size_t Percent) {
+  for (const auto &Endpoint : Endpoints)
+    if (Endpoint->service() == Service)
+      Endpoint->RefusedPercent = Percent;
+}
+
 void soak_cluster::orderRollout(milliseconds TimeLimit) {
   const std::size_t Target = EndpointCount - 1;
   unregisterEndpoint(Target);
@@ -236,11 +251,90 @@
   return {};
 }
 
-void soak_cluster::writeConfiguration(bool HasRevocableKey) {
-  json Stream = routeOf("stream", "streaming", "engines", 8000, 3);
+void soak_cluster::print(const std::string &Text) const {
+  const auto At = std::chrono::duration_cast<milliseconds>(
+      std::chrono::steady_clock::now() - StartedAt);
+  std::cout << std::to_string(At.count()) + " ms: " + Text + "\n" << std::flush;
+}
+
+status soak_cluster::signalEntry(std::size_t Index, int Signal) {
+  std::lock_guard Lock(ProcessMutex);
+  if (Signal == SIGSTOP)
+    PausedEntries.insert(Index);
+  else if (Signal == SIGCONT || Signal == SIGKILL)
+    PausedEntries.erase(Index);
+  if (Signal == SIGTERM || Signal == SIGKILL)
+    ReadyEntries.erase(Index);
+  return Processes.signal(entryName(Index), Signal);
+}
+
+result<int> soak_cluster::awaitEntryExit(std::size_t Index,
+                                         milliseconds Limit) {
+  const auto GiveUpAt = std::chrono::steady_clock::now() + Limit;
+  while (true) {
+    {
+      std::lock_guard Lock(ProcessMutex);
+      auto Exit = Processes.awaitExit(entryName(Index), milliseconds(1));
+      if (!isError(Exit) || std::chrono::steady_clock::now() >= GiveUpAt)
+        return Exit;
+    }
+    std::this_thread::sleep_for(ExitPollInterval);
+  }
+}
+
+void soak_cluster::stallEntries(const std::set<std::size_t> &Indexes,
+                                milliseconds Step) {
+  std::lock_guard Lock(ProcessMutex);
+  const auto SignalAll = [&](int Signal) {
+    for (const std::size_t Index : Indexes)
+      if (!PausedEntries.contains(Index) && ReadyEntries.contains(Index))
+        static_cast<void>(Processes.signal(entryName(Index), Signal));
+  };
+  SignalAll(SIGSTOP);
+  std::this_thread::sleep_for(Step);
+  SignalAll(SIGCONT);
+}
+
+void soak_cluster::reloadEntry(std::size_t Index) {
+  std::lock_guard Lock(ProcessMutex);
+  if (ReadyEntries.contains(Index))
+    static_cast<void>(Processes.signal(entryName(Index), SIGHUP));
+}
+
+void soak_cluster::setStandingStill(std::size_t Endpoint, bool StandsStill) {
+  Endpoints[Endpoint]->StandsStill = StandsStill;
+  EndpointLinks[Endpoint]->setHolding(StandsStill);
+}
+
+void soak_cluster::writeConfiguration(bool HasKey) {
+  std::lock_guard Lock(ConfigurationMutex);
+  HasRevocableKey = HasKey;
+  writeCurrentConfiguration();
+}
+
+void soak_cluster::writeConfiguration(const soak_configuration &Changed) {
+  std::lock_guard Lock(ConfigurationMutex);
+  Configuration = Changed;
+  IdleLimits.record(Configuration.IdleTimeout);
+  writeCurrentConfiguration();
+}
+
+void soak_cluster::writeCurrentConfiguration() {
+  const bool IsShort = Configuration.HasShortTimeouts;
+  const int PlainTimeout =
+      IsShort ? static_cast<int>(ShortestPlainTimeout.count()) : 4000;
+  json Stream = routeOf(
+      "stream", "streaming", "engines",
+      IsShort ? static_cast<int>(ShortestStreamTimeout.count()) : 8000, 3);
   Stream["resumable"] = true;
   Stream["gap_aim_ms"] = 2000;
   Stream["sizes"] = {SmallModel, LargeModel};
+  json Routes = {routeOf("lookup", "idempotent", "plain", PlainTimeout, 3),
+                 routeOf("booking", "non_idempotent", "plain", PlainTimeout, 2),
+                 Stream};
+  for (int Number = 0; Number < Configuration.FurtherRoutes; ++Number)
+    Routes.push_back(routeOf(("further-" + std::to_string(Number)).c_str(),
+                             "idempotent", "plain", 4000, 3));
   const json Models = {{{"name", SmallModel}, {"cost", 0.1}},
                        {{"name", LargeModel}, {"cost", 1.0}}};
   const json Engine = {
@@ -248,9 +342,12 @@
   Store.put(
       "op/config",
       json{{"version", ++ConfigurationVersion},
-           {"routes",
-            {routeOf("lookup", "idempotent", "plain", 4000, 3),
-             routeOf("booking", "non_idempotent", "plain", 4000, 2), Stream}},
+           {"limits",
+            {{"max_header_bytes", 16384},
+             {"max_body_bytes", 1 << 20},
+             {"header_timeout_ms", 5000},
+             {"idle_timeout_ms", Configuration.IdleTimeout.count()}}},
+           {"routes", Routes},
            {"services",
             {{{"name", "plain"}, {"max_conns", 500}},
              {{"name", "engines"}, {"max_conns", 500}, {"engine", Engine}}}},
