LibDispatch: Send nothing to a rolled-back release as the next is ordered

Cause: an order replaced the service's roll-out, and with it the only record that its target had been rolled back; any endpoint but the new target's was taken for one of the old release.

The controller now remembers the releases of a service that were rolled back, or rejected before their roll-back was published, and placement leaves them out until they are ordered again or completed. A VM that starts after the next order still knows nothing of it.

Three of the four new cases failed before: oldReleases() had the withdrawn release beside v1 (4 of 4 checks). The fourth, a release that was completed later, held and holds.

LibDispatchTests 153 of 153.

--- a/Libraries/LibDispatch/candidate_filter.cpp
+++ b/Libraries/LibDispatch/candidate_filter.cpp
@@ -10,14 +10,14 @@
 namespace {
 
 endpoint_list usableEndpoints(const endpoint_list &Endpoints,
-                              const std::string &Target, bool WantsTarget,
+                              const release_rule &Rule, bool WantsTarget,
                               steady_time Now) {
   endpoint_list Usable;
   std::copy_if(Endpoints.begin(), Endpoints.end(), std::back_inserter(Usable),
                [&](const auto &Endpoint) {
-                 return (Endpoint->Descriptor.Release == Target) ==
-                            WantsTarget &&
-                        Endpoint->isUsable(Now);
+                 const std::string &Release = Endpoint->Descriptor.Release;
+                 return (Release == Rule.Target) == WantsTarget &&
+                        !Rule.isWithdrawn(Release) && Endpoint->isUsable(Now);
                });
   return Usable;
 }
@@ -45,8 +45,7 @@
   if (Choice == release_choice::Any)
     return Endpoints;
   const bool WantsTarget = Choice == release_choice::Target;
-  endpoint_list Candidates =
-      usableEndpoints(Endpoints, Rule.Target, WantsTarget, Now);
+  endpoint_list Candidates = usableEndpoints(Endpoints, Rule, WantsTarget, Now);
   const bool IsOnTrial = Rule.Phase == rollout_phase::Trial ||
                          Rule.Phase == rollout_phase::Rejected;
   if (WantsTarget && IsOnTrial)
@@ -58,7 +57,7 @@
       WantsTarget || Rule.Phase == rollout_phase::Completed;
   if (!MayFallBack)
     return {};
-  return usableEndpoints(Endpoints, Rule.Target, !WantsTarget, Now);
+  return usableEndpoints(Endpoints, Rule, !WantsTarget, Now);
 }
 
 } // namespace azurehaven
--- a/Libraries/LibDispatch/release_rule.cpp
+++ b/Libraries/LibDispatch/release_rule.cpp
@@ -1,7 +1,15 @@
 #include "LibDispatch/release_rule.h"
 
+#include <algorithm>
+
 namespace azurehaven {
 
+bool release_rule::isWithdrawn(const std::string &Release) const {
+  // The outcome of an earlier roll-out of the target may arrive late.
+  return Release != Target && std::find(Withdrawn.begin(), Withdrawn.end(),
+                                        Release) != Withdrawn.end();
+}
+
 const char *nameOf(rollout_phase Phase) {
   switch (Phase) {
   case rollout_phase::None:
--- a/Libraries/LibDispatch/release_rule.h
+++ b/Libraries/LibDispatch/release_rule.h
@@ -4,6 +4,7 @@
 
 #include <optional>
 #include <string>
+#include <vector>
 
 namespace azurehaven {
 
@@ -37,12 +38,15 @@
   bool PinsSessions = false;
   /// When the roll-out began.
   steady_time Since{};
+  /// Releases that were rolled back before; they get no requests.
+  std::vector<std::string> Withdrawn{};
 
   /// Fraction of the requests that go to the target, apart from those of
   /// sessions that keep their release.
   double targetShare() const {
     return TrialShare + (1 - TrialShare) * ShiftedShare;
   }
+  bool isWithdrawn(const std::string &Release) const;
 };
 
 /// The phase's name in logs.
--- a/Libraries/LibDispatch/rollout_controller.cpp
+++ b/Libraries/LibDispatch/rollout_controller.cpp
@@ -13,6 +13,15 @@
 /// An outcome that another VM has told of is read from the store within this
 /// time, unless the store has lost it.
 constexpr milliseconds OutcomeArrivalTime{3000};
+/// The endpoints of a release leave soon after its roll-back: those of earlier
+/// ones are gone.
+constexpr std::size_t MaximumWithdrawn = 16;
+
+/// A rejected target may be replaced before its roll-back is published.
+bool wasRolledBack(const rollout_agreement &Agreement) {
+  return Agreement.Outcome ? *Agreement.Outcome == rollout_outcome::RolledBack
+                           : Agreement.IsRejected;
+}
 
 } // namespace
 
@@ -45,8 +54,14 @@
         Rollout.renewOrder(Order.Revision);
       return applyPublishedOutcome(Known->second);
     }
+    const std::string Replaced = Rollout.order().Target;
+    if (wasRolledBack(Rollout.agreement()))
+      withdraw(Order.Service, Replaced);
+    else
+      reinstate(Order.Service, Replaced);
     Rollouts.erase(Known);
   }
+  reinstate(Order.Service, Order.Target);
   const start_source Source =
       Elapsed ? start_source::Estimated : start_source::Observed;
   auto &Tracked =
@@ -77,6 +92,10 @@
   if (Latest.Revision >= Revision)
     return;
   Latest = {Target, Outcome, Revision};
+  if (Outcome == rollout_outcome::RolledBack)
+    withdraw(Service, Target);
+  if (Outcome == rollout_outcome::Completed)
+    reinstate(Service, Target);
   auto Found = Rollouts.find(Service);
   if (Found != Rollouts.end())
     applyPublishedOutcome(Found->second);
@@ -126,8 +145,27 @@
                                          const std::string &Route,
                                          steady_time Now) const {
   auto Found = Rollouts.find(Service);
-  return Found == Rollouts.end() ? release_rule()
-                                 : Found->second.Rollout.rule(Route, Now);
+  if (Found == Rollouts.end())
+    return release_rule();
+  release_rule Rule = Found->second.Rollout.rule(Route, Now);
+  const auto Known = Withdrawn.find(Service);
+  if (Known != Withdrawn.end())
+    Rule.Withdrawn = Known->second;
+  return Rule;
+}
+
+void rollout_controller::withdraw(const service_id &Service,
+                                  const std::string &Release) {
+  reinstate(Service, Release);
+  std::vector<std::string> &Releases = Withdrawn[Service];
+  if (Releases.size() == MaximumWithdrawn)
+    Releases.erase(Releases.begin());
+  Releases.push_back(Release);
+}
+
+void rollout_controller::reinstate(const service_id &Service,
+                                   const std::string &Release) {
+  std::erase(Withdrawn[Service], Release);
 }
 
 void rollout_controller::judge(const release_statistics &Statistics,
--- a/Libraries/LibDispatch/rollout_controller.h
+++ b/Libraries/LibDispatch/rollout_controller.h
@@ -101,12 +101,18 @@
   static bool isRepeated(const rollout &Rollout, const rollout_order &Order,
                          order_origin Origin);
   void applyPublishedOutcome(tracked_rollout &Tracked);
+  /// Remembers that the release was rolled back.
+  void withdraw(const service_id &Service, const std::string &Release);
+  /// The release is ordered anew, or has been completed.
+  void reinstate(const service_id &Service, const std::string &Release);
   bool needsUpdate(const tracked_rollout &Tracked, rollout_outcome Wanted,
                    steady_time Now) const;
 
   exposure_limits Exposure;
   std::map<service_id, tracked_rollout> Rollouts;
   std::map<service_id, published_outcome> LatestOutcomes;
+  /// Releases that were rolled back, the latest last.
+  std::map<service_id, std::vector<std::string>> Withdrawn;
   bool HasNews = false;
 };
 
--- a/Tests/LibDispatch/rollout_controller_test.cpp
+++ b/Tests/LibDispatch/rollout_controller_test.cpp
@@ -3,6 +3,8 @@
 
 #include <doctest/doctest.h>
 
+#include <set>
+
 using namespace azurehaven;
 
 namespace {
@@ -291,3 +293,80 @@
   Controller.judge(Statistics, {}, Start + Later);
   CHECK(dueOutcomeAt(Controller, Later) == rollout_outcome::Completed);
 }
+
+namespace {
+
+/// One usable endpoint of each of these releases.
+endpoint_list endpointsOf(const std::vector<std::string> &Releases) {
+  endpoint_list Endpoints;
+  for (const std::string &Release : Releases) {
+    Endpoints.push_back(std::make_shared<endpoint_record>());
+    Endpoints.back()->Descriptor.Id = endpoint_id(Release);
+    Endpoints.back()->Descriptor.Release = Release;
+  }
+  return Endpoints;
+}
+
+/// The releases that requests outside the trial may go to.
+std::set<std::string> oldReleases(const rollout_controller &Controller,
+                                  const std::vector<std::string> &Releases) {
+  std::set<std::string> Allowed;
+  for (const auto &Endpoint :
+       candidatesFor(endpointsOf(Releases), Controller.ruleFor(Service, Start),
+                     release_choice::NotTarget, Start))
+    Allowed.insert(Endpoint->Descriptor.Release);
+  return Allowed;
+}
+
+} // namespace
+
+TEST_CASE("A release that was rolled back gets no requests as the next one is "
+          "ordered") {
+  rollout_controller Controller = controllerWithOrder();
+  Controller.onOutcome(Service, "v2", rollout_outcome::RolledBack, at(12));
+  Controller.onOrder({Service, "v3", TimeLimit, at(20)}, order_origin::Written,
+                     std::nullopt, Start);
+  CHECK(oldReleases(Controller, {"v1", "v2", "v3"}) ==
+        std::set<std::string>{"v1"});
+  Controller.onOutcome(Service, "v3", rollout_outcome::RolledBack, at(22));
+  Controller.onOrder({Service, "v4", TimeLimit, at(30)}, order_origin::Written,
+                     std::nullopt, Start);
+  CHECK(oldReleases(Controller, {"v1", "v2", "v3", "v4"}) ==
+        std::set<std::string>{"v1"});
+}
+
+TEST_CASE("A release that was rejected gets no requests as the next one is "
+          "ordered, though its roll-back was not published") {
+  rollout_controller Controller = controllerWithOrder();
+  release_statistics Statistics;
+  Controller.judge(Statistics, {}, Start);
+  Statistics.addLocal({Service, "v2", "r"}, {10, 9, 0, 10});
+  Controller.judge(Statistics, {}, Start);
+  REQUIRE(Controller.ruleFor(Service, Start).Phase == rollout_phase::Rejected);
+  Controller.onOrder({Service, "v3", TimeLimit, at(20)}, order_origin::Written,
+                     std::nullopt, Start);
+  CHECK(oldReleases(Controller, {"v1", "v2", "v3"}) ==
+        std::set<std::string>{"v1"});
+}
+
+TEST_CASE("A VM that has read a roll-back but not its order sends no requests "
+          "to that release as the next one is ordered") {
+  rollout_controller Controller({0.15, 0});
+  Controller.onOutcome(Service, "v2", rollout_outcome::RolledBack, at(12));
+  Controller.onOrder({Service, "v3", TimeLimit, at(20)}, order_origin::Written,
+                     std::nullopt, Start);
+  CHECK(oldReleases(Controller, {"v1", "v2", "v3"}) ==
+        std::set<std::string>{"v1"});
+}
+
+TEST_CASE("A release that was rolled back once and completed later gets "
+          "requests as the next one is ordered") {
+  rollout_controller Controller = controllerWithOrder();
+  Controller.onOutcome(Service, "v2", rollout_outcome::RolledBack, at(12));
+  Controller.onOrder({Service, "v2", TimeLimit, at(20)}, order_origin::Written,
+                     std::nullopt, Start);
+  Controller.onOutcome(Service, "v2", rollout_outcome::Completed, at(22));
+  Controller.onOrder({Service, "v3", TimeLimit, at(30)}, order_origin::Written,
+                     std::nullopt, Start);
+  CHECK(oldReleases(Controller, {"v2", "v3"}) == std::set<std::string>{"v2"});
+}
