LibRelay: Count silence against a release only if the engine does not go on

What callers saw: nothing yet; found by a test. One engine of a release that stands still for a second counted as a failed attempt at once on each VM that had a request there. Four failures are enough to roll a good release back where few requests ran on it.

Change: the failure of an engine that did not report when it was given up waits with the unconfirmed crash. It counts if the process start ended or the engine stays silent for ten seconds, also where the request got its response elsewhere meanwhile, and not if the engine goes on. An engine that reports and does not run the request counts at once, as before.

--- a/Libraries/LibRelay/attempt_observations.cpp
+++ b/Libraries/LibRelay/attempt_observations.cpp
@@ -109,14 +109,24 @@
                                                  steady_time Now) {
   // Another VM tells nothing of endpoints, and a lost path nothing of releases.
   const bool IsPathLost = Fleet.Paths.isLost(Admitted.Service);
+  std::optional<release_key> FailedRelease;
   if (IsForwarded || IsPathLost)
     Recorder.drop();
-  else if (recordCrash(*Endpoint, Now))
-    Recorder.record(/*HasFailed=*/true, Now);
+  else if (recordCrash(*Endpoint, Now)) {
+    // An engine that does not report may go on.
+    if (Failure == attempt_failure::Unresponsive &&
+        Endpoint->FailedInspections > 0) {
+      Recorder.drop();
+      FailedRelease = {Endpoint->Descriptor.Service,
+                       Endpoint->Descriptor.Release, Admitted.Route->Name};
+    } else {
+      Recorder.record(/*HasFailed=*/true, Now);
+    }
+  }
   if (const char *Reason = reasonNotToCount(Failure, IsPathLost))
     return Crashes.recordUncounted(Reason);
   if (Failure == attempt_failure::Unresponsive)
-    return Crashes.recordUnresponsive(Now);
+    return Crashes.recordUnresponsive(std::move(FailedRelease), Now);
   Crashes.recordCrash(Now);
 }
 
--- a/Libraries/LibRelay/crash_confirmation.cpp
+++ b/Libraries/LibRelay/crash_confirmation.cpp
@@ -25,6 +25,8 @@
   bool IsCrash = false;
   /// The evidence or the reason not to count it.
   const char *Reason = nullptr;
+  /// Whether the attempt failed for want of the endpoint.
+  bool HasFailed = IsCrash;
 };
 
 /// Follows the entry of the process start. Its record is a new one if the entry
@@ -81,7 +83,7 @@
   if (isGone(Crash, Now))
     return crash_verdict{true, "unlisted"};
   if (Now - Crash.Observed.At >= EvidenceTime)
-    return crash_verdict{false, "no_evidence"};
+    return crash_verdict{false, "no_evidence", /*HasFailed=*/true};
   return std::nullopt;
 }
 
@@ -89,10 +91,13 @@
             const unconfirmed_crash &Crash, crash_verdict Verdict,
             steady_time Now) {
   const observed_crash &Observed = Crash.Observed;
-  if (Verdict.IsCrash)
+  if (Crash.FailedRelease && Verdict.HasFailed)
+    Fleet.ReleaseStatistics.addLocal(*Crash.FailedRelease,
+                                     {.Requests = 1, .Failures = 1});
+  if (Verdict.IsCrash && !Crash.IsRequestSound)
     return countCrash(Fleet, Log, Observed, Verdict.Reason, Now);
   logUncountedCrash(Log, Observed.Request, Observed.ProcessStart,
-                    Verdict.Reason);
+                    Verdict.IsCrash ? "request_sound" : Verdict.Reason);
   // All requests on the engine gave up at once, each as one more failure.
   if (hasGoneOn(Crash))
     endEjection(*Crash.Endpoint, Now);
--- a/Libraries/LibRelay/crash_recorder.cpp
+++ b/Libraries/LibRelay/crash_recorder.cpp
@@ -32,8 +32,11 @@
 
 void crash_recorder::onComplete(steady_time Now) {
   Fleet.Quarantine.clear(Admitted.Fingerprint);
-  std::erase_if(Fleet.UnconfirmedCrashes, [&](const unconfirmed_crash &Crash) {
-    return Crash.Observed.Fingerprint == Admitted.Fingerprint;
+  std::erase_if(Fleet.UnconfirmedCrashes, [&](unconfirmed_crash &Crash) {
+    if (Crash.Observed.Fingerprint != Admitted.Fingerprint)
+      return false;
+    Crash.IsRequestSound = true;
+    return !Crash.FailedRelease;
   });
   clearSegments(Now);
 }
@@ -70,7 +73,8 @@
   countCrash(Fleet, Log, observedAt(Now), "connection_ended", Now);
 }
 
-void crash_recorder::recordUnresponsive(steady_time Now) {
+void crash_recorder::recordUnresponsive(
+    std::optional<release_key> FailedRelease, steady_time Now) {
   if (Fleet.UnconfirmedCrashes.size() >= MaximumUnconfirmed)
     return recordUncounted("too_many");
   unconfirmed_crash Crash{
@@ -78,6 +82,7 @@
       {Endpoint.Id, Endpoint.Incarnation},
       Fleet.Endpoints.findProcessStart(processStartId(Endpoint))};
   Crash.IsLeaving = Crash.Endpoint && Crash.Endpoint->Descriptor.IsLeaving;
+  Crash.FailedRelease = std::move(FailedRelease);
   Fleet.UnconfirmedCrashes.push_back(std::move(Crash));
 }
 
--- a/Libraries/LibRelay/crash_recorder.h
+++ b/Libraries/LibRelay/crash_recorder.h
@@ -26,7 +26,9 @@
   void recordCrash(steady_time Now);
   /// Records that nothing comes from the endpoint any more. It is a crash if
   /// its process start has ended; see confirmCrashes().
-  void recordUnresponsive(steady_time Now);
+  /// FailedRelease: the release that the attempt tells against then, if any.
+  void recordUnresponsive(std::optional<release_key> FailedRelease,
+                          steady_time Now);
   /// Logs why an attempt without a valid response is no crash of the endpoint.
   void recordUncounted(const char *Reason) const;
 
--- a/Libraries/LibRelay/unconfirmed_crash.h
+++ b/Libraries/LibRelay/unconfirmed_crash.h
@@ -2,6 +2,7 @@
 
 #include "LibDispatch/endpoint_registry.h"
 #include "LibDispatch/observed_crash.h"
+#include "LibDispatch/release_statistics.h"
 
 #include <memory>
 #include <optional>
@@ -17,6 +18,12 @@
   std::shared_ptr<endpoint_record> Endpoint;
   /// Whether it has said that it is leaving.
   bool IsLeaving = false;
+  /// The release of which this is a failed attempt unless the endpoint goes on;
+  /// nullopt if that is counted already.
+  std::optional<release_key> FailedRelease{};
+  /// Whether the request got its response elsewhere, so that it is not to
+  /// blame.
+  bool IsRequestSound = false;
   /// Since when it has not been listed.
   std::optional<steady_time> UnlistedSince{};
 };
--- a/Tests/LibRelay/silent_engine_test.cpp
+++ b/Tests/LibRelay/silent_engine_test.cpp
@@ -257,3 +257,31 @@
   CHECK(Fleet.unconfirmed(0) <= 4096);
   CHECK(Fleet.logged("endpoint_crash_not_counted", "too_many") > 0);
 }
+
+TEST_CASE("An engine that stands still for a second does not tell against its "
+          "release, and one whose process start ended does") {
+  for (const bool HasEnded : {false, true}) {
+    CAPTURE(HasEnded);
+    silent_fleet Fleet(VmCount, EngineCount);
+    Fleet.setCondition(0, engine_condition::Silent);
+    Fleet.pass(milliseconds(1000));
+    for (std::size_t Vm = 0; Vm < VmCount; ++Vm)
+      Fleet.giveUpAndComplete(Vm, 0, silentRequest(Vm));
+    if (HasEnded)
+      Fleet.restart(0);
+    else
+      Fleet.setCondition(0, engine_condition::Running);
+    Fleet.pass(DiscoveryTime);
+    CHECK(Fleet.releaseFailures(0) == (HasEnded ? VmCount : 0));
+    // The request was not to blame: it got its response elsewhere.
+    checkNothingCounted(Fleet);
+  }
+}
+
+TEST_CASE("An engine that stays silent tells against its release") {
+  silent_fleet Fleet(VmCount, EngineCount);
+  Fleet.setCondition(0, engine_condition::Silent);
+  Fleet.giveUpAndComplete(0, 0, silentRequest(7));
+  Fleet.pass(SettlingTime);
+  CHECK(Fleet.releaseFailures(0) == 1);
+}
--- a/Tests/LibRelay/silent_fleet.cpp
+++ b/Tests/LibRelay/silent_fleet.cpp
@@ -111,6 +111,9 @@
     return Vms[Vm]->Fleet.Endpoints.find(Engines[Engine].Descriptor.Id);
   }
   void step();
+  /// IsCompleted: whether the request gets its response elsewhere.
+  void giveUp(std::size_t Vm, std::size_t Engine,
+              const admitted_request &Request, bool IsCompleted);
 
   test_clock Clock;
   asio::io_context Loop;
@@ -197,6 +200,26 @@
     }
 }
 
+void silent_fleet::implementation::giveUp(std::size_t Vm, std::size_t Engine,
+                                          const admitted_request &Request,
+                                          bool IsCompleted) {
+  admitted_request Admitted = Request;
+  Admitted.Route = &Route;
+  simulated_vm &Holder = *Vms[Vm];
+  const auto Endpoint = record(Vm, Engine);
+  Endpoint->FailedInspections = 2;
+  attempt_observations Observed(Holder.Fleet, Holder.Log, Admitted);
+  Observed.onSent(Endpoint, model_id(), std::nullopt, 0, 0, Clock.Now);
+  Observed.onHead(/*IsSuccess=*/true, Clock.Now);
+  Observed.onFailed(attempt_failure::Unresponsive, Clock.Now);
+  if (!IsCompleted)
+    return;
+  const std::size_t Other = (Engine + 1) % Engines.size();
+  Observed.onSent(record(Vm, Other), model_id(), std::nullopt, 0, 0, Clock.Now);
+  Observed.onHead(/*IsSuccess=*/true, Clock.Now);
+  Observed.onComplete(Clock.Now);
+}
+
 silent_fleet::silent_fleet(std::size_t VmCount, std::size_t EngineCount)
     : Implementation(std::make_unique<implementation>(VmCount, EngineCount)) {}
 
@@ -259,15 +282,12 @@
 
 void silent_fleet::giveUp(std::size_t Vm, std::size_t Engine,
                           const admitted_request &Request) {
-  admitted_request Admitted = Request;
-  Admitted.Route = &Implementation->Route;
-  auto &Holder = *Implementation->Vms[Vm];
-  attempt_observations Observed(Holder.Fleet, Holder.Log, Admitted);
-  const steady_time Now = Implementation->Clock.Now;
-  Observed.onSent(Implementation->record(Vm, Engine), model_id(), std::nullopt,
-                  0, 0, Now);
-  Observed.onHead(/*IsSuccess=*/true, Now);
-  Observed.onFailed(attempt_failure::Unresponsive, Now);
+  Implementation->giveUp(Vm, Engine, Request, /*IsCompleted=*/false);
+}
+
+void silent_fleet::giveUpAndComplete(std::size_t Vm, std::size_t Engine,
+                                     const admitted_request &Request) {
+  Implementation->giveUp(Vm, Engine, Request, /*IsCompleted=*/true);
 }
 
 void silent_fleet::receive(std::size_t Vm, std::size_t Engine) {
@@ -306,6 +326,12 @@
   return Count;
 }
 
+std::size_t silent_fleet::releaseFailures(std::size_t Vm) const {
+  return Implementation->Vms[Vm]
+      ->Fleet.ReleaseStatistics.countsOf(Service)
+      .Failures;
+}
+
 std::size_t silent_fleet::unconfirmed(std::size_t Vm) const {
   return Implementation->Vms[Vm]->Fleet.UnconfirmedCrashes.size();
 }
--- a/Tests/LibRelay/silent_fleet.h
+++ b/Tests/LibRelay/silent_fleet.h
@@ -42,6 +42,9 @@
   /// up because nothing comes any more.
   void giveUp(std::size_t Vm, std::size_t Engine,
               const admitted_request &Request);
+  /// The same, and the request gets its response elsewhere.
+  void giveUpAndComplete(std::size_t Vm, std::size_t Engine,
+                         const admitted_request &Request);
   /// Bytes of another response come from the engine.
   void receive(std::size_t Vm, std::size_t Engine);
   void pass(milliseconds Time);
@@ -53,6 +56,8 @@
   /// Lines of this event, with this reason if one is given, on all VMs.
   std::size_t logged(const std::string &Event,
                      const std::string &Reason = {}) const;
+  /// Failed attempts of the engines' release that the VM knows.
+  std::size_t releaseFailures(std::size_t Vm) const;
   std::size_t unconfirmed(std::size_t Vm) const;
   /// Whether the VM sends new requests to the engine.
   bool isUsable(std::size_t Vm, std::size_t Engine) const;
