LibRelay: Compare late heads of uncached prompts with other uncached ones

Cause, by the log: the last six requests of the trial waited 3 to 5 s for their heads, those before them 0.05 to 0.6 s. Their prompts were not cached, so that their heads count only beyond the route's objective, and then they were compared with the heads of cached prompts, of which this site knows too few on most routes (usual_head_ms unknown). None counted; the shift came with 7 requests known, none slow.

The heads of uncached prompts now have a baseline of their own, used where that of cached prompts has too few samples.

--- a/Libraries/LibRelay/attempt_recorder.cpp
+++ b/Libraries/LibRelay/attempt_recorder.cpp
@@ -40,10 +40,19 @@
   return Latency;
 }
 
+const latency_baseline &attempt_recorder::headBaseline() const {
+  // On a route whose prompts are hardly ever cached, only those that were not
+  // tell what is usual.
+  const bool IsKnown = IsPromptCached || Fleet.HeadLatencyBaseline.meanMs(
+                                             Admitted.Route->Name, Model);
+  return IsKnown ? Fleet.HeadLatencyBaseline
+                 : Fleet.UncachedHeadLatencyBaseline;
+}
+
 bool attempt_recorder::isSlow(const response_latency &Latency) const {
   const std::string &Route = Admitted.Route->Name;
   return (Latency.HeadMs &&
-          Fleet.HeadLatencyBaseline.isSlow(Route, Model, *Latency.HeadMs)) ||
+          headBaseline().isSlow(Route, Model, *Latency.HeadMs)) ||
          (Latency.BodyMs &&
           Fleet.LatencyBaseline.isSlow(Route, Model, *Latency.BodyMs));
 }
@@ -58,8 +67,7 @@
        {"release", Endpoint.Release},
        {"model", Model.text()},
        {"head_ms", textOf(Latency.HeadMs)},
-       {"usual_head_ms",
-        textOf(Fleet.HeadLatencyBaseline.meanMs(Route, Model))},
+       {"usual_head_ms", textOf(headBaseline().meanMs(Route, Model))},
        {"body_ms", textOf(Latency.BodyMs)},
        {"usual_body_ms", textOf(Fleet.LatencyBaseline.meanMs(Route, Model))}});
 }
@@ -73,8 +81,9 @@
   if (!IsRunning)
     return;
   IsRunning = false;
-  const response_latency Latency = comparable(
-      Timing.latency(Admitted.Route->Kind, HasFailed, EventCount, Now));
+  const response_latency Full =
+      Timing.latency(Admitted.Route->Kind, HasFailed, EventCount, Now);
+  const response_latency Latency = comparable(Full);
   release_counts Counts;
   Counts.Failures = HasFailed;
   if (!IsCounted) {
@@ -84,6 +93,10 @@
       logSlow(Latency);
   }
   add(Counts);
+  learn(Full, Now);
+}
+
+void attempt_recorder::learn(const response_latency &Latency, steady_time Now) {
   // A release that is being rolled out does not change the baseline.
   const release_rule Rule = Fleet.Rollouts.ruleFor(Endpoint.Service, Now);
   if (Rule.Phase != rollout_phase::None && Endpoint.Release == Rule.Target)
@@ -91,6 +104,8 @@
   const std::string &Route = Admitted.Route->Name;
   if (Latency.HeadMs && IsPromptCached)
     Fleet.HeadLatencyBaseline.add(Route, Model, *Latency.HeadMs);
+  if (Latency.HeadMs && !IsPromptCached)
+    Fleet.UncachedHeadLatencyBaseline.add(Route, Model, *Latency.HeadMs);
   if (Latency.BodyMs)
     Fleet.LatencyBaseline.add(Route, Model, *Latency.BodyMs);
 }
--- a/Libraries/LibRelay/attempt_recorder.h
+++ b/Libraries/LibRelay/attempt_recorder.h
@@ -40,7 +40,11 @@
 private:
   /// The latency without what can't be compared with other attempts.
   response_latency comparable(response_latency Latency) const;
+  /// What the time to the head is compared with.
+  const latency_baseline &headBaseline() const;
   bool isSlow(const response_latency &Latency) const;
+  /// Adds the latency of a response to what is usual.
+  void learn(const response_latency &Latency, steady_time Now);
   void logSlow(const response_latency &Latency) const;
   void add(const release_counts &Counts);
 
--- a/Libraries/LibRelay/fleet_state.h
+++ b/Libraries/LibRelay/fleet_state.h
@@ -48,8 +48,11 @@
   release_statistics ReleaseStatistics{};
   /// Times between events of a stream, or total times of plain responses.
   latency_baseline LatencyBaseline{};
-  /// Times from the sent request to the head of a stream.
+  /// Times from the sent request to the head of a stream, where the prompt was
+  /// cached.
   latency_baseline HeadLatencyBaseline{};
+  /// The same, where it was not.
+  latency_baseline UncachedHeadLatencyBaseline{};
   prefill_time_estimator PrefillTimes{};
   bool IsStopping = false;
   steady_time StoppingSince{};
