Soak: Check keys and drains by the time of sending, record what a caller saw once

The rule counts requests sent later than revoke_ms. The time for which an endpoint stood still after the sending is now left out of the start of its run, for keys and drains; without a standstill both checks are as before.

Also: caller_record holds the result of the exchange instead of a copy of each field, the log of stalls that no check read is gone, the switches of a link are set directly.

--- a/Tests/platform/Soak/caller_load.cpp
+++ b/Tests/platform/Soak/caller_load.cpp
@@ -97,8 +97,9 @@
     if (IsKept)
       Record.Rested = std::chrono::duration_cast<milliseconds>(
           Record.SentAt - Kept.RestingSince);
-    const bool IsReusable = exchange(*Kept.Connection, Record, BodyBytes);
+    exchange(*Kept.Connection, Record, BodyBytes);
     Kept.RestingSince = Record.EndedAt;
+    const bool IsReusable = Record.IsReusable;
     const bool IsSuccessful = Record.Status == 200;
     {
       std::lock_guard Lock(Mutex);
@@ -162,7 +163,7 @@
   return Record;
 }
 
-bool caller_load::exchange(kept_connection &Connection, caller_record &Record,
+void caller_load::exchange(kept_connection &Connection, caller_record &Record,
                            std::size_t BodyBytes) const {
   const bool IsLookup = Record.Kind == request_kind::Lookup;
   std::string Text = IsLookup ? "GET " : "POST ";
@@ -182,15 +183,9 @@
   Text += "\r\n";
   if (!IsLookup)
     Text += std::string(BodyBytes, 'b');
-  kept_exchange Exchange = Connection.exchange(
+  static_cast<kept_exchange &>(Record) = Connection.exchange(
       Text, Record.SentAt + Record.Deadline + WaitAfterDeadline);
   Record.EndedAt = now();
-  Record.Status = Exchange.Status;
-  Record.Body = std::move(Exchange.Body);
-  Record.IsWhole = Exchange.IsResponseWhole;
-  Record.IsSentWhole = Exchange.IsSentWhole;
-  Record.HasCallerLeft = Exchange.HasCallerLeft;
-  return Exchange.IsReusable;
 }
 
 bool caller_load::isServed(std::size_t Entry, request_kind Kind) {
--- a/Tests/platform/Soak/caller_load.h
+++ b/Tests/platform/Soak/caller_load.h
@@ -41,9 +41,7 @@
   milliseconds longestRest(steady_time Since) const;
   caller_record makeRecord(std::size_t Entry, request_kind Kind,
                            const std::string &Account);
-  /// Sends the request and waits for the response; returns whether the
-  /// connection can carry another one.
-  bool exchange(kept_connection &Connection, caller_record &Record,
+  void exchange(kept_connection &Connection, caller_record &Record,
                 std::size_t BodyBytes) const;
 
   const soak_cluster &Cluster;
--- a/Tests/platform/Soak/disturbance_schedule.cpp
+++ b/Tests/platform/Soak/disturbance_schedule.cpp
@@ -102,11 +102,11 @@
   Cluster.print(Name + " stands still for " + std::to_string(Length.count()) +
                 " ms");
   const auto Interval =
-      Cluster.DisturbanceLog.startInterval(fault_kind::Standstill, Name);
+      Cluster.StandstillLog.startInterval(fault_kind::Standstill, Name);
   Cluster.setStandingStill(Endpoint, true);
   after(Length, [=, this] {
     Cluster.setStandingStill(Endpoint, false);
-    Cluster.DisturbanceLog.endInterval(Interval);
+    Cluster.StandstillLog.endInterval(Interval);
     StillEndpoints.erase(Endpoint);
   });
 }
@@ -136,20 +136,17 @@
   Cluster.print("stall " + std::to_string(Entries.size()) +
                 " entry processes for " + std::to_string(Length.count()) +
                 " ms");
-  const auto Interval =
-      Cluster.DisturbanceLog.startInterval(fault_kind::Stall, "");
-  stallStep(Entries, now() + Length, Interval);
+  stallStep(Entries, now() + Length);
 }
 
 void disturbance_schedule::stallStep(const std::set<std::size_t> &Entries,
-                                     steady_time Until, std::size_t Interval) {
+                                     steady_time Until) {
   if (now() >= Until || IsStopping || IsCalm) {
-    Cluster.DisturbanceLog.endInterval(Interval);
     IsStalling = false;
     return;
   }
   Cluster.stallEntries(Entries, StallStep);
-  after(RunStep, [=, this] { stallStep(Entries, Until, Interval); });
+  after(RunStep, [=, this] { stallStep(Entries, Until); });
 }
 
 void disturbance_schedule::changeLimits() {
--- a/Tests/platform/Soak/disturbance_schedule.h
+++ b/Tests/platform/Soak/disturbance_schedule.h
@@ -33,8 +33,7 @@
   /// All endpoints of a service refuse some requests.
   void refuseSome();
   void stallEntries();
-  void stallStep(const std::set<std::size_t> &Entries, steady_time Until,
-                 std::size_t Interval);
+  void stallStep(const std::set<std::size_t> &Entries, steady_time Until);
   void changeLimits();
   void changeInStorm();
   void reloadEntry();
--- a/Tests/platform/Soak/fault_log.h
+++ b/Tests/platform/Soak/fault_log.h
@@ -22,8 +22,6 @@
   Endpoint,
   /// An endpoint neither reads nor writes. No fault: it goes on.
   Standstill,
-  /// Entry processes run in short steps. No fault.
-  Stall,
 };
 
 /// Whether the entry process itself was killed or paused.
--- a/Tests/platform/Soak/fault_proxy.h
+++ b/Tests/platform/Soak/fault_proxy.h
@@ -26,24 +26,22 @@
   RepeatResponses,
 };
 
-/// The faults of one link.
+/// The faults of one link; may be changed from any thread.
 struct link_condition {
   std::atomic<link_fault> Fault = link_fault::None;
+  /// While held, bytes and ends are kept back; none is lost.
   std::atomic<bool> IsHeld = false;
 };
 
-/// TCP proxy between two loopback addresses that injects faults. setFault and
-/// setHolding may be called from any thread; everything else runs on one event
-/// loop.
+/// TCP proxy between two loopback addresses that injects faults. Runs on one
+/// event loop.
 class fault_proxy {
 public:
   static result<std::unique_ptr<fault_proxy>>
   listen(asio::io_context &Loop, const network_address &From,
          const network_address &To);
 
-  void setFault(link_fault Fault) { Link->Fault = Fault; }
-  /// While held, bytes and ends are kept back; none is lost.
-  void setHolding(bool IsHeld) { Link->IsHeld = IsHeld; }
+  link_condition &condition() { return *Link; }
 
 private:
   fault_proxy(asio::io_context &Loop, const network_address &To);
--- a/Tests/platform/Soak/fault_schedule.cpp
+++ b/Tests/platform/Soak/fault_schedule.cpp
@@ -187,7 +187,7 @@
   const auto Setter = [&Link, &Endpoint](link_fault Fault,
                                          endpoint_behavior Behavior) {
     return [&Link, &Endpoint, Fault, Behavior]() -> status {
-      Link.setFault(Fault);
+      Link.condition().Fault = Fault;
       Endpoint.Behavior = Behavior;
       return success{};
     };
@@ -301,14 +301,10 @@
                                 const std::string &LoggedTarget,
                                 const std::string &Place, fault_proxy &Link) {
   const link_fault Fault = randomLinkFault();
-  const auto Setter = [&Link](link_fault Value) {
-    return [&Link, Value]() -> status {
-      Link.setFault(Value);
-      return success{};
-    };
-  };
+  auto &Current = Link.condition().Fault;
   return injectFault(Target, Kind, LoggedTarget, nameOf(Fault) + Place,
-                     Setter(Fault), Setter(link_fault::None));
+                     valueSetter(Current, Fault),
+                     valueSetter(Current, link_fault::None));
 }
 
 result<fault_schedule::fault_end> fault_schedule::degradeEndpoint() {
@@ -329,18 +325,14 @@
   const std::size_t Index = randomEndpoint();
   const std::string Name = nameOfEndpoint(Index);
   fault_proxy &Link = *Cluster.EndpointLinks[Index];
-  return injectFault(
-      Name, fault_kind::Endpoint, Name, Name + " crashes",
-      [&Link]() -> status {
-        Link.setFault(link_fault::Reset);
-        return success{};
-      },
-      [=, this, &Link]() -> status {
-        Cluster.unregisterEndpoint(Index);
-        Link.setFault(link_fault::None);
-        Cluster.restartEndpoint(Index);
-        return success{};
-      });
+  return injectFault(Name, fault_kind::Endpoint, Name, Name + " crashes",
+                     valueSetter(Link.condition().Fault, link_fault::Reset),
+                     [=, this, &Link]() -> status {
+                       Cluster.unregisterEndpoint(Index);
+                       Link.condition().Fault = link_fault::None;
+                       Cluster.restartEndpoint(Index);
+                       return success{};
+                     });
 }
 
 result<fault_schedule::fault_end> fault_schedule::drainEndpoint() {
--- a/Tests/platform/Soak/history_query.h
+++ b/Tests/platform/Soak/history_query.h
@@ -24,6 +24,11 @@
 steady_time::duration awakeTime(const soak_history &History,
                                 const std::string &Instance, steady_time From,
                                 steady_time To);
+/// When the run would have started if its endpoint had not stood still after
+/// the request was sent.
+steady_time startWithoutStandstill(const soak_history &History,
+                                   const request_id &Id,
+                                   const endpoint_run &Run);
 /// Whether the VM that got the request ran the earlier build, whose faults are
 /// not those of the build under test.
 bool wasSentToPreviousBuild(const soak_history &History,
--- a/Tests/platform/Soak/kept_connection.cpp
+++ b/Tests/platform/Soak/kept_connection.cpp
@@ -80,11 +80,11 @@
   const bool HasEnded = Reader.IsClosed || Reader.Parser.isComplete() ||
                         Reader.Parser.isMalformed();
   Exchange.HasCallerLeft = !HasEnded;
-  Exchange.IsResponseWhole = Reader.Parser.isComplete();
+  Exchange.IsWhole = Reader.Parser.isComplete();
   if (Reader.Parser.isHeadComplete())
     Exchange.Status = Reader.Parser.head().Status;
   Exchange.Body = Reader.Parser.takeBody();
-  Exchange.IsReusable = Exchange.IsResponseWhole && Exchange.IsSentWhole &&
+  Exchange.IsReusable = Exchange.IsWhole && Exchange.IsSentWhole &&
                         !Reader.IsClosed && Reader.Parser.isKeptAlive();
   if (!Exchange.IsReusable) {
     asio::error_code Ignored;
--- a/Tests/platform/Soak/kept_connection.h
+++ b/Tests/platform/Soak/kept_connection.h
@@ -15,8 +15,10 @@
 struct kept_exchange {
   /// HTTP status; 0 if no head of a response was received.
   int Status = 0;
+  /// The received part of the body.
   std::string Body;
-  bool IsResponseWhole = false;
+  /// Whether the response was received to its proper end.
+  bool IsWhole = false;
   /// Whether the socket accepted every byte of the request.
   bool IsSentWhole = false;
   /// Whether the caller stopped waiting, rather than the other side.
--- a/Tests/platform/Soak/main.cpp
+++ b/Tests/platform/Soak/main.cpp
@@ -160,7 +160,7 @@
   History.Runs = Cluster.Runs.all();
   History.Arrivals = Cluster.Runs.arrivals();
   History.FaultIntervals = Cluster.FaultLog.all();
-  History.Disturbances = Cluster.DisturbanceLog.all();
+  History.Standstills = Cluster.StandstillLog.all();
   History.IdleLimits = Cluster.IdleLimits.all();
   History.Ledger = readLedger(Cluster);
   printSummary(History);
--- a/Tests/platform/Soak/promise_check.cpp
+++ b/Tests/platform/Soak/promise_check.cpp
@@ -85,7 +85,9 @@
       for (const auto &Run : Runs)
         if (Run.Account == Revocation.Target &&
             Run.StartedAt > Revocation.At + RevokeBound &&
-            Run.StartedAt < RestoredAt)
+            Run.StartedAt < RestoredAt &&
+            startWithoutStandstill(History, Id, Run) >
+                Revocation.At + RevokeBound)
           Violations.push_back("executed with a revoked key: " + Id.text());
   }
 }
@@ -95,7 +97,9 @@
     for (const auto &[Id, Runs] : History.Runs)
       for (const auto &Run : Runs) {
         if (Run.Endpoint != DrainStart.Target ||
-            Run.StartedAt <= DrainStart.At + DrainBound)
+            Run.StartedAt <= DrainStart.At + DrainBound ||
+            startWithoutStandstill(History, Id, Run) <=
+                DrainStart.At + DrainBound)
           continue;
         // The entry process that sent the request isn't known, so any
         // overlapping fault but a planned stop is an excuse.
@@ -167,8 +171,7 @@
       };
       // A run that began after a standstill may have been left before it began.
       const bool MayBeLeft =
-          awakeTime(History, After.Endpoint, Record.SentAt, After.StartedAt) <
-          After.StartedAt - Record.SentAt;
+          startWithoutStandstill(History, Record.Id, After) < After.StartedAt;
       const steady_time EndedAt =
           MayBeLeft ? std::min(Before.EndedAt, After.EndedAt) : Before.EndedAt;
       // An endpoint that stands still doesn't work on it.
--- a/Tests/platform/Soak/promise_check.h
+++ b/Tests/platform/Soak/promise_check.h
@@ -20,8 +20,8 @@
   std::map<request_id, std::vector<endpoint_run>> Runs;
   std::vector<endpoint_arrival> Arrivals;
   std::vector<fault_interval> FaultIntervals;
-  /// Standstills and stalls.
-  std::vector<fault_interval> Disturbances;
+  /// Of endpoints; they excuse no missing answer.
+  std::vector<fault_interval> Standstills;
   std::vector<written_limit> IdleLimits;
   /// Times right after a configuration without the key was written to the
   /// store.
--- a/Tests/platform/Soak/soak_cluster.cpp
+++ b/Tests/platform/Soak/soak_cluster.cpp
@@ -303,7 +303,7 @@
 
 void soak_cluster::setStandingStill(std::size_t Endpoint, bool StandsStill) {
   Endpoints[Endpoint]->StandsStill = StandsStill;
-  EndpointLinks[Endpoint]->setHolding(StandsStill);
+  EndpointLinks[Endpoint]->condition().IsHeld = StandsStill;
 }
 
 void soak_cluster::writeConfiguration(bool HasKey) {
--- a/Tests/platform/Soak/soak_cluster.h
+++ b/Tests/platform/Soak/soak_cluster.h
@@ -111,8 +111,7 @@
   store_double Store;
   run_registry Runs;
   fault_log FaultLog;
-  /// What excuses no missing answer.
-  fault_log DisturbanceLog;
+  fault_log StandstillLog;
   std::vector<std::unique_ptr<endpoint_double>> Endpoints;
   std::vector<std::unique_ptr<fault_proxy>> StoreLinks;
   std::vector<std::unique_ptr<fault_proxy>> EndpointLinks;
