LibConnection: Cut no response as a connection gives way or ends

At the connection limit the connection that had been accepted first was reset, also if its response had only just been handed to the operating system: the caller got a part of it. Now the one that has rested longest is closed, without a reset. The time that a connection lingers after its last response reads what has come before it closes; after a stall unread bytes made the close a reset.

--- a/Libraries/LibConnection/caller_connection.cpp
+++ b/Libraries/LibConnection/caller_connection.cpp
@@ -40,8 +40,7 @@
 
 /// Whether the caller must learn that no complete response follows.
 constexpr bool isReset(close_reason Reason) {
-  return Reason == close_reason::Aborted ||
-         Reason == close_reason::ConnectionLimit;
+  return Reason == close_reason::Aborted;
 }
 
 } // namespace
@@ -332,7 +331,7 @@
   Timer.expires_after(LingerTimeout);
   Timer.async_wait([Self = shared_from_this()](const asio::error_code &Code) {
     if (!Code)
-      Self->close(close_reason::AfterResponse);
+      Self->stopLingering();
   });
   awaitBytes();
 }
--- a/Libraries/LibConnection/caller_connection.h
+++ b/Libraries/LibConnection/caller_connection.h
@@ -90,6 +90,8 @@
   /// Whether all responses are sent and no byte of a request is here, not even
   /// one that the operating system has received, so that closing loses nothing.
   bool isAtRest() const;
+  /// When the last response was sent, or the connection was made.
+  steady_time restingSince() const { return IdleSince; }
   /// Whether it is open and not at rest.
   bool isBusy() const { return State != state::Closed && !isAtRest(); }
   /// Whether a part of a request has been read.
--- a/Libraries/LibConnection/connection_listener.cpp
+++ b/Libraries/LibConnection/connection_listener.cpp
@@ -63,7 +63,7 @@
           addConnection(std::move(Socket));
           return accept();
         }
-        closeOldest();
+        closeLeastUsed();
         RetryTimer.expires_after(AcceptRetryDelay);
         RetryTimer.async_wait([this, Lifetime](const asio::error_code &Code) {
           if (!Code && !Lifetime.expired())
@@ -85,14 +85,14 @@
 }
 
 bool connection_listener::makeRoom() {
-  return Connections.size() < ConnectionLimit || closeOldest();
+  return Connections.size() < ConnectionLimit || closeLeastUsed();
 }
 
 // Each connection that is passed over has left the state it was found in, so
 // that the loop ends.
-bool connection_listener::closeOldest() {
-  if (const auto Resting = findOldest(&caller_connection::isAtRest)) {
-    Resting->abort(close_reason::ConnectionLimit);
+bool connection_listener::closeLeastUsed() {
+  if (const auto Resting = findLongestResting()) {
+    Resting->closeIfAtRest(close_reason::ConnectionLimit);
     return true;
   }
   if (const auto Lingering = findOldest(&caller_connection::isLingering)) {
@@ -106,6 +106,19 @@
   return false;
 }
 
+std::shared_ptr<caller_connection>
+connection_listener::findLongestResting() const {
+  std::shared_ptr<caller_connection> Longest;
+  for (const auto &Connection : Connections) {
+    // Asking the operating system for unread bytes comes last.
+    const bool IsLonger =
+        !Longest || Connection->restingSince() < Longest->restingSince();
+    if (IsLonger && Connection->isAtRest())
+      Longest = Connection;
+  }
+  return Longest;
+}
+
 std::shared_ptr<caller_connection>
 connection_listener::findOldest(bool (caller_connection::*Predicate)()
                                     const) const {
--- a/Libraries/LibConnection/connection_listener.h
+++ b/Libraries/LibConnection/connection_listener.h
@@ -13,9 +13,9 @@
 namespace azurehaven {
 
 /// Accepts callers on one address and limits the number of open connections. At
-/// the limit the oldest connection at rest is closed for a new one, else the
-/// oldest with an incomplete request, which is answered 408; without either the
-/// new connection is refused.
+/// the limit the connection that rested longest is closed for a new one, else
+/// the oldest with an incomplete request, which is answered 408; without either
+/// the new connection is refused.
 class connection_listener {
 public:
   /// Returns Unavailable when the address can't be bound.
@@ -47,7 +47,8 @@
   /// for one more.
   bool makeRoom();
   /// Returns whether a connection was closed or is about to close.
-  bool closeOldest();
+  bool closeLeastUsed();
+  std::shared_ptr<caller_connection> findLongestResting() const;
   std::shared_ptr<caller_connection>
   findOldest(bool (caller_connection::*Predicate)() const) const;
   void refuse(asio::ip::tcp::socket Socket);
--- a/Tests/LibConnection/connection_limit_test.cpp
+++ b/Tests/LibConnection/connection_limit_test.cpp
@@ -151,3 +151,30 @@
   CHECK(Fixture.Handler.Closed.empty());
   CHECK(Fixture.Listener->connectionCount() == 2);
 }
+
+TEST_CASE("At the limit a response that the caller has not received yet is not "
+          "cut") {
+  connection_fixture Fixture(1);
+  Fixture.Handler.ResponseBody = std::string(300 << 10, 'x');
+  const auto Slow = connectCaller(Fixture);
+  Slow->send(wholeRequest("x"));
+  Fixture.Loop.poll();
+  REQUIRE(Fixture.Handler.Served == 1);
+  // The operating system has taken the response, the caller has not.
+  REQUIRE(Fixture.Listener->busyCount() == 0);
+  const auto New = connectCaller(Fixture);
+  Slow->awaitClose();
+  CHECK(Slow->Received.size() > Fixture.Handler.ResponseBody.size());
+}
+
+TEST_CASE("At the limit the connection that has rested longest is closed, not "
+          "the one that has just been answered") {
+  connection_fixture Fixture(2);
+  const auto Active = connectCaller(Fixture);
+  const auto Resting = connectCaller(Fixture);
+  Active->send(wholeRequest("x"));
+  Active->awaitResponses(1);
+  const auto New = connectCaller(Fixture);
+  Resting->awaitClose();
+  CHECK_FALSE(Active->IsClosed);
+}
--- a/Tests/LibConnection/connection_timeout_test.cpp
+++ b/Tests/LibConnection/connection_timeout_test.cpp
@@ -108,3 +108,20 @@
   Caller.awaitClose();
   CHECK(Caller.Received.find("HTTP/1.1 413 ") != std::string::npos);
 }
+
+TEST_CASE("The time for the end of a connection that ran out while the process "
+          "stood still cuts no response that the caller is reading") {
+  connection_fixture Fixture;
+  Fixture.Handler.SendsConnectionClose = true;
+  Fixture.Handler.ResponseBody = std::string(300 << 10, 'x');
+  test_caller Caller(Fixture);
+  Caller.send(wholeRequest("first"));
+  Fixture.Loop.poll();
+  REQUIRE(Fixture.Handler.Served == 1);
+  // Longer than a connection lingers after its last response.
+  connection_fixture::standStill(milliseconds(700));
+  Caller.send(wholeRequest(std::string(60000, 'x')));
+  Fixture.Loop.poll();
+  Caller.awaitClose();
+  CHECK(Caller.Received.size() > Fixture.Handler.ResponseBody.size());
+}
