LibRelay: Count no crash by an entry that may only be unread

A silent engine whose entry was away for three seconds was counted as crashed also if those seconds were a stall of this process, or the store was away, so that the entry that its owner had written again lay unread. Found by a review; the new case does not compile before, the behaviour is by reading.

--- a/Libraries/LibRelay/crash_confirmation.cpp
+++ b/Libraries/LibRelay/crash_confirmation.cpp
@@ -32,10 +32,11 @@
 /// Follows the entry of the process start. Its record is a new one if the entry
 /// was gone for a while.
 void updateListing(const fleet_state &Fleet, unconfirmed_crash &Crash,
-                   steady_time Now) {
+                   registry_state Registry, steady_time Now) {
   auto Listed = Fleet.Endpoints.findProcessStart(Crash.Observed.ProcessStart);
   if (!Listed) {
-    Crash.UnlistedSince = Crash.UnlistedSince.value_or(Now);
+    const bool IsKnown = Registry == registry_state::Current;
+    Crash.UnlistedSince = IsKnown ? Crash.UnlistedSince.value_or(Now) : Now;
     return;
   }
   Crash.UnlistedSince.reset();
@@ -132,10 +133,11 @@
 
 } // namespace
 
-void confirmCrashes(relay_context &Context, steady_time Now) {
+void confirmCrashes(relay_context &Context, registry_state Registry,
+                    steady_time Now) {
   fleet_state &Fleet = Context.Fleet;
   std::erase_if(Fleet.UnconfirmedCrashes, [&](unconfirmed_crash &Crash) {
-    updateListing(Fleet, Crash, Now);
+    updateListing(Fleet, Crash, Registry, Now);
     const auto Verdict = judge(Fleet, Crash, Now);
     if (Verdict)
       settle(Fleet, Context.Log, Crash, *Verdict, Now);
--- a/Libraries/LibRelay/relay_node.cpp
+++ b/Libraries/LibRelay/relay_node.cpp
@@ -16,6 +16,8 @@
 /// Interval at which due removals, expired connections, roll-outs and the
 /// progress of a shutdown are checked.
 constexpr milliseconds TickInterval{100};
+/// A tick that is so late shows that the process stood still.
+constexpr milliseconds StallTime{500};
 /// Interval at which a VM sends its state to its peers.
 constexpr milliseconds SyncInterval{200};
 /// File descriptors reserved for files, the store, peers and endpoints.
@@ -175,7 +177,7 @@
   updateShares(Fleet, Clock.now());
   Fleet.Retries.observeVmCount(vmCount(Fleet), Clock.now());
   PathProber.advance(Clock.now());
-  confirmCrashes(Context, Clock.now());
+  confirmCrashes(Context, registryState(), Clock.now());
   Connections.closeExpired(Clock.now());
   observeRunningRequests();
   Rollouts->advance();
@@ -184,6 +186,14 @@
   Scheduler.runAfter(TickInterval, [this] { runPeriodicTasks(); });
 }
 
+registry_state relay_node::registryState() {
+  const steady_time Now = Clock.now();
+  const auto SinceLastTick = Now - std::exchange(LastTickAt, Now);
+  return Mirror->isReachable() && SinceLastTick < StallTime
+             ? registry_state::Current
+             : registry_state::MayBeOutdated;
+}
+
 void relay_node::recordSettledEra() {
   const steady_time Now = Clock.now();
   const bool IsWriter = Mirror->isReachable() && !Fleet.IsStopping &&
--- a/Libraries/LibRelay/relay_node.h
+++ b/Libraries/LibRelay/relay_node.h
@@ -5,6 +5,7 @@
 #include "LibFleet/member_registration.h"
 #include "LibPeer/tcp_peer_network.h"
 #include "LibRelay/asio_scheduler.h"
+#include "LibRelay/crash_confirmation.h"
 #include "LibRelay/directory_service.h"
 #include "LibRelay/fleet_state_updater.h"
 #include "LibRelay/path_prober.h"
@@ -51,6 +52,8 @@
   /// Decides whether this VM asks the store for confirmations of the
   /// configuration or relies on the other VMs.
   void updateConfirmationSource();
+  /// To be called once a tick.
+  registry_state registryState();
   /// Lets one VM write down that the store's era is settled.
   void recordSettledEra();
   /// While a roll-out is undecided, counts slow attempts before they end, and
@@ -84,6 +87,7 @@
   std::unique_ptr<connection_listener> ForwardingListener;
   member_registration *Registration = nullptr;
   era_record *EraRecord = nullptr;
+  steady_time LastTickAt;
   store_mirror *Mirror = nullptr;
   std::unique_ptr<peer_network> Peers;
   std::unique_ptr<peer_state_sync> PeerSync;
--- a/Tests/LibRelay/lost_path_test.cpp
+++ b/Tests/LibRelay/lost_path_test.cpp
@@ -388,7 +388,7 @@
     ++Restarted.Incarnation;
     Cut.Fleet.Endpoints.put(Restarted);
   }
-  confirmCrashes(Cut.Context, Cut.Clock.now());
+  confirmCrashes(Cut.Context, registry_state::Current, Cut.Clock.now());
   CHECK(Cut.Fleet.UnconfirmedCrashes.empty());
   CHECK(Cut.Fleet.Quarantine.takeNews().empty());
   for (auto &Connection : Connections)
@@ -443,14 +443,14 @@
   /// starts, so that their silence was a crash.
   void waitForConfirmation() {
     Vm.Clock.skip(milliseconds(1100));
-    confirmCrashes(Vm.Context, Vm.Clock.now());
+    confirmCrashes(Vm.Context, registry_state::Current, Vm.Clock.now());
     const auto Endpoints = Vm.Fleet.Endpoints.all();
     for (const auto &[Id, Endpoint] : Endpoints) {
       endpoint_descriptor Restarted = Endpoint->Descriptor;
       ++Restarted.Incarnation;
       Vm.Fleet.Endpoints.put(Restarted);
     }
-    confirmCrashes(Vm.Context, Vm.Clock.now());
+    confirmCrashes(Vm.Context, registry_state::Current, Vm.Clock.now());
   }
   bool isQuarantined() const { return Vm.Fleet.Quarantine.isQuarantined(77); }
 
@@ -481,7 +481,8 @@
   failing_request Request(Fleet.vm(0));
   Request.failAtEach(attempt_failure::Unresponsive);
   Request.Vm.Clock.skip(milliseconds(1100));
-  confirmCrashes(Request.Vm.Context, Request.Vm.Clock.now());
+  confirmCrashes(Request.Vm.Context, registry_state::Current,
+                 Request.Vm.Clock.now());
   CHECK_FALSE(Request.isQuarantined());
   Request.waitForConfirmation();
   CHECK(Request.isQuarantined());
@@ -543,3 +544,24 @@
   Fleet.cutVm().sendRequest("/stream/x");
   CHECK(Fleet.received().size() <= 3);
 }
+
+TEST_CASE("A silent endpoint whose entry may only be unread is not counted as "
+          "crashed, however long this process stood still") {
+  path_fleet Fleet;
+  relay_fixture &Vm = Fleet.vm(0);
+  failing_request Request(Vm);
+  Request.failAtEach(attempt_failure::Unresponsive);
+  const auto Endpoints = Vm.Fleet.Endpoints.all();
+  for (const auto &[Id, Endpoint] : Endpoints)
+    Vm.Fleet.Endpoints.remove(Id);
+  confirmCrashes(Vm.Context, registry_state::Current, Vm.Clock.now());
+  Vm.Clock.skip(milliseconds(4000));
+  confirmCrashes(Vm.Context, registry_state::MayBeOutdated, Vm.Clock.now());
+  CHECK_FALSE(Request.isQuarantined());
+  Vm.Clock.skip(milliseconds(2900));
+  confirmCrashes(Vm.Context, registry_state::Current, Vm.Clock.now());
+  CHECK_FALSE(Request.isQuarantined());
+  Vm.Clock.skip(milliseconds(200));
+  confirmCrashes(Vm.Context, registry_state::Current, Vm.Clock.now());
+  CHECK(Request.isQuarantined());
+}
--- a/Tests/LibRelay/silent_fleet.cpp
+++ b/Tests/LibRelay/silent_fleet.cpp
@@ -192,7 +192,7 @@
     Vm->Inspector.finishDue();
   if (Steps % StepsPerReview == 0)
     for (auto &Vm : Vms)
-      confirmCrashes(Vm->Context, Clock.Now);
+      confirmCrashes(Vm->Context, registry_state::Current, Clock.Now);
   if (Steps % StepsPerNotice == 0)
     for (auto &Vm : Vms) {
       Vm->Sync.expire();
