LibRelay: Close a connection whose endpoint's address has passed to another

A late second copy of the 421 names the same request and was taken for the second response: the caller got 503 although the request had run, and one that may run once could have run twice.

Test red before: CHECK( 503 == 200 ).

--- a/Libraries/LibRelay/endpoint_attempt.cpp
+++ b/Libraries/LibRelay/endpoint_attempt.cpp
@@ -164,6 +164,7 @@
     return head_verdict::SkipResponse;
   removeFromUnanswered();
   IsResponseIdentified = Response.EchoedRequestId.has_value();
+  IsMisdirected = Response.IsMisdirected;
   if (isToEndpoint() && IsResponseIdentified)
     refuteAllegedCrash(Context, *Endpoint, Connection->createdAt(), SentAt,
                        Now);
@@ -187,8 +188,10 @@
   removeFromLoad();
   // The connection can't be reused while the request is still being sent. A
   // late second copy of a response that names no request would be taken for the
-  // response to the next one.
-  if (Connection->isIdle() && IsResponseIdentified)
+  // response to the next one, and one of a misdirected response for that to the
+  // same request, sent to the endpoint that has the address now.
+  const bool IsCopyRecognizable = IsResponseIdentified && !IsMisdirected;
+  if (Connection->isIdle() && IsCopyRecognizable)
     Context.Connections.release(Connection, IdleLimit, Context.Clock.now());
   else
     Connection->abort();
--- a/Libraries/LibRelay/endpoint_attempt.h
+++ b/Libraries/LibRelay/endpoint_attempt.h
@@ -81,6 +81,8 @@
   bool IsUnanswered = false;
   /// Whether the response names this request.
   bool IsResponseIdentified = false;
+  /// Whether another endpoint responds at the endpoint's address.
+  bool IsMisdirected = false;
   /// Whether the connection is new rather than one from the pool.
   bool IsConnecting = false;
   bool IsCounted = true;
--- a/Tests/LibRelay/relay_refusal_test.cpp
+++ b/Tests/LibRelay/relay_refusal_test.cpp
@@ -335,3 +335,24 @@
     CHECK(Runs == 1);
   }
 }
+
+TEST_CASE("A late second copy of a misdirected response is not taken for the "
+          "response of the endpoint that has the address now") {
+  relay_fixture Fixture(1);
+  Fixture.Codec.TreatsAsMisdirected = 421;
+  Fixture.addRoute("/p/", route_kind::NonIdempotent);
+  Fixture.applyRoutes();
+  endpoint_descriptor Successor =
+      Fixture.Fleet.Endpoints.find(endpoint_id("e0"))->Descriptor;
+  Successor.Id = endpoint_id("e1");
+  Fixture.Fleet.Endpoints.put(Successor);
+  Fixture.setScript([](std::size_t Number, const received_request &) {
+    if (Number == 0)
+      return scripted_response{.Bytes = wholeResponse(421, "Id: r1\r\n", ""),
+                               .HasLateCopy = true};
+    return scripted_response{
+        wholeResponse(200, "Id: r1\r\nSigned: x\r\n", "ok")};
+  });
+  CHECK(statusOf(Fixture.sendRequest("/p/")) == 200);
+  CHECK(Fixture.Received.size() == 2);
+}
