--- a/Tests/LibRelay/rollout_simulation.cpp
+++ b/Tests/LibRelay/rollout_simulation.cpp
@@ -8,6 +8,8 @@
 #include "simulated_network.h"
 #include "test_fleet.h"
 
+#include <algorithm>
+#include <cmath>
 #include <map>
 #include <random>
 
@@ -17,11 +19,17 @@
 
 const steady_time Start{std::chrono::hours(1)};
 const service_id Service("s");
-constexpr int EndpointsOfRelease = 12;
 constexpr int SubjectCount = 30;
 /// One in so many requests is the last of its session.
 constexpr unsigned RequestsPerSession = 15;
 constexpr double MeanDurationMs = 700;
+/// Of a plain response: the time to compute it, the deviation of its logarithm,
+/// and the way there and back.
+constexpr double PlainDurationMs = 15;
+constexpr double PlainDeviation = 0.5;
+constexpr double PlainWayMs = 6;
+/// After this time a write fails that the store does not answer.
+constexpr milliseconds WriteTimeout{300};
 /// Share of the requests that are followed at once by another one of their
 /// session, at another VM.
 constexpr double FollowUpShare = 0.05;
@@ -39,14 +47,15 @@
 
 class simulated_publisher : public rollout_publisher {
 public:
-  explicit simulated_publisher(simulation &Simulation)
-      : Simulation(Simulation) {}
+  simulated_publisher(simulation &Simulation, const vm_id &Vm)
+      : Simulation(Simulation), Vm(Vm) {}
   void publish(const rollout_order &Order, rollout_outcome Outcome,
                store_revision Revision, std::vector<store_put> ExtraPuts,
                store_handler<store_revision> Handler) override;
 
 private:
   simulation &Simulation;
+  const vm_id Vm;
 };
 
 struct simulated_vm {
@@ -58,7 +67,7 @@
                 [&Simulation](peer_frame Frame, const vm_id &To) {
                   deliver(Simulation, std::move(Frame), To);
                 }),
-        Publisher(Simulation), Updater(Fleet, Clock, Log, Metrics),
+        Publisher(Simulation, Fleet.Self), Updater(Fleet, Clock, Log, Metrics),
         Sync(Fleet, Clock, Log, Network, Incarnation),
         Driver(Fleet, Clock, Log, Publisher, Sync) {}
 
@@ -98,8 +107,9 @@
   simulation(const simulated_day &Day, unsigned Seed);
   simulation_result run();
   void deliver(const peer_frame &Frame, const vm_id &To);
-  void write(const rollout_order &Order, rollout_outcome Outcome,
-             store_revision Revision, std::vector<store_put> ExtraPuts,
+  void write(const vm_id &Vm, const rollout_order &Order,
+             rollout_outcome Outcome, store_revision Revision,
+             std::vector<store_put> ExtraPuts,
              store_handler<store_revision> Handler);
 
 private:
@@ -124,6 +134,10 @@
            OrderAt;
   }
   std::unique_ptr<simulated_vm> makeVm(const std::string &Name);
+  std::size_t indexOf(const vm_id &Vm) const;
+  /// The faults that a request to this endpoint may have now.
+  std::vector<simulated_fault> faultsOf(const endpoint_descriptor &Endpoint);
+  milliseconds usualDuration();
   void startLoops(simulated_vm &Vm);
   void tick(simulated_vm &Vm);
   void notify(simulated_vm &Vm);
@@ -166,29 +180,36 @@
                                   store_revision Revision,
                                   std::vector<store_put> ExtraPuts,
                                   store_handler<store_revision> Handler) {
-  Simulation.write(Order, Outcome, Revision, std::move(ExtraPuts),
+  Simulation.write(Vm, Order, Outcome, Revision, std::move(ExtraPuts),
                    std::move(Handler));
 }
 
-std::shared_ptr<const route_table> simulatedRoutes() {
+bool isWithin(const simulated_outage &Outage, std::size_t Vm,
+              milliseconds SinceOrder) {
+  return Vm >= Outage.FirstVm && Vm < Outage.FirstVm + Outage.VmCount &&
+         SinceOrder >= Outage.From && SinceOrder < Outage.Until;
+}
+
+std::shared_ptr<const route_table> simulatedRoutes(bool IsPlain) {
   route_table::content Content;
   Content.Version = 1;
   for (const char *Name : {"a", "b"}) {
     route Route;
     Route.Name = Name;
-    Route.Kind = route_kind::Stream;
-    Route.IsResumable = true;
+    Route.Kind = IsPlain ? route_kind::Idempotent : route_kind::Stream;
+    Route.IsResumable = !IsPlain;
     Route.Shares.push_back({Service, 1});
     Content.Routes.push_back(Route);
   }
   endpoint_pool Pool{Service};
-  Pool.Engine = engine_pool_settings{};
+  if (!IsPlain)
+    Pool.Engine = engine_pool_settings{};
   Content.Pools.push_back(Pool);
   return std::make_shared<const route_table>(std::move(Content));
 }
 
 simulation::simulation(const simulated_day &Day, unsigned Seed)
-    : Day(Day), Random(Seed), Routes(simulatedRoutes()) {
+    : Day(Day), Random(Seed), Routes(simulatedRoutes(Day.IsPlain)) {
   Clock.Now = Start;
   for (std::size_t Index = 0; Index < Day.VmCount; ++Index)
     Vms.push_back(makeVm("vm-" + std::to_string(Index)));
@@ -204,7 +225,7 @@
   for (std::size_t Index = 0; Index < Day.VmCount; ++Index)
     Vm->Fleet.Members.put(testMember("vm-" + std::to_string(Index)));
   for (const char *Release : {"v1", "v2"})
-    for (int Index = 0; Index < EndpointsOfRelease; ++Index) {
+    for (int Index = 0; Index < Day.EndpointsOfRelease; ++Index) {
       endpoint_descriptor Descriptor;
       Descriptor.Id = endpoint_id(Release + std::to_string(Index));
       Descriptor.Service = Service;
@@ -242,8 +263,18 @@
   Simulation.deliver(Frame, To);
 }
 
+std::size_t simulation::indexOf(const vm_id &Vm) const {
+  const auto Found =
+      std::find_if(Vms.begin(), Vms.end(),
+                   [&](const auto &Each) { return Each->Fleet.Self == Vm; });
+  return static_cast<std::size_t>(Found - Vms.begin());
+}
+
 void simulation::deliver(const peer_frame &Frame, const vm_id &To) {
-  if (uniform() < Day.NoticeLoss)
+  const bool IsCut =
+      isWithin(Day.PeerOutage, indexOf(Frame.Sender), sinceOrder()) !=
+      isWithin(Day.PeerOutage, indexOf(To), sinceOrder());
+  if (IsCut || uniform() < Day.NoticeLoss)
     return;
   after(milliseconds(1) + upTo(Day.NoticeDelay), [this, To, Frame] {
     for (auto &Vm : Vms)
@@ -255,8 +286,12 @@
 void simulation::watch(std::function<void(simulated_vm &)> Apply) {
   for (auto &Vm : Vms) {
     // A watch delivers changes in their order.
+    const bool IsAway =
+        isWithin(Day.StoreOutage, indexOf(Vm->Fleet.Self), sinceOrder());
+    const steady_time Reachable =
+        IsAway ? Start + OrderAt + Day.StoreOutage.Until : Clock.Now;
     Vm->LastWatchAt =
-        std::max(Vm->LastWatchAt, Clock.Now + upTo(Day.WatchDelay));
+        std::max(Vm->LastWatchAt, Reachable + upTo(Day.WatchDelay));
     Events.emplace(Vm->LastWatchAt, [Vm = Vm.get(), Apply] { Apply(*Vm); });
   }
 }
@@ -265,9 +300,9 @@
   OrderRevision = {{}, ++Revision};
   OrderedAt = Clock.Wall;
   const rollout_order Order{Service, "v2", Day.TimeLimit, OrderRevision};
-  watch([Order](simulated_vm &Vm) {
+  watch([this, Order](simulated_vm &Vm) {
     Vm.Updater.onRolloutOrder(Order);
-    for (int Index = 0; Index < EndpointsOfRelease; ++Index) {
+    for (int Index = 0; Index < Day.EndpointsOfRelease; ++Index) {
       endpoint_descriptor Descriptor;
       Descriptor.Id = endpoint_id("v2" + std::to_string(Index));
       Descriptor.Service = Service;
@@ -277,10 +312,16 @@
   });
 }
 
-void simulation::write(const rollout_order &Order, rollout_outcome Outcome,
-                       store_revision Expected,
+void simulation::write(const vm_id &Vm, const rollout_order &Order,
+                       rollout_outcome Outcome, store_revision Expected,
                        std::vector<store_put> ExtraPuts,
                        store_handler<store_revision> Handler) {
+  if (isWithin(Day.StoreOutage, indexOf(Vm), sinceOrder())) {
+    after(WriteTimeout, [=] {
+      Handler(error{error_code::Unavailable, "no response"});
+    });
+    return;
+  }
   after(Day.WriteDelay / 2, [=, this] {
     if (Expected != StatusRevision) {
       after(Day.WriteDelay / 2, [=] {
@@ -319,8 +360,8 @@
     finish(*Request);
     send(Request);
   }
-  watch([](simulated_vm &Vm) {
-    for (int Index = 0; Index < EndpointsOfRelease; ++Index)
+  watch([this](simulated_vm &Vm) {
+    for (int Index = 0; Index < Day.EndpointsOfRelease; ++Index)
       Vm.Updater.onEndpointGone(endpoint_id("v1" + std::to_string(Index)),
                                 removal_cause::Removed);
   });
@@ -364,10 +405,13 @@
   const std::uint64_t Session = Sessions[Slot];
   dispatch_request Request;
   Request.Id = request_id(std::to_string(NextRequest++));
-  Request.Session = std::to_string(Session);
-  Request.PromptTokens = 3000;
-  Request.Prompt = {{"subject-" + std::to_string(Session % SubjectCount), 2500},
-                    {"session-" + std::to_string(Session), 500}};
+  if (!Day.IsPlain) {
+    Request.Session = std::to_string(Session);
+    Request.PromptTokens = 3000;
+    Request.Prompt = {
+        {"subject-" + std::to_string(Session % SubjectCount), 2500},
+        {"session-" + std::to_string(Session), 500}};
+  }
   const route &Route = Routes->routes()[Session % Routes->routes().size()];
   send(std::make_shared<simulated_request>(
       randomVm(), Log,
@@ -388,21 +432,30 @@
     after(RefusalTime, [this, Request] { send(Request); });
     return;
   }
-  const milliseconds Duration = exponential(MeanDurationMs);
+  const endpoint_descriptor &Endpoint = Placement.Endpoint->Descriptor;
+  bool HasFailed = Day.UsualFailures > 0 && uniform() < Day.UsualFailures;
+  milliseconds Duration = usualDuration();
+  for (const simulated_fault &Fault : faultsOf(Endpoint)) {
+    if (uniform() >= Fault.Share)
+      continue;
+    HasFailed |= !Fault.Slowdown;
+    Duration = milliseconds(std::lround(static_cast<double>(Duration.count()) *
+                                        Fault.Slowdown.value_or(1)));
+  }
   countMove(*Request, Duration);
   Request->Observed.onSent(Placement.Endpoint, model_id(), std::nullopt, 0, 0,
                            Clock.Now);
   ++Placement.Endpoint->InFlight;
   Running.push_back(Request);
   const int Attempt = ++Request->Attempt;
-  after(Duration, [this, Request, Attempt] {
+  after(Duration, [this, Request, Attempt, HasFailed] {
     const bool HasEnded =
         Request->Attempt != Attempt ||
         std::find(Running.begin(), Running.end(), Request) == Running.end();
     if (HasEnded)
       return;
     const bool IsOnTarget = Request->Endpoint->Descriptor.Release == "v2";
-    if (IsOnTarget && uniform() < Day.TargetFailures)
+    if (HasFailed || (IsOnTarget && uniform() < Day.TargetFailures))
       Request->Observed.onErrorResponse(/*IsSigned=*/true, Clock.Now);
     else
       Request->Observed.onComplete(Clock.Now);
@@ -410,6 +463,30 @@
   });
 }
 
+std::vector<simulated_fault>
+simulation::faultsOf(const endpoint_descriptor &Endpoint) {
+  std::vector<simulated_fault> Faults;
+  const auto Add = [&](const simulated_fault &Fault) {
+    if (sinceOrder() >= Fault.From && sinceOrder() < Fault.Until)
+      Faults.push_back(Fault);
+  };
+  if (Day.TargetFault && Endpoint.Release == "v2")
+    Add(*Day.TargetFault);
+  for (const simulated_endpoint_fault &Each : Day.EndpointFaults)
+    if (Endpoint.Id.text() == Each.Release + std::to_string(Each.Index))
+      Add(Each.Fault);
+  return Faults;
+}
+
+milliseconds simulation::usualDuration() {
+  if (!Day.IsPlain)
+    return exponential(MeanDurationMs);
+  std::lognormal_distribution<double> Duration(
+      std::log(PlainDurationMs) - PlainDeviation * PlainDeviation / 2,
+      PlainDeviation);
+  return milliseconds(std::lround(PlainWayMs + Duration(Random)));
+}
+
 void simulation::finish(simulated_request &Request) {
   --Request.Endpoint->InFlight;
   std::erase_if(Running,
--- a/Tests/LibRelay/rollout_simulation.h
+++ b/Tests/LibRelay/rollout_simulation.h
@@ -3,14 +3,46 @@
 #include "LibDispatch/release_rule.h"
 #include "LibDispatch/rollout_controller.h"
 
-#include <memory>
+#include <optional>
+#include <string>
 #include <vector>
 
 namespace azurehaven {
 
+/// Responses that take several times as long, or fail, from the order on.
+struct simulated_fault {
+  /// Share of the requests that have it.
+  double Share = 0;
+  /// Factor by which they take longer; nullopt if they fail.
+  std::optional<double> Slowdown;
+  /// Counted from the order.
+  milliseconds From{0};
+  milliseconds Until{1000000};
+};
+
+/// A fault of one endpoint, whatever its release.
+struct simulated_endpoint_fault {
+  std::string Release;
+  int Index = 0;
+  simulated_fault Fault;
+};
+
+/// A time in which some VMs lack something.
+struct simulated_outage {
+  /// The first of them; the others follow it.
+  std::size_t FirstVm = 0;
+  std::size_t VmCount = 0;
+  /// Counted from the order.
+  milliseconds From{0};
+  milliseconds Until{0};
+};
+
 /// A roll-out in a simulated fleet, and what goes wrong meanwhile.
 struct simulated_day {
   std::size_t VmCount = 8;
+  /// Whether the endpoints are no engines: short responses, no sessions.
+  bool IsPlain = false;
+  int EndpointsOfRelease = 12;
   double RequestsPerSecond = 200;
   /// Sessions that are active at the same time.
   std::size_t SessionCount = 150;
@@ -33,6 +65,14 @@
   milliseconds FailuresAt{0};
   /// When the first VM restarts without any pins; never if zero.
   milliseconds RestartAt{0};
+  /// Share of all requests that fail on any release.
+  double UsualFailures = 0;
+  std::optional<simulated_fault> TargetFault;
+  std::vector<simulated_endpoint_fault> EndpointFaults;
+  /// No notices between these VMs and the others.
+  simulated_outage PeerOutage;
+  /// The store neither takes writes of these VMs nor tells them of changes.
+  simulated_outage StoreOutage;
 };
 
 /// What callers saw.
