LibRelay: Go on at another endpoint after an event without end, blame no crash for it

Each attempt counted as a crash of its endpoint, also of sound ones, and its prompt's segments were quarantined (20 requests in 12 s by one engine).

An attempt that this VM ends, since what came can't be used, fails as malformed: it counts against the endpoint and its release, and as nobody's crash.

The two new cases of endless_response_test failed on: a stream that was reset where it was to go on, and LastCrash set for six of six kinds of response; so did that of event_splicer_test.

--- a/Libraries/LibConnection/endpoint_connection.cpp
+++ b/Libraries/LibConnection/endpoint_connection.cpp
@@ -150,7 +150,8 @@
       SkippingResponse = true;
       break;
     case head_verdict::Reject:
-      fail(delivery::MayHaveRun, "the response does not belong to the request");
+      fail(delivery::MayHaveRun, "the response does not belong to the request",
+           connection_loss::Rejected);
       return false;
     }
     if (State == state::Closed || !Observer)
@@ -160,7 +161,8 @@
   if (SkippingResponse)
     SkippedBytes += Body.size();
   if (SkippedBytes > SkipLimitBytes) {
-    fail(delivery::MayHaveRun, "a late response has no end");
+    fail(delivery::MayHaveRun, "a late response has no end",
+         connection_loss::Rejected);
     return false;
   }
   if (HeadDelivered && !Body.empty()) {
@@ -175,11 +177,12 @@
     if (IsKeptAlive)
       return true;
     fail(delivery::MayHaveRun,
-         "the endpoint closes the connection after a late response");
+         "the endpoint closes the connection after a late response",
+         connection_loss::Rejected);
     return false;
   }
   if (Parser.isMalformed()) {
-    fail(delivery::MayHaveRun, "malformed response");
+    fail(delivery::MayHaveRun, "malformed response", connection_loss::Rejected);
     return false;
   }
   if (!Parser.isComplete())
--- a/Libraries/LibDispatch/attempt_policy.cpp
+++ b/Libraries/LibDispatch/attempt_policy.cpp
@@ -48,6 +48,8 @@
     return "error_response";
   case attempt_failure::NoValidResponse:
     return "no_valid_response";
+  case attempt_failure::Malformed:
+    return "malformed";
   case attempt_failure::Silent:
     return "silent";
   case attempt_failure::Unresponsive:
--- a/Libraries/LibDispatch/attempt_policy.h
+++ b/Libraries/LibDispatch/attempt_policy.h
@@ -15,8 +15,11 @@
   NotExecuted,
   /// The endpoint returned an error response.
   ErrorResponse,
-  /// The response was truncated, malformed or missing.
+  /// The endpoint ended the connection before a complete response.
   NoValidResponse,
+  /// What came is no response that can be forwarded, so that this VM has ended
+  /// the attempt. The endpoint goes on.
+  Malformed,
   /// The connection is open, but the response makes no progress. The endpoint
   /// may be silent for a moment only.
   Silent,
@@ -27,6 +30,7 @@
 constexpr bool mayHaveRun(attempt_failure Failure) {
   return Failure == attempt_failure::ErrorResponse ||
          Failure == attempt_failure::NoValidResponse ||
+         Failure == attempt_failure::Malformed ||
          Failure == attempt_failure::Silent ||
          Failure == attempt_failure::Unresponsive;
 }
--- a/Libraries/LibDispatch/event_splicer.cpp
+++ b/Libraries/LibDispatch/event_splicer.cpp
@@ -73,6 +73,9 @@
   Out.append(Event);
 }
 
-void event_splicer::startNextSource() { Partial.clear(); }
+void event_splicer::startNextSource() {
+  Partial.clear();
+  Oversized = false;
+}
 
 } // namespace azurehaven
--- a/Libraries/LibDispatch/event_splicer.h
+++ b/Libraries/LibDispatch/event_splicer.h
@@ -26,7 +26,7 @@
   std::optional<std::uint64_t> lastEventId() const { return LastId; }
   /// Whether an incomplete event is buffered.
   bool hasPartialEvent() const { return !Partial.empty(); }
-  /// Whether an event exceeded the size limit.
+  /// Whether an event of the current source exceeded the size limit.
   bool hasOversizedEvent() const { return Oversized; }
   /// Number of forwarded events that have an id.
   std::uint64_t eventCount() const { return Events; }
--- a/Libraries/LibHttp/http_message.h
+++ b/Libraries/LibHttp/http_message.h
@@ -35,8 +35,10 @@
 
 /// How a connection was lost under an exchange.
 enum class connection_loss {
-  /// The other side closed or reset it, or sent what can't be read.
+  /// The other side closed or reset it.
   Ended,
+  /// This side closed it, since what came can't be used.
+  Rejected,
   /// Nothing came any more: its path may be lost.
   TimedOut,
   /// It was not made: nothing listens at the address.
--- a/Libraries/LibRelay/attempt_observations.cpp
+++ b/Libraries/LibRelay/attempt_observations.cpp
@@ -87,7 +87,9 @@
 
 void attempt_observations::onFailed(attempt_failure Failure, steady_time Now) {
   recordFailure(*Endpoint, Now);
-  if (mayHaveRun(Failure))
+  if (Failure == attempt_failure::Malformed)
+    recordMalformedResponse(Now);
+  else if (mayHaveRun(Failure))
     recordMissingResponse(Failure, Now);
 }
 
@@ -105,6 +107,14 @@
   return nullptr;
 }
 
+void attempt_observations::recordMalformedResponse(steady_time Now) {
+  if (IsForwarded)
+    Recorder.drop();
+  else
+    Recorder.record(/*HasFailed=*/true, Now);
+  Crashes.recordUncounted("malformed");
+}
+
 void attempt_observations::recordMissingResponse(attempt_failure Failure,
                                                  steady_time Now) {
   // Another VM tells nothing of endpoints, and a lost path nothing of releases.
--- a/Libraries/LibRelay/attempt_observations.h
+++ b/Libraries/LibRelay/attempt_observations.h
@@ -53,6 +53,8 @@
   std::uint64_t attemptEvents() const { return Crashes.attemptEvents(); }
 
 private:
+  /// Each is a failure by itself; a crash fails all requests on its endpoint.
+  void recordMalformedResponse(steady_time Now);
   void recordMissingResponse(attempt_failure Failure, steady_time Now);
   /// Why the failure is no crash of the endpoint; null if it is one.
   const char *reasonNotToCount(attempt_failure Failure, bool IsPathLost) const;
--- a/Libraries/LibRelay/endpoint_attempt.cpp
+++ b/Libraries/LibRelay/endpoint_attempt.cpp
@@ -16,9 +16,16 @@
 attempt_failure attemptFailureOf(const http_failure &Failure) {
   if (Failure.Delivery == delivery::NotSent)
     return attempt_failure::NotSent;
-  return Failure.Loss == connection_loss::TimedOut
-             ? attempt_failure::Unresponsive
-             : attempt_failure::NoValidResponse;
+  switch (Failure.Loss) {
+  case connection_loss::TimedOut:
+    return attempt_failure::Unresponsive;
+  case connection_loss::Rejected:
+    return attempt_failure::Malformed;
+  case connection_loss::Ended:
+  case connection_loss::Refused:
+    break;
+  }
+  return attempt_failure::NoValidResponse;
 }
 
 } // namespace
--- a/Libraries/LibRelay/relayed_request.cpp
+++ b/Libraries/LibRelay/relayed_request.cpp
@@ -370,7 +370,7 @@
     return forwardStreamBytes(Attempt, std::move(Bytes));
   if (!Attempt.responseBody().tryAppend(Bytes)) {
     Attempt.responseBody().clear();
-    onAttemptFailed(Attempt, attempt_failure::NoValidResponse,
+    onAttemptFailed(Attempt, attempt_failure::Malformed,
                     "the response is too large to buffer");
   }
 }
@@ -400,7 +400,7 @@
   }
   if (Splicer.hasOversizedEvent()) {
     Attempt.cancel();
-    onAttemptFailed(Attempt, attempt_failure::NoValidResponse,
+    onAttemptFailed(Attempt, attempt_failure::Malformed,
                     "the event stream is malformed");
   }
 }
--- a/Tests/LibDispatch/event_splicer_test.cpp
+++ b/Tests/LibDispatch/event_splicer_test.cpp
@@ -37,6 +37,14 @@
   CHECK(Splicer.lastEventId() == 1);
 }
 
+TEST_CASE("An event above the size limit does not spoil the next source") {
+  event_splicer Splicer(std::nullopt, 16);
+  Splicer.add("id: 1\n\n" + std::string(100, 'x'));
+  Splicer.startNextSource();
+  CHECK(Splicer.add("id: 1\n\nid: 2\n\n") == "id: 2\n\n");
+  CHECK_FALSE(Splicer.hasOversizedEvent());
+}
+
 TEST_CASE("An event above the size limit is reported") {
   event_splicer Splicer(std::nullopt, 100);
   Splicer.add(std::string(101, 'x'));
--- a/Tests/LibRelay/endless_response_test.cpp
+++ b/Tests/LibRelay/endless_response_test.cpp
@@ -86,6 +86,29 @@
   }
 }
 
+TEST_CASE("A stream goes on at another endpoint after an event without end") {
+  endless_fixture Fixture(route_kind::Stream);
+  Fixture.sendEndlessly({"an event", ChunkedHead + chunk(event(1)),
+                         chunk(std::string(65536, 'x'))},
+                        ChunkedHead + chunk(event(1) + event(2)) + "0\r\n\r\n");
+  const auto Response = Fixture.sendRequest("/p/");
+  CHECK(statusOf(Response) == 200);
+  CHECK(bodyOf(Response) == event(1) + event(2));
+  Fixture.checkReleased();
+}
+
+TEST_CASE("A response that the VM has ended is no crash of its endpoint") {
+  for (const auto &Case : PlainCases) {
+    CAPTURE(Case.Name);
+    endless_fixture Fixture(route_kind::Idempotent);
+    Fixture.sendEndlessly(Case, wholeResponse(200, Good, "other"));
+    CHECK(statusOf(Fixture.sendRequest("/p/")) == 200);
+    for (const auto &Endpoint :
+         Fixture.Fleet.Endpoints.endpointsOf(service_id("s")))
+      CHECK(Endpoint->LastCrash == steady_time());
+  }
+}
+
 TEST_CASE("Many endless bodies at once share a limit on memory") {
   endless_fixture Fixture(route_kind::NonIdempotent);
   Fixture.setScript([](std::size_t, const received_request &) {
