LibDispatch, LibRelay: Judge plain releases by all outcomes of most of the fleet

Cause: a verdict of too little evidence, taken for certain. Of a latency only counted whether it was beyond three times the mean; the trial got half of the exposure that it might have; a VM that was cut off from its peers completed, shifted and rejected by its own part; a fault of the one endpoint on trial, and requests that fail on every endpoint, were taken for the release's.

Outcomes of plain requests (failures, latencies in half octaves) are counted by endpoint and shared; release_findings compares the release with the others over the same time by a likelihood ratio averaged over kinds, sizes and beginnings of faults, and over endpoints that are faulty by themselves. Completion needs evidence for the release, and notices of a majority of the members within the last second; so does the shift. Where nobody could judge, the release is rolled back a second after the limit. The trial of a plain service goes round its endpoints and uses what the account allows; a request that fails on it is retried on the release before, which serves the caller and tells whether it fails anywhere. rollout_judged says by which evidence, how old, of how many VMs, and how far from each limit.

--- a/Libraries/LibDispatch/candidate_filter.cpp
+++ b/Libraries/LibDispatch/candidate_filter.cpp
@@ -24,7 +24,8 @@
 
 /// A trial restricts the endpoints to about the same fraction as the requests,
 /// so that each of them has the load that it will have after the roll-out.
-void limitToTrialEndpoints(endpoint_list &Targets, double Share) {
+void limitToTrialEndpoints(endpoint_list &Targets, double Share,
+                           std::size_t Rotation) {
   const auto TrialCount = std::max<std::size_t>(
       1, static_cast<std::size_t>(
              std::ceil(static_cast<double>(Targets.size()) * Share)));
@@ -34,6 +35,10 @@
     return rendezvousScore("trial", A->Descriptor.Id.text()) >
            rendezvousScore("trial", B->Descriptor.Id.text());
   });
+  const std::size_t First = Rotation * TrialCount % Targets.size();
+  std::rotate(Targets.begin(),
+              Targets.begin() + static_cast<std::ptrdiff_t>(First),
+              Targets.end());
   Targets.resize(TrialCount);
 }
 
@@ -50,7 +55,8 @@
                          Rule.Phase == rollout_phase::Rejected;
   if (WantsTarget && IsOnTrial)
     limitToTrialEndpoints(Candidates,
-                          std::max(Rule.TrialEndpointShare, Rule.ShiftedShare));
+                          std::max(Rule.TrialEndpointShare, Rule.ShiftedShare),
+                          Rule.TrialRotation);
   if (!Candidates.empty())
     return Candidates;
   const bool MayFallBack =
--- a/Libraries/LibDispatch/exposure_budget.cpp
+++ b/Libraries/LibDispatch/exposure_budget.cpp
@@ -51,4 +51,19 @@
   return TrialRequests > 0 ? allowanceBefore(FullTime) / TrialRequests : 0;
 }
 
+double exposure_budget::remainingShare(milliseconds FullTime,
+                                       milliseconds TrialTime) const {
+  const double TrialRequests = RatePerMs * asDouble(TrialTime);
+  const double Allowed =
+      std::max(allowanceBefore(FullTime) - Counts.Target, 0.0);
+  if (TrialRequests <= 0)
+    return 0;
+  // The trial may get more than its share as well.
+  const double FullRequests = RatePerMs * asDouble(FullTime);
+  const double Margin =
+      ForecastDeviations *
+      (std::sqrt(FullRequests + Allowed) - std::sqrt(FullRequests));
+  return std::max(Allowed - Margin, 0.0) / TrialRequests;
+}
+
 } // namespace azurehaven
--- a/Libraries/LibDispatch/exposure_budget.h
+++ b/Libraries/LibDispatch/exposure_budget.h
@@ -42,6 +42,9 @@
   /// limited to [0, 1].
   double plannedShare(milliseconds FullTime, milliseconds TrialTime) const;
 
+  /// The same, less what the target has got so far.
+  double remainingShare(milliseconds FullTime, milliseconds TrialTime) const;
+
 private:
   /// Attempts that the target may get until the time limit, less those of the
   /// time in which it gets all of them and those in flight that move to it.
--- a/Libraries/LibDispatch/release_rule.cpp
+++ b/Libraries/LibDispatch/release_rule.cpp
@@ -42,6 +42,8 @@
     return "shifted";
   case release_reason::NotSelected:
     return "not_selected";
+  case release_reason::FailedOnTarget:
+    return "failed_on_target";
   case release_reason::Rejected:
     return "rejected";
   case release_reason::Completed:
--- a/Libraries/LibDispatch/release_rule.h
+++ b/Libraries/LibDispatch/release_rule.h
@@ -34,6 +34,8 @@
   double ShiftedShare = 0;
   /// Fraction of the target's endpoints that the trial uses.
   double TrialEndpointShare = 0;
+  /// Turn of the trial; in each, it uses other endpoints of the target.
+  std::size_t TrialRotation = 0;
   /// Whether sessions on the old release must stay there for now.
   bool PinsSessions = false;
   /// When the roll-out began.
@@ -66,6 +68,8 @@
   /// Its prompt has been shifted.
   Shifted,
   NotSelected,
+  /// It has failed on the target, which is on trial.
+  FailedOnTarget,
   Rejected,
   Completed,
   RolledBack,
--- a/Libraries/LibDispatch/release_statistics.h
+++ b/Libraries/LibDispatch/release_statistics.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "LibDispatch/exposure_budget.h"
+#include "LibDispatch/release_evidence.h"
 #include "LibTypes/ids.h"
 #include "LibTypes/units.h"
 
@@ -67,11 +68,16 @@
   /// The counts of a service, summed over all VMs.
   service_totals totals(const service_id &Service) const;
 
+  /// The outcomes of plain requests during roll-outs.
+  release_evidence &evidence() { return Evidence; }
+  const release_evidence &evidence() const { return Evidence; }
+
 private:
   using origin_key = std::tuple<vm_id, std::uint64_t, release_key>;
 
   std::map<release_key, release_counts> Local;
   std::map<origin_key, release_counts> Remote;
+  release_evidence Evidence;
 };
 
 } // namespace azurehaven
--- a/Libraries/LibDispatch/rollout.cpp
+++ b/Libraries/LibDispatch/rollout.cpp
@@ -8,9 +8,10 @@
 namespace {
 
 /// Fractions of the exposure share that a trial uses, at least and at most. A
-/// larger trial finds faults sooner; the shift needs its part as well.
+/// larger trial finds faults sooner; a gradual shift needs its part as well.
 constexpr double MinimumTrialFraction = 0.15;
-constexpr double MaximumTrialFraction = 0.6;
+constexpr double MaximumGradualTrialFraction = 0.6;
+constexpr double MaximumImmediateTrialFraction = 1;
 /// The fraction up to which a larger trial is worth a later shift.
 constexpr double SufficientTrialFraction = 0.3;
 /// The trial's share is raised in steps of this fraction of the exposure
@@ -29,6 +30,9 @@
 /// Engines that start without cached prompts read more of each prompt than
 /// those of the old release.
 constexpr double ColdCacheFactor = 1.5;
+/// After this time, the trial of a plain service goes on with its next
+/// endpoints: a fault of one of them must not be taken for the release's.
+constexpr milliseconds TrialTurn{500};
 
 /// A postponement is decided so long before the shift, so that all VMs know of
 /// it before the first of them shifts.
@@ -43,6 +47,13 @@
 /// not be published: callers must not depend on the store to get away from it.
 constexpr milliseconds UnpublishedRejectionLimit{3000};
 
+/// The outcomes of a release are judged if so large a part of its known
+/// requests is among them; earlier builds tell of none.
+constexpr double MinimumEvidencePart = 0.7;
+/// A release that no VM could judge by most of the evidence is rejected after
+/// this time beyond the limit: those that can judge it have done so.
+constexpr milliseconds UnjudgedRejectionDelay{1000};
+
 /// Fraction of the prompts that have moved to the target.
 double shiftedFraction(const rollout_schedule &Schedule, milliseconds Elapsed) {
   if (Elapsed < Schedule.ShiftStart)
@@ -61,6 +72,14 @@
                              Schedule.ShiftStart - Schedule.TrialStart);
 }
 
+/// The same, if the trial uses up from now on what the target has not got.
+double remainingShare(const exposure_budget &Budget,
+                      const rollout_schedule &Schedule, milliseconds Elapsed) {
+  return Budget.remainingShare(Schedule.fullExposure(),
+                               Schedule.ShiftStart -
+                                   std::max(Elapsed, Schedule.TrialStart));
+}
+
 /// Attempts by route, to the target and in all.
 std::map<std::string, exposure_counts>
 attemptsByRoute(const service_totals &Totals, const service_totals &Before,
@@ -77,6 +96,22 @@
   return Attempts;
 }
 
+/// What has been counted of the release on all routes.
+release_counts countsSince(const service_totals &Totals,
+                           const service_totals &Before,
+                           const std::string &Release) {
+  release_counts Since;
+  for (const auto &[Key, Counts] : Totals) {
+    if (Key.Release != Release)
+      continue;
+    Since += Counts;
+    const auto Known = Before.find(Key);
+    if (Known != Before.end())
+      Since.Requests -= Known->second.Requests;
+  }
+  return Since;
+}
+
 exposure_counts sumOf(const std::map<std::string, exposure_counts> &Attempts) {
   exposure_counts Sum;
   for (const auto &[Route, Counts] : Attempts) {
@@ -122,8 +157,9 @@
     return rollout_phase::RolledBack;
   if (Agreement.IsRejected)
     return rollout_phase::Rejected;
-  return elapsed(Now) >= schedule().ShiftStart ? rollout_phase::Shift
-                                               : rollout_phase::Trial;
+  const bool IsShifting = elapsed(Now) >= schedule().ShiftStart &&
+                          Judgement.Coverage.isSufficient();
+  return IsShifting ? rollout_phase::Shift : rollout_phase::Trial;
 }
 
 release_rule rollout::rule(const std::string &Route, steady_time Now) const {
@@ -138,7 +174,10 @@
   Rule.TrialEndpointShare =
       Agreement.TrialShare *
       (Shift == shift_kind::Gradual ? ColdCacheFactor : 1);
-  Rule.ShiftedShare = shiftedFraction(Schedule, Elapsed);
+  if (Shift == shift_kind::Immediate)
+    Rule.TrialRotation = static_cast<std::size_t>(Elapsed / TrialTurn);
+  if (Rule.Phase != rollout_phase::Trial)
+    Rule.ShiftedShare = shiftedFraction(Schedule, Elapsed);
   Rule.PinsSessions = Elapsed < Schedule.SessionMove;
   return Rule;
 }
@@ -148,8 +187,10 @@
     return *Agreement.Outcome;
   if (Agreement.IsRejected)
     return rollout_outcome::RolledBack;
+  const bool MayComplete = mayDecide() && Judgement.Coverage.isSufficient() &&
+                           Judgement.Verdict == release_verdict::Sound;
   const bool IsDue = elapsed(Now) >= schedule().Completion;
-  return IsDue && mayDecide() ? rollout_outcome::Completed
+  return IsDue && MayComplete ? rollout_outcome::Completed
                               : rollout_outcome::InProgress;
 }
 
@@ -189,13 +230,38 @@
   Source = Other.Source;
 }
 
-void rollout::observe(const service_totals &Totals, steady_time Now) {
+release_verdict rollout::verdictFrom(const release_counts &Counted,
+                                     release_verdict CountVerdict) const {
+  const release_findings &Findings = Judgement.Findings;
+  if (Findings.Requests < MinimumEvidencePart * Counted.Requests ||
+      Findings.Requests == 0)
+    return CountVerdict;
+  const release_verdict Verdict = verdictOf(Findings);
+  // The counts do not tell a faulty endpoint from a faulty release.
+  if (CountVerdict == release_verdict::Worse)
+    return Verdict == release_verdict::Suspect ? CountVerdict : Verdict;
+  return CountVerdict == release_verdict::Unproven
+             ? std::max(CountVerdict, Verdict)
+             : Verdict;
+}
+
+void rollout::observe(const service_totals &Totals,
+                      const release_evidence &Evidence, steady_time Now) {
   if (!TotalsBefore)
     TotalsBefore = Totals;
   const bool HasCounts = HasSeenOrder || Now - JoinedAt >= CountsArrivalTime;
   if (!Reference && HasCounts)
     Reference = {Totals, Now};
+  release_verdict &Verdict = Judgement.Verdict;
   Verdict = judgeRelease(Totals, *TotalsBefore, Order.Target);
+  if (Shift != shift_kind::Immediate)
+    return;
+  const evidence_totals Outcomes = Evidence.totals(Order.Service);
+  Windows.observe(Outcomes, Now);
+  Judgement.Findings =
+      weighEvidence(Outcomes, Windows.starts(Now), Order.Target);
+  Verdict =
+      verdictFrom(countsSince(Totals, *TotalsBefore, Order.Target), Verdict);
 }
 
 std::optional<exposure_budget> rollout::budget(const service_totals &Totals,
@@ -225,24 +291,36 @@
   const bool IsInSecondHalf = Elapsed >= Schedule.SessionMove &&
                               Elapsed < Schedule.ShiftStart - MinimumRaisedTime;
   if (IsBeforeTrial || IsInSecondHalf)
-    raiseTrialShare(Budget, Exposure);
+    raiseTrialShare(Budget, Exposure, Now);
   if (IsInSecondHalf)
     raiseRouteShares(Totals);
 }
 
-void rollout::raiseTrialShare(const exposure_budget &Budget,
-                              const exposure_limits &Exposure) {
+double rollout::gradualTrialShare(const exposure_budget &Budget,
+                                  const exposure_limits &Exposure) const {
   const rollout_schedule Schedule = schedule();
-  // A trial that tells something goes before a gradual shift.
-  const rollout_schedule Latest =
-      Shift == shift_kind::Gradual
-          ? Schedule.withShiftAt(Schedule.latestShift())
-          : Schedule;
-  const double Allowed =
-      std::min(std::max(plannedShare(Budget, Schedule),
-                        std::min(plannedShare(Budget, Latest),
-                                 Exposure.Share * SufficientTrialFraction)),
-               Exposure.Share * MaximumTrialFraction);
+  // A trial that tells something goes before the shift.
+  const rollout_schedule Latest = Schedule.withShiftAt(Schedule.latestShift());
+  const double Planned =
+      std::max(plannedShare(Budget, Schedule),
+               std::min(plannedShare(Budget, Latest),
+                        Exposure.Share * SufficientTrialFraction));
+  return std::min(Planned, Exposure.Share * MaximumGradualTrialFraction);
+}
+
+double rollout::immediateTrialShare(const exposure_budget &Budget,
+                                    const exposure_limits &Exposure,
+                                    steady_time Now) const {
+  return std::min(remainingShare(Budget, schedule(), elapsed(Now)),
+                  Exposure.Share * MaximumImmediateTrialFraction);
+}
+
+void rollout::raiseTrialShare(const exposure_budget &Budget,
+                              const exposure_limits &Exposure,
+                              steady_time Now) {
+  const double Allowed = Shift == shift_kind::Gradual
+                             ? gradualTrialShare(Budget, Exposure)
+                             : immediateTrialShare(Budget, Exposure, Now);
   const double Step = Exposure.Share * TrialShareStep;
   if (Allowed > 0 && Step > 0)
     Agreement.raiseTrialShare(std::floor(Allowed / Step) * Step);
@@ -269,7 +347,7 @@
   if (!IsDue)
     return;
   const milliseconds Next = Elapsed + PostponementNotice + PostponementStep;
-  if (Verdict == release_verdict::Suspect)
+  if (Judgement.Verdict == release_verdict::Suspect)
     return Agreement.postponeShift(Next);
   // A sound target is completed in time even if its exposure leaves no room for
   // a gradual shift.
@@ -283,6 +361,18 @@
   RejectedAt = Now;
 }
 
+bool rollout::isLate(steady_time Now) const {
+  return elapsed(Now) >= unpostponedSchedule().Completion;
+}
+
+bool rollout::mustReject(steady_time Now) const {
+  if (Judgement.Verdict == release_verdict::Worse)
+    return true;
+  if (Judgement.Coverage.isSufficient())
+    return isLate(Now) && Judgement.Verdict != release_verdict::Sound;
+  return elapsed(Now) >= Order.TimeLimit + UnjudgedRejectionDelay;
+}
+
 void rollout::judge(const release_statistics &Statistics,
                     const rollout_surroundings &Surroundings,
                     const exposure_limits &Exposure, steady_time Now) {
@@ -291,7 +381,8 @@
   if (Surroundings.PlainServices.contains(Order.Service))
     Shift = shift_kind::Immediate;
   const service_totals Totals = Statistics.totals(Order.Service);
-  observe(Totals, Now);
+  Judgement.Coverage = Surroundings.Coverage;
+  observe(Totals, Statistics.evidence(), Now);
   const auto InFlight = Surroundings.InFlight.find(Order.Service);
   const auto Budget = budget(
       Totals, Exposure,
@@ -299,11 +390,7 @@
   if (Budget)
     raiseShares(*Budget, Exposure, Totals, Now);
   postponeShift(Budget, Now);
-  if (!mayDecide())
-    return;
-  const bool IsLate = elapsed(Now) >= unpostponedSchedule().Completion;
-  if (Verdict == release_verdict::Worse ||
-      (IsLate && Verdict != release_verdict::Sound))
+  if (mayDecide() && mustReject(Now))
     reject(Now);
 }
 
--- a/Libraries/LibDispatch/rollout.h
+++ b/Libraries/LibDispatch/rollout.h
@@ -1,6 +1,9 @@
 #pragma once
 
+#include "LibDispatch/evidence_coverage.h"
+#include "LibDispatch/evidence_windows.h"
 #include "LibDispatch/exposure_budget.h"
+#include "LibDispatch/release_findings.h"
 #include "LibDispatch/release_rule.h"
 #include "LibDispatch/release_verdict.h"
 #include "LibDispatch/rollout_agreement.h"
@@ -19,6 +22,16 @@
   std::set<service_id> PlainServices{};
   /// Attempts of all VMs that run now.
   std::map<service_id, std::uint32_t> InFlight{};
+  evidence_coverage Coverage{};
+};
+
+/// What the verdict on a release rests on.
+struct rollout_judgement {
+  release_verdict Verdict = release_verdict::Sound;
+  /// Without requests if the service's endpoints are engines, or if this VM
+  /// lacks most of the outcomes; the verdict comes from the counts then.
+  release_findings Findings;
+  evidence_coverage Coverage;
 };
 
 /// One roll-out of a service: a trial with a small share of the sessions, a
@@ -35,7 +48,7 @@
   /// The restored store has repeated the order under another revision.
   void renewOrder(store_revision Revision) { Order.Revision = Revision; }
   const rollout_agreement &agreement() const { return Agreement; }
-  release_verdict verdict() const { return Verdict; }
+  const rollout_judgement &judgement() const { return Judgement; }
   milliseconds elapsed(steady_time Now) const;
   rollout_schedule schedule() const;
   bool isShiftPostponed() const;
@@ -48,8 +61,10 @@
   rollout_outcome wantedOutcome(steady_time Now) const;
 
   /// Evaluates the target. It is rejected if it is found to be worse, or is
-  /// not found to be sound in time. The shift is postponed while the target is
-  /// suspect, or while all requests would exceed its exposure.
+  /// not found to be sound in time by a VM that knows most of the evidence. The
+  /// shift is postponed while the target is suspect, or while all requests
+  /// would exceed its exposure; a VM without most of the evidence does not take
+  /// part in it.
   void judge(const release_statistics &Statistics,
              const rollout_surroundings &Surroundings,
              const exposure_limits &Exposure, steady_time Now);
@@ -71,7 +86,12 @@
   /// runs for long enough.
   bool mayDecide() const { return HasSeenOrder || Reference; }
   void joinStart(const rollout_state &Other, steady_time Now);
-  void observe(const service_totals &Totals, steady_time Now);
+  void observe(const service_totals &Totals, const release_evidence &Evidence,
+               steady_time Now);
+  release_verdict verdictFrom(const release_counts &Counted,
+                              release_verdict CountVerdict) const;
+  bool isLate(steady_time Now) const;
+  bool mustReject(steady_time Now) const;
   std::optional<exposure_budget> budget(const service_totals &Totals,
                                         const exposure_limits &Exposure,
                                         std::uint32_t InFlight,
@@ -80,7 +100,12 @@
                    const exposure_limits &Exposure,
                    const service_totals &Totals, steady_time Now);
   void raiseTrialShare(const exposure_budget &Budget,
-                       const exposure_limits &Exposure);
+                       const exposure_limits &Exposure, steady_time Now);
+  double gradualTrialShare(const exposure_budget &Budget,
+                           const exposure_limits &Exposure) const;
+  double immediateTrialShare(const exposure_budget &Budget,
+                             const exposure_limits &Exposure,
+                             steady_time Now) const;
   void raiseRouteShares(const service_totals &Totals);
   void postponeShift(const std::optional<exposure_budget> &Budget,
                      steady_time Now);
@@ -96,7 +121,8 @@
   rollout_agreement Agreement;
   /// When this VM learned of the rejection.
   std::optional<steady_time> RejectedAt;
-  release_verdict Verdict = release_verdict::Sound;
+  rollout_judgement Judgement;
+  evidence_windows Windows;
   /// The service's totals when the roll-out was first evaluated.
   std::optional<service_totals> TotalsBefore;
   std::optional<exposure_reference> Reference;
--- a/Libraries/LibDispatch/rollout_controller.cpp
+++ b/Libraries/LibDispatch/rollout_controller.cpp
@@ -141,6 +141,11 @@
   });
 }
 
+bool rollout_controller::isUndecided(const service_id &Service) const {
+  const auto Found = Rollouts.find(Service);
+  return Found != Rollouts.end() && Found->second.Rollout.isUndecided();
+}
+
 release_rule rollout_controller::ruleFor(const service_id &Service,
                                          const std::string &Route,
                                          steady_time Now) const {
@@ -211,7 +216,7 @@
   for (const auto &[Service, Tracked] : Rollouts) {
     const rollout &Rollout = Tracked.Rollout;
     Summaries.push_back({Service, Rollout.rule({}, Now), Rollout.elapsed(Now),
-                         Rollout.schedule().ShiftStart, Rollout.verdict(),
+                         Rollout.schedule().ShiftStart, Rollout.judgement(),
                          Rollout.isShiftPostponed()});
   }
   return Summaries;
@@ -238,7 +243,7 @@
     if (needsUpdate(Tracked, Wanted, Now))
       Updates.push_back({Rollout.order(), Wanted, Tracked.PublishedRevision,
                          Rollout.elapsed(Now), Rollout.agreement().ShiftStart,
-                         Rollout.verdict()});
+                         Rollout.judgement()});
   }
   return Updates;
 }
--- a/Libraries/LibDispatch/rollout_controller.h
+++ b/Libraries/LibDispatch/rollout_controller.h
@@ -35,6 +35,7 @@
   /// Whether a roll-out has no final outcome yet and its target is not
   /// rejected.
   bool isAnyUndecided() const;
+  bool isUndecided(const service_id &Service) const;
   release_rule ruleFor(const service_id &Service, steady_time Now) const {
     return ruleFor(Service, {}, Now);
   }
@@ -59,7 +60,7 @@
     release_rule Rule;
     milliseconds Elapsed{0};
     milliseconds ShiftStart{0};
-    release_verdict Verdict = release_verdict::Sound;
+    rollout_judgement Judgement;
     bool IsShiftPostponed = false;
   };
   std::vector<rollout_summary> summaries(steady_time Now) const;
@@ -74,7 +75,7 @@
     milliseconds Elapsed{0};
     /// The postponed start of the shift; zero if it was not postponed.
     milliseconds ShiftStart{0};
-    release_verdict Verdict = release_verdict::Sound;
+    rollout_judgement Judgement;
   };
   std::vector<outcome_update> outcomeUpdates(steady_time Now) const;
 
--- a/Libraries/LibPeer/frame_codec.cpp
+++ b/Libraries/LibPeer/frame_codec.cpp
@@ -171,6 +171,7 @@
                            static_cast<std::uint64_t>(
                                Message.Confirmation->ClockReading.count()));
     const auto Records = encodeCrashRecords(Message.CrashRecords);
+    const auto Outcomes = encodeOutcomes(Message.ReleaseOutcomes);
     std::optional<wire::CrashDigest> Digest;
     if (Message.CrashDigest)
       Digest.emplace(Message.CrashDigest->Requests,
@@ -180,11 +181,23 @@
                static_cast<std::uint64_t>(Message.ClockReading.count()),
                Confirmation ? &*Confirmation : nullptr, &SegmentCrashes,
                &Message.ClearedSegments, &Rates, &Brittle, &Reached, &Rollouts,
-               &Records, Digest ? &*Digest : nullptr, Message.WantsCrashRecords)
+               &Records, Digest ? &*Digest : nullptr, Message.WantsCrashRecords,
+               &Outcomes)
         .Union();
   }
 
 private:
+  std::vector<Offset<wire::ReleaseOutcomes>>
+  encodeOutcomes(const std::vector<release_outcomes_notice> &Notices) {
+    std::vector<Offset<wire::ReleaseOutcomes>> Outcomes;
+    for (const auto &Notice : Notices)
+      Outcomes.push_back(wire::CreateReleaseOutcomesDirect(
+          Builder, Notice.Service.text().c_str(), Notice.Release.c_str(),
+          Notice.Route.c_str(), Notice.Endpoint, Notice.Failures,
+          Notice.FirstBucket, &Notice.Successes));
+    return Outcomes;
+  }
+
   std::vector<Offset<wire::Crash>>
   encodeCrashes(const std::vector<crash_notice> &Notices) {
     std::vector<Offset<wire::Crash>> Crashes;
@@ -329,6 +342,19 @@
 }
 
 /// Returns nullopt for a state that no roll-out can be in.
+release_outcomes_notice decodeOutcomes(const wire::ReleaseOutcomes &Item) {
+  release_outcomes_notice Notice{service_id(Item.service()->str()),
+                                 Item.release()->str(),
+                                 Item.route()->str(),
+                                 Item.endpoint(),
+                                 Item.failures(),
+                                 Item.first_bucket(),
+                                 {}};
+  if (const auto *Successes = Item.successes())
+    Notice.Successes.assign(Successes->begin(), Successes->end());
+  return Notice;
+}
+
 std::optional<rollout_notice> decodeRollout(const wire::Rollout &Item) {
   const bool IsValid =
       isValidShare(Item.trial_share()) &&
@@ -409,6 +435,8 @@
   if (const auto *Digest = Source.crash_digest())
     Message.CrashDigest = {Digest->requests(), Digest->segments()};
   Message.WantsCrashRecords = Source.wants_crash_records();
+  Message.ReleaseOutcomes =
+      decodeAll(Source.release_outcomes(), decodeOutcomes);
   Message.LeavingEndpoints =
       decodeAll(Source.leaving(), [](const wire::LeavingEndpoint &Item) {
         return leaving_notice{endpoint_id(Item.endpoint()->str()),
--- a/Libraries/LibPeer/peer_message.h
+++ b/Libraries/LibPeer/peer_message.h
@@ -123,6 +123,20 @@
   std::uint32_t Attempts = 0;
 };
 
+/// Cumulative outcomes of one release on one route and endpoint since the
+/// sender started.
+struct release_outcomes_notice {
+  service_id Service;
+  std::string Release;
+  std::string Route;
+  /// Hash of the endpoint's id; see endpointHash().
+  std::uint64_t Endpoint = 0;
+  std::uint32_t Failures = 0;
+  /// The latency bucket of the first of Successes; see outcome_histogram.
+  std::uint8_t FirstBucket = 0;
+  std::vector<std::uint32_t> Successes;
+};
+
 /// The release that has just served a request of the session.
 struct session_release_notice {
   std::uint64_t Session = 0;
@@ -259,6 +273,7 @@
   std::optional<crash_digest_notice> CrashDigest;
   /// Whether the sender asks for all crash records of the receiver.
   bool WantsCrashRecords = false;
+  std::vector<release_outcomes_notice> ReleaseOutcomes;
 };
 
 using peer_message =
--- a/Libraries/LibRelay/admitted_request.h
+++ b/Libraries/LibRelay/admitted_request.h
@@ -2,6 +2,7 @@
 
 #include "LibDispatch/prompt_quarantine.h"
 #include "LibDispatch/route_table.h"
+#include "LibRelay/request_evidence.h"
 
 #include <memory>
 
@@ -22,6 +23,8 @@
   std::vector<segment_key> SharedSegments;
   /// The service selected by the weights of the route's shares.
   service_id Service;
+  /// What its attempts tell of releases; null if each is counted by itself.
+  std::shared_ptr<request_evidence> Evidence;
 
   const endpoint_pool *pool() const { return Routes->pool(Service); }
   bool isForEngines() const { return pool() && pool()->Engine; }
--- a/Libraries/LibRelay/attempt_recorder.cpp
+++ b/Libraries/LibRelay/attempt_recorder.cpp
@@ -77,6 +77,26 @@
       {Endpoint.Service, Endpoint.Release, Admitted.Route->Name}, Counts);
 }
 
+void attempt_recorder::addEvidence(bool HasFailed,
+                                   const response_latency &Latency,
+                                   steady_time Now) {
+  const bool IsJudged = Admitted.Route->Kind != route_kind::Stream &&
+                        Fleet.Rollouts.isUndecided(Endpoint.Service);
+  if (!IsJudged)
+    return;
+  release_evidence &Evidence = Fleet.ReleaseStatistics.evidence();
+  const evidence_key Key{Endpoint.Service, Endpoint.Release,
+                         Admitted.Route->Name, endpointHash(Endpoint.Id)};
+  if (HasFailed && Admitted.Evidence)
+    return Admitted.Evidence->addFailure(Key);
+  if (HasFailed)
+    return Evidence.addFailure(Key, Now);
+  if (Admitted.Evidence)
+    Admitted.Evidence->addSuccess();
+  if (Latency.BodyMs)
+    Evidence.addSuccess(Key, *Latency.BodyMs, Now);
+}
+
 void attempt_recorder::record(bool HasFailed, steady_time Now) {
   if (!IsRunning)
     return;
@@ -93,6 +113,8 @@
       logSlow(Latency);
   }
   add(Counts);
+  if (!IsCounted)
+    addEvidence(HasFailed, Full, Now);
   learn(Full, Now);
 }
 
@@ -123,6 +145,7 @@
   Counts.Requests = 1;
   Counts.Slow = 1;
   add(Counts);
+  addEvidence(/*HasFailed=*/false, Latency, Now);
 }
 
 } // namespace azurehaven
--- a/Libraries/LibRelay/attempt_recorder.h
+++ b/Libraries/LibRelay/attempt_recorder.h
@@ -47,6 +47,10 @@
   void learn(const response_latency &Latency, steady_time Now);
   void logSlow(const response_latency &Latency) const;
   void add(const release_counts &Counts);
+  /// Counts the outcome of a plain request for the judgement of a release that
+  /// is being rolled out.
+  void addEvidence(bool HasFailed, const response_latency &Latency,
+                   steady_time Now);
 
   fleet_state &Fleet;
   const event_log &Log;
--- a/Libraries/LibRelay/fleet_state.h
+++ b/Libraries/LibRelay/fleet_state.h
@@ -8,6 +8,7 @@
 #include "LibDispatch/fleet_retry_budget.h"
 #include "LibDispatch/latency_baseline.h"
 #include "LibDispatch/model_cascade.h"
+#include "LibDispatch/peer_contacts.h"
 #include "LibDispatch/prefill_time_estimator.h"
 #include "LibDispatch/prompt_quarantine.h"
 #include "LibDispatch/release_statistics.h"
@@ -46,6 +47,7 @@
   service_paths Paths{};
   model_cascade Models{};
   release_statistics ReleaseStatistics{};
+  peer_contacts Contacts{};
   /// Times between events of a stream, or total times of plain responses.
   latency_baseline LatencyBaseline{};
   /// Times from the sent request to the head of a stream, where the prompt was
--- a/Libraries/LibRelay/peer_state_sync.cpp
+++ b/Libraries/LibRelay/peer_state_sync.cpp
@@ -26,8 +26,12 @@
 
 } // namespace
 
+bool peer_state_sync::sendsAllCounts() const {
+  return NoticeCount % NoticesPerFullCounts == 0;
+}
+
 std::vector<release_counts_notice> peer_state_sync::releaseCounts() {
-  const bool SendsAll = NoticeCount++ % NoticesPerFullCounts == 0;
+  const bool SendsAll = sendsAllCounts();
   std::vector<release_counts_notice> Notices;
   for (const auto &[Key, Counts] : Fleet.ReleaseStatistics.localReports()) {
     const bool IsSent = SentCounts[Key] == Counts;
@@ -147,12 +151,14 @@
 
 fleet_notice peer_state_sync::buildNotice() {
   fleet_notice Notice;
+  ++NoticeCount;
   for (const auto &[Id, Endpoint] : Fleet.Endpoints.all())
     if (Endpoint->InFlight > 0)
       Notice.EndpointLoads.push_back(
           {Endpoint->Hash, Endpoint->InFlight,
            static_cast<std::uint32_t>(std::max(Endpoint->PromptWork, 0.0))});
   Notice.Releases = releaseCounts();
+  Notice.ReleaseOutcomes = Evidence.notices(sendsAllCounts());
   Notice.Rates = rateNotices();
   Notice.BrittleServices = brittleNotices();
   Notice.ReachedServices = reachedNotices();
@@ -191,6 +197,7 @@
   const steady_time Now = Clock.now();
   HasNewPeer |= std::exchange(KnownIncarnations[Frame.Sender],
                               Frame.Incarnation) != Frame.Incarnation;
+  Fleet.Contacts.onNotice(Frame.Sender, Now);
   peer_loads &Reported = PeerLoads[Frame.Sender];
   Reported.At = Now;
   removeFromTotals(Reported.Loads);
@@ -211,6 +218,8 @@
         Frame.Sender, Frame.Incarnation,
         {{Release.Service, Release.Release, Release.Route},
          {Release.Requests, Release.Failures, Release.Slow, Release.Attempts}});
+  Evidence.onNotices(Frame.Sender, Frame.Incarnation, Notice->ReleaseOutcomes,
+                     Now);
   for (const auto &SessionRelease : Notice->SessionReleases)
     Fleet.Pins.merge({SessionRelease.Session, SessionRelease.Release,
                       Now - SessionRelease.Age, pin_source::Peer});
@@ -271,6 +280,8 @@
   const steady_time Now = Clock.now();
   Fleet.PassedConfirmations.expire(Now);
   Crashes.expire(Now);
+  Evidence.expire(Now);
+  Fleet.Contacts.expire(Now);
   const auto Removed = std::erase_if(PeerLoads, [&](const auto &Entry) {
     const bool IsExpired = Now - Entry.second.At > PeerLoadTimeToLive;
     if (IsExpired)
--- a/Libraries/LibRelay/peer_state_sync.h
+++ b/Libraries/LibRelay/peer_state_sync.h
@@ -2,6 +2,7 @@
 
 #include "LibPeer/peer_network.h"
 #include "LibRelay/crash_exchange.h"
+#include "LibRelay/evidence_exchange.h"
 #include "LibRelay/fleet_state.h"
 #include "LibRelay/rollout_driver.h"
 #include "LibTypes/clock_source.h"
@@ -19,7 +20,8 @@
                   const event_log &Log, peer_network &Peers,
                   std::uint64_t Incarnation)
       : Fleet(Fleet), Clock(Clock), Peers(Peers), Incarnation(Incarnation),
-        Crashes(Fleet, Log) {}
+        Crashes(Fleet, Log), Evidence(Fleet.ReleaseStatistics.evidence(), Log) {
+  }
 
   /// Sends one notice to each other member.
   void broadcast();
@@ -60,6 +62,7 @@
   /// The release counts that have changed since the last notice; at times all
   /// of them, since a notice may be lost.
   std::vector<release_counts_notice> releaseCounts();
+  bool sendsAllCounts() const;
   /// Takes the sender's clock reading, and its confirmation of the
   /// configuration if it proves something here.
   void exchangeConfirmations(const peer_frame &Frame,
@@ -74,6 +77,7 @@
   /// Of this process start.
   const std::uint64_t Incarnation;
   crash_exchange Crashes;
+  evidence_exchange Evidence;
   std::map<vm_id, peer_loads> PeerLoads;
   std::unordered_map<std::uint64_t, total_load> Totals;
   std::map<release_key, release_counts> SentCounts;
--- a/Libraries/LibRelay/relayed_request.cpp
+++ b/Libraries/LibRelay/relayed_request.cpp
@@ -34,6 +34,11 @@
   return "unknown";
 }
 
+admitted_request withEvidence(admitted_request Admitted) {
+  Admitted.Evidence = std::make_shared<request_evidence>();
+  return Admitted;
+}
+
 /// Whether another VM has refused a forwarded request, which then has not run
 /// there. Only responses of endpoints are signed.
 bool isRefusalByVm(const decoded_response_head &Response) {
@@ -53,8 +58,9 @@
                                  std::shared_ptr<caller_connection> Caller)
     : Context(Context), Head(std::move(Incoming.Head)),
       Body(std::make_shared<const std::string>(std::move(Incoming.Body))),
-      Admitted(makeAdmittedRequest(std::move(NewRequest), Context.Fleet.Routes,
-                                   NewRoute, Account, Fingerprint)),
+      Admitted(withEvidence(
+          makeAdmittedRequest(std::move(NewRequest), Context.Fleet.Routes,
+                              NewRoute, Account, Fingerprint))),
       Request(Admitted.Request), Route(*Admitted.Route),
       Caller(std::move(Caller)), Budget(Admitted, Context.Clock.now()),
       Deadline(Context.Executor), PlacementWait(Context.Executor),
@@ -648,6 +654,8 @@
   if (Hedge)
     Hedge->cancel();
   recordIfSlow(Now);
+  Admitted.Evidence->countFailures(Context.Fleet.ReleaseStatistics.evidence(),
+                                   Now);
   const auto Took =
       std::chrono::duration_cast<milliseconds>(Now - Budget.arrivedAt());
   const std::string Labels = std::string("kind=\"") + nameOf(Route.Kind) +
--- a/Libraries/LibRelay/request_placement.cpp
+++ b/Libraries/LibRelay/request_placement.cpp
@@ -3,6 +3,7 @@
 #include "LibDispatch/candidate_filter.h"
 #include "LibTypes/fingerprint.h"
 
+#include <algorithm>
 #include <cmath>
 
 namespace azurehaven {
@@ -30,6 +31,25 @@
   return {Session, sampleOf(fingerprintOf(Prompt[Prompt.size() - 2].Id))};
 }
 
+/// Whether a request without a session was sent to a target that is not proven
+/// yet. Its next attempt goes to another release, which serves the caller if
+/// the target is bad, and tells whether the request fails anywhere if it is
+/// not.
+bool hasFailedOnTarget(const fleet_state &Fleet,
+                       const admitted_request &Admitted,
+                       const std::set<endpoint_id> &Tried,
+                       const release_rule &Rule) {
+  const bool IsOnTrial =
+      Rule.Phase == rollout_phase::Trial || Rule.Phase == rollout_phase::Shift;
+  if (!IsOnTrial || Admitted.isForEngines() ||
+      !Admitted.Request.Session.empty())
+    return false;
+  return std::any_of(Tried.begin(), Tried.end(), [&](const endpoint_id &Id) {
+    const auto Endpoint = Fleet.Endpoints.find(Id);
+    return Endpoint && Endpoint->Descriptor.Release == Rule.Target;
+  });
+}
+
 } // namespace
 
 request_placement placeRequest(const fleet_state &Fleet,
@@ -55,8 +75,17 @@
       Rule,
       Placement.Pin ? std::optional(Placement.Pin->Release) : std::nullopt,
       Placement.Samples);
-  const endpoint_list Candidates =
+  endpoint_list Candidates =
       candidatesFor(Endpoints, Rule, Placement.Decision.Choice, Now);
+  if (hasFailedOnTarget(Fleet, Admitted, Tried, Rule)) {
+    const endpoint_list Others =
+        candidatesFor(Endpoints, Rule, release_choice::NotTarget, Now);
+    if (!Others.empty()) {
+      Placement.Decision = {release_choice::NotTarget,
+                            release_reason::FailedOnTarget};
+      Candidates = Others;
+    }
+  }
   Placement.Endpoint =
       Admitted.isForEngines()
           ? selectEngine(Admitted.Request, Candidates, Parameters, Now)
--- a/Libraries/LibRelay/rollout_driver.cpp
+++ b/Libraries/LibRelay/rollout_driver.cpp
@@ -55,13 +55,18 @@
     if (Pool && !Pool->Engine)
       Surroundings.PlainServices.insert(Service);
   }
+  std::vector<vm_id> Others;
+  for (const member_entry &Member : Fleet.Members.all())
+    if (Member.Vm != Fleet.Self)
+      Others.push_back(Member.Vm);
+  Surroundings.Coverage = Fleet.Contacts.coverage(Others, Clock.now());
   return Surroundings;
 }
 
 void rollout_driver::advance() {
   const steady_time Now = Clock.now();
   Fleet.Rollouts.judge(Fleet.ReleaseStatistics, surroundings(), Now);
-  logPhaseChanges(Now);
+  RolloutLog.update(Fleet.Rollouts.summaries(Now), Now);
   announceNews();
   // A stopping process may exit before the store responds.
   if (Fleet.IsStopping)
@@ -88,27 +93,6 @@
   }
 }
 
-void rollout_driver::logPhaseChanges(steady_time Now) {
-  for (const auto &Summary : Fleet.Rollouts.summaries(Now)) {
-    const logged_state State{Summary.Rule.Target, Summary.Rule.Phase,
-                             Summary.IsShiftPostponed};
-    logged_state &Logged = LoggedStates[Summary.Service];
-    if (Logged == State)
-      continue;
-    Log.write(log_level::Info, "rollout_phase_changed",
-              {{"service", Summary.Service.text()},
-               {"target", State.Target},
-               {"phase", nameOf(State.Phase)},
-               {"before", nameOf(Logged.Phase)},
-               {"shift_postponed", State.IsShiftPostponed ? "yes" : "no"},
-               {"verdict", nameOf(Summary.Verdict)},
-               {"trial_share", std::to_string(Summary.Rule.TrialShare)},
-               {"shift_start_ms", std::to_string(Summary.ShiftStart.count())},
-               {"elapsed_ms", std::to_string(Summary.Elapsed.count())}});
-    Logged = State;
-  }
-}
-
 void rollout_driver::publish(const rollout_controller::outcome_update &Due,
                              steady_time Now) {
   const service_id Service = Due.Order.Service;
@@ -121,11 +105,13 @@
   const release_counts Counts =
       Fleet.ReleaseStatistics.countsOf(Service, Due.Order.Target);
   const release_counts All = Fleet.ReleaseStatistics.countsOf(Service);
+  if (Due.Outcome != rollout_outcome::InProgress)
+    RolloutLog.onDecided(Due.Order, Due.Elapsed, Due.Judgement);
   Log.write(log_level::Info, "rollout_publishing",
             {{"service", Service.text()},
              {"target", Due.Order.Target},
              {"outcome", nameOf(Due.Outcome)},
-             {"verdict", nameOf(Due.Verdict)},
+             {"verdict", nameOf(Due.Judgement.Verdict)},
              {"elapsed_ms", std::to_string(Due.Elapsed.count())},
              {"attempts", std::to_string(Counts.Attempts)},
              {"requests", std::to_string(Counts.Requests)},
--- a/Libraries/LibRelay/rollout_driver.h
+++ b/Libraries/LibRelay/rollout_driver.h
@@ -3,6 +3,7 @@
 #include "LibFleet/event_scheduler.h"
 #include "LibLog/event_log.h"
 #include "LibRelay/fleet_state.h"
+#include "LibRelay/rollout_log.h"
 #include "LibStore/async_store.h"
 #include "LibTypes/clock_source.h"
 
@@ -53,7 +54,7 @@
                  const event_log &Log, rollout_publisher &Publisher,
                  fleet_announcer &Announcer)
       : Fleet(Fleet), Clock(Clock), Log(Log), Publisher(Publisher),
-        Announcer(Announcer) {}
+        Announcer(Announcer), RolloutLog(Log) {}
 
   /// Must be called several times per second.
   void advance();
@@ -66,19 +67,11 @@
     bool IsPublishing = false;
     steady_time RetryAt;
   };
-  /// What the log says of a roll-out.
-  struct logged_state {
-    std::string Target;
-    rollout_phase Phase = rollout_phase::None;
-    bool IsShiftPostponed = false;
-    bool operator==(const logged_state &) const = default;
-  };
   rollout_surroundings surroundings() const;
   void publish(const rollout_controller::outcome_update &Due, steady_time Now);
   void onPublished(const rollout_controller::outcome_update &Update,
                    const result<store_revision> &Result);
   void announceNews();
-  void logPhaseChanges(steady_time Now);
 
   fleet_state &Fleet;
   const clock_source &Clock;
@@ -86,7 +79,7 @@
   rollout_publisher &Publisher;
   fleet_announcer &Announcer;
   std::map<service_id, pending_outcome> Pending;
-  std::map<service_id, logged_state> LoggedStates;
+  rollout_log RolloutLog;
 };
 
 } // namespace azurehaven
--- a/Tests/LibRelay/rollout_driver_test.cpp
+++ b/Tests/LibRelay/rollout_driver_test.cpp
@@ -41,6 +41,16 @@
         order_origin::Written, std::nullopt, Clock.Now);
   }
   void advanceBy(milliseconds Time) {
+    hearPeers(Time);
+    Driver.advance();
+  }
+  void hearPeers(milliseconds Time) {
+    Clock.Now += Time;
+    for (const char *Vm : {"vm-1", "vm-2", "vm-3"})
+      Fleet.Contacts.onNotice(vm_id(Vm), Clock.Now);
+  }
+  /// Lets time pass without notices of the others.
+  void advanceAloneBy(milliseconds Time) {
     Clock.Now += Time;
     Driver.advance();
   }
@@ -100,6 +110,30 @@
   CHECK(valueOf(Record).Target == "v2");
 }
 
+TEST_CASE("A VM that does not hear of most others neither shifts its requests "
+          "nor publishes a final outcome before the time limit") {
+  driver_vm Vm("vm-1");
+  Vm.Fleet.Rollouts.onOutcome(service_id("s"), "v2",
+                              rollout_outcome::InProgress, {{}, 8});
+  for (int Second = 1; Second <= 10; ++Second) {
+    Vm.advanceAloneBy(milliseconds(1000));
+    CHECK(Vm.Fleet.Rollouts.ruleFor(service_id("s"), Vm.Clock.Now).Phase ==
+          rollout_phase::Trial);
+  }
+  CHECK(Vm.Publisher.Outcomes.empty());
+}
+
+TEST_CASE("A release that no VM could judge is rolled back after the time "
+          "limit") {
+  driver_vm Vm("vm-1");
+  Vm.Fleet.Rollouts.onOutcome(service_id("s"), "v2",
+                              rollout_outcome::InProgress, {{}, 8});
+  for (int Second = 1; Second <= 12; ++Second)
+    Vm.advanceAloneBy(milliseconds(1000));
+  REQUIRE(Vm.Publisher.Outcomes.size() == 1);
+  CHECK(Vm.Publisher.Outcomes.front() == rollout_outcome::RolledBack);
+}
+
 TEST_CASE("A stopping VM publishes nothing") {
   driver_vm Vm("vm-1");
   Vm.Fleet.IsStopping = true;
