LibRelay, LibConnection, LibPeer: Bound what connections buffer by the VM's memory, in sum

Bodies without end took 153 MiB on VMs of 214 to 520 MB though 64 MB was the limit: a constant that knew neither the VM's memory nor that a string grows by doubling and is copied on its way out, and that one faulty engine could use up alone, so that sound responses of others failed.

memory_budget bounds in sum what callers' requests, their queued responses, bodies and partial events of endpoints take, by capacity: half of the VM's memory (limits.memory_mb), half of that for responses, a quarter of that for those of one endpoint. Buffers up to 16 KB are always allowed. A request that finds no memory is refused with 503 and Retry-After, before it is passed on; a caller's read-ahead and backlog shrink. Frames of peers share 32 MB. The store has its limit of each call, as before; heads have theirs (64 KB each).

Many endless bodies at once, the test of before, holds its bound of 64 MB. Not measured with real processes yet.

--- a/Libraries/LibConnection/caller_connection.cpp
+++ b/Libraries/LibConnection/caller_connection.cpp
@@ -31,6 +31,8 @@
     return 413;
   case request_parse_error::Incomplete:
     return 408;
+  case request_parse_error::OutOfMemory:
+    return 503;
   case request_parse_error::None:
   case request_parse_error::Malformed:
     break;
@@ -52,7 +54,8 @@
 caller_connection::caller_connection(asio::ip::tcp::socket Socket,
                                      request_handler &Handler)
     : Socket(std::move(Socket)), Timer(this->Socket.get_executor()),
-      Handler(Handler), Parser(Handler.limits()), IdleSince(Handler.now()) {}
+      Handler(Handler), Parser(Handler.limits()), Inbound(Handler.memory()),
+      Outbound(Handler.memory()), IdleSince(Handler.now()) {}
 
 void caller_connection::start() {
   setConnectionOptions(Socket, UnacknowledgedDataTimeout);
@@ -64,9 +67,15 @@
   awaitBytes();
 }
 
+bool caller_connection::isReadAheadFull() const {
+  const memory_budget *Memory = Handler.memory();
+  const std::size_t Limit =
+      Memory && Memory->isExhausted() ? 0 : ReadAheadLimitBytes;
+  return Unparsed.size() > Limit;
+}
+
 void caller_connection::awaitBytes() {
-  if (IsAwaitingBytes || State == state::Closed ||
-      Unparsed.size() > ReadAheadLimitBytes)
+  if (IsAwaitingBytes || State == state::Closed || isReadAheadFull())
     return;
   IsAwaitingBytes = true;
   Socket.async_wait(asio::socket_base::wait_read,
@@ -111,7 +120,8 @@
     return;
   Unparsed.append(Bytes);
   if (State == state::Reading)
-    parse();
+    return parse();
+  Inbound.resize(Unparsed.size());
 }
 
 void caller_connection::parse() {
@@ -125,6 +135,8 @@
   Unparsed.erase(0, Consumed);
   if (Parser.parseError() != request_parse_error::None)
     return reject(Parser.parseError());
+  if (!Inbound.tryResize(RequestBytes + Unparsed.size()))
+    return reject(request_parse_error::OutOfMemory);
   if (!Parser.isComplete()) {
     if (Parser.isHeadComplete() && !HasSentContinue &&
         strcasecmp(headerValue(Parser.head().Headers, "Expect").c_str(),
@@ -136,7 +148,10 @@
   }
   State = state::Serving;
   Timeout.stop();
-  incoming_request Request{Parser.head(), std::move(Parser.body())};
+  incoming_request Request{
+      Parser.head(), std::move(Parser.body()),
+      std::exchange(Inbound, memory_reservation(Handler.memory()))};
+  Inbound.resize(Unparsed.size());
   KeepAlive = Request.Head.KeepAlive;
   IsHeadRequest = Request.Head.Method == "HEAD";
   Handler.onRequest(std::move(Request), shared_from_this());
@@ -148,7 +163,7 @@
   Timeout.stop();
   KeepAlive = false;
   IsHeadRequest = false;
-  http_headers Headers;
+  http_headers Headers = Body.Headers;
   if (!Body.ContentType.empty())
     Headers.emplace_back("Content-Type", Body.ContentType);
   sendResponse(statusFor(ParseError), Headers, Body.Text);
@@ -217,8 +232,10 @@
   if (!hasNoBody(Status))
     Text += "Content-Length: " + std::to_string(Body.size()) + "\r\n";
   Text += "\r\n";
-  if (!IsHeadRequest && !hasNoBody(Status))
+  if (!IsHeadRequest && !hasNoBody(Status)) {
+    Text.reserve(Text.size() + Body.size());
     Text += Body;
+  }
   write(std::move(Text));
   endExchange();
 }
@@ -283,16 +300,22 @@
 void caller_connection::write(std::string Bytes) {
   if (State == state::Closed)
     return;
-  PendingBytes += Bytes.size();
+  setPendingBytes(PendingBytes + Bytes.size());
   Outgoing.push_back(std::move(Bytes));
   if (!IsWritePending)
     flush();
 }
 
+void caller_connection::setPendingBytes(std::size_t Bytes) {
+  PendingBytes = Bytes;
+  Outbound.resize(Bytes);
+}
+
 void caller_connection::flush() {
   // Sends all queued buffers in one write.
-  std::string Joined;
-  for (auto &Bytes : Outgoing)
+  std::string Joined = std::move(Outgoing.front());
+  Outgoing.pop_front();
+  for (const auto &Bytes : Outgoing)
     Joined += Bytes;
   Outgoing.clear();
   IsWritePending = true;
@@ -305,7 +328,7 @@
                         return;
                       if (Code)
                         return Self->close(close_reason::ByCaller);
-                      Self->PendingBytes -= Text->size();
+                      Self->setPendingBytes(Self->PendingBytes - Text->size());
                       if (!Self->Outgoing.empty())
                         return Self->flush();
                       if (auto CurrentObserver = Self->Observer.lock())
--- a/Libraries/LibConnection/caller_connection.h
+++ b/Libraries/LibConnection/caller_connection.h
@@ -3,6 +3,7 @@
 #include "LibConnection/closed_connection.h"
 #include "LibConnection/receive_timeout.h"
 #include "LibConnection/request_parser.h"
+#include "LibTypes/memory_budget.h"
 #include "LibTypes/units.h"
 
 #include <asio/ip/tcp.hpp>
@@ -24,12 +25,16 @@
 struct incoming_request {
   request_head Head;
   std::string Body;
+  /// What the head and the body take.
+  memory_reservation Memory{};
 };
 
 /// Body of the response to an invalid request.
 struct rejection_body {
   std::string ContentType;
   std::string Text;
+  /// Further header fields.
+  http_headers Headers{};
 };
 
 /// Handles the requests of a listener on its event loop.
@@ -47,6 +52,8 @@
   /// closes.
   virtual bool sendsConnectionClose() const = 0;
   virtual steady_time now() const = 0;
+  /// What the connections may buffer together; null if only each has limits.
+  virtual memory_budget *memory() { return nullptr; }
   /// Called once for each connection, after it has been closed.
   virtual void onConnectionClosed(const closed_connection &) {}
 };
@@ -121,6 +128,7 @@
   /// Waits for bytes. They stay with the operating system until receive(), so
   /// that none is in a queued handler when a timeout is decided.
   void awaitBytes();
+  bool isReadAheadFull() const;
   /// Takes bytes that have arrived, without waiting for more, and parses them.
   /// Returns how many.
   std::size_t receive();
@@ -134,6 +142,7 @@
   /// whatever the timer was set for.
   void checkTimeout();
   void write(std::string Bytes);
+  void setPendingBytes(std::size_t Bytes);
   void flush();
   void endExchange();
   void onResponsesSent();
@@ -157,6 +166,9 @@
   std::string Unparsed;
   std::deque<std::string> Outgoing;
   std::size_t PendingBytes = 0;
+  /// What the received bytes take that are not yet passed on.
+  memory_reservation Inbound;
+  memory_reservation Outbound;
   bool IsAwaitingBytes = false;
   bool IsWritePending = false;
   bool KeepAlive = true;
--- a/Libraries/LibConnection/request_parser.h
+++ b/Libraries/LibConnection/request_parser.h
@@ -34,6 +34,8 @@
   BodyTooLarge,
   /// Its end did not come in time. Not found by the parser.
   Incomplete,
+  /// The connections have used up their memory. Not found by the parser.
+  OutOfMemory,
 };
 
 /// Parses the requests of one connection, one at a time.
--- a/Libraries/LibDispatch/event_splicer.cpp
+++ b/Libraries/LibDispatch/event_splicer.cpp
@@ -7,6 +7,9 @@
 
 namespace {
 
+/// An empty buffer of this size is kept for the next event.
+constexpr std::size_t KeptBufferBytes = 8192;
+
 /// Offset just after the empty line that ends the first event of the text;
 /// npos if the event is incomplete. Lines end with LF or CR LF.
 std::size_t endOfEvent(std::string_view Text) {
@@ -58,6 +61,8 @@
     Offset += End;
   }
   Partial.erase(0, Offset);
+  if (Partial.empty() && Partial.capacity() > KeptBufferBytes)
+    Partial = std::string();
   if (Partial.size() > EventLimit)
     Oversized = true;
   return Out;
@@ -74,7 +79,7 @@
 }
 
 void event_splicer::startNextSource() {
-  Partial.clear();
+  Partial = std::string();
   Oversized = false;
 }
 
--- a/Libraries/LibDispatch/event_splicer.h
+++ b/Libraries/LibDispatch/event_splicer.h
@@ -26,6 +26,8 @@
   std::optional<std::uint64_t> lastEventId() const { return LastId; }
   /// Whether an incomplete event is buffered.
   bool hasPartialEvent() const { return !Partial.empty(); }
+  /// Bytes that the buffer for an incomplete event takes.
+  std::size_t bufferedBytes() const { return Partial.capacity(); }
   /// Whether an event of the current source exceeded the size limit.
   bool hasOversizedEvent() const { return Oversized; }
   /// Number of forwarded events that have an id.
--- a/Libraries/LibPeer/tcp_peer_network.cpp
+++ b/Libraries/LibPeer/tcp_peer_network.cpp
@@ -2,6 +2,7 @@
 
 #include "LibPeer/frame_codec.h"
 #include "LibSocket/socket_options.h"
+#include "LibTypes/memory_budget.h"
 
 #include <array>
 #include <asio.hpp>
@@ -17,6 +18,9 @@
 
 constexpr std::size_t QueueLimitFrames = 256;
 constexpr std::size_t InboundConnectionLimit = 4096;
+/// Of frames that are being received, over all connections. A notice takes some
+/// kilobytes.
+constexpr std::size_t InboundBytesLimit = 32 << 20;
 constexpr milliseconds ReconnectDelay{200};
 /// Longest time that sent frames or a connection attempt may remain
 /// unacknowledged.
@@ -31,6 +35,12 @@
   std::atomic<std::uint64_t> BadFrames = 0;
 };
 
+/// What all inbound connections have in common.
+struct inbound_totals {
+  std::size_t Connections = 0;
+  memory_budget Frames{InboundBytesLimit};
+};
+
 using length_prefix = std::array<unsigned char, 4>;
 
 std::string withLengthPrefix(const std::string &Frame) {
@@ -57,12 +67,12 @@
 public:
   inbound_connection(tcp::socket Socket, const peer_receiver &Receiver,
                      traffic_counters &Counters,
-                     std::shared_ptr<std::size_t> OpenCount)
+                     std::shared_ptr<inbound_totals> Totals)
       : Socket(std::move(Socket)), Receiver(Receiver), Counters(Counters),
-        OpenCount(std::move(OpenCount)) {
-    ++*this->OpenCount;
+        Totals(std::move(Totals)), FrameMemory(&this->Totals->Frames) {
+    ++this->Totals->Connections;
   }
-  ~inbound_connection() { --*OpenCount; }
+  ~inbound_connection() { --Totals->Connections; }
 
   void readPrefix() {
     auto Self = shared_from_this();
@@ -80,6 +90,10 @@
       ++Counters.BadFrames;
       return;
     }
+    if (!FrameMemory.tryResize(Length)) {
+      ++Counters.FramesDropped;
+      return;
+    }
     Frame.resize(Length);
     auto Self = shared_from_this();
     asio::async_read(Socket, asio::buffer(Frame),
@@ -98,13 +112,16 @@
     ++Counters.FramesReceived;
     Counters.BytesReceived += Frame.size() + Prefix.size();
     Receiver(valueOf(Decoded));
+    Frame = std::string();
+    FrameMemory.resize(0);
     readPrefix();
   }
 
   tcp::socket Socket;
   const peer_receiver &Receiver;
   traffic_counters &Counters;
-  std::shared_ptr<std::size_t> OpenCount;
+  std::shared_ptr<inbound_totals> Totals;
+  memory_reservation FrameMemory;
   length_prefix Prefix{};
   std::string Frame;
 };
@@ -288,9 +305,9 @@
     Acceptor.async_accept([this](std::error_code Code, tcp::socket Socket) {
       if (Code == asio::error::operation_aborted)
         return;
-      if (!Code && *OpenCount < InboundConnectionLimit)
+      if (!Code && Totals->Connections < InboundConnectionLimit)
         std::make_shared<inbound_connection>(std::move(Socket), Receiver,
-                                             Counters, OpenCount)
+                                             Counters, Totals)
             ->readPrefix();
       accept();
     });
@@ -318,7 +335,7 @@
   const std::uint64_t Incarnation;
   const peer_receiver Receiver;
   traffic_counters Counters;
-  std::shared_ptr<std::size_t> OpenCount = std::make_shared<std::size_t>(0);
+  std::shared_ptr<inbound_totals> Totals = std::make_shared<inbound_totals>();
   asio::io_context Context;
   tcp::acceptor Acceptor;
   std::map<vm_id, std::shared_ptr<outbound_connection>> OutboundConnections;
--- a/Libraries/LibRelay/relay.cpp
+++ b/Libraries/LibRelay/relay.cpp
@@ -10,6 +10,8 @@
 /// Retry-After of a VM without a current configuration: another VM may have
 /// one, or the store may soon be available again.
 constexpr milliseconds UnconfiguredRetryAfter{1000};
+/// Requests that are under way end soon, and other VMs may have memory left.
+constexpr milliseconds OutOfMemoryRetryAfter{500};
 /// For the connections of VMs, which have applied the limits of callers already
 /// and add fields to the head; the operator's limits are for callers. The idle
 /// timeout is well above the time for which a VM reuses a connection.
@@ -27,6 +29,8 @@
     return "body_too_large";
   case request_parse_error::Incomplete:
     return "incomplete";
+  case request_parse_error::OutOfMemory:
+    return "out_of_memory";
   case request_parse_error::None:
   case request_parse_error::Malformed:
     break;
@@ -84,8 +88,14 @@
   const char *Name = faultName(Fault);
   Context.Metrics.increment("azurehaven_rejected_bytes_total",
                             std::string("fault=\"") + Name + "\"");
-  Context.Log.write(log_level::Info, "bytes_rejected", {{"fault", Name}});
-  return {};
+  Context.Log.write(
+      log_level::Info, "bytes_rejected",
+      {{"fault", Name},
+       {"buffered_bytes", std::to_string(Context.Memory.used())}});
+  if (Fault != request_parse_error::OutOfMemory)
+    return {};
+  return {
+      {}, {}, Context.Codec.localResponseHeaders({}, OutOfMemoryRetryAfter)};
 }
 
 void relay::refuse(const dispatch_request &Request, caller_connection &Caller,
--- a/Libraries/LibRelay/relay.h
+++ b/Libraries/LibRelay/relay.h
@@ -8,6 +8,7 @@
 #include "LibRelay/engine_inspector.h"
 #include "LibRelay/fleet_state.h"
 #include "LibRelay/forwarding_peers.h"
+#include "LibRelay/relay_memory.h"
 #include "LibRelay/wire_codec.h"
 #include "LibTypes/clock_source.h"
 
@@ -41,8 +42,7 @@
   engine_inspector *Inspector = nullptr;
   bill_journal *Bills = nullptr;
   std::set<active_request *> ActiveRequests{};
-  /// Bytes of responses that are buffered until they are complete.
-  std::size_t BufferedResponseBytes = 0;
+  relay_memory Memory{};
   forwarding_peers ForwardingPeers{};
 };
 
@@ -72,6 +72,7 @@
   caller_limits limits() const override;
   bool sendsConnectionClose() const override;
   steady_time now() const override { return Context.Clock.now(); }
+  memory_budget *memory() override { return &Context.Memory.ofCallers(); }
   void onConnectionClosed(const closed_connection &Closed) override;
 
 private:
--- a/Libraries/LibRelay/relay_settings.h
+++ b/Libraries/LibRelay/relay_settings.h
@@ -2,6 +2,7 @@
 
 #include "LibDispatch/exposure_budget.h"
 #include "LibDispatch/fleet_retry_budget.h"
+#include "LibRelay/relay_memory.h"
 #include "LibTypes/ids.h"
 #include "LibTypes/network_address.h"
 #include "LibTypes/units.h"
@@ -20,6 +21,7 @@
   network_address ForwardingAddress;
   /// Maximum number of open file descriptors.
   std::size_t DescriptorLimit = 1024;
+  std::size_t MemoryBytes = relay_memory::DefaultVmBytes;
   /// Time from the stop signal until the process is killed.
   milliseconds StopGrace{8000};
   /// Longest expected time between two requests of a session.
--- a/Libraries/LibRelay/relayed_attempt.cpp
+++ b/Libraries/LibRelay/relayed_attempt.cpp
@@ -13,7 +13,9 @@
                                  std::weak_ptr<attempt_owner> Owner)
     : Context(Context), Admitted(Admitted), Target(Target),
       Endpoint(std::move(Endpoint)), Model(std::move(Model)), Runs(Runs),
-      Owner(std::move(Owner)), ResponseBody(Context.BufferedResponseBytes),
+      Owner(std::move(Owner)),
+      Memory(Context.Memory.ofEndpoint(this->Endpoint->Descriptor.Id)),
+      ResponseBody(Memory), PartialEvent(Memory.get()),
       Observed(Context.Fleet, Context.Log, Admitted) {}
 
 void relayed_attempt::start(outgoing_request Outgoing,
--- a/Libraries/LibRelay/relayed_attempt.h
+++ b/Libraries/LibRelay/relayed_attempt.h
@@ -60,6 +60,11 @@
   const response_head &responseHead() const { return ResponseHead; }
   const decoded_response_head &response() const { return Response; }
   buffered_body &responseBody() { return ResponseBody; }
+  /// Accounts for the part of an event that is buffered. Returns false if there
+  /// is no memory for it.
+  bool tryBufferEvent(std::size_t Bytes) {
+    return PartialEvent.tryResize(Bytes);
+  }
 
   head_verdict
   onAttemptResponseHead(const response_head &Head,
@@ -82,7 +87,9 @@
   bool IsRunning = false;
   response_head ResponseHead;
   decoded_response_head Response;
+  const std::shared_ptr<memory_budget> Memory;
   buffered_body ResponseBody;
+  memory_reservation PartialEvent;
   attempt_observations Observed;
 };
 
--- a/Libraries/LibRelay/relayed_request.cpp
+++ b/Libraries/LibRelay/relayed_request.cpp
@@ -14,6 +14,8 @@
 /// With more bytes queued for a slow caller, reading from its endpoint is
 /// paused.
 constexpr std::size_t MaxCallerBacklogBytes = 256 << 10;
+/// The same while the connections have used up their memory.
+constexpr std::size_t MinCallerBacklogBytes = 16 << 10;
 /// Prompts on small models take a tenth of the time, so admitting them first
 /// delays the others little. The default urgency is 5.
 constexpr int SmallModelUrgency = 3;
@@ -58,9 +60,10 @@
                                  std::shared_ptr<caller_connection> Caller)
     : Context(Context), Head(std::move(Incoming.Head)),
       Body(std::make_shared<const std::string>(std::move(Incoming.Body))),
-      Admitted(withEvidence(
-          makeAdmittedRequest(std::move(NewRequest), Context.Fleet.Routes,
-                              NewRoute, Account, Fingerprint))),
+      BodyMemory(std::move(Incoming.Memory)),
+      Admitted(withEvidence(makeAdmittedRequest(std::move(NewRequest),
+                                                Context.Fleet.Routes, NewRoute,
+                                                Account, Fingerprint))),
       Request(Admitted.Request), Route(*Admitted.Route),
       Caller(std::move(Caller)), Budget(Admitted, Context.Clock.now()),
       Deadline(Context.Executor), PlacementWait(Context.Executor),
@@ -401,13 +404,18 @@
     Caller->sendChunk(Events);
     if (IsFinished)
       return;
-    if (Caller->pendingBytes() > MaxCallerBacklogBytes)
+    const std::size_t Limit = Context.Memory.ofCallers().isExhausted()
+                                  ? MinCallerBacklogBytes
+                                  : MaxCallerBacklogBytes;
+    if (Caller->pendingBytes() > Limit)
       Attempt.pauseReading();
   }
-  if (Splicer.hasOversizedEvent()) {
+  const bool HasRoom = Attempt.tryBufferEvent(Splicer.bufferedBytes());
+  if (!HasRoom || Splicer.hasOversizedEvent()) {
     Attempt.cancel();
     onAttemptFailed(Attempt, attempt_failure::Malformed,
-                    "the event stream is malformed");
+                    HasRoom ? "the event stream is malformed"
+                            : "no memory to buffer the event");
   }
 }
 
--- a/Libraries/LibRelay/relayed_request.h
+++ b/Libraries/LibRelay/relayed_request.h
@@ -116,6 +116,7 @@
   relay_context &Context;
   const request_head Head;
   const std::shared_ptr<const std::string> Body;
+  const memory_reservation BodyMemory;
   const admitted_request Admitted;
   /// Both refer to members of Admitted.
   const dispatch_request &Request;
--- a/Libraries/LibServer/http_server.cpp
+++ b/Libraries/LibServer/http_server.cpp
@@ -40,6 +40,8 @@
     return {"head_too_large", "the request is larger than accepted"};
   case request_parse_error::Incomplete:
     return {"request_timeout", "the request did not come in time"};
+  case request_parse_error::OutOfMemory:
+    return {"out_of_memory", "too many bytes are being received"};
   case request_parse_error::None:
   case request_parse_error::Malformed:
     break;
--- a/Tests/LibRelay/endless_response_test.cpp
+++ b/Tests/LibRelay/endless_response_test.cpp
@@ -59,7 +59,7 @@
     runUntil([&] { return ClosedByRelay > 0; });
     CHECK(EndlessBytesSent < EndlessLimit);
     CHECK(inFlight() == 0);
-    CHECK(Context.BufferedResponseBytes == 0);
+    CHECK(Context.Memory.ofResponses().used() == 0);
   }
 };
 
@@ -125,11 +125,11 @@
       CHECK(statusOf(Result) == 502);
     }));
   Fixture.runUntil([&] {
-    Peak = std::max(Peak, Fixture.Context.BufferedResponseBytes);
+    Peak = std::max(Peak, Fixture.Context.Memory.ofResponses().used());
     return Ended == Requests;
   });
   CHECK(Peak <= 64 << 20);
-  CHECK(Fixture.Context.BufferedResponseBytes == 0);
+  CHECK(Fixture.Context.Memory.ofResponses().used() == 0);
 }
 
 TEST_CASE("Bytes that complete no event are no progress of a stream") {
