LibConnection: Reject responses with a malformed head

Cause: response_parser took whatever http_parser accepts, and Debian builds it lenient. Only heads of requests went through head_validator.

Change: head_validator reads heads of both kinds. It checks the status line (HTTP/1, a status from 100 to 599) and what it checked for requests: line ends, folded lines, control bytes.

LibConnection, LibRelay and platform tests pass.

--- a/Libraries/LibConnection/head_validator.h
+++ b/Libraries/LibConnection/head_validator.h
@@ -4,22 +4,29 @@
 
 namespace azurehaven {
 
+enum class head_kind { Request, Response };
+
 /// Rejects message heads that two HTTP implementations may parse differently:
-/// bare line feeds, folded fields, control characters. Source: RFC 9112,
-/// sections 2.2 and 5.2.
+/// bare line feeds, folded fields, control characters, malformed status lines.
+/// Source: RFC 9112, sections 2.2, 4 and 5.2.
 class head_validator {
 public:
+  explicit head_validator(head_kind Kind) : Kind(Kind) {}
+
   /// Checks bytes up to the end of the head; returns false at the first byte
   /// that is not allowed.
   bool validate(std::string_view Bytes);
   bool isComplete() const { return Complete; }
   /// Bytes of the head validated so far.
   std::size_t size() const { return Size; }
-  void reset() { *this = head_validator(); }
+  void reset() { *this = head_validator(Kind); }
 
 private:
   bool validateByte(char Byte);
+  bool validateLineEnd();
+  bool isStartLineByte(char Byte) const;
 
+  head_kind Kind;
   char Previous = '\n';
   std::size_t LineLength = 0;
   /// Completed lines that were not empty.
--- a/Libraries/LibConnection/request_parser.h
+++ b/Libraries/LibConnection/request_parser.h
@@ -67,7 +67,7 @@
   int finishHead();
 
   http_parser Parser;
-  head_validator Validator;
+  head_validator Validator{head_kind::Request};
   caller_limits Limits;
   request_head Head;
   std::string Body;
--- a/Libraries/LibConnection/response_parser.cpp
+++ b/Libraries/LibConnection/response_parser.cpp
@@ -75,8 +75,28 @@
 }
 
 std::size_t response_parser::consume(std::string_view Bytes) {
-  if (Complete || Malformed)
+  std::size_t Consumed = 0;
+  while (Consumed < Bytes.size() && !Complete && !Malformed) {
+    const std::string_view Rest = Bytes.substr(Consumed);
+    Consumed += HeadComplete ? parse(Rest) : consumeHead(Rest);
+  }
+  return Consumed;
+}
+
+std::size_t response_parser::consumeHead(std::string_view Bytes) {
+  const std::size_t SizeBefore = Validator.size();
+  if (!Validator.validate(Bytes)) {
+    Malformed = true;
     return 0;
+  }
+  const std::size_t Size = Validator.size() - SizeBefore;
+  // The head of an interim response is followed by another one.
+  if (Validator.isComplete())
+    Validator.reset();
+  return parse(Bytes.substr(0, Size));
+}
+
+std::size_t response_parser::parse(std::string_view Bytes) {
   const std::size_t Consumed =
       http_parser_execute(&Parser, &callbacks(), Bytes.data(), Bytes.size());
   countOverhead(Consumed);
@@ -108,6 +128,7 @@
 void response_parser::reset() {
   http_parser_init(&Parser, HTTP_RESPONSE);
   Parser.data = this;
+  Validator.reset();
   Head = {};
   Body.clear();
   OverheadBytes = 0;
--- a/Libraries/LibConnection/response_parser.h
+++ b/Libraries/LibConnection/response_parser.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "LibConnection/head_validator.h"
 #include "LibConnection/message_head.h"
 
 #include <http_parser.h>
@@ -12,7 +13,8 @@
 
 /// Parses the responses of one connection, one at a time. Interim (1xx)
 /// responses are skipped. A response with too many bytes that are not part of
-/// its body is malformed.
+/// its body is malformed, as is one whose head another implementation may parse
+/// differently.
 class response_parser {
 public:
   response_parser() { reset(); }
@@ -40,12 +42,16 @@
 private:
   static response_parser &self(http_parser *Parser);
   static const http_parser_settings &callbacks();
+  /// Consumes up to the end of the head at most.
+  std::size_t consumeHead(std::string_view Bytes);
+  std::size_t parse(std::string_view Bytes);
   void finishHead();
   void finishMessage();
   /// Counts bytes that brought no body closer to its end.
   void countOverhead(std::size_t Consumed);
 
   http_parser Parser;
+  head_validator Validator{head_kind::Response};
   response_head Head;
   std::string Body;
   /// Bytes consumed since the response began or a part of its body arrived.
--- a/Tests/LibConnection/response_parser_test.cpp
+++ b/Tests/LibConnection/response_parser_test.cpp
@@ -46,6 +46,37 @@
   CHECK(headerValue(Parser.head().Headers, "A") == "b");
 }
 
+namespace {
+
+/// Parses the bytes as they come one by one; returns whether they are a whole
+/// response then.
+bool isWholeByteByByte(const std::string &Bytes) {
+  response_parser Parser;
+  for (const char Byte : Bytes)
+    Parser.consume(std::string(1, Byte));
+  return Parser.isComplete() && !Parser.isMalformed();
+}
+
+} // namespace
+
+TEST_CASE("A malformed head is rejected as it comes byte by byte, a sound one "
+          "is not") {
+  const std::string Length = "Content-Length: 2\r\n\r\nab";
+  for (const char *Begin :
+       {"HTTP/1.1 200 OK\r\n", "HTTP/1.1 200\r\n", "HTTP/1.0 404 \r\n",
+        "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\n"}) {
+    CAPTURE(Begin);
+    CHECK(isWholeByteByByte(Begin + Length));
+  }
+  for (const char *Begin :
+       {"HTTP/1.1 000 OK\r\n", "HTTP/1.1 20\r\n", "\r\nHTTP/1.1 200 OK\r\n",
+        "HTTP/1.1 200 OK\r\n\r", "HTTP/1.1 200 OK\r\nA: b\n",
+        "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 000 OK\r\n"}) {
+    CAPTURE(Begin);
+    CHECK_FALSE(isWholeByteByByte(Begin + Length));
+  }
+}
+
 TEST_CASE("Bytes that are not HTTP are malformed") {
   response_parser Parser;
   Parser.consume("\x01\x02\x03 garbage");
