--- a/Libraries/LibConnection/caller_connection.cpp
+++ b/Libraries/LibConnection/caller_connection.cpp
@@ -2,10 +2,8 @@
 
 #include "LibSocket/socket_options.h"
 
-#include <http_parser.h>
-#include <strings.h>
-
 #include <asio/write.hpp>
+#include <http_parser.h>
 
 #include <algorithm>
 
@@ -139,8 +137,8 @@
     return reject(request_parse_error::OutOfMemory);
   if (!Parser.isComplete()) {
     if (Parser.isHeadComplete() && !HasSentContinue &&
-        strcasecmp(headerValue(Parser.head().Headers, "Expect").c_str(),
-                   "100-continue") == 0) {
+        equalsIgnoringCase(headerValue(Parser.head().Headers, "Expect"),
+                           "100-continue")) {
       HasSentContinue = true;
       write("HTTP/1.1 100 Continue\r\n\r\n");
     }
--- a/Libraries/LibConnection/request_parser.cpp
+++ b/Libraries/LibConnection/request_parser.cpp
@@ -1,7 +1,5 @@
 #include "LibConnection/request_parser.h"
 
-#include <strings.h>
-
 #include <algorithm>
 #include <cstdint>
 #include <limits>
@@ -14,9 +12,7 @@
 constexpr int Stop = 1;
 
 bool hasOneHost(const http_headers &Headers) {
-  return std::count_if(Headers.begin(), Headers.end(), [](const auto &Field) {
-           return strcasecmp(Field.first.c_str(), "host") == 0;
-         }) == 1;
+  return countFields(Headers, "Host") == 1;
 }
 
 } // namespace
--- a/Libraries/LibEntry/peer_forwarder.cpp
+++ b/Libraries/LibEntry/peer_forwarder.cpp
@@ -3,8 +3,6 @@
 #include "LibEntry/refusal.h"
 #include "LibTypes/fingerprint.h"
 
-#include <strings.h>
-
 #include <algorithm>
 #include <array>
 #include <nlohmann/json.hpp>
@@ -26,7 +24,7 @@
 
 /// Names of header fields do not depend on case (RFC 9110, section 5.1).
 bool hasName(const http_headers::value_type &Field, const char *Name) {
-  return strcasecmp(Field.first.c_str(), Name) == 0;
+  return equalsIgnoringCase(Field.first, Name);
 }
 
 bool isForwardedField(const http_headers::value_type &Field) {
--- a/Libraries/LibHttp/http_message.cpp
+++ b/Libraries/LibHttp/http_message.cpp
@@ -2,13 +2,35 @@
 
 #include <strings.h>
 
+#include <algorithm>
+
 namespace azurehaven {
 
+bool equalsIgnoringCase(std::string_view Text, std::string_view Other) {
+  return Text.size() == Other.size() &&
+         strncasecmp(Text.data(), Other.data(), Text.size()) == 0;
+}
+
+std::string_view trimBlanks(std::string_view Text) {
+  constexpr const char *Blanks = " \t";
+  const std::size_t Begin = Text.find_first_not_of(Blanks);
+  if (Begin == std::string_view::npos)
+    return {};
+  return Text.substr(Begin, Text.find_last_not_of(Blanks) + 1 - Begin);
+}
+
 std::string headerValue(const http_headers &Headers, const std::string &Name) {
   for (const auto &[Key, Value] : Headers)
-    if (strcasecmp(Key.c_str(), Name.c_str()) == 0)
+    if (equalsIgnoringCase(Key, Name))
       return Value;
   return {};
 }
 
+std::size_t countFields(const http_headers &Headers, const std::string &Name) {
+  return static_cast<std::size_t>(
+      std::count_if(Headers.begin(), Headers.end(), [&](const auto &Field) {
+        return equalsIgnoringCase(Field.first, Name);
+      }));
+}
+
 } // namespace azurehaven
--- a/Libraries/LibHttp/http_message.h
+++ b/Libraries/LibHttp/http_message.h
@@ -1,6 +1,8 @@
 #pragma once
 
+#include <cstddef>
 #include <string>
+#include <string_view>
 #include <utility>
 #include <vector>
 
@@ -8,9 +10,16 @@
 
 using http_headers = std::vector<std::pair<std::string, std::string>>;
 
+/// Compares without regard to the case of ASCII letters.
+bool equalsIgnoringCase(std::string_view Text, std::string_view Other);
+/// Returns the text without blanks and tabs at its ends.
+std::string_view trimBlanks(std::string_view Text);
+
 /// Returns the value of the first header field of that name, ignoring case;
 /// else empty.
 std::string headerValue(const http_headers &Headers, const std::string &Name);
+/// Counts the header fields of that name, ignoring case.
+std::size_t countFields(const http_headers &Headers, const std::string &Name);
 
 struct http_request {
   std::string Method = "GET";
