LibConnection: Reject responses whose head leaves the length of the body open

Cause: http_parser takes a body with a coding that it does not know as it comes, up to the end of the connection, and reads a body after an interim response.

Change: Transfer-Encoding is chunked, once, in HTTP/1.1, or the response is malformed. Interim responses and 204 have no body (RFC 9112, section 6). http_parser itself rejects lengths that are no number, that are repeated or that stand beside chunks; the test has these cases as well.

--- a/Libraries/LibConnection/response_parser.cpp
+++ b/Libraries/LibConnection/response_parser.cpp
@@ -9,6 +9,13 @@
 /// endpoint's head takes a few hundred bytes.
 constexpr std::size_t OverheadLimitBytes = 65536;
 
+// Results of a callback. At the end of the head, http_parser takes 1 to mean
+// that the message has no body.
+constexpr int Continue = 0;
+constexpr int Fail = -1;
+
+constexpr int NoContentStatus = 204;
+
 constexpr bool isInterim(int Status) { return Status >= 100 && Status < 200; }
 
 } // namespace
@@ -42,8 +49,7 @@
       return 0;
     };
     New.on_headers_complete = [](http_parser *Parser) {
-      self(Parser).finishHead();
-      return 0;
+      return self(Parser).finishHead();
     };
     New.on_body = [](http_parser *Parser, const char *At, std::size_t Size) {
       self(Parser).Body.append(At, Size);
@@ -58,10 +64,30 @@
   return Settings;
 }
 
-void response_parser::finishHead() {
+int response_parser::finishHead() {
   Head.Status = static_cast<int>(Parser.status_code);
+  if (!hasClearLength())
+    return Fail;
   KeptAlive = http_should_keep_alive(&Parser) != 0;
   HeadComplete = !isInterim(Head.Status);
+  return Continue;
+}
+
+// http_parser itself rejects lengths that are no number, repeated ones, and a
+// length beside chunks. It takes a body with another coding than chunks as it
+// comes, though the caller is not told of the coding.
+bool response_parser::hasClearLength() const {
+  const std::size_t Codings = countFields(Head.Headers, "Transfer-Encoding");
+  const bool HasLength = countFields(Head.Headers, "Content-Length") > 0;
+  if (isInterim(Head.Status) || Head.Status == NoContentStatus)
+    return Codings == 0 && (!HasLength || Parser.content_length == 0);
+  if (Codings == 0)
+    return true;
+  const bool KnowsCodings = Parser.http_major == 1 && Parser.http_minor >= 1;
+  return KnowsCodings && Codings == 1 &&
+         equalsIgnoringCase(
+             trimBlanks(headerValue(Head.Headers, "Transfer-Encoding")),
+             "chunked");
 }
 
 void response_parser::finishMessage() {
--- a/Libraries/LibConnection/response_parser.h
+++ b/Libraries/LibConnection/response_parser.h
@@ -45,7 +45,9 @@
   /// Consumes up to the end of the head at most.
   std::size_t consumeHead(std::string_view Bytes);
   std::size_t parse(std::string_view Bytes);
-  void finishHead();
+  /// Returns what http_parser expects: Continue or Fail.
+  int finishHead();
+  bool hasClearLength() const;
   void finishMessage();
   /// Counts bytes that brought no body closer to its end.
   void countOverhead(std::size_t Consumed);
--- a/Tests/LibRelay/malformed_response_test.cpp
+++ b/Tests/LibRelay/malformed_response_test.cpp
@@ -63,6 +63,35 @@
                       MalformedBody);
 }
 
+TEST_CASE("A response whose head does not tell the length of its body in one "
+          "way is not forwarded") {
+  const std::string Chunked = "Transfer-Encoding: chunked\r\n";
+  checkFieldsNotForwarded({
+      "Transfer-Encoding: chunkd\r\n",
+      "Transfer-Encoding: chunked, x\r\n",
+      "Transfer-Encoding:\r\n",
+      "Transfer-Encoding: x\r\n" + Length,
+      Chunked + Length,
+      Length + Chunked,
+      "Content-Length: 3\r\n" + Length,
+      "Content-Length:\r\n 3\r\n",
+      "Content-Length: 3x\r\n",
+      "Content-Length: -3\r\n",
+      "Content-Length:\r\n",
+      "Content-Length: 3\r\n\r",
+  });
+  const std::string ChunkedBody = "\r\n" + chunk(MalformedBody) + "0\r\n\r\n";
+  checkNotForwarded("HTTP/1.0 200 OK\r\n" + Identity + Chunked + ChunkedBody);
+  for (const std::string &Fields :
+       {std::string("Transfer-Encoding: x, chunked\r\n"), Chunked + Chunked})
+    checkNotForwarded(StatusLine + Identity + Fields + ChunkedBody);
+}
+
+TEST_CASE("A body of an interim response is not forwarded") {
+  checkNotForwarded("HTTP/1.1 103 Early Hints\r\nContent-Length: 1\r\n\r\nx" +
+                    StatusLine + Identity + Length + "\r\n" + MalformedBody);
+}
+
 TEST_CASE("A response whose head holds a line that is no field is not "
           "forwarded") {
   checkFieldsNotForwarded({
