LibConnection: Reject heads with a field whose name is no token

The other way round, a request's "Azurehaven-Tenant : a" was forwarded, though callers may not set that field.

Cause: http_parser accepts blanks in the names of fields as Debian builds it.

Change: head_validator, which reads heads of responses and requests, accepts a line behind the start line only as a token, a colon and a value (RFC 9112, section 5; RFC 9110, section 5.6.2). A request with another line is answered 400, as RFC 9112, section 5.1, asks.

--- a/Libraries/LibConnection/head_validator.cpp
+++ b/Libraries/LibConnection/head_validator.cpp
@@ -25,6 +25,15 @@
   }
 }
 
+/// Whether the byte may stand in a token, such as the name of a field. Source:
+/// RFC 9110, section 5.6.2.
+bool isTokenByte(char Byte) {
+  constexpr std::string_view Marks = "!#$%&'*+-.^_`|~";
+  return (Byte >= '0' && Byte <= '9') || (Byte >= 'A' && Byte <= 'Z') ||
+         (Byte >= 'a' && Byte <= 'z') ||
+         Marks.find(Byte) != std::string_view::npos;
+}
+
 } // namespace
 
 bool head_validator::validate(std::string_view Bytes) {
@@ -45,22 +54,41 @@
     return Before == '\r' && validateLineEnd();
   if (Before == '\r')
     return false;
-  if (Byte == '\r')
-    return true;
-  const bool IsFold =
-      LineLength == 0 && Lines > 0 && (Byte == ' ' || Byte == '\t');
+  return Byte == '\r' || validateLineByte(Byte);
+}
+
+bool head_validator::validateLineByte(char Byte) {
   const bool IsControl =
       (Byte >= 0 && Byte < ' ' && Byte != '\t') || Byte == 127;
-  if (IsFold || IsControl || (Lines == 0 && !isStartLineByte(Byte)))
+  if (IsControl)
     return false;
+  const bool IsValid =
+      Lines == 0 ? validateStartLineByte(Byte) : validateFieldByte(Byte);
   ++LineLength;
-  return true;
+  return IsValid;
+}
+
+bool head_validator::validateStartLineByte(char Byte) const {
+  return Kind == head_kind::Request || isStatusLineByte(LineLength, Byte);
+}
+
+// A folded line begins with a blank, which no field name does.
+bool head_validator::validateFieldByte(char Byte) {
+  if (IsInValue)
+    return true;
+  if (Byte != ':')
+    return isTokenByte(Byte);
+  IsInValue = true;
+  return LineLength > 0;
 }
 
 bool head_validator::validateLineEnd() {
   const std::size_t Length = std::exchange(LineLength, 0);
+  const bool IsField = std::exchange(IsInValue, false);
   if (Lines == 0 && Kind == head_kind::Response && Length < MinStatusLineLength)
     return false;
+  if (Lines > 0 && Length > 0 && !IsField)
+    return false;
   // Empty lines before the start line are allowed; the one after the header
   // fields ends the head.
   if (Length == 0 && Lines > 0)
@@ -70,8 +98,4 @@
   return true;
 }
 
-bool head_validator::isStartLineByte(char Byte) const {
-  return Kind == head_kind::Request || isStatusLineByte(LineLength, Byte);
-}
-
 } // namespace azurehaven
--- a/Libraries/LibConnection/head_validator.h
+++ b/Libraries/LibConnection/head_validator.h
@@ -7,8 +7,8 @@
 enum class head_kind { Request, Response };
 
 /// Rejects message heads that two HTTP implementations may parse differently:
-/// bare line feeds, folded fields, control characters, malformed status lines.
-/// Source: RFC 9112, sections 2.2, 4 and 5.2.
+/// bare line feeds, folded fields, control characters, malformed status lines,
+/// field names that are no token. Source: RFC 9112, sections 2.2, 4 and 5.
 class head_validator {
 public:
   explicit head_validator(head_kind Kind) : Kind(Kind) {}
@@ -24,11 +24,15 @@
 private:
   bool validateByte(char Byte);
   bool validateLineEnd();
-  bool isStartLineByte(char Byte) const;
+  bool validateLineByte(char Byte);
+  bool validateStartLineByte(char Byte) const;
+  bool validateFieldByte(char Byte);
 
   head_kind Kind;
   char Previous = '\n';
   std::size_t LineLength = 0;
+  /// Whether the line is a field whose value has begun.
+  bool IsInValue = false;
   /// Completed lines that were not empty.
   std::size_t Lines = 0;
   std::size_t Size = 0;
--- a/Tests/LibConnection/request_parser_test.cpp
+++ b/Tests/LibConnection/request_parser_test.cpp
@@ -64,6 +64,11 @@
            "POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked, "
            "identity\r\n\r\n0\r\n\r\n",
            "GET / HTTP/1.1\r\nHost : h\r\n\r\n",
+           "GET / HTTP/1.1\r\nHost: h\r\nA : b\r\n\r\n",
+           "GET / HTTP/1.1\r\nHost: h\r\nA B: c\r\n\r\n",
+           "GET / HTTP/1.1\r\nHost: h\r\nA\x80: b\r\n\r\n",
+           "GET / HTTP/1.1\r\nHost: h\r\n: b\r\n\r\n",
+           "GET / HTTP/1.1\r\nHost: h\r\nA\r\n\r\n",
            "GET / HTTP/2.0\r\nHost: h\r\n\r\n",
            "nonsense\r\n\r\n",
        }) {
--- a/Tests/LibRelay/malformed_response_test.cpp
+++ b/Tests/LibRelay/malformed_response_test.cpp
@@ -105,3 +105,17 @@
       "=\r\n" + Length,
   });
 }
+
+TEST_CASE("A response with a field whose name is no token is not forwarded") {
+  checkFieldsNotForwarded({
+      "A B: c\r\n" + Length,
+      "A : b\r\n" + Length,
+      "A\t: b\r\n" + Length,
+      "A\x01: b\r\n" + Length,
+      "A\x7f: b\r\n" + Length,
+      "A\x80: b\r\n" + Length,
+      "Content-Length : 3\r\n",
+      "Content Length: 3\r\n",
+      "Transfer Encoding: chunked\r\n",
+  });
+}
