LibConnection: Take no reset during an upload for the end of a response

Cause: the operating system reports a reset once. While the request is still being written, the write is told of it (ECONNRESET); the read that follows returns 0, as after an orderly end, and ends a body without a length. A trace of system calls shows both, in either order of the two handlers.

Change: a response that ends with its connection is complete only if no write has failed. If a write is under way as the input ends, its handler runs first. Responses with a length or chunks are delivered as before, and one without a length whose endpoint closes in order.

--- a/Libraries/LibConnection/endpoint_connection.cpp
+++ b/Libraries/LibConnection/endpoint_connection.cpp
@@ -2,6 +2,7 @@
 
 #include "LibSocket/socket_options.h"
 
+#include <asio/post.hpp>
 #include <asio/write.hpp>
 
 namespace azurehaven {
@@ -38,6 +39,7 @@
   HeadDelivered = false;
   SkippingResponse = false;
   SkippedBytes = 0;
+  HasWriteFailed = false;
   Paused = false;
   Parser.reset();
   if (State == state::Unconnected)
@@ -93,6 +95,7 @@
         }
         // An endpoint may respond and close before it has read the whole
         // request; a pending read still delivers that response.
+        Self->HasWriteFailed = true;
         if (!Self->IsReadPending)
           Self->onConnectionLost("write: " + Code.message(), lossOf(Code));
       });
@@ -109,15 +112,8 @@
     Self->IsReadPending = false;
     if (Self->State == state::Closed)
       return;
-    if (Code == asio::error::eof) {
-      if (Self->Observer && Self->HeadDelivered) {
-        Self->Parser.finish();
-        if (Self->Parser.isComplete())
-          return Self->finishExchange();
-      }
-      return Self->onConnectionLost("closed by the endpoint",
-                                    connection_loss::Ended);
-    }
+    if (Code == asio::error::eof)
+      return Self->onEndOfInput();
     if (Code)
       return Self->onConnectionLost("read: " + Code.message(), lossOf(Code));
     Self->onBytesRead(Size);
@@ -126,6 +122,27 @@
   });
 }
 
+void endpoint_connection::onEndOfInput() {
+  if (!IsWritePending)
+    return endInput();
+  // A reset is reported once. If a write was told of it, the read ends as if
+  // the endpoint had closed the connection in order; that write's handler may
+  // still be queued.
+  asio::post(Socket.get_executor(), [Self = shared_from_this()] {
+    if (Self->State != state::Closed)
+      Self->endInput();
+  });
+}
+
+void endpoint_connection::endInput() {
+  if (Observer && HeadDelivered && !HasWriteFailed) {
+    Parser.finish();
+    if (Parser.isComplete())
+      return finishExchange();
+  }
+  onConnectionLost("closed by the endpoint", connection_loss::Ended);
+}
+
 void endpoint_connection::onBytesRead(std::size_t Size) {
   if (!Observer)
     return close(); // Bytes outside an exchange.
--- a/Libraries/LibConnection/endpoint_connection.h
+++ b/Libraries/LibConnection/endpoint_connection.h
@@ -97,6 +97,8 @@
   void send();
   void read();
   void onBytesRead(std::size_t Size);
+  void onEndOfInput();
+  void endInput();
   void onConnectionLost(const std::string &Reason, connection_loss Loss);
   /// Passes what was parsed to the observer. Rest holds the bytes that follow.
   /// Returns whether to parse them.
@@ -122,6 +124,7 @@
   bool SkippingResponse = false;
   std::size_t SkippedBytes = 0;
   bool IsWritePending = false;
+  bool HasWriteFailed = false;
   bool IsReadPending = false;
   bool Paused = false;
 };
