LibConnection: Reject bodies whose chunks are longer than they say

Callers would see: a response with a chunk that is longer than it says came as complete, without the bytes beyond; likewise with a trailer whose name is no token.

Cause: http_parser, as Debian builds it, takes any two bytes for the line end behind a chunk, and any byte for a line feed.

Change: chunk_validator checks the framing of bodies in chunks (RFC 9112, section 7.1) beside the parser, their trailers by head_validator.

--- a/Libraries/LibConnection/head_validator.cpp
+++ b/Libraries/LibConnection/head_validator.cpp
@@ -63,7 +63,7 @@
   if (IsControl)
     return false;
   const bool IsValid =
-      Lines == 0 ? validateStartLineByte(Byte) : validateFieldByte(Byte);
+      IsStartLine ? validateStartLineByte(Byte) : validateFieldByte(Byte);
   ++LineLength;
   return IsValid;
 }
@@ -84,17 +84,18 @@
 
 bool head_validator::validateLineEnd() {
   const std::size_t Length = std::exchange(LineLength, 0);
-  const bool IsField = std::exchange(IsInValue, false);
-  if (Lines == 0 && Kind == head_kind::Response && Length < MinStatusLineLength)
-    return false;
-  if (Lines > 0 && Length > 0 && !IsField)
-    return false;
-  // Empty lines before the start line are allowed; the one after the header
-  // fields ends the head.
-  if (Length == 0 && Lines > 0)
+  if (IsStartLine)
+    return validateStartLineEnd(Length);
+  if (Length == 0)
     Complete = true;
-  if (Length > 0)
-    ++Lines;
+  return std::exchange(IsInValue, false) || Length == 0;
+}
+
+bool head_validator::validateStartLineEnd(std::size_t Length) {
+  if (Kind == head_kind::Response && Length < MinStatusLineLength)
+    return false;
+  // Empty lines before the start line of a request are allowed.
+  IsStartLine = Length == 0;
   return true;
 }
 
--- a/Libraries/LibConnection/head_validator.h
+++ b/Libraries/LibConnection/head_validator.h
@@ -4,14 +4,16 @@
 
 namespace azurehaven {
 
-enum class head_kind { Request, Response };
+/// Trailers are the fields behind a body in chunks; they have no start line.
+enum class head_kind { Request, Response, Trailers };
 
 /// Rejects message heads that two HTTP implementations may parse differently:
 /// bare line feeds, folded fields, control characters, malformed status lines,
 /// field names that are no token. Source: RFC 9112, sections 2.2, 4 and 5.
 class head_validator {
 public:
-  explicit head_validator(head_kind Kind) : Kind(Kind) {}
+  explicit head_validator(head_kind Kind)
+      : Kind(Kind), IsStartLine(Kind != head_kind::Trailers) {}
 
   /// Checks bytes up to the end of the head; returns false at the first byte
   /// that is not allowed.
@@ -24,6 +26,7 @@
 private:
   bool validateByte(char Byte);
   bool validateLineEnd();
+  bool validateStartLineEnd(std::size_t Length);
   bool validateLineByte(char Byte);
   bool validateStartLineByte(char Byte) const;
   bool validateFieldByte(char Byte);
@@ -31,10 +34,9 @@
   head_kind Kind;
   char Previous = '\n';
   std::size_t LineLength = 0;
+  bool IsStartLine;
   /// Whether the line is a field whose value has begun.
   bool IsInValue = false;
-  /// Completed lines that were not empty.
-  std::size_t Lines = 0;
   std::size_t Size = 0;
   bool Complete = false;
 };
--- a/Libraries/LibConnection/response_parser.cpp
+++ b/Libraries/LibConnection/response_parser.cpp
@@ -104,7 +104,7 @@
   std::size_t Consumed = 0;
   while (Consumed < Bytes.size() && !Complete && !Malformed) {
     const std::string_view Rest = Bytes.substr(Consumed);
-    Consumed += HeadComplete ? parse(Rest) : consumeHead(Rest);
+    Consumed += HeadComplete ? consumeBody(Rest) : consumeHead(Rest);
   }
   return Consumed;
 }
@@ -122,6 +122,14 @@
   return parse(Bytes.substr(0, Size));
 }
 
+std::size_t response_parser::consumeBody(std::string_view Bytes) {
+  const bool IsChunked = (Parser.flags & F_CHUNKED) != 0;
+  if (!IsChunked || Chunks.validate(Bytes))
+    return parse(Bytes);
+  Malformed = true;
+  return 0;
+}
+
 std::size_t response_parser::parse(std::string_view Bytes) {
   const std::size_t Consumed =
       http_parser_execute(&Parser, &callbacks(), Bytes.data(), Bytes.size());
@@ -155,6 +163,7 @@
   http_parser_init(&Parser, HTTP_RESPONSE);
   Parser.data = this;
   Validator.reset();
+  Chunks.reset();
   Head = {};
   Body.clear();
   OverheadBytes = 0;
--- a/Libraries/LibConnection/response_parser.h
+++ b/Libraries/LibConnection/response_parser.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "LibConnection/chunk_validator.h"
 #include "LibConnection/head_validator.h"
 #include "LibConnection/message_head.h"
 
@@ -13,8 +14,8 @@
 
 /// Parses the responses of one connection, one at a time. Interim (1xx)
 /// responses are skipped. A response with too many bytes that are not part of
-/// its body is malformed, as is one whose head another implementation may parse
-/// differently.
+/// its body is malformed, as is one whose head or chunks another implementation
+/// may parse differently.
 class response_parser {
 public:
   response_parser() { reset(); }
@@ -44,6 +45,7 @@
   static const http_parser_settings &callbacks();
   /// Consumes up to the end of the head at most.
   std::size_t consumeHead(std::string_view Bytes);
+  std::size_t consumeBody(std::string_view Bytes);
   std::size_t parse(std::string_view Bytes);
   /// Returns what http_parser expects: Continue or Fail.
   int finishHead();
@@ -54,6 +56,7 @@
 
   http_parser Parser;
   head_validator Validator{head_kind::Response};
+  chunk_validator Chunks;
   response_head Head;
   std::string Body;
   /// Bytes consumed since the response began or a part of its body arrived.
--- a/Tests/LibConnection/response_parser_test.cpp
+++ b/Tests/LibConnection/response_parser_test.cpp
@@ -148,3 +148,26 @@
   CHECK(Parser.isComplete());
   CHECK(Parser.takeBody().size() == 100000);
 }
+
+TEST_CASE("Chunks are accepted only if their framing can be read in one way") {
+  for (const char *Body : {"2\r\nab\r\n0\r\n\r\n", "02;a=b\r\nab\r\n0\r\n\r\n",
+                           "2 \r\nab\r\n0\r\nA: b\r\nC: d\r\n\r\n"}) {
+    CAPTURE(Body);
+    CHECK(isWholeByteByByte(ChunkedHead + Body));
+    response_parser Parser;
+    Parser.consume(ChunkedHead + Body);
+    CHECK(Parser.isComplete());
+    CHECK(Parser.takeBody() == "ab");
+  }
+  for (const char *Body :
+       {"2\r\nabcd0\r\n\r\n", "2\rxab\r\n0\r\n\r\n", "2\nab\r\n0\r\n\r\n",
+        "2;a\nab\r\n0\r\n\r\n", "\r\n2\r\nab\r\n0\r\n\r\n",
+        "2\r\nab\r\n0\r\nA B: c\r\n\r\n", "2\r\nab\r\n0\r\nA\r\n\r\n",
+        "10000000000000002\r\nab\r\n0\r\n\r\n", ";\r\nab\r\n0\r\n\r\n"}) {
+    CAPTURE(Body);
+    CHECK_FALSE(isWholeByteByByte(ChunkedHead + Body));
+    response_parser Parser;
+    Parser.consume(ChunkedHead + Body);
+    CHECK(Parser.isMalformed());
+  }
+}
--- a/Tests/LibRelay/malformed_response_test.cpp
+++ b/Tests/LibRelay/malformed_response_test.cpp
@@ -119,3 +119,16 @@
       "Transfer Encoding: chunked\r\n",
   });
 }
+
+TEST_CASE("A response with a chunk that is longer than it says is not "
+          "forwarded") {
+  const std::string Head =
+      StatusLine + Identity + "Transfer-Encoding: chunked\r\n\r\n";
+  std::string Spoilt = chunk(MalformedBody);
+  Spoilt.replace(Spoilt.size() - 2, 2, "xx");
+  for (const std::string &Body :
+       {Spoilt + "0\r\n\r\n", chunk(MalformedBody) + "0\rx\r\n",
+        chunk(MalformedBody) + "0\r\n\rx",
+        chunk(MalformedBody) + "0\r\nA B: c\r\n\r\n"})
+    checkNotForwarded(Head + Body);
+}
