LibHttp: Reject malformed response heads behind cpp-httplib

Cause: cpp-httplib takes any three digits for a status, blanks in the names of fields, the digits at the beginning of a Content-Length for the length (0 if there are none), and a body with an unknown coding as it comes.

Change: response_head_check judges the parsed head before the response is passed on. What cpp-httplib drops before that stays unseen: a line without a colon, a field without a value.

--- a/Libraries/LibConnection/head_validator.cpp
+++ b/Libraries/LibConnection/head_validator.cpp
@@ -1,5 +1,7 @@
 #include "LibConnection/head_validator.h"
 
+#include "LibHttp/http_message.h"
+
 #include <utility>
 
 namespace azurehaven {
@@ -25,15 +27,6 @@
   }
 }
 
-/// Whether the byte may stand in a token, such as the name of a field. Source:
-/// RFC 9110, section 5.6.2.
-bool isTokenByte(char Byte) {
-  constexpr std::string_view Marks = "!#$%&'*+-.^_`|~";
-  return (Byte >= '0' && Byte <= '9') || (Byte >= 'A' && Byte <= 'Z') ||
-         (Byte >= 'a' && Byte <= 'z') ||
-         Marks.find(Byte) != std::string_view::npos;
-}
-
 } // namespace
 
 bool head_validator::validate(std::string_view Bytes) {
--- a/Libraries/LibHttp/http_message.cpp
+++ b/Libraries/LibHttp/http_message.cpp
@@ -19,6 +19,13 @@
   return Text.substr(Begin, Text.find_last_not_of(Blanks) + 1 - Begin);
 }
 
+bool isTokenByte(char Byte) {
+  constexpr std::string_view Marks = "!#$%&'*+-.^_`|~";
+  return (Byte >= '0' && Byte <= '9') || (Byte >= 'A' && Byte <= 'Z') ||
+         (Byte >= 'a' && Byte <= 'z') ||
+         Marks.find(Byte) != std::string_view::npos;
+}
+
 std::string headerValue(const http_headers &Headers, const std::string &Name) {
   for (const auto &[Key, Value] : Headers)
     if (equalsIgnoringCase(Key, Name))
--- a/Libraries/LibHttp/http_message.h
+++ b/Libraries/LibHttp/http_message.h
@@ -15,6 +15,10 @@
 /// Returns the text without blanks and tabs at its ends.
 std::string_view trimBlanks(std::string_view Text);
 
+/// Whether the byte may stand in a token, such as the name of a header field.
+/// Source: RFC 9110, section 5.6.2.
+bool isTokenByte(char Byte);
+
 /// Returns the value of the first header field of that name, ignoring case;
 /// else empty.
 std::string headerValue(const http_headers &Headers, const std::string &Name);
--- a/Libraries/LibHttp/pooled_http_transport.cpp
+++ b/Libraries/LibHttp/pooled_http_transport.cpp
@@ -1,5 +1,7 @@
 #include "LibHttp/pooled_http_transport.h"
 
+#include "LibHttp/response_head_check.h"
+
 #include <boost/coroutine2/coroutine.hpp>
 #include <boost/coroutine2/protected_fixedsize_stack.hpp>
 #include <httplib.h>
@@ -34,6 +36,11 @@
   return {deliveryOf(Error), httplib::to_string(Error)};
 }
 
+http_failure malformedHead() {
+  return {delivery::MayHaveRun, "malformed response head",
+          connection_loss::Rejected};
+}
+
 http_headers headersOf(const httplib::Headers &Headers) {
   return {Headers.begin(), Headers.end()};
 }
@@ -173,7 +180,11 @@
 private:
   void run(channel::push_type &Sink) {
     Request.response_handler = [&](const httplib::Response &Response) {
-      Sink(head{Response.status, headersOf(Response.headers)});
+      head Head{Response.status, headersOf(Response.headers)};
+      HasMalformedHead = !isWellFormedHead(Head.Status, Head.Headers);
+      if (HasMalformedHead)
+        return false;
+      Sink(std::move(Head));
       return !IsCancelled;
     };
     Request.content_receiver = [&](const char *Data, std::size_t Length,
@@ -191,7 +202,7 @@
     if (IsOk)
       Sink(finished{});
     else
-      Sink(failureOf(Error));
+      Sink(HasMalformedHead ? malformedHead() : failureOf(Error));
   }
 
   std::shared_ptr<client_pool> Pool;
@@ -200,6 +211,7 @@
   httplib::Request Request;
   bool IsCancelled = false;
   bool IsComplete = false;
+  bool HasMalformedHead = false;
   int Status = 0;
   http_headers Headers;
   channel::pull_type Source;
@@ -219,8 +231,11 @@
   httplib::Error Error = httplib::Error::Success;
   if (!Client->send(Converted, Response, Error))
     return failureOf(Error);
+  http_headers Headers = headersOf(Response.headers);
+  if (!isWellFormedHead(Response.status, Headers))
+    return malformedHead();
   Pool->release(To, std::move(Client));
-  return http_response{Response.status, headersOf(Response.headers),
+  return http_response{Response.status, std::move(Headers),
                        std::move(Response.body)};
 }
 
