--- a/Tests/LibScenario/main.cpp
+++ b/Tests/LibScenario/main.cpp
@@ -72,6 +72,8 @@
   if (isError(Played)) {
     std::cerr << FileName << ": " << errorOf(Played).Message
               << "\nlogs: " << Logs << "\n";
+    for (const std::string &Ended : Cluster.processes().describeEnded())
+      std::cerr << Ended << "\n";
     return ExitFailure;
   }
   std::cout << FileName << ": as expected\n";
--- a/Tests/LibScenario/process_group.cpp
+++ b/Tests/LibScenario/process_group.cpp
@@ -76,6 +76,22 @@
   return error{error_code::Unavailable, Name + " still runs"};
 }
 
+std::vector<std::string> process_group::describeEnded() const {
+  std::vector<std::string> Ended;
+  for (const auto &[Name, Process] : Processes) {
+    siginfo_t State{};
+    // WNOWAIT leaves the process to the destructor.
+    const int Code = ::waitid(P_PID, static_cast<id_t>(Process), &State,
+                              WEXITED | WNOHANG | WNOWAIT);
+    if (Code != 0 || State.si_pid == 0)
+      continue;
+    const char *How =
+        State.si_code == CLD_EXITED ? "with status " : "by signal ";
+    Ended.push_back(Name + " ended " + How + std::to_string(State.si_status));
+  }
+  return Ended;
+}
+
 bool process_group::isRunning(const std::string &Name) {
   return Processes.contains(Name);
 }
--- a/Tests/LibScenario/process_group.h
+++ b/Tests/LibScenario/process_group.h
@@ -29,6 +29,9 @@
   /// Whether the process was started and neither killed by signal() nor seen to
   /// exit by awaitExit(). True for a frozen or crashed process.
   bool isRunning(const std::string &Name);
+  /// Describes how each process ended that has ended by itself or by a signal
+  /// from elsewhere.
+  std::vector<std::string> describeEnded() const;
 
 private:
   const std::string LogFolder;
