Review: case 7, bytes behind an answer without a body

Case 7 (MIXED): a client that resumes a stream of which it has had all events gets the server's 204 with chunked framing, and the bytes of the last chunk behind it on a kept channel.

--- a/review/lib-2/fleet.py
+++ b/review/lib-2/fleet.py
@@ -107,6 +107,37 @@
         self.server = None
 
 
+class Proxy(Listener):
+    """Passes bytes on between one side and another, and resets both on demand."""
+
+    def __init__(self, ip, port, target):
+        super().__init__(ip, port)
+        self.target, self.pairs = target, []
+
+    async def serve(self, reader, writer):
+        host, port = self.target
+        onward_reader, onward_writer = await asyncio.open_connection(host, port)
+        self.pairs.append((writer, onward_writer))
+        try:
+            await asyncio.gather(self._pass(reader, onward_writer), self._pass(onward_reader, writer))
+        finally:
+            onward_writer.close()
+
+    @staticmethod
+    async def _pass(reader, writer):
+        while data := await reader.read(65536):
+            writer.write(data)
+            await writer.drain()
+        writer.close()
+
+    def reset_all(self):
+        for pair in self.pairs:
+            for writer in pair:
+                if not writer.is_closing():
+                    reset(writer)
+        self.pairs.clear()
+
+
 class Store(Listener):
     """The platform's metadata store."""
 
@@ -247,6 +278,7 @@
         self.state = "ready"
         self.running = {}
         self.work_s, self.event_s, self.events = 0.03, 0.05, 20
+        self.end_s = 0  # from the last event to the end of the stream
 
     def entry(self):
         return {"service": self.service, "address": self.address, "zone": self.zone, "version": self.version,
@@ -327,6 +359,7 @@
                 writer.write(f"{len(text):x}\r\n".encode() + text + b"\r\n")
                 await writer.drain()
                 self.running[attempt] = number
+            await asyncio.sleep(self.end_s)
             writer.write(b"0\r\n\r\n")
             await writer.drain()
             self.fleet.record.add(f"{self.id} has completed {attempt}")
@@ -414,12 +447,13 @@
 class Channel:
     """A client's channel, kept for many requests."""
 
-    def __init__(self, fleet, entry):
+    def __init__(self, fleet, entry, address=None):
         self.fleet, self.entry, self.reader, self.writer = fleet, entry, None, None
+        self.address = address or (entry.ip, FRONT_PORT)
 
     async def open(self):
         self.reader, self.writer = await asyncio.wait_for(
-            asyncio.open_connection(self.entry.ip, FRONT_PORT, limit=1 << 24), 1)
+            asyncio.open_connection(*self.address, limit=1 << 24), 1)
         return self
 
     def close(self):
