LibRelay: Gate every send by whether the request may run again

Cause: tryEscalate asked for models, confidence, runs left and retry budget, and not whether the request may run twice, which each other repeat asked for itself. Now attempt_budget::allowsSend is passed by every send. As no answer of a small model can be judged on such routes, their first model is the largest, unless the backlog is too long for it.

--- a/Libraries/LibDispatch/model_cascade.cpp
+++ b/Libraries/LibDispatch/model_cascade.cpp
@@ -16,9 +16,12 @@
 
 } // namespace
 
-std::size_t model_cascade::firstModel(const route &,
-                                      const dispatch_request &) const {
-  return 0;
+std::size_t model_cascade::firstModel(const route &Route,
+                                      milliseconds Backlog) const {
+  const bool IsJudged = Route.allowsReexecution();
+  const bool HasTimeForLargest =
+      static_cast<double>(Backlog.count()) < BacklogScaleMs;
+  return IsJudged || !HasTimeForLargest ? 0 : Route.ModelsBySize.size() - 1;
 }
 
 double model_cascade::workPerToken(const route &Route,
--- a/Libraries/LibDispatch/model_cascade.h
+++ b/Libraries/LibDispatch/model_cascade.h
@@ -13,12 +13,14 @@
 /// discarded before any of it reaches the caller, and the largest model
 /// responds instead. The confidence threshold falls as the backlog grows,
 /// because the engines lack the capacity to run the largest model for every
-/// request. Not thread-safe.
+/// request. A request that must not run twice gets the response of its first
+/// model, which is the largest one unless the backlog is too long for it. Not
+/// thread-safe.
 class model_cascade {
 public:
-  /// Index in Route.ModelsBySize of the model that responds first.
-  std::size_t firstModel(const route &Route,
-                         const dispatch_request &Request) const;
+  /// Index in Route.ModelsBySize of the model that responds first. Backlog: see
+  /// escalate().
+  std::size_t firstModel(const route &Route, milliseconds Backlog) const;
   /// Relative work of one prompt token on the route's model; 1 for the
   /// smallest.
   double workPerToken(const route &Route, std::size_t Model) const;
--- a/Libraries/LibRelay/attempt_budget.cpp
+++ b/Libraries/LibRelay/attempt_budget.cpp
@@ -35,6 +35,14 @@
 
 int attempt_budget::runsLeft() const { return MaxRuns - RunCount; }
 
+bool attempt_budget::allowsSend(int LiveRuns) const {
+  return Route.allowsReexecution() || RunCount + LiveRuns == 0;
+}
+
+bool attempt_budget::allowsRerun() const {
+  return Route.allowsReexecution() && runsLeft() > 1;
+}
+
 bool attempt_budget::allowsRetryAfter(attempt_failure Failure,
                                       steady_time Now) const {
   return isRetryAllowed(Route, Failure) && runsLeft() > 0 &&
--- a/Libraries/LibRelay/attempt_budget.h
+++ b/Libraries/LibRelay/attempt_budget.h
@@ -24,6 +24,12 @@
   int runs() const { return RunCount; }
   int runsLeft() const;
   bool mayHaveRun() const { return RunCount > 0; }
+  /// Whether the request may be sent while it may be running so often on other
+  /// endpoints. Every send passes this, whatever its reason: a request that
+  /// must not run again may be sent only until it may have run.
+  bool allowsSend(int LiveRuns) const;
+  /// Whether a response may be dropped and the request run once more.
+  bool allowsRerun() const;
   /// Whether one more attempt may follow one that failed like this, which has
   /// been counted.
   bool allowsRetryAfter(attempt_failure Failure, steady_time Now) const;
--- a/Libraries/LibRelay/relayed_request.cpp
+++ b/Libraries/LibRelay/relayed_request.cpp
@@ -103,7 +103,8 @@
   const steady_time Now = Context.Clock.now();
   if (Request.acceptsAnyModel() && !Route.ModelsBySize.empty()) {
     if (!Model.Index)
-      Model.Index = Context.Fleet.Models.firstModel(Route, Request);
+      Model.Index = Context.Fleet.Models.firstModel(
+          Route, estimatedBacklog(Context.Fleet, Admitted.Service, Now));
     Model.Id = Route.ModelsBySize[*Model.Index];
   }
   // The process may have been suspended since the request arrived, so that the
@@ -111,6 +112,8 @@
   if (!isConfigurationCurrent(Now))
     return refuse(
         errorResponseFor(Budget.mayHaveRun(), "configuration_not_confirmed"));
+  if (!Budget.allowsSend(liveRuns()))
+    return refuse(errorResponseFor(/*MayHaveRun=*/true, "must_not_run_again"));
   // A stream that has begun goes on until the process exits.
   if (!ResponseStarted &&
       !isAdmittedDuringStop(Context.Fleet, Route, Budget.timeLeft(Now), Now))
@@ -324,7 +327,7 @@
   // The VM that a request was forwarded to has chosen the model.
   if (!Model.Index || !NewResponse.Confidence || Attempt.isForwarded() ||
       !isSuccess(NewResponse.Status) || ResponseStarted ||
-      Budget.runsLeft() <= 1)
+      !Budget.allowsRerun())
     return false;
   fleet_state &Fleet = Context.Fleet;
   const steady_time Now = Context.Clock.now();
@@ -537,8 +540,9 @@
 }
 
 attempt_place relayed_request::placeOfHedge(steady_time Now) const {
-  return isConfigurationCurrent(Now) ? Targets.select(Model.Index, Now)
-                                     : attempt_place();
+  const bool IsAllowed =
+      isConfigurationCurrent(Now) && Budget.allowsSend(liveRuns());
+  return IsAllowed ? Targets.select(Model.Index, Now) : attempt_place();
 }
 
 bool relayed_request::mayRetryAfter(attempt_failure Failure,
--- a/Tests/LibDispatch/model_cascade_test.cpp
+++ b/Tests/LibDispatch/model_cascade_test.cpp
@@ -12,6 +12,7 @@
 
 route routeOfModels(std::size_t Count) {
   route Route;
+  Route.Kind = route_kind::Idempotent;
   for (std::size_t Index = 0; Index < Count; ++Index)
     Route.ModelsBySize.emplace_back("m" + std::to_string(Index));
   return Route;
@@ -23,11 +24,20 @@
   const model_cascade Cascade;
   const route Route = routeOfModels(3);
   const dispatch_request Request;
-  CHECK(Cascade.firstModel(Route, Request) == 0);
+  CHECK(Cascade.firstModel(Route, Idle) == 0);
   CHECK(Cascade.escalate(Route, Request, 0, 0, Idle) == 2);
   CHECK_FALSE(Cascade.escalate(Route, Request, 0, 100, Idle));
 }
 
+TEST_CASE("A request that must not run twice gets the largest model, unless "
+          "the backlog is long") {
+  const model_cascade Cascade;
+  route Route = routeOfModels(3);
+  Route.Kind = route_kind::NonIdempotent;
+  CHECK(Cascade.firstModel(Route, Idle) == 2);
+  CHECK(Cascade.firstModel(Route, milliseconds(10000)) == 0);
+}
+
 TEST_CASE("The confidence threshold falls as the backlog grows") {
   const model_cascade Cascade;
   const route Route = routeOfModels(3);
--- a/Tests/LibRelay/relay_fixture.h
+++ b/Tests/LibRelay/relay_fixture.h
@@ -75,8 +75,9 @@
                           const std::string &Fields = {},
                           const std::string &Body = {});
   /// Starts a request and returns its connection without waiting.
-  std::shared_ptr<endpoint_connection> startRequest(const std::string &Path,
-                                                    call_handler Handler);
+  std::shared_ptr<endpoint_connection>
+  startRequest(const std::string &Path, call_handler Handler,
+               const std::string &Fields = {});
   void runUntil(const std::function<bool()> &IsDone);
   /// Sends more on the connection on which the request with this index came,
   /// whose script said to hang; Delay is not used.
