LibRelay: Find crashes whose attempts ended for the VM in another way

Cause: only an attempt that its endpoint ended counted as a crash. Silence of plain endpoints and malformed responses were left out by name, and nobody was told of cancelled attempts (caller gone, deadline, dropped second attempt or small answer, planned stop). Besides, a successor under a new id was not known as one, a sound response cleared waiting crashes of other prompts with the same body, and silent engines were dated by the end of their connections.

Now each attempt that was sent and not seen to be complete is kept until its process start is known to have ended or to have gone on. As such crashes tell less, those that one common end may explain count once, a request that was sound after crashes needs five, and requests that were sent to an endpoint after it had crashed under another one do not count.

--- a/Libraries/LibConnection/endpoint_connection.h
+++ b/Libraries/LibConnection/endpoint_connection.h
@@ -79,6 +79,10 @@
   void resumeReading();
 
   bool isUnconnected() const { return State == state::Unconnected; }
+  /// Whether nothing can have reached the endpoint over it yet.
+  bool isConnecting() const {
+    return State == state::Unconnected || State == state::Connecting;
+  }
   /// Whether it is connected and carries no exchange.
   bool isIdle() const { return State == state::Idle; }
   bool isClosed() const { return State == state::Closed; }
--- a/Libraries/LibDispatch/attempt_policy.cpp
+++ b/Libraries/LibDispatch/attempt_policy.cpp
@@ -21,10 +21,17 @@
 
 } // namespace
 
+milliseconds usualResponseTime(const route &Route,
+                               std::optional<double> MeanLatencyMs) {
+  if (MeanLatencyMs)
+    return milliseconds(std::llround(UsualLatencyFactor * *MeanLatencyMs));
+  return Route.LatencyObjective.count() > 0 ? Route.LatencyObjective
+                                            : MinimumIdleTimeout;
+}
+
 milliseconds plainIdleTimeout(const route &Route,
                               std::optional<double> MeanLatencyMs) {
-  const milliseconds Usual(
-      std::llround(UsualLatencyFactor * MeanLatencyMs.value_or(0)));
+  const milliseconds Usual = usualResponseTime(Route, MeanLatencyMs);
   const milliseconds Objective =
       std::max(Route.LatencyObjective, Route.EventGapObjective);
   return std::max({MinimumIdleTimeout, Objective, Usual});
--- a/Libraries/LibDispatch/attempt_policy.h
+++ b/Libraries/LibDispatch/attempt_policy.h
@@ -49,6 +49,11 @@
 milliseconds plainIdleTimeout(const route &Route,
                               std::optional<double> MeanLatencyMs);
 
+/// Time within which such an endpoint usually responds; never longer than
+/// plainIdleTimeout().
+milliseconds usualResponseTime(const route &Route,
+                               std::optional<double> MeanLatencyMs);
+
 /// The error response that the caller gets when no further attempt is made.
 struct error_response {
   int Status = 503;
--- a/Libraries/LibDispatch/crash_quarantine.h
+++ b/Libraries/LibDispatch/crash_quarantine.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "LibDispatch/crash_records.h"
+#include "LibDispatch/crash_sequence.h"
 
 #include <string>
 
@@ -14,8 +15,10 @@
 public:
   /// Records a crash that this VM observed.
   void addLocal(std::uint64_t Fingerprint, const endpoint_id &Endpoint,
-                steady_time Now) {
-    Records.add({Fingerprint, Endpoint, Now}, Now);
+                crash_time Crash) {
+    Records.add({Fingerprint, Endpoint, Crash.At, crash_refutation::None,
+                 Crash.CoincidenceTime},
+                Crash.At);
   }
   /// Records what another VM knows. Returns whether it is news.
   bool merge(const crash_record &Record, steady_time Now) {
--- a/Libraries/LibDispatch/crash_records.cpp
+++ b/Libraries/LibDispatch/crash_records.cpp
@@ -131,6 +131,26 @@
   return IsChanged;
 }
 
+bool crash_records::hasSoundResponse(std::uint64_t Fingerprint) const {
+  for (auto Entry = Entries.lower_bound({Fingerprint, endpoint_id()});
+       Entry != Entries.end() && Entry->first.first == Fingerprint; ++Entry)
+    if (Entry->second.Refutation == crash_refutation::SoundResponse)
+      return true;
+  return false;
+}
+
+bool crash_records::hadCrashedBefore(const crash_record &Record) const {
+  if (Record.CoincidenceTime.count() == 0)
+    return false;
+  const steady_time SentAt = Record.At - Record.CoincidenceTime;
+  return std::any_of(Entries.begin(), Entries.end(), [&](const auto &Entry) {
+    const auto &[Key, Value] = Entry;
+    return Key.second == Record.Endpoint && Key.first != Record.Fingerprint &&
+           Value.Refutation != crash_refutation::EndpointAlive &&
+           Value.At <= SentAt;
+  });
+}
+
 std::size_t crash_records::endpointCount(std::uint64_t Fingerprint) const {
   return standingOf(Fingerprint).size();
 }
--- a/Libraries/LibDispatch/crash_records.h
+++ b/Libraries/LibDispatch/crash_records.h
@@ -31,7 +31,8 @@
   steady_time At{};
   crash_refutation Refutation = crash_refutation::None;
   /// Crashes of other endpoints within this time before it may have had the
-  /// same cause, whatever the request. Zero if the response had begun.
+  /// same cause, whatever the request. Zero if the connection ended during the
+  /// response.
   milliseconds CoincidenceTime{0};
 };
 
@@ -58,6 +59,11 @@
   bool refuteFingerprint(std::uint64_t Fingerprint);
   bool refuteEndpoint(const endpoint_id &Endpoint);
 
+  /// Whether a response to the fingerprint was sound after crashes under it.
+  bool hasSoundResponse(std::uint64_t Fingerprint) const;
+  /// Whether the endpoint had crashed under another fingerprint before the
+  /// recorded attempt was sent.
+  bool hadCrashedBefore(const crash_record &Record) const;
   /// Number of process starts that crashed under the fingerprint and are not
   /// refuted.
   std::size_t endpointCount(std::uint64_t Fingerprint) const;
@@ -78,10 +84,9 @@
   bool hasRoom() const {
     return Entries.size() < MaximumRecords || RefutedCount > 0;
   }
-  /// Equal on two VMs if they hold the same records of crashes during a
-  /// response.
+  /// Equal on two VMs if they hold the same records without a coincidence time.
   std::uint64_t digest() const { return Digest; }
-  /// The same for crashes before a response had begun.
+  /// The same for those with one.
   std::uint64_t waitingDigest() const { return WaitingDigest; }
   void expire(steady_time Now);
 
--- a/Libraries/LibDispatch/crash_sequence.cpp
+++ b/Libraries/LibDispatch/crash_sequence.cpp
@@ -32,4 +32,11 @@
   return Count;
 }
 
+std::size_t countIndependentCrashes(const std::vector<crash_record> &Records) {
+  std::vector<crash_time> Crashes;
+  for (const crash_record &Record : Records)
+    Crashes.emplace_back(Record.At, Record.CoincidenceTime);
+  return countIndependent(std::move(Crashes));
+}
+
 } // namespace azurehaven
--- a/Libraries/LibDispatch/endpoint_registry.cpp
+++ b/Libraries/LibDispatch/endpoint_registry.cpp
@@ -4,6 +4,8 @@
 #include "LibDispatch/service_paths.h"
 #include "LibTypes/fingerprint.h"
 
+#include <algorithm>
+
 namespace azurehaven {
 
 namespace {
@@ -45,7 +47,7 @@
   if (WasLeaving || isMarkedLeaving(Descriptor))
     Record->Descriptor.IsLeaving = true;
   Record->RemoveAt.reset();
-  rebuildServiceIndex();
+  rebuildIndexes();
 }
 
 bool endpoint_registry::isMarkedLeaving(
@@ -83,7 +85,7 @@
   // Requests that still hold the record must see that the endpoint left.
   Found->second->Descriptor.IsLeaving = true;
   ById.erase(Found);
-  rebuildServiceIndex();
+  rebuildIndexes();
 }
 
 void endpoint_registry::scheduleRemoval(const endpoint_id &Id, steady_time At) {
@@ -128,10 +130,24 @@
   return Found == ByService.end() ? None : Found->second;
 }
 
-void endpoint_registry::rebuildServiceIndex() {
+bool endpoint_registry::isReplacedAt(const network_address &Address,
+                                     std::int64_t Incarnation) const {
+  const auto Latest = LatestIncarnationAt.find(Address);
+  return Latest != LatestIncarnationAt.end() && Latest->second > Incarnation;
+}
+
+void endpoint_registry::rebuildIndexes() {
   ByService.clear();
-  for (const auto &[Id, Record] : ById)
-    ByService[Record->Descriptor.Service].push_back(Record);
+  LatestIncarnationAt.clear();
+  for (const auto &[Id, Record] : ById) {
+    const endpoint_descriptor &Descriptor = Record->Descriptor;
+    ByService[Descriptor.Service].push_back(Record);
+    const auto Latest =
+        LatestIncarnationAt
+            .try_emplace(Descriptor.Address, Descriptor.Incarnation)
+            .first;
+    Latest->second = std::max(Latest->second, Descriptor.Incarnation);
+  }
 }
 
 } // namespace azurehaven
--- a/Libraries/LibDispatch/endpoint_registry.h
+++ b/Libraries/LibDispatch/endpoint_registry.h
@@ -96,8 +96,10 @@
   /// When the latest inspection ended, successfully or not.
   steady_time ReportAt;
   bool IsBeingInspected = false;
-  /// Number of consecutive failed inspections, without bytes between them.
+  /// Number of consecutive failed inspections, without bytes between them, and
+  /// when the first of them began.
   unsigned FailedInspections = 0;
+  steady_time UnansweredSince;
   /// When this process start has last reported.
   steady_time ReportedAt;
   /// When a later process start has reported at its address.
@@ -150,6 +152,9 @@
   std::shared_ptr<endpoint_record>
   findProcessStart(const endpoint_id &Start) const;
   const endpoint_list &endpointsOf(const service_id &Service) const;
+  /// Whether a later process start, under any id, is listed at the address.
+  bool isReplacedAt(const network_address &Address,
+                    std::int64_t Incarnation) const;
   const std::map<endpoint_id, std::shared_ptr<endpoint_record>> &all() const {
     return ById;
   }
@@ -161,12 +166,13 @@
     steady_time MarkedAt;
   };
   bool isMarkedLeaving(const endpoint_descriptor &Descriptor) const;
-  void rebuildServiceIndex();
+  void rebuildIndexes();
 
   std::map<endpoint_id, leaving_start> LeavingStarts;
 
   std::map<endpoint_id, std::shared_ptr<endpoint_record>> ById;
   std::map<service_id, endpoint_list> ByService;
+  std::map<network_address, std::int64_t> LatestIncarnationAt;
 };
 
 } // namespace azurehaven
--- a/Libraries/LibDispatch/prompt_quarantine.cpp
+++ b/Libraries/LibDispatch/prompt_quarantine.cpp
@@ -33,19 +33,19 @@
 }
 
 void prompt_quarantine::addLocal(const std::vector<segment_key> &Segments,
-                                 const endpoint_id &Endpoint, steady_time Now,
-                                 milliseconds CoincidenceTime) {
+                                 const endpoint_id &Endpoint,
+                                 crash_time Crash) {
   // Most segments of requests on an endpoint that crashes were in no other
   // crash.
   bool MayQuarantine = false;
   for (const segment_key Segment : Segments) {
-    const crash_record Record{Segment, Endpoint, Now, crash_refutation::None,
-                              CoincidenceTime};
-    if (isAdmitted(Segment) && Records.add(Record, Now))
+    const crash_record Record{Segment, Endpoint, Crash.At,
+                              crash_refutation::None, Crash.CoincidenceTime};
+    if (isAdmitted(Segment) && Records.add(Record, Crash.At))
       MayQuarantine |= Records.endpointCount(Segment) >= QuarantineThreshold;
   }
   if (MayQuarantine)
-    updateGroups(Now);
+    updateGroups(Crash.At);
 }
 
 bool prompt_quarantine::mergeOne(const crash_record &Record, steady_time Now) {
@@ -133,10 +133,7 @@
 }
 
 std::size_t prompt_quarantine::independentCrashes(segment_key Segment) const {
-  std::vector<crash_time> Crashes;
-  for (const crash_record &Record : Records.standingOf(Segment))
-    Crashes.push_back({Record.At, Record.CoincidenceTime});
-  return countIndependent(std::move(Crashes));
+  return countIndependentCrashes(Records.standingOf(Segment));
 }
 
 prompt_quarantine::suspect_map
--- a/Libraries/LibDispatch/prompt_quarantine.h
+++ b/Libraries/LibDispatch/prompt_quarantine.h
@@ -28,10 +28,9 @@
 class prompt_quarantine {
 public:
   /// Records a crash that this VM observed under a request with these
-  /// segments. CoincidenceTime: see crash_record.
+  /// segments.
   void addLocal(const std::vector<segment_key> &Segments,
-                const endpoint_id &Endpoint, steady_time Now,
-                milliseconds CoincidenceTime = milliseconds(0));
+                const endpoint_id &Endpoint, crash_time Crash);
   /// Records what another VM knows of a segment. Returns whether it is news.
   bool merge(const crash_record &Record, steady_time Now) {
     return mergeAll({Record}, Now) > 0;
--- a/Libraries/LibRelay/attempt_observations.cpp
+++ b/Libraries/LibRelay/attempt_observations.cpp
@@ -37,7 +37,7 @@
 }
 
 void attempt_observations::onHead(bool IsSuccess, steady_time Now) {
-  Crashes.onHead();
+  Crashes.onHead(Now);
   if (IsForwarded)
     return;
   Recorder.onHead(Now);
@@ -76,6 +76,8 @@
 }
 
 void attempt_observations::onErrorResponse(bool IsSigned, steady_time Now) {
+  // An endpoint may crash under a request just after it has reported an error.
+  recordAbandoned(Now);
   // A signed one comes from an endpoint behind the VM.
   if (!IsForwarded || !IsSigned)
     recordErrorResponse(*Endpoint, Now);
@@ -92,20 +94,39 @@
     recordMalformedResponse(Now);
   else if (mayHaveRun(Failure))
     recordMissingResponse(Failure, Now);
+  else
+    Crashes.drop();
 }
 
-const char *attempt_observations::reasonNotToCount(attempt_failure Failure,
-                                                   bool IsPathLost) const {
+void attempt_observations::onCancelled(bool WasSent, steady_time Now) {
+  if (WasSent)
+    recordAbandoned(Now);
+  else
+    Crashes.drop();
+}
+
+void attempt_observations::recordAbandoned(steady_time Now) {
+  // The VM that a request was forwarded to records it.
   if (IsForwarded)
-    return "forwarded";
-  if (Failure == attempt_failure::Silent)
-    return "silent";
-  // Nothing comes over a lost path, whatever the endpoint does; but a
-  // connection that has ended may have ended with its process, whatever the
-  // path does.
-  if (Failure == attempt_failure::Unresponsive && IsPathLost)
-    return "path_lost";
-  return nullptr;
+    Crashes.drop();
+  else
+    Crashes.recordAbandoned(silentSince(Now), Now);
+}
+
+std::optional<steady_time>
+attempt_observations::silentSince(steady_time Now) const {
+  const steady_time Progress = Crashes.lastProgressAt();
+  if (Admitted.isForEngines()) {
+    const bool IsUnanswered =
+        Endpoint->FailedInspections > 0 && Endpoint->UnansweredSince > Progress;
+    return IsUnanswered ? std::optional(Endpoint->UnansweredSince)
+                        : std::nullopt;
+  }
+  const route &Route = *Admitted.Route;
+  const auto UsualMs = Fleet.LatencyBaseline.meanMs(Route.Name, model_id());
+  if (Now - Progress < plainIdleTimeout(Route, UsualMs))
+    return std::nullopt;
+  return Progress + usualResponseTime(Route, UsualMs);
 }
 
 void attempt_observations::recordMalformedResponse(steady_time Now) {
@@ -113,7 +134,9 @@
     Recorder.drop();
   else
     Recorder.record(/*HasFailed=*/true, Now);
-  Crashes.recordUncounted("malformed");
+  if (IsForwarded)
+    return Crashes.drop();
+  Crashes.recordMalformed(Now);
 }
 
 void attempt_observations::recordMissingResponse(attempt_failure Failure,
@@ -134,11 +157,19 @@
       Recorder.record(/*HasFailed=*/true, Now);
     }
   }
-  if (const char *Reason = reasonNotToCount(Failure, IsPathLost))
-    return Crashes.recordUncounted(Reason);
+  if (IsForwarded)
+    return Crashes.recordUncounted("forwarded");
+  // Nothing comes over a lost path, whatever the endpoint does; but a
+  // connection that has ended may have ended with its process, whatever the
+  // path does.
+  if (Failure == attempt_failure::Unresponsive && IsPathLost)
+    return Crashes.recordUncounted("path_lost");
+  if (Failure == attempt_failure::Silent)
+    return recordAbandoned(Now);
   if (Failure == attempt_failure::Unresponsive)
-    return Crashes.recordUnresponsive(std::move(FailedRelease), Now);
-  Crashes.recordCrash(Now);
+    return Crashes.recordUnresponsive(std::move(FailedRelease),
+                                      silentSince(Now).value_or(Now), Now);
+  Crashes.recordCrash(silentSince(Now), Now);
 }
 
 } // namespace azurehaven
--- a/Libraries/LibRelay/attempt_observations.h
+++ b/Libraries/LibRelay/attempt_observations.h
@@ -39,6 +39,9 @@
   /// Another endpoint responds at the endpoint's address.
   void onMisdirected(steady_time Now);
   void onFailed(attempt_failure Failure, steady_time Now);
+  /// This VM does not await the rest of the response any more. WasSent: whether
+  /// the request may have reached the endpoint.
+  void onCancelled(bool WasSent, steady_time Now);
   /// The deadline has passed before the response began.
   void onDeadline(steady_time Now) { Recorder.record(/*HasFailed=*/true, Now); }
   void recordIfSlow(steady_time Now) { Recorder.recordIfSlow(Now); }
@@ -56,8 +59,11 @@
   /// Each is a failure by itself; a crash fails all requests on its endpoint.
   void recordMalformedResponse(steady_time Now);
   void recordMissingResponse(attempt_failure Failure, steady_time Now);
-  /// Why the failure is no crash of the endpoint; null if it is one.
-  const char *reasonNotToCount(attempt_failure Failure, bool IsPathLost) const;
+  /// Records that this VM has ended the attempt, not the endpoint.
+  void recordAbandoned(steady_time Now);
+  /// Since when the endpoint would have sent more of the response, or answered
+  /// an inspection, if it were alive; nullopt if it may be.
+  std::optional<steady_time> silentSince(steady_time Now) const;
 
   fleet_state &Fleet;
   const admitted_request &Admitted;
--- a/Libraries/LibRelay/counted_crash.cpp
+++ b/Libraries/LibRelay/counted_crash.cpp
@@ -11,20 +11,34 @@
 /// The log's word for what the crash counts against.
 const char *blamedBy(const observed_crash &Crash) {
   if (Crash.BlamedSegments.empty())
-    return "request";
+    return Crash.IsRequestBlamed ? "request" : "nothing";
   return Crash.CoincidentSince ? "segments_if_not_coincident" : "segments";
 }
 
-milliseconds coincidenceTime(const observed_crash &Crash, steady_time Now) {
+milliseconds coincidenceTime(const observed_crash &Crash) {
   if (!Crash.CoincidentSince)
     return milliseconds(0);
-  // Zero would stand for a response that had begun.
-  const auto Time =
-      std::chrono::duration_cast<milliseconds>(Now - *Crash.CoincidentSince);
+  // Zero would stand for a crash that is certain.
+  const auto Time = std::chrono::duration_cast<milliseconds>(
+      Crash.CrashedBy - *Crash.CoincidentSince);
   return std::clamp(Time, milliseconds(1),
                     milliseconds(crash_records::RetentionTime));
 }
 
+void blameRequest(fleet_state &Fleet, const event_log &Log,
+                  const observed_crash &Crash) {
+  const bool WasQuarantined = Fleet.Quarantine.isQuarantined(Crash.Fingerprint);
+  const milliseconds CoincidenceTime = Crash.End == attempt_end::Unseen
+                                           ? coincidenceTime(Crash)
+                                           : milliseconds(0);
+  Fleet.Quarantine.addLocal(Crash.Fingerprint, Crash.ProcessStart,
+                            {Crash.CrashedBy, CoincidenceTime});
+  if (!WasQuarantined && Fleet.Quarantine.isQuarantined(Crash.Fingerprint))
+    Log.write(log_level::Warning, "request_quarantined",
+              {{"request", Crash.Request.text()},
+               {"fingerprint", std::to_string(Crash.Fingerprint)}});
+}
+
 std::string describeSegments(const std::vector<prompt_segment> &Prompt) {
   std::string Text;
   for (const prompt_segment &Segment : Prompt)
@@ -35,14 +49,11 @@
 } // namespace
 
 void countCrash(fleet_state &Fleet, const event_log &Log,
-                const observed_crash &Crash, const char *Evidence,
-                steady_time Now) {
-  const bool WasQuarantined = Fleet.Quarantine.isQuarantined(Crash.Fingerprint);
-  Fleet.Quarantine.addLocal(Crash.Fingerprint, Crash.ProcessStart, Now);
-  const milliseconds CoincidenceTime = coincidenceTime(Crash, Now);
-  Fleet.PromptQuarantine.addLocal(Crash.BlamedSegments, Crash.ProcessStart, Now,
-                                  CoincidenceTime);
-  recordAllegedCrash(Fleet, Crash.ProcessStart, Now);
+                const observed_crash &Crash, const char *Evidence) {
+  const milliseconds CoincidenceTime = coincidenceTime(Crash);
+  Fleet.PromptQuarantine.addLocal(Crash.BlamedSegments, Crash.ProcessStart,
+                                  {Crash.CrashedBy, CoincidenceTime});
+  recordAllegedCrash(Fleet, Crash.ProcessStart, Crash.CrashedBy);
   Log.write(log_level::Warning, "endpoint_crash_counted",
             {{"request", Crash.Request.text()},
              {"fingerprint", std::to_string(Crash.Fingerprint)},
@@ -51,10 +62,8 @@
              {"prompt", describeSegments(Crash.Prompt)},
              {"coincidence_ms", std::to_string(CoincidenceTime.count())},
              {"blamed", blamedBy(Crash)}});
-  if (!WasQuarantined && Fleet.Quarantine.isQuarantined(Crash.Fingerprint))
-    Log.write(log_level::Warning, "request_quarantined",
-              {{"request", Crash.Request.text()},
-               {"fingerprint", std::to_string(Crash.Fingerprint)}});
+  if (Crash.IsRequestBlamed)
+    blameRequest(Fleet, Log, Crash);
 }
 
 void logUncountedCrash(const event_log &Log, const request_id &Request,
--- a/Libraries/LibRelay/crash_archive.cpp
+++ b/Libraries/LibRelay/crash_archive.cpp
@@ -56,19 +56,18 @@
   IsUnreadable = false;
 }
 
-std::size_t crash_archive::weightOf(crash_cause Cause, group Crashes) {
+std::size_t crash_archive::weightOf(group Crashes) {
   std::vector<crash_time> Standing;
   for (const crash_record &Record : Crashes)
     if (Record.Refutation == crash_refutation::None)
-      Standing.push_back({Record.At, Record.CoincidenceTime});
-  return Cause == crash_cause::Request ? Standing.size()
-                                       : countIndependent(std::move(Standing));
+      Standing.emplace_back(Record.At, Record.CoincidenceTime);
+  return countIndependent(std::move(Standing));
 }
 
 void crash_archive::addGroup(std::vector<ranked_crash> &Ranked,
                              crash_cause Cause, group Crashes, steady_time Now,
                              unix_millis WallNow) const {
-  const std::size_t Weight = weightOf(Cause, Crashes);
+  const std::size_t Weight = weightOf(Crashes);
   for (const crash_record &Record : Crashes) {
     const bool Counts =
         Record.Refutation == crash_refutation::None && Weight >= MinimumWeight;
@@ -123,6 +122,7 @@
 void crash_archive::updateUnsaved(steady_time Now, unix_millis WallNow) {
   const auto Present = std::make_tuple(
       Fleet.Quarantine.records().digest(),
+      Fleet.Quarantine.records().waitingDigest(),
       Fleet.PromptQuarantine.records().digest(),
       Fleet.PromptQuarantine.records().waitingDigest(), StoredRevision);
   if (Present == Seen)
--- a/Libraries/LibRelay/crash_archive.h
+++ b/Libraries/LibRelay/crash_archive.h
@@ -55,7 +55,7 @@
   using group = std::span<const crash_record>;
 
   static crash_key keyOf(const archived_crash &Crash);
-  static std::size_t weightOf(crash_cause Cause, group Crashes);
+  static std::size_t weightOf(group Crashes);
   void addGroup(std::vector<ranked_crash> &Ranked, crash_cause Cause,
                 group Crashes, steady_time Now, unix_millis WallNow) const;
   /// The crashes to keep; those that tell most come first.
@@ -86,7 +86,9 @@
   /// Crashes that Wanted has no room for.
   std::size_t LeftOut = 0;
   /// What Wanted was derived from.
-  std::tuple<std::uint64_t, std::uint64_t, std::uint64_t, store_revision> Seen;
+  std::tuple<std::uint64_t, std::uint64_t, std::uint64_t, std::uint64_t,
+             store_revision>
+      Seen;
   std::optional<steady_time> UnsavedSince;
   /// The latest writes, of any VM.
   std::deque<steady_time> Changes;
--- a/Libraries/LibRelay/crash_confirmation.cpp
+++ b/Libraries/LibRelay/crash_confirmation.cpp
@@ -44,16 +44,40 @@
   Crash.Endpoint = std::move(Listed);
 }
 
+bool wasAbandoned(const unconfirmed_crash &Crash) {
+  return Crash.Observed.End != attempt_end::Unresponsive;
+}
+
+/// The latest time at which the endpoint can have crashed under the attempt.
+steady_time latestCrashTime(const unconfirmed_crash &Crash) {
+  return wasAbandoned(Crash) ? Crash.Observed.At + AbandonedWorkTime
+                             : Crash.Observed.At;
+}
+
 bool hasGoneOn(const unconfirmed_crash &Crash) {
   return Crash.Endpoint &&
          std::max(Crash.Endpoint->LastReceivedAt, Crash.Endpoint->ReportedAt) >
-             Crash.Observed.At;
+             latestCrashTime(Crash);
+}
+
+/// When other connections to the process start ended, of this VM or another
+/// one, if an abandoned attempt may have caused that.
+std::optional<steady_time> endSeenByOthers(const unconfirmed_crash &Crash) {
+  if (!wasAbandoned(Crash) || !Crash.Endpoint)
+    return std::nullopt;
+  const auto EndedAt = Crash.Endpoint->AllegedCrashAt;
+  const bool IsPossible = EndedAt && *EndedAt >= Crash.Observed.SentAt &&
+                          *EndedAt <= latestCrashTime(Crash);
+  return IsPossible ? EndedAt : std::nullopt;
 }
 
 bool isReplaced(const fleet_state &Fleet, const unconfirmed_crash &Crash) {
   const auto Listed = Fleet.Endpoints.find(Crash.Start.Endpoint);
   if (Listed && Listed->Descriptor.Incarnation > Crash.Start.Incarnation)
     return true;
+  // A process start may come back under another id.
+  if (Fleet.Endpoints.isReplacedAt(Crash.Address, Crash.Start.Incarnation))
+    return true;
   return Crash.Endpoint && Crash.Endpoint->SuccessorSeenAt > Crash.Observed.At;
 }
 
@@ -77,6 +101,8 @@
     return crash_verdict{false, "silent"};
   if (Crash.IsLeaving)
     return crash_verdict{false, "leaving"};
+  if (endSeenByOthers(Crash))
+    return crash_verdict{true, "connections_ended"};
   if (isReplaced(Fleet, Crash))
     return crash_verdict{true, "replaced"};
   if (isRefusing(Crash))
@@ -91,12 +117,19 @@
 void settle(fleet_state &Fleet, const event_log &Log,
             const unconfirmed_crash &Crash, crash_verdict Verdict,
             steady_time Now) {
-  const observed_crash &Observed = Crash.Observed;
+  observed_crash Observed = Crash.Observed;
+  if (const auto EndedAt = endSeenByOthers(Crash))
+    Observed.CrashedBy = *EndedAt;
   if (Crash.FailedRelease && Verdict.HasFailed)
     Fleet.ReleaseStatistics.addLocal(*Crash.FailedRelease,
                                      {.Requests = 1, .Failures = 1});
-  if (Verdict.IsCrash && !Crash.IsRequestSound)
-    return countCrash(Fleet, Log, Observed, Verdict.Reason, Now);
+  const bool IsBlamed =
+      Observed.IsRequestBlamed || !Observed.BlamedSegments.empty();
+  if (Verdict.IsCrash && IsBlamed)
+    return countCrash(Fleet, Log, Observed, Verdict.Reason);
+  // Of most abandoned attempts the endpoint goes on, which is no news.
+  if (wasAbandoned(Crash) && hasGoneOn(Crash))
+    return;
   logUncountedCrash(Log, Observed.Request, Observed.ProcessStart,
                     Verdict.IsCrash ? "request_sound" : Verdict.Reason);
   // All requests on the engine gave up at once, each as one more failure.
@@ -112,7 +145,8 @@
 
 bool isInspectionDue(const fleet_state &Fleet, const unconfirmed_crash &Crash,
                      steady_time Now) {
-  if (!Crash.Endpoint || Crash.UnlistedSince)
+  // Enough other requests tell of the endpoints of abandoned attempts.
+  if (!Crash.Endpoint || Crash.UnlistedSince || wasAbandoned(Crash))
     return false;
   const endpoint_record &Endpoint = *Crash.Endpoint;
   return Now - Endpoint.ReportAt >= InspectionInterval &&
--- a/Libraries/LibRelay/crash_exchange.cpp
+++ b/Libraries/LibRelay/crash_exchange.cpp
@@ -50,7 +50,9 @@
 }
 
 waiting_crash_digest_notice crash_exchange::waitingDigest() const {
-  return {Fleet.PromptQuarantine.records().waitingDigest()};
+  // A sum, as earlier builds know no such crashes of requests.
+  return {Fleet.PromptQuarantine.records().waitingDigest() +
+          Fleet.Quarantine.records().waitingDigest()};
 }
 
 bool crash_exchange::knowsTheSame(const fleet_notice &Notice) const {
--- a/Libraries/LibRelay/crash_recorder.h
+++ b/Libraries/LibRelay/crash_recorder.h
@@ -8,7 +8,8 @@
 
 /// Follows the attempts of one request, one after the other, and tells the
 /// quarantines which of them an endpoint crashed under and which responses got
-/// on.
+/// on. An attempt whose response is not seen to be complete is recorded once,
+/// however it ends.
 class crash_recorder {
 public:
   crash_recorder(fleet_state &Fleet, const event_log &Log,
@@ -19,18 +20,31 @@
   /// delivered.
   void onSent(const endpoint_descriptor &NewEndpoint, std::uint64_t KnownEvents,
               steady_time Now);
-  void onHead() { HasHead = true; }
+  void onHead(steady_time Now);
   void onEvents(std::uint64_t EventCount, steady_time Now);
   void onComplete(steady_time Now);
   /// Records that the connection ended without a valid response.
-  void recordCrash(steady_time Now);
+  /// SilentSince: since when the endpoint would have sent something if it had
+  /// been alive; nullopt if it may have been until now.
+  void recordCrash(std::optional<steady_time> SilentSince, steady_time Now);
   /// Records that nothing comes from the endpoint any more. It is a crash if
   /// its process start has ended; see confirmCrashes().
   /// FailedRelease: the release that the attempt tells against then, if any.
+  /// SilentSince: when the endpoint did not answer any more.
   void recordUnresponsive(std::optional<release_key> FailedRelease,
-                          steady_time Now);
-  /// Logs why an attempt without a valid response is no crash of the endpoint.
-  void recordUncounted(const char *Reason) const;
+                          steady_time SilentSince, steady_time Now);
+  /// Records that this VM does not await the rest of the response, for whatever
+  /// reason. It is a crash if the process start ends soon. SilentSince: see
+  /// recordCrash().
+  void recordAbandoned(std::optional<steady_time> SilentSince, steady_time Now);
+  /// The same, because of bytes that are no response.
+  void recordMalformed(steady_time Now);
+  /// Ends the attempt: it tells nothing of the endpoint.
+  void drop() { IsOpen = false; }
+  /// The same, and logs why an attempt without a valid response is no crash.
+  void recordUncounted(const char *Reason);
+  /// When the request was sent or its response last got on.
+  steady_time lastProgressAt() const { return LastProgressAt; }
 
   /// Whether the request must not be sent again: endpoints crash under it.
   bool isQuarantined() const;
@@ -38,9 +52,12 @@
   std::uint64_t attemptEvents() const { return Events; }
 
 private:
-  observed_crash observedAt(steady_time Now) const;
+  observed_crash observed(attempt_end End, steady_time CrashedBy,
+                          steady_time Now) const;
   /// See observed_crash.
-  std::optional<steady_time> coincidentSince() const;
+  std::optional<steady_time> coincidentSince(attempt_end End) const;
+  void addUnconfirmed(observed_crash Observed,
+                      std::optional<release_key> FailedRelease);
   /// A response to a prompt with these segments makes progress.
   void clearSegments(steady_time Now);
 
@@ -51,7 +68,10 @@
   std::uint64_t EventsBefore = 0;
   std::uint64_t Events = 0;
   bool HasHead = false;
+  /// Whether the attempt has not been recorded yet.
+  bool IsOpen = false;
   steady_time SentAt;
+  steady_time LastProgressAt;
 };
 
 } // namespace azurehaven
--- a/Libraries/LibRelay/endpoint_attempt.h
+++ b/Libraries/LibRelay/endpoint_attempt.h
@@ -45,6 +45,10 @@
   void cancel();
   void pauseReading();
   void resumeReading();
+  /// Whether something of the request may have reached the endpoint.
+  bool mayHaveArrived() const {
+    return !Connection || !Connection->isConnecting();
+  }
 
   head_verdict onResponseHead(const response_head &Head) override;
   void onResponseBody(std::string Bytes) override;
--- a/Libraries/LibRelay/engine_inspection.cpp
+++ b/Libraries/LibRelay/engine_inspection.cpp
@@ -57,7 +57,8 @@
     return;
   if (Endpoint.LastReceivedAt > Endpoint.ReportAt)
     Endpoint.FailedInspections = 0;
-  ++Endpoint.FailedInspections;
+  if (++Endpoint.FailedInspections == 1)
+    Endpoint.UnansweredSince = StartedAt;
   if (Code != error_code::NotFound)
     Endpoint.RefusedSince.reset();
   else if (!Endpoint.RefusedSince)
--- a/Libraries/LibRelay/relayed_attempt.cpp
+++ b/Libraries/LibRelay/relayed_attempt.cpp
@@ -42,7 +42,8 @@
 }
 
 void relayed_attempt::cancel() {
-  IsRunning = false;
+  if (std::exchange(IsRunning, false))
+    Observed.onCancelled(Exchange->mayHaveArrived(), Context.Clock.now());
   stopMonitor();
   Exchange->cancel();
 }
--- a/Libraries/LibRelay/relayed_request.cpp
+++ b/Libraries/LibRelay/relayed_request.cpp
@@ -246,8 +246,8 @@
 void relayed_request::takeOver() {
   const auto Silent = std::exchange(Current, std::exchange(Hedge, nullptr));
   const attempt_failure Failure = Silent->failureOfSilent();
-  Silent->cancel();
   Silent->observed().onFailed(Failure, Context.Clock.now());
+  Silent->cancel();
   Budget.countRuns(Silent->runs());
   logFailure(*Silent, Failure, SilenceReason, retry_decision::Hedged);
   Logged.onHedgeDecided(Current->endpoint().Descriptor.Id,
@@ -415,7 +415,6 @@
   }
   const bool HasRoom = Attempt.tryBufferEvent(Splicer.bufferedBytes());
   if (!HasRoom || Splicer.hasOversizedEvent()) {
-    Attempt.cancel();
     onAttemptFailed(Attempt, attempt_failure::Malformed,
                     HasRoom ? "the event stream is malformed"
                             : "no memory to buffer the event");
@@ -519,8 +518,8 @@
                                       const std::string &Reason) {
   if (IsFinished)
     return;
-  Attempt.cancel();
   Attempt.observed().onFailed(Failure, Context.Clock.now());
+  Attempt.cancel();
   if (mayHaveRun(Failure))
     Budget.countRuns(Attempt.runs());
   retryOrRefuse(Attempt, Failure, Reason);
--- a/Libraries/LibRelay/unconfirmed_crash.h
+++ b/Libraries/LibRelay/unconfirmed_crash.h
@@ -9,11 +9,13 @@
 
 namespace azurehaven {
 
-/// A crash that only the endpoint's silence tells of.
+/// An attempt that was neither complete nor cut off by its endpoint, so that
+/// only what comes later tells whether the endpoint crashed under it.
 struct unconfirmed_crash {
   observed_crash Observed;
-  /// The process start that fell silent.
+  /// The process start that had the request.
   endpoint_start Start;
+  network_address Address;
   /// Its record; null if it was not listed any more.
   std::shared_ptr<endpoint_record> Endpoint;
   /// Whether it has said that it is leaving.
@@ -21,9 +23,6 @@
   /// The release of which this is a failed attempt unless the endpoint goes on;
   /// nullopt if that is counted already.
   std::optional<release_key> FailedRelease{};
-  /// Whether the request got its response elsewhere, so that it is not to
-  /// blame.
-  bool IsRequestSound = false;
   /// Since when it has not been listed.
   std::optional<steady_time> UnlistedSince{};
 };
--- a/Tests/LibDispatch/crash_quarantine_test.cpp
+++ b/Tests/LibDispatch/crash_quarantine_test.cpp
@@ -71,3 +71,42 @@
   Here.addLocal(1, endpoint_id("d"), Now);
   CHECK(Here.isQuarantined(1));
 }
+
+TEST_CASE("Crashes that one common end may explain count once") {
+  crash_quarantine Quarantine;
+  for (const char *Endpoint : {"a", "b", "c"})
+    Quarantine.addLocal(1, endpoint_id(Endpoint), {Start, milliseconds(500)});
+  CHECK_FALSE(Quarantine.isQuarantined(1));
+  for (int Number = 1; Number <= 2; ++Number)
+    Quarantine.addLocal(
+        1, endpoint_id(std::to_string(Number)),
+        {Start + std::chrono::seconds(Number), milliseconds(500)});
+  CHECK(Quarantine.isQuarantined(1));
+}
+
+TEST_CASE("A request that was sound after crashes under it is refused only "
+          "after five more") {
+  crash_quarantine Quarantine;
+  Quarantine.addLocal(1, endpoint_id("first"), Start);
+  Quarantine.clear(1);
+  for (int Number = 1; Number <= 5; ++Number) {
+    CHECK_FALSE(Quarantine.isQuarantined(1));
+    Quarantine.addLocal(1, endpoint_id(std::to_string(Number)), Start);
+  }
+  CHECK(Quarantine.isQuarantined(1));
+}
+
+TEST_CASE("A request that was sent to endpoints which had crashed before is "
+          "not refused, the one that crashed them is") {
+  constexpr milliseconds Silence{300};
+  crash_quarantine Quarantine;
+  for (int Number = 1; Number <= 3; ++Number) {
+    const steady_time CrashedBy = Start + std::chrono::seconds(Number);
+    const endpoint_id Endpoint(std::to_string(Number));
+    Quarantine.addLocal(1, Endpoint, {CrashedBy, Silence});
+    Quarantine.addLocal(2, Endpoint,
+                        {CrashedBy + Silence + milliseconds(1), Silence});
+  }
+  CHECK(Quarantine.isQuarantined(1));
+  CHECK_FALSE(Quarantine.isQuarantined(2));
+}
--- a/Tests/LibDispatch/endpoint_registry_test.cpp
+++ b/Tests/LibDispatch/endpoint_registry_test.cpp
@@ -100,3 +100,22 @@
   Registry.put(Descriptor);
   CHECK(Registry.find(Descriptor.Id)->isUsable(Now));
 }
+
+TEST_CASE("A later process start at the same address replaces one under any "
+          "id") {
+  endpoint_registry Registry;
+  endpoint_descriptor First;
+  First.Id = endpoint_id("a");
+  First.Address = {"127.0.0.1", 9000};
+  First.Incarnation = 1;
+  Registry.put(First);
+  CHECK_FALSE(Registry.isReplacedAt(First.Address, First.Incarnation));
+  Registry.remove(First.Id);
+  CHECK_FALSE(Registry.isReplacedAt(First.Address, First.Incarnation));
+  endpoint_descriptor Second = First;
+  Second.Id = endpoint_id("b");
+  Second.Incarnation = 2;
+  Registry.put(Second);
+  CHECK(Registry.isReplacedAt(First.Address, First.Incarnation));
+  CHECK_FALSE(Registry.isReplacedAt({"127.0.0.1", 9001}, First.Incarnation));
+}
--- a/Tests/LibDispatch/prompt_quarantine_test.cpp
+++ b/Tests/LibDispatch/prompt_quarantine_test.cpp
@@ -80,8 +80,8 @@
   prompt_quarantine Quarantine;
   const auto Crash = [&](const std::vector<segment_key> &Segments, int Number,
                          milliseconds At) {
-    Quarantine.addLocal(Segments, endpoint(Number), Start + At,
-                        milliseconds(50));
+    Quarantine.addLocal(Segments, endpoint(Number),
+                        {Start + At, milliseconds(50)});
   };
   for (int Number = 1; Number <= 3; ++Number) {
     const milliseconds At(1000 * Number);
@@ -103,8 +103,8 @@
           "refused") {
   prompt_quarantine Quarantine;
   for (int Number = 1; Number <= 12; ++Number)
-    Quarantine.addLocal({System, subject(1)}, endpoint(Number), Start,
-                        milliseconds(200));
+    Quarantine.addLocal({System, subject(1)}, endpoint(Number),
+                        {Start, milliseconds(200)});
   CHECK(Quarantine.independentCrashes(System) == 1);
   CHECK_FALSE(Quarantine.isQuarantined({System, subject(1)}));
 }
@@ -113,8 +113,8 @@
           "it, on all VMs") {
   prompt_quarantine Here;
   prompt_quarantine There;
-  Here.addLocal({Bad}, endpoint(1), Start, milliseconds(80));
-  Here.addLocal({Bad}, endpoint(1), Start, milliseconds(30));
+  Here.addLocal({Bad}, endpoint(1), {Start, milliseconds(80)});
+  Here.addLocal({Bad}, endpoint(1), {Start, milliseconds(30)});
   deliver(Here, There);
   There.addLocal({Bad}, endpoint(1), Start);
   deliver(There, Here);
--- a/Tests/LibRelay/crash_simulation.cpp
+++ b/Tests/LibRelay/crash_simulation.cpp
@@ -2,6 +2,7 @@
 
 #include "LibRelay/attempt_observations.h"
 #include "LibRelay/crash_archive.h"
+#include "LibRelay/crash_confirmation.h"
 #include "LibRelay/fleet_state_updater.h"
 #include "LibRelay/path_watch.h"
 #include "LibRelay/peer_state_sync.h"
@@ -12,6 +13,8 @@
 
 #include <asio/io_context.hpp>
 
+#include <algorithm>
+#include <array>
 #include <map>
 #include <random>
 #include <set>
@@ -23,6 +26,7 @@
 const steady_time Start{std::chrono::hours(1)};
 const service_id Service("s");
 constexpr std::uint64_t CrashingFingerprint = 7;
+constexpr std::uint64_t FirstSoundFingerprint = 100;
 constexpr segment_key CrashingSegment = 99;
 constexpr segment_key CommonSegment = 1;
 constexpr segment_key FirstSubject = 100;
@@ -33,6 +37,11 @@
 constexpr milliseconds SoundInterval{50};
 /// Time from the begin of a crashing request to the crash.
 constexpr milliseconds CrashDelay{10};
+/// Time from the end of an attempt on the VM to the crash of its endpoint.
+constexpr milliseconds AbandonedCrashDelay{100};
+constexpr milliseconds MalformedCrashDelay{5};
+/// Time without bytes after which an attempt at a silent endpoint is given up.
+constexpr milliseconds IdleTimeout{300};
 /// Time for which a crashed endpoint is down.
 constexpr milliseconds DownTime{3000};
 constexpr milliseconds ContactTime{3000};
@@ -178,8 +187,15 @@
   void readStore(vm_slot &Slot, std::uint64_t Incarnation);
   void passOnStoreItem();
   void endOutage();
-  void crashEndpoint(std::size_t Index);
+  void crashEndpoint(std::size_t Index, crash_form Form);
+  /// The endpoint's process ends, and another one takes its place later.
+  void endProcess(std::size_t Index);
+  void failWaiting(std::size_t Index, attempt_failure Failure);
   void crashHalf();
+  void crashOne();
+  void leave(const std::shared_ptr<simulated_request> &Request,
+             std::size_t Endpoint);
+  void retryCrashing(const std::shared_ptr<simulated_request> &Request);
   void sendWaiting(const std::shared_ptr<simulated_request> &Request);
   void respond(const std::shared_ptr<simulated_request> &Request,
                std::size_t Endpoint);
@@ -205,11 +221,13 @@
   std::vector<vm_slot> Slots;
   std::vector<simulated_endpoint> Endpoints;
   route Route;
+  std::shared_ptr<const route_table> Routes;
   steady_time PeersCutUntil;
   std::optional<steady_time> BoundFrom;
   /// When a VM last observed a crash or was disturbed.
   steady_time LastChangeAt;
   std::int64_t ProcessStarts = 0;
+  std::size_t LoneCrashes = 0;
   segment_key OwnSegments = 1000;
   crash_result Result;
 };
@@ -218,12 +236,20 @@
     : Day(Day), Random(Seed), Slots(Day.VmCount) {
   Clock.Now = Start;
   Route.Name = "r";
-  Route.Kind = route_kind::Stream;
+  Route.Kind =
+      Day.SharesSegmentOnly ? route_kind::Stream : route_kind::Idempotent;
   Route.IsResumable = true;
+  route_table::content Content;
+  Content.Pools.push_back({Service});
+  if (Day.SharesSegmentOnly)
+    Content.Pools.back().Engine.emplace();
+  Routes = std::make_shared<const route_table>(Content);
   for (std::size_t Index = 0; Index < Day.EndpointCount; ++Index) {
     simulated_endpoint Endpoint;
     Endpoint.Descriptor.Id = endpoint_id("e" + std::to_string(Index));
     Endpoint.Descriptor.Service = Service;
+    Endpoint.Descriptor.Address = {"10.0.0.1",
+                                   static_cast<std::uint16_t>(8000 + Index)};
     Endpoint.Descriptor.Incarnation = ++ProcessStarts;
     Endpoints.push_back(Endpoint);
   }
@@ -347,6 +373,8 @@
   }
   if (Day.CommonRestartInterval.count() > 0)
     every(Day.CommonRestartInterval, [this] { restartTogether(); });
+  if (Day.LoneCrashInterval.count() > 0)
+    every(Day.LoneCrashInterval, [this] { crashOne(); });
   if (Day.CommonCrashInterval.count() > 0)
     every(Day.CommonCrashInterval, [this] { crashHalf(); });
   if (Day.StoreCopyAge.count() > 0)
@@ -367,11 +395,16 @@
 admitted_request simulation::makeRequest(bool IsCrashing) {
   admitted_request Request;
   Request.Route = &Route;
+  Request.Routes = Routes;
   Request.Service = Service;
   Request.Request.Id = request_id("r");
-  Request.Fingerprint = IsCrashing && !Day.SharesSegmentOnly
-                            ? CrashingFingerprint
-                            : CrashingFingerprint + ++OwnSegments;
+  if (IsCrashing && !Day.SharesSegmentOnly)
+    Request.Fingerprint = CrashingFingerprint;
+  else if (!IsCrashing && Day.SoundRequestCount > 0)
+    Request.Fingerprint =
+        FirstSoundFingerprint + indexBelow(Day.SoundRequestCount);
+  else
+    Request.Fingerprint = CrashingFingerprint + ++OwnSegments;
   if (Day.SharesSegmentOnly) {
     const segment_key Subject =
         Day.SubjectCount == 0 ? ++OwnSegments
@@ -428,7 +461,7 @@
         [this, Request, Index = *Endpoint] { crash(Request, Index); });
 }
 
-void simulation::crashEndpoint(std::size_t Index) {
+void simulation::endProcess(std::size_t Index) {
   Endpoints[Index].IsUp = false;
   after(DownTime, [this, Index] {
     Endpoints[Index].IsUp = true;
@@ -437,19 +470,50 @@
       if (Slot.Vm)
         Slot.Vm->Fleet.Endpoints.put(Endpoints[Index].Descriptor);
   });
+}
+
+void simulation::failWaiting(std::size_t Index, attempt_failure Failure) {
   for (const auto &Request : std::exchange(Endpoints[Index].Waiting, {})) {
     if (!isAlive(*Request))
       continue;
-    Request->Observed.onFailed(attempt_failure::NoValidResponse, Clock.Now);
+    Request->Observed.onFailed(Failure, Clock.Now);
     if (!Request->Observed.isQuarantined())
       sendWaiting(Request);
   }
 }
 
+void simulation::crashEndpoint(std::size_t Index, crash_form Form) {
+  if (Form == crash_form::MalformedResponse) {
+    failWaiting(Index, attempt_failure::Malformed);
+    return after(MalformedCrashDelay, [this, Index] {
+      if (Endpoints[Index].IsUp)
+        crashEndpoint(Index, crash_form::ConnectionsEnd);
+    });
+  }
+  endProcess(Index);
+  if (Form == crash_form::Silence)
+    return after(IdleTimeout, [this, Index] {
+      failWaiting(Index, attempt_failure::Silent);
+    });
+  failWaiting(Index, attempt_failure::NoValidResponse);
+}
+
 void simulation::crashHalf() {
   for (std::size_t Index = 0; Index < Endpoints.size(); Index += 2)
     if (Endpoints[Index].IsUp)
-      crashEndpoint(Index);
+      crashEndpoint(Index, crash_form::ConnectionsEnd);
+}
+
+void simulation::crashOne() {
+  const auto UpCount = std::count_if(
+      Endpoints.begin(), Endpoints.end(),
+      [](const simulated_endpoint &Endpoint) { return Endpoint.IsUp; });
+  const auto Index = chooseUpEndpoint();
+  if (!Index || 2 * static_cast<std::size_t>(UpCount) <= Endpoints.size())
+    return;
+  constexpr std::array Forms{crash_form::ConnectionsEnd, crash_form::Silence,
+                             crash_form::MalformedResponse};
+  crashEndpoint(*Index, Forms[LoneCrashes++ % Forms.size()]);
 }
 
 void simulation::sendWaiting(
@@ -466,6 +530,17 @@
   Endpoints[*Index].Waiting.push_back(Request);
   after(Day.SoundWait,
         [this, Request, Index = *Index] { respond(Request, Index); });
+  if (uniform() < Day.SoundLeaveShare)
+    after(upTo(Day.SoundWait),
+          [this, Request, Index = *Index] { leave(Request, Index); });
+}
+
+void simulation::leave(const std::shared_ptr<simulated_request> &Request,
+                       std::size_t Endpoint) {
+  auto &Waiting = Endpoints[Endpoint].Waiting;
+  if (std::erase(Waiting, Request) == 0 || !isAlive(*Request))
+    return;
+  Request->Observed.onCancelled(/*WasSent=*/true, Clock.Now);
 }
 
 void simulation::respond(const std::shared_ptr<simulated_request> &Request,
@@ -487,18 +562,47 @@
 
 void simulation::crash(const std::shared_ptr<simulated_request> &Request,
                        std::size_t Endpoint) {
-  if (Endpoints[Endpoint].IsUp) {
+  const bool IsSeen = isAlive(*Request);
+  if (IsSeen && Day.Moment == crash_moment::AfterHead)
+    Request->Observed.onHead(/*IsSuccess=*/true, Clock.Now);
+  milliseconds Delay{0};
+  if (Day.Form == crash_form::AttemptAbandoned) {
+    if (IsSeen)
+      Request->Observed.onCancelled(/*WasSent=*/true, Clock.Now);
+    Delay = AbandonedCrashDelay;
+  } else if (Day.Form == crash_form::MalformedResponse) {
+    if (IsSeen)
+      Request->Observed.onFailed(attempt_failure::Malformed, Clock.Now);
+    Delay = MalformedCrashDelay;
+  }
+  after(Delay, [this, Request, Endpoint] {
+    if (!Endpoints[Endpoint].IsUp)
+      return;
     const int Needed =
         Day.SharesSegmentOnly ? CrashesBeforeSegmentBound : CrashesBeforeBound;
     if (++Result.Crashes == Needed)
       BoundFrom = Clock.Now + ContactTime;
-    crashEndpoint(Endpoint);
-  }
-  if (!isAlive(*Request))
+    LastChangeAt = Clock.Now;
+    const bool IsSilent = Day.Form == crash_form::Silence;
+    crashEndpoint(Endpoint,
+                  IsSilent ? crash_form::Silence : crash_form::ConnectionsEnd);
+  });
+  if (Day.Form == crash_form::Silence)
+    return after(IdleTimeout, [this, Request] {
+      if (!isAlive(*Request))
+        return;
+      Request->Observed.onFailed(attempt_failure::Silent, Clock.Now);
+      retryCrashing(Request);
+    });
+  if (!IsSeen || Day.Form == crash_form::AttemptAbandoned)
     return;
-  if (Day.Moment == crash_moment::AfterHead)
-    Request->Observed.onHead(/*IsSuccess=*/true, Clock.Now);
-  Request->Observed.onFailed(attempt_failure::NoValidResponse, Clock.Now);
+  if (Day.Form == crash_form::ConnectionsEnd)
+    Request->Observed.onFailed(attempt_failure::NoValidResponse, Clock.Now);
+  retryCrashing(Request);
+}
+
+void simulation::retryCrashing(
+    const std::shared_ptr<simulated_request> &Request) {
   LastChangeAt = Clock.Now;
   if (!Request->Observed.isQuarantined())
     sendCrashing(Request);
@@ -573,6 +677,11 @@
     });
     every(ProbeInterval, [this, &Slot] { probe(Slot); });
     every(TickInterval, [this, &Slot] {
+      if (isRunning(Slot))
+        confirmCrashes(Slot.Vm->Context,
+                       Store.isAway() ? registry_state::MayBeOutdated
+                                      : registry_state::Current,
+                       Clock.Now);
       if (isServing(Slot) && !Store.isAway())
         Slot.Vm->Archive.advance(Clock.Now, Clock.Wall);
     });
@@ -580,6 +689,8 @@
       every(SoundInterval, [this, &Slot] { sendSound(Slot); });
   }
   every(Day.ArrivalInterval, [this] {
+    if (!Day.HasCrashingRequest)
+      return;
     milliseconds Delay{0};
     for (vm_slot &Slot : Slots) {
       after(Delay, [this, &Slot] { arrive(Slot); });
--- a/Tests/LibRelay/crash_simulation.h
+++ b/Tests/LibRelay/crash_simulation.h
@@ -19,6 +19,18 @@
   BeforeHead,
 };
 
+/// How an attempt ends for the VM as its endpoint crashes.
+enum class crash_form {
+  /// The endpoint ends all its connections.
+  ConnectionsEnd,
+  /// The caller leaves, or its time is over, just before the same.
+  AttemptAbandoned,
+  /// Bytes that are no response come just before the same.
+  MalformedResponse,
+  /// Nothing comes from the endpoint any more.
+  Silence,
+};
+
 /// A request under which every endpoint crashes comes again and again; what
 /// goes wrong meanwhile.
 struct crash_day {
@@ -53,6 +65,12 @@
   /// Half of the endpoints crash at once, every so often; never if zero.
   milliseconds CommonCrashInterval{0};
   crash_moment Moment = crash_moment::AfterHead;
+  crash_form Form = crash_form::ConnectionsEnd;
+  /// An endpoint crashes by itself, in one form after the other, every so often
+  /// while at least half of them are up; never if zero.
+  milliseconds LoneCrashInterval{0};
+  /// Whether the crashing request comes at all.
+  bool HasCrashingRequest = true;
   /// Groups of VMs exchange nothing with the others for this long, every
   /// fifteen seconds.
   milliseconds PeerCutTime{0};
@@ -64,6 +82,10 @@
   /// Sound requests share one of so many segments besides the common one; none
   /// if zero.
   std::size_t SubjectCount = 0;
+  /// There are so many different sound requests; each differs if zero.
+  std::size_t SoundRequestCount = 0;
+  /// Probability that the caller of a sound request leaves before its response.
+  double SoundLeaveShare = 0;
 };
 
 struct crash_result {
--- a/Tests/LibRelay/lost_path_test.cpp
+++ b/Tests/LibRelay/lost_path_test.cpp
@@ -430,6 +430,7 @@
 struct failing_request {
   explicit failing_request(relay_fixture &Vm) : Vm(Vm) {
     Admitted.Route = &Route;
+    Admitted.Routes = Vm.Fleet.Routes;
     Admitted.Service = service_id("s");
     Admitted.Fingerprint = 77;
   }
--- a/Tests/LibRelay/silent_fleet.cpp
+++ b/Tests/LibRelay/silent_fleet.cpp
@@ -136,6 +136,8 @@
     simulated_engine Engine;
     Engine.Descriptor.Id = endpoint_id("e" + std::to_string(Index));
     Engine.Descriptor.Service = Service;
+    Engine.Descriptor.Address = {"10.0.0.1",
+                                 static_cast<std::uint16_t>(8000 + Index)};
     Engine.Descriptor.Incarnation = ++ProcessStarts;
     Engines.push_back(Engine);
   }
