LibHttp: Fail responses whose end can't be told from a reset

Callers of the product's own path could get a part of a response as a whole one: a server sends a 200 without a length and a part of its body and resets the connection (MIXED; the users saw it elsewhere, during an upload).

Cause: cpp-httplib takes a failed read for the end of such a body. The transport fails these responses now, as requests that may have run. Streams of models have an end marker and did not depend on it. The relay, also through a peer, the store and the reports read responses themselves and fail them already (lost_path_test has the case through a peer).

--- a/Libraries/LibHttp/pooled_http_transport.cpp
+++ b/Libraries/LibHttp/pooled_http_transport.cpp
@@ -41,6 +41,14 @@
           connection_loss::Rejected};
 }
 
+/// The library takes a reset for the end of such a response, which then may be
+/// a part of it.
+http_failure unknownEnd() {
+  return {delivery::MayHaveRun,
+          "the response has no length, so that a reset may have cut it",
+          connection_loss::Rejected};
+}
+
 http_headers headersOf(const httplib::Headers &Headers) {
   return {Headers.begin(), Headers.end()};
 }
@@ -199,10 +207,12 @@
     const bool IsOk = Client->send(Request, Response, Error);
     if (IsCancelled)
       return;
-    if (IsOk)
-      Sink(finished{});
-    else
+    if (!IsOk)
       Sink(HasMalformedHead ? malformedHead() : failureOf(Error));
+    else if (isEndedByConnection(Request.method, Status, Headers))
+      Sink(unknownEnd());
+    else
+      Sink(finished{});
   }
 
   std::shared_ptr<client_pool> Pool;
@@ -234,6 +244,8 @@
   http_headers Headers = headersOf(Response.headers);
   if (!isWellFormedHead(Response.status, Headers))
     return malformedHead();
+  if (isEndedByConnection(Request.Method, Response.status, Headers))
+    return unknownEnd();
   Pool->release(To, std::move(Client));
   return http_response{Response.status, std::move(Headers),
                        std::move(Response.body)};
--- a/Libraries/LibHttp/response_head_check.cpp
+++ b/Libraries/LibHttp/response_head_check.cpp
@@ -8,6 +8,8 @@
 
 constexpr int MinStatus = 100;
 constexpr int MaxStatus = 599;
+constexpr int NoContentStatus = 204;
+constexpr int NotModifiedStatus = 304;
 
 bool isToken(std::string_view Text) {
   return !Text.empty() && std::all_of(Text.begin(), Text.end(), isTokenByte);
@@ -41,4 +43,12 @@
          hasClearLength(Headers);
 }
 
+bool isEndedByConnection(const std::string &Method, int Status,
+                         const http_headers &Headers) {
+  const bool HasNoBody = Method == "HEAD" || Status == NoContentStatus ||
+                         Status == NotModifiedStatus;
+  return !HasNoBody && countFields(Headers, "Content-Length") == 0 &&
+         countFields(Headers, "Transfer-Encoding") == 0;
+}
+
 } // namespace azurehaven
--- a/Libraries/LibHttp/response_head_check.h
+++ b/Libraries/LibHttp/response_head_check.h
@@ -10,4 +10,9 @@
 /// and 15; RFC 9112, section 6.3.
 bool isWellFormedHead(int Status, const http_headers &Headers);
 
+/// Whether only the end of the connection ends the response's body. The head
+/// has to be well formed. Source: RFC 9112, section 6.3.
+bool isEndedByConnection(const std::string &Method, int Status,
+                         const http_headers &Headers);
+
 } // namespace azurehaven
--- a/Tests/LibHttp/fixed_response_server.h
+++ b/Tests/LibHttp/fixed_response_server.h
@@ -13,12 +13,17 @@
 
 namespace azurehaven {
 
-/// Responds to each request with the same bytes and closes the connection, as a
-/// server that ends in the middle of its response or sends a malformed one.
+/// How a server ends its connections.
+enum class connection_end { Closed, Reset };
+
+/// Responds to each request with the same bytes as soon as it has read the
+/// head, and ends the connection, as a server that ends in the middle of its
+/// response or sends a malformed one.
 class fixed_response_server {
 public:
-  explicit fixed_response_server(std::string Bytes)
-      : Bytes(std::move(Bytes)),
+  explicit fixed_response_server(std::string Bytes,
+                                 connection_end End = connection_end::Closed)
+      : Bytes(std::move(Bytes)), End(End),
         Acceptor(Loop, {asio::ip::make_address("127.0.0.1"), 0}),
         Thread([this] { serve(); }) {}
   ~fixed_response_server() {
@@ -45,10 +50,13 @@
       asio::read_until(Socket, asio::dynamic_buffer(Request), "\r\n\r\n",
                        Ignored);
       asio::write(Socket, asio::buffer(Bytes), Ignored);
+      if (End == connection_end::Reset)
+        Socket.set_option(asio::socket_base::linger(true, 0), Ignored);
     }
   }
 
   const std::string Bytes;
+  const connection_end End;
   asio::io_context Loop;
   asio::ip::tcp::acceptor Acceptor;
   std::atomic<bool> IsStopping = false;
--- a/Tests/LibRelay/lost_path_test.cpp
+++ b/Tests/LibRelay/lost_path_test.cpp
@@ -141,6 +141,25 @@
   CHECK(Fleet.received().size() == 1);
 }
 
+TEST_CASE("A response that a reset ends early, or that has no status, does not "
+          "come through a peer as a complete one") {
+  cut_fleet Fleet;
+  for (const std::string StatusLine :
+       {"HTTP/1.1 200 OK\r\n", "HTTP/1.0 200 OK\r\n", "HTTP/1.1 000 X\r\n"})
+    for (const char *Path : {"/once/x", "/many/x", "/stream/x"}) {
+      CAPTURE(StatusLine);
+      CAPTURE(Path);
+      Fleet.setScript([&](std::size_t, const received_request &Request) {
+        return scripted_response{StatusLine + signedFields(Request) +
+                                     "\r\nid: 1\ndata: part\n\n",
+                                 after_response::Reset};
+      });
+      const auto Response = Fleet.cutVm().sendRequest(Path, {}, "body");
+      CHECK(statusOf(Response) != 200);
+      CHECK(bodyOf(Response).find("000") == std::string::npos);
+    }
+}
+
 TEST_CASE("A stream that is cut off with the path goes on through a peer") {
   cut_fleet Fleet;
   Fleet.setScript([](std::size_t, const received_request &Request) {
--- a/Tests/LibRelay/silent_fleet.cpp
+++ b/Tests/LibRelay/silent_fleet.cpp
@@ -208,6 +208,7 @@
   admitted_request Admitted = Request;
   Admitted.Route = &Route;
   simulated_vm &Holder = *Vms[Vm];
+  Admitted.Routes = Holder.Fleet.Routes;
   const auto Endpoint = record(Vm, Engine);
   Endpoint->FailedInspections = 2;
   attempt_observations Observed(Holder.Fleet, Holder.Log, Admitted);
