LibRelay: Part the selection of the model from the request

relayed_request chose the first model, asked for the larger one and kept both the index and the id of the model in step in three places. model_selection does, without I/O. No change of behaviour; LibRelay and LibRelayPath pass.

--- a/Libraries/LibRelay/relayed_request.cpp
+++ b/Libraries/LibRelay/relayed_request.cpp
@@ -67,8 +67,8 @@
       Request(Admitted.Request), Route(*Admitted.Route),
       Caller(std::move(Caller)), Budget(Admitted, Context.Clock.now()),
       Deadline(Context.Executor), PlacementWait(Context.Executor),
-      Targets(Context, Admitted), Splicer(Request.LastEventId),
-      Logged(Context.Log, Admitted) {
+      Targets(Context, Admitted), Model(Context.Fleet, Admitted),
+      Splicer(Request.LastEventId), Logged(Context.Log, Admitted) {
   Context.ActiveRequests.insert(this);
 }
 
@@ -101,12 +101,7 @@
 
 void relayed_request::startNextAttempt() {
   const steady_time Now = Context.Clock.now();
-  if (Request.acceptsAnyModel() && !Route.ModelsBySize.empty()) {
-    if (!Model.Index)
-      Model.Index = Context.Fleet.Models.firstModel(
-          Route, estimatedBacklog(Context.Fleet, Admitted.Service, Now));
-    Model.Id = Route.ModelsBySize[*Model.Index];
-  }
+  Model.selectFirst(Now);
   // The process may have been suspended since the request arrived, so that the
   // configuration is no longer current.
   if (!isConfigurationCurrent(Now))
@@ -118,7 +113,7 @@
   if (!ResponseStarted &&
       !isAdmittedDuringStop(Context.Fleet, Route, Budget.timeLeft(Now), Now))
     return refuse(stoppingErrorResponse(Budget.mayHaveRun()));
-  const attempt_place Place = Targets.select(Model.Index, Now);
+  const attempt_place Place = Targets.select(Model.current().Index, Now);
   if (!Place.Endpoint)
     return handleMissingEndpoint(Now);
   startAttemptAt(Place, Current);
@@ -155,8 +150,8 @@
   std::string EncodedHead = IsToVm ? headForPeer(*Place.Endpoint, Runs, Now)
                                    : headForEndpoint(Place, Now);
   Slot = std::make_shared<relayed_attempt>(Context, Admitted, Place.Kind,
-                                           Place.Endpoint, Model, Runs,
-                                           weak_from_this());
+                                           Place.Endpoint, Model.current(),
+                                           Runs, weak_from_this());
   Slot->start(outgoing(std::move(EncodedHead)), Splicer.eventCount());
 }
 
@@ -181,18 +176,18 @@
   Parameters.Address = Target.Descriptor.Address;
   Parameters.Account = Admitted.Account.Account;
   Parameters.TimeLeft = Budget.timeLeft(Now);
-  if (Request.acceptsAnyModel() && !Model.Id.empty())
-    Parameters.Model = Model.Id;
+  if (Model.isSelected())
+    Parameters.Model = Model.current().Id;
   if (ResponseStarted)
     Parameters.Urgency = ContinuationUrgency;
-  else if (Model.Index && *Model.Index + 1 < Route.ModelsBySize.size())
+  else if (Model.isSmall())
     Parameters.Urgency = SmallModelUrgency;
   Parameters.ResumeAfter = Splicer.lastEventId();
   Parameters.BodySize = Body->size();
   Logged.onReleaseChosen(Place.Placement, Budget.sends(), Now);
-  Logged.onSent(Target, Model.Id, Budget.sends(), SendReason,
+  Logged.onSent(Target, Model.current().Id, Budget.sends(), SendReason,
                 Parameters.TimeLeft);
-  Cost += attemptCost(Admitted, Model.Index);
+  Cost += attemptCost(Admitted, Model.current().Index);
   return Context.Codec.encodeRequestHead(Head, Request, Parameters);
 }
 
@@ -325,25 +320,24 @@
 bool relayed_request::tryEscalate(relayed_attempt &Attempt,
                                   const decoded_response_head &NewResponse) {
   // The VM that a request was forwarded to has chosen the model.
-  if (!Model.Index || !NewResponse.Confidence || Attempt.isForwarded() ||
+  if (!Model.isSelected() || !NewResponse.Confidence || Attempt.isForwarded() ||
       !isSuccess(NewResponse.Status) || ResponseStarted ||
       !Budget.allowsRerun())
     return false;
-  fleet_state &Fleet = Context.Fleet;
   const steady_time Now = Context.Clock.now();
-  const milliseconds Backlog = estimatedBacklog(Fleet, Admitted.Service, Now);
-  const auto Larger = Fleet.Models.escalate(Route, Request, *Model.Index,
-                                            *NewResponse.Confidence, Backlog);
+  const milliseconds Backlog = Model.backlog(Now);
+  const auto Larger = Model.largerModelFor(*NewResponse.Confidence, Backlog);
   const escalation_outcome Outcome = decideEscalation(Attempt, Larger, Now);
   const bool IsEscalated = Outcome == escalation_outcome::Escalated;
-  Logged.onJudged(Model.Id, *NewResponse.Confidence, Backlog, Outcome);
+  Logged.onJudged(Model.current().Id, *NewResponse.Confidence, Backlog,
+                  Outcome);
   Context.Metrics.increment("azurehaven_judged_answers_total",
                             IsEscalated ? "outcome=\"escalated\""
                                         : "outcome=\"accepted\"");
   if (!IsEscalated)
     return false;
   SendReason = "escalated";
-  Model.Index = Larger;
+  Model.select(*Larger);
   Budget.countRuns(1);
   Attempt.observed().onDropped(Now);
   Targets.allowAgain(Attempt.endpoint().Descriptor.Id);
@@ -541,7 +535,8 @@
 attempt_place relayed_request::placeOfHedge(steady_time Now) const {
   const bool IsAllowed =
       isConfigurationCurrent(Now) && Budget.allowsSend(liveRuns());
-  return IsAllowed ? Targets.select(Model.Index, Now) : attempt_place();
+  return IsAllowed ? Targets.select(Model.current().Index, Now)
+                   : attempt_place();
 }
 
 bool relayed_request::mayRetryAfter(attempt_failure Failure,
@@ -650,7 +645,7 @@
 void relayed_request::recordBill() {
   if (!Context.Bills || Admitted.Account.Account.empty())
     return;
-  Context.Bills->add(makeBill(Admitted, Model.Index,
+  Context.Bills->add(makeBill(Admitted, Model.current().Index,
                               Current->endpoint().Descriptor.Release, Cost,
                               Context.Clock.wallNow(), Context.Fleet.Self));
 }
@@ -678,8 +673,8 @@
   if (IsAnswered && !Current->isForwarded())
     recordBill();
   Logged.onFinished(Outcome, IsAnswered,
-                    Current ? &Current->endpoint() : nullptr, Model.Id,
-                    Budget.sends(), TimeToFirstEvent, Took);
+                    Current ? &Current->endpoint() : nullptr,
+                    Model.current().Id, Budget.sends(), TimeToFirstEvent, Took);
   Current.reset();
   Hedge.reset();
 }
--- a/Libraries/LibRelay/relayed_request.h
+++ b/Libraries/LibRelay/relayed_request.h
@@ -6,6 +6,7 @@
 #include "LibRelay/admitted_request.h"
 #include "LibRelay/attempt_budget.h"
 #include "LibRelay/attempt_targets.h"
+#include "LibRelay/model_selection.h"
 #include "LibRelay/placement_wait.h"
 #include "LibRelay/relay.h"
 #include "LibRelay/relayed_attempt.h"
@@ -135,8 +136,7 @@
   std::shared_ptr<relayed_attempt> Hedge;
   /// Why Current is, or was last, taken for silent.
   std::string SilenceReason;
-  /// The model of the next attempt.
-  attempt_model Model;
+  model_selection Model;
   /// Why the latest attempt is made; a stable identifier for logs.
   const char *SendReason = "first";
   event_splicer Splicer;
