LibRelay: Part the response to the caller from the request

relayed_request kept the caller's connection, whether its stream had begun, when its first event was sent and how much may be queued for it. One class does now.

--- a/Libraries/LibRelay/relayed_request.cpp
+++ b/Libraries/LibRelay/relayed_request.cpp
@@ -11,11 +11,6 @@
 
 namespace {
 
-/// With more bytes queued for a slow caller, reading from its endpoint is
-/// paused.
-constexpr std::size_t MaxCallerBacklogBytes = 256 << 10;
-/// The same while the connections have used up their memory.
-constexpr std::size_t MinCallerBacklogBytes = 16 << 10;
 /// Prompts on small models take a tenth of the time, so admitting them first
 /// delays the others little. The default urgency is 5.
 constexpr int SmallModelUrgency = 3;
@@ -65,10 +60,11 @@
                                                 Context.Fleet.Routes, NewRoute,
                                                 Account, Fingerprint))),
       Request(Admitted.Request), Route(*Admitted.Route),
-      Caller(std::move(Caller)), Budget(Admitted, Context.Clock.now()),
-      Deadline(Context.Executor), PlacementWait(Context.Executor),
-      Targets(Context, Admitted), Model(Context.Fleet, Admitted),
-      Splicer(Request.LastEventId), Logged(Context.Log, Admitted) {
+      ToCaller(Context, std::move(Caller)),
+      Budget(Admitted, Context.Clock.now()), Deadline(Context.Executor),
+      PlacementWait(Context.Executor), Targets(Context, Admitted),
+      Model(Context.Fleet, Admitted), Splicer(Request.LastEventId),
+      Logged(Context.Log, Admitted) {
   Context.ActiveRequests.insert(this);
 }
 
@@ -86,7 +82,7 @@
 }
 
 void relayed_request::begin() {
-  Caller->setObserver(weak_from_this());
+  ToCaller.setObserver(weak_from_this());
   Deadline.expires_after(Budget.timeLimit());
   Deadline.async_wait(
       [Self = shared_from_this()](const asio::error_code &Code) {
@@ -110,7 +106,7 @@
   if (!Budget.allowsSend(liveRuns()))
     return refuse(errorResponseFor(/*MayHaveRun=*/true, "must_not_run_again"));
   // A stream that has begun goes on until the process exits.
-  if (!ResponseStarted &&
+  if (!ToCaller.hasStarted() &&
       !isAdmittedDuringStop(Context.Fleet, Route, Budget.timeLeft(Now), Now))
     return refuse(stoppingErrorResponse(Budget.mayHaveRun()));
   const attempt_place Place = Targets.select(Model.current().Index, Now);
@@ -178,7 +174,7 @@
   Parameters.TimeLeft = Budget.timeLeft(Now);
   if (Model.isSelected())
     Parameters.Model = Model.current().Id;
-  if (ResponseStarted)
+  if (ToCaller.hasStarted())
     Parameters.Urgency = ContinuationUrgency;
   else if (Model.isSmall())
     Parameters.Urgency = SmallModelUrgency;
@@ -279,7 +275,7 @@
 }
 
 void relayed_request::resumeAtNextSource() {
-  if (ResponseStarted)
+  if (ToCaller.hasStarted())
     Context.Metrics.increment("azurehaven_resumed_streams_total");
   Splicer.startNextSource();
 }
@@ -321,7 +317,7 @@
                                   const decoded_response_head &NewResponse) {
   // The VM that a request was forwarded to has chosen the model.
   if (!Model.isSelected() || !NewResponse.Confidence || Attempt.isForwarded() ||
-      !isSuccess(NewResponse.Status) || ResponseStarted ||
+      !isSuccess(NewResponse.Status) || ToCaller.hasStarted() ||
       !Budget.allowsRerun())
     return false;
   const steady_time Now = Context.Clock.now();
@@ -392,19 +388,10 @@
   }
   if (!Events.empty()) {
     Attempt.observed().onEvents(Splicer.eventCount(), Now);
-    if (!ResponseStarted) {
-      ResponseStarted = true;
-      TimeToFirstEvent =
-          std::chrono::duration_cast<milliseconds>(Now - Budget.arrivedAt());
-      startCallerResponse(Attempt);
-    }
-    Caller->sendChunk(Events);
+    ToCaller.sendEvents(Attempt.responseHead(), Events, Now);
     if (IsFinished)
       return;
-    const std::size_t Limit = Context.Memory.ofCallers().isExhausted()
-                                  ? MinCallerBacklogBytes
-                                  : MaxCallerBacklogBytes;
-    if (Caller->pendingBytes() > Limit)
+    if (ToCaller.isBacklogged())
       Attempt.pauseReading();
   }
   const bool HasRoom = Attempt.tryBufferEvent(Splicer.bufferedBytes());
@@ -442,8 +429,9 @@
   Budget.countRuns(1);
   Attempt.observed().onComplete(Context.Clock.now());
   if (Route.Kind == route_kind::Stream)
-    return finishStream(Attempt);
-  forwardWholeResponse(Attempt);
+    ToCaller.finishStream(Attempt.responseHead());
+  else
+    ToCaller.sendWhole(Attempt.responseHead(), Attempt.responseBody().text());
   finish("answered");
 }
 
@@ -456,31 +444,13 @@
   // The end of the connection is all that completes such a stream, and it is
   // also what a crash at its beginning looks like. Only a caller that has had
   // events before may get none.
-  const bool MayBeEmpty = Request.LastEventId && !ResponseStarted;
+  const bool MayBeEmpty = Request.LastEventId && !ToCaller.hasStarted();
   if (isEndedByClose(Attempt.responseHead()) &&
       Attempt.observed().attemptEvents() == 0 && !MayBeEmpty)
     return "the stream ended before its first event";
   return nullptr;
 }
 
-void relayed_request::startCallerResponse(const relayed_attempt &Attempt) {
-  const response_head &Head = Attempt.responseHead();
-  Caller->startResponse(Head.Status, Context.Codec.forwardedHeaders(Head));
-}
-
-void relayed_request::forwardWholeResponse(relayed_attempt &Attempt) {
-  const response_head &Head = Attempt.responseHead();
-  Caller->sendResponse(Head.Status, Context.Codec.forwardedHeaders(Head),
-                       Attempt.responseBody().text());
-}
-
-void relayed_request::finishStream(const relayed_attempt &Attempt) {
-  if (!ResponseStarted)
-    startCallerResponse(Attempt);
-  Caller->finishResponse();
-  finish("answered");
-}
-
 void relayed_request::handleErrorStatus(relayed_attempt &Attempt) {
   const decoded_response_head &Response = Attempt.response();
   Budget.countRuns(1);
@@ -488,11 +458,11 @@
   // Another VM has made all the attempts that the route allows.
   const bool MayRetry = !Attempt.isForwarded() &&
                         isRetryAllowed(Route, attempt_failure::ErrorResponse) &&
-                        Budget.runsLeft() > 0 && !ResponseStarted;
+                        Budget.runsLeft() > 0 && !ToCaller.hasStarted();
   if (MayRetry || Hedge)
     return retryOrRefuse(Attempt, attempt_failure::ErrorResponse,
                          "status " + std::to_string(Response.Status));
-  if (ResponseStarted)
+  if (ToCaller.hasStarted())
     return abortResponse("endpoint_failed");
   forwardErrorResponse(Attempt);
 }
@@ -503,7 +473,7 @@
                             Response.Status == 408 || Response.Status == 421;
   if (ClaimsNotRun || !Response.IsSigned)
     return refuse({502, std::nullopt, "endpoint_failed"});
-  forwardWholeResponse(Attempt);
+  ToCaller.sendWhole(Attempt.responseHead(), Attempt.responseBody().text());
   finish("endpoint_failed");
 }
 
@@ -521,7 +491,7 @@
 
 bool relayed_request::mayRetryElsewhere(steady_time Now) const {
   const bool HasTime =
-      ResponseStarted ||
+      ToCaller.hasStarted() ||
       isAdmittedDuringStop(Context.Fleet, Route, Budget.timeLeft(Now), Now);
   return HasTime && Budget.runsLeft() > liveRuns() &&
          mayRetryAfter(attempt_failure::Silent, Now);
@@ -587,7 +557,7 @@
     resumeAtNextSource();
     return startNextAttempt();
   }
-  if (Failure == attempt_failure::ErrorResponse && !ResponseStarted)
+  if (Failure == attempt_failure::ErrorResponse && !ToCaller.hasStarted())
     return forwardErrorResponse(Attempt);
   const bool IsExhausted = Decision == retry_decision::BudgetExhausted;
   refuse(errorResponseFor(
@@ -597,16 +567,14 @@
 }
 
 void relayed_request::refuse(const error_response &Refusal) {
-  if (ResponseStarted)
+  if (ToCaller.hasStarted())
     return abortResponse(Refusal.Reason);
-  Caller->sendResponse(
-      Refusal.Status,
-      Context.Codec.localResponseHeaders(Request.Id, Refusal.RetryAfter), {});
+  ToCaller.sendError(Request.Id, Refusal);
   finish(Refusal.Reason);
 }
 
 void relayed_request::abortResponse(const char *Reason) {
-  Caller->abort();
+  ToCaller.abort();
   finish(Reason);
 }
 
@@ -616,7 +584,7 @@
   cancelAttempts();
   // A response that has not started by the deadline counts as a failure of the
   // endpoint's release.
-  if (Current && !ResponseStarted)
+  if (Current && !ToCaller.hasStarted())
     Current->observed().onDeadline(Context.Clock.now());
   refuse(deadlineErrorResponse(Budget.sends() > 0));
 }
@@ -650,6 +618,13 @@
                               Context.Clock.wallNow(), Context.Fleet.Self));
 }
 
+std::optional<milliseconds> relayed_request::timeToFirstEvent() const {
+  if (!ToCaller.hasStarted())
+    return std::nullopt;
+  return std::chrono::duration_cast<milliseconds>(*ToCaller.firstEventAt() -
+                                                  Budget.arrivedAt());
+}
+
 void relayed_request::finish(const char *Outcome) {
   IsFinished = true;
   Deadline.cancel();
@@ -672,9 +647,9 @@
   // The VM that a request was forwarded to bills it.
   if (IsAnswered && !Current->isForwarded())
     recordBill();
-  Logged.onFinished(Outcome, IsAnswered,
-                    Current ? &Current->endpoint() : nullptr,
-                    Model.current().Id, Budget.sends(), TimeToFirstEvent, Took);
+  Logged.onFinished(
+      Outcome, IsAnswered, Current ? &Current->endpoint() : nullptr,
+      Model.current().Id, Budget.sends(), timeToFirstEvent(), Took);
   Current.reset();
   Hedge.reset();
 }
--- a/Libraries/LibRelay/relayed_request.h
+++ b/Libraries/LibRelay/relayed_request.h
@@ -6,6 +6,7 @@
 #include "LibRelay/admitted_request.h"
 #include "LibRelay/attempt_budget.h"
 #include "LibRelay/attempt_targets.h"
+#include "LibRelay/caller_response.h"
 #include "LibRelay/model_selection.h"
 #include "LibRelay/placement_wait.h"
 #include "LibRelay/relay.h"
@@ -86,9 +87,6 @@
   void forwardStreamBytes(relayed_attempt &Attempt, std::string Bytes);
   /// Why the stream that has ended is not complete; null if it is.
   const char *streamBreakReason(const relayed_attempt &Attempt) const;
-  void startCallerResponse(const relayed_attempt &Attempt);
-  void forwardWholeResponse(relayed_attempt &Attempt);
-  void finishStream(const relayed_attempt &Attempt);
   void handleErrorStatus(relayed_attempt &Attempt);
   /// Forwards the endpoint's error response. Sends a 502 instead if that would
   /// tell the caller that the request was not executed, or if it is unsigned.
@@ -98,6 +96,7 @@
   void refuse(const error_response &Refusal);
   void abortResponse(const char *Reason);
   void recordBill();
+  std::optional<milliseconds> timeToFirstEvent() const;
   void finish(const char *Outcome);
   bool mayRetryAfter(attempt_failure Failure, steady_time Now) const;
   /// Whether a request on a silent endpoint may be retried at another one, and
@@ -122,7 +121,7 @@
   /// Both refer to members of Admitted.
   const dispatch_request &Request;
   const route &Route;
-  std::shared_ptr<caller_connection> Caller;
+  caller_response ToCaller;
   attempt_budget Budget;
   asio::steady_timer Deadline;
   placement_wait PlacementWait;
@@ -140,13 +139,10 @@
   /// Why the latest attempt is made; a stable identifier for logs.
   const char *SendReason = "first";
   event_splicer Splicer;
-  /// Whether a stream's response to the caller has begun.
-  bool ResponseStarted = false;
   bool IsFinished = false;
   const request_log Logged;
   /// Total model cost of all attempts.
   micro_euros Cost{0};
-  std::optional<milliseconds> TimeToFirstEvent;
 };
 
 } // namespace azurehaven
