--- a/Libraries/LibRelay/attempt_observations.cpp
+++ b/Libraries/LibRelay/attempt_observations.cpp
@@ -130,12 +130,12 @@
 }
 
 void attempt_observations::recordMalformedResponse(steady_time Now) {
-  if (IsForwarded)
+  // The VM that a request was forwarded to has sent it, not an endpoint.
+  if (IsForwarded) {
     Recorder.drop();
-  else
-    Recorder.record(/*HasFailed=*/true, Now);
-  if (IsForwarded)
-    return Crashes.drop();
+    return Crashes.recordUncounted("forwarded");
+  }
+  Recorder.record(/*HasFailed=*/true, Now);
   Crashes.recordMalformed(Now);
 }
 
