--- a/review/11/case.py
+++ b/review/11/case.py
@@ -1,5 +1,5 @@
-"""UNASKED: a request in chunks holds another one, behind line ends or chunk ends
-that HTTP implementations read differently."""
+"""UNASKED: a request holds another one, in the body that its length declares, or
+in chunks, behind line ends or chunk ends that HTTP implementations read differently."""
 import asyncio
 import os
 import pathlib
@@ -26,20 +26,22 @@
     await server.succeed(writer, attempt)
 
 
-def head(attempt, more):
-    return (f"POST /puxa403/2f HTTP/1.1\r\nHost: {standins.HOST}\r\nAzurehaven-Attempt-Id: {attempt}\r\n"
+def head(attempt, more, method="POST"):
+    return (f"{method} /puxa403/2f HTTP/1.1\r\nHost: {standins.HOST}\r\nAzurehaven-Attempt-Id: {attempt}\r\n"
             f"Azurehaven-Deadline-Ms: 1000\r\nAuthorization: Bearer {standins.KEY}\r\n{more}\r\n\r\n").encode()
 
 
-def holding(form, inner):
-    """A body in chunks, with its end. The request inside is neither the client's
-    nor outside the body, or the body is malformed."""
-    if form == "sound":
-        return b"4\r\nbook\r\n0\r\nX-Check: 7\r\n\r\n"
-    if form == "trailer":  # A bare line feed ends no line, so that the field goes on.
-        return b"4\r\nbook\r\n0\r\nX-Check: 7\n\n" + inner
-    # Chunk data is followed by CR LF, not by other bytes.
-    return b"4\r\nbook--0\r\n\r\n" + inner
+def holding(form, outer, inner):
+    """The bytes of a request. The one inside is a part of its body or of a trailer
+    field, or stands behind a body that is malformed."""
+    if form == "length":  # The length covers the request inside.
+        return head(outer, f"Content-Length: {len(inner)}", "CONNECT") + inner
+    chunks = {"sound": b"4\r\nbook\r\n0\r\nX-Check: 7\r\n\r\n",
+              # A bare line feed ends no line, so that the field goes on.
+              "trailer": b"4\r\nbook\r\n0\r\nX-Check: 7\n\n" + inner,
+              # Chunk data is followed by CR LF, not by other bytes.
+              "chunk_end": b"4\r\nbook--0\r\n\r\n" + inner}
+    return head(outer, "Transfer-Encoding: chunked") + chunks[form]
 
 
 async def case(fleet):
@@ -47,13 +49,13 @@
     await fleet.add_servers("wuno96b", 3, 6)
     fleet.start_entries(2)
     await fleet.until_ready()
-    forms = ["trailer", "chunk_end"] if TROUBLE else ["sound", "sound"]
-    smuggled = {form: 0 for form in forms}
+    forms = ["length", "trailer", "chunk_end"] if TROUBLE else ["sound", "sound", "sound"]
+    smuggled = {form: 0 for form in sorted(set(forms))}
     for number in range(TURNS):
         for form in forms:
             outer, inner = (f"{random.getrandbits(64):016x}" for _ in range(2))
             sent.add(outer)
-            data = head(outer, "Transfer-Encoding: chunked") + holding(form, head(inner, "Content-Length: 0"))
+            data = holding(form, outer, head(inner, "Content-Length: 0"))
             fleet.record.line("send", form=form, attempt=outer, inside="none" if form == "sound" else inner,
                               bytes=data)
             reader, writer = await asyncio.open_connection(fleet.entries[number % 2], 8227)
